--- /dev/null
+++ b/Makefile
@@ -0,0 +1,38 @@
+# Every command that the README names. Programs are built into bin/.
+MODULES := core entry agent lychee trial
+PKGS := $(addprefix ./,$(addsuffix /...,$(MODULES)))
+SCENARIO ?=
+
+.PHONY: build test lint fmt demo smoke measure capacity bench clean
+
+build:
+	go build -o bin/ ./entry ./agent ./lychee ./trial
+
+test:
+	go vet $(PKGS)
+	go test -race -count=1 -timeout 20m $(PKGS)
+
+lint:
+	@out=$$(go tool gofumpt -l $(MODULES)); if [ -n "$$out" ]; then echo "gofumpt would change:"; echo "$$out"; exit 1; fi
+	go tool revive -config revive.toml -set_exit_status $(PKGS)
+
+fmt:
+	go tool gofumpt -w $(MODULES)
+
+demo: build
+	bin/trial demo
+
+smoke: build
+	bin/trial smoke
+
+measure: build
+	@bin/trial measure --scenario "$(SCENARIO)"
+
+capacity: build
+	@bin/trial capacity
+
+bench:
+	go test -run '^$$' -bench . -benchmem $(PKGS)
+
+clean:
+	rm -rf bin
--- /dev/null
+++ b/agent/main.go
@@ -0,0 +1,4 @@
+// Command agent is part of lycheepond.
+package main
+
+func main() {}
--- /dev/null
+++ b/core/wire/frame.go
@@ -0,0 +1,160 @@
+package wire
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"sync"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// MaxFrame is the largest frame body in bytes that a reader accepts. A body of
+// a caller is at most 4 MiB, so a longer frame is damaged or hostile.
+const MaxFrame = 5 << 20
+
+const headerSize = 5
+
+// ErrFrameSize reports a frame whose length cannot be right.
+var ErrFrameSize = errors.New("wire: frame length out of range: the peer is not a lycheepond process of this version, or the stream is damaged; the link is closed")
+
+// FrameError reports a frame that could not be decoded.
+type FrameError struct {
+	kind Kind
+	err  error
+}
+
+// Kind returns the type byte of the bad frame.
+func (e *FrameError) Kind() Kind { return e.kind }
+
+// Error names the frame and the remedy.
+func (e *FrameError) Error() string {
+	return fmt.Sprintf("wire: bad %s frame (type %d): %v: run the same version of lycheepond on both ends", e.kind, uint8(e.kind), e.err)
+}
+
+// Unwrap returns the decoder's error.
+func (e *FrameError) Unwrap() error { return e.err }
+
+var errUnknownKind = errors.New("unknown type")
+
+type encoder struct {
+	buf bytes.Buffer
+	enc *msgpack.Encoder
+}
+
+var encoders = sync.Pool{New: func() any {
+	e := new(encoder)
+	e.enc = msgpack.NewEncoder(&e.buf)
+	e.enc.UseCompactInts(true)
+	e.enc.UseCompactFloats(true)
+	return e
+}}
+
+// Append adds the frame of m to dst.
+func Append(dst []byte, m Message) ([]byte, error) {
+	e := encoders.Get().(*encoder)
+	defer encoders.Put(e)
+	e.buf.Reset()
+	if err := e.enc.Encode(m); err != nil {
+		return dst, &FrameError{kind: m.Kind(), err: err}
+	}
+	if e.buf.Len() > MaxFrame {
+		return dst, ErrFrameSize
+	}
+	dst = binary.BigEndian.AppendUint32(dst, uint32(e.buf.Len()))
+	dst = append(dst, byte(m.Kind()))
+	return append(dst, e.buf.Bytes()...), nil
+}
+
+// Reader reads messages from a stream.
+type Reader struct {
+	r *bufio.Reader
+	// buf holds the body of the frame that is being decoded; decoded messages
+	// never point into it.
+	buf []byte
+	dec *msgpack.Decoder
+	src *bytes.Reader
+	// bytes counts what was read, split into control and data.
+	control, data uint64
+}
+
+// NewReader returns a Reader on r.
+func NewReader(r io.Reader) *Reader {
+	src := bytes.NewReader(nil)
+	return &Reader{r: bufio.NewReaderSize(r, 32<<10), src: src, dec: msgpack.NewDecoder(src)}
+}
+
+// Next returns the next message. It returns io.EOF only between two frames and
+// io.ErrUnexpectedEOF inside one.
+func (r *Reader) Next() (Message, error) {
+	var head [headerSize]byte
+	if _, err := io.ReadFull(r.r, head[:]); err != nil {
+		return nil, err
+	}
+	n := binary.BigEndian.Uint32(head[:4])
+	kind := Kind(head[4])
+	if n > MaxFrame {
+		return nil, ErrFrameSize
+	}
+	m := blank(kind)
+	if m == nil {
+		return nil, &FrameError{kind: kind, err: errUnknownKind}
+	}
+	if err := r.fill(int(n)); err != nil {
+		return nil, err
+	}
+	r.count(kind, uint64(n)+headerSize)
+	if err := r.decode(m); err != nil {
+		return nil, &FrameError{kind: kind, err: err}
+	}
+	return m, nil
+}
+
+// fill reads n bytes into buf. It grows buf only as bytes arrive, so that a
+// hostile length without a body behind it costs no memory.
+func (r *Reader) fill(n int) error {
+	const step = 64 << 10
+	r.buf = r.buf[:0]
+	for len(r.buf) < n {
+		want := min(n-len(r.buf), step)
+		at := len(r.buf)
+		r.buf = append(r.buf, make([]byte, want)...)
+		if _, err := io.ReadFull(r.r, r.buf[at:]); err != nil {
+			if errors.Is(err, io.EOF) {
+				return io.ErrUnexpectedEOF
+			}
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *Reader) decode(m Message) (err error) {
+	defer func() {
+		// The decoder panics on some damaged input. One bad peer must not end
+		// the process, so the panic becomes an error of this link.
+		if p := recover(); p != nil {
+			err = fmt.Errorf("decoder: %v", p)
+		}
+	}()
+	r.src.Reset(r.buf)
+	r.dec.Reset(r.src)
+	if err := r.dec.Decode(m); err != nil {
+		return err
+	}
+	if r.src.Len() != 0 {
+		return fmt.Errorf("%d bytes behind the message", r.src.Len())
+	}
+	return nil
+}
+
+func (r *Reader) count(k Kind, n uint64) {
+	if k.Control() {
+		r.control += n
+		return
+	}
+	r.data += n
+}
--- /dev/null
+++ b/core/wire/frame_test.go
@@ -0,0 +1,97 @@
+package wire
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"testing"
+
+	"lycheepond/core/ident"
+)
+
+func samples() []Message {
+	id := ident.Make(3, 4)
+	return []Message{
+		&Hello{Version: 1, Role: RoleEntry, Name: "e1", Zone: "z1", Nonce: make([]byte, nonceSize)},
+		&Proof{MAC: []byte{1}}, &Beat{Load: Load{InFlight: 3, Running: 5}},
+		&Offer{ID: id, Pool: "p", Prefix: []uint64{7}}, &Withdraw{ID: id}, &Claim{ID: id},
+		&Grant{ID: id, Method: "POST", Header: []Field{{Name: "A", Value: "b"}}, Body: []byte("x")},
+		&Deny{ID: id}, &Return{ID: id, Reason: ReasonShed}, &Known{ID: id, State: KeyJoined},
+		&Head{ID: id, Status: 200}, &Chunk{ID: id, Seq: 9, Data: []byte("data")},
+		&End{ID: id, Whole: true, Usage: Usage{OutputTokens: 4}}, &Cancel{ID: id},
+		&Attach{ID: id, Next: 2}, &Level{Pool: "p", Level: 2}, &News{Object: "class", Data: []byte("{}")},
+		&LeaseAsk{Seq: 1}, &LeaseAck{Seq: 1, Fresh: true}, &Fetch{}, &Fetched{Version: 3},
+	}
+}
+
+func TestEveryKindRoundTrips(t *testing.T) {
+	all := samples()
+	if len(all) != int(kindLimit)-1 {
+		t.Fatalf("%d samples for %d kinds", len(all), kindLimit-1)
+	}
+	for _, m := range all {
+		t.Run(m.Kind().String(), func(t *testing.T) {
+			buf, err := Append(nil, m)
+			if err != nil {
+				t.Fatal(err)
+			}
+			got, err := NewReader(bytes.NewReader(buf)).Next()
+			if err != nil {
+				t.Fatal(err)
+			}
+			again, err := Append(nil, got)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if !bytes.Equal(buf, again) {
+				t.Fatalf("%x became %x", buf, again)
+			}
+		})
+	}
+}
+
+// A peer dies in the middle of a frame, or something that is not lycheepond
+// dials the link port. The link closes with an error that says so; nothing of
+// the half frame is handled.
+func TestDamagedFrames(t *testing.T) {
+	whole, err := Append(nil, &Chunk{ID: ident.Make(1, 1), Data: []byte("abc")})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, tc := range []struct {
+		name  string
+		input []byte
+		want  error
+	}{
+		{"nothing", nil, io.EOF},
+		{"cut in the header", whole[:3], io.ErrUnexpectedEOF},
+		{"cut in the body", whole[:len(whole)-1], io.ErrUnexpectedEOF},
+		{"huge length", []byte{0xff, 0xff, 0xff, 0xff, 1}, ErrFrameSize},
+		{"unknown kind", []byte{0, 0, 0, 0, 200}, errUnknownKind},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			if _, err := NewReader(bytes.NewReader(tc.input)).Next(); !errors.Is(err, tc.want) {
+				t.Fatalf("error %v, want %v", err, tc.want)
+			}
+		})
+	}
+}
+
+func FuzzReader(f *testing.F) {
+	for _, m := range samples() {
+		buf, err := Append(nil, m)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(buf)
+		f.Add(buf[:len(buf)/2])
+	}
+	f.Fuzz(func(_ *testing.T, input []byte) {
+		r := NewReader(bytes.NewReader(input))
+		for {
+			if _, err := r.Next(); err != nil {
+				return
+			}
+		}
+	})
+}
--- /dev/null
+++ b/core/wire/kinds.go
@@ -0,0 +1,64 @@
+package wire
+
+// Kind returns KindHello.
+func (*Hello) Kind() Kind { return KindHello }
+
+// Kind returns KindProof.
+func (*Proof) Kind() Kind { return KindProof }
+
+// Kind returns KindBeat.
+func (*Beat) Kind() Kind { return KindBeat }
+
+// Kind returns KindOffer.
+func (*Offer) Kind() Kind { return KindOffer }
+
+// Kind returns KindWithdraw.
+func (*Withdraw) Kind() Kind { return KindWithdraw }
+
+// Kind returns KindClaim.
+func (*Claim) Kind() Kind { return KindClaim }
+
+// Kind returns KindGrant.
+func (*Grant) Kind() Kind { return KindGrant }
+
+// Kind returns KindDeny.
+func (*Deny) Kind() Kind { return KindDeny }
+
+// Kind returns KindReturn.
+func (*Return) Kind() Kind { return KindReturn }
+
+// Kind returns KindKnown.
+func (*Known) Kind() Kind { return KindKnown }
+
+// Kind returns KindHead.
+func (*Head) Kind() Kind { return KindHead }
+
+// Kind returns KindChunk.
+func (*Chunk) Kind() Kind { return KindChunk }
+
+// Kind returns KindEnd.
+func (*End) Kind() Kind { return KindEnd }
+
+// Kind returns KindCancel.
+func (*Cancel) Kind() Kind { return KindCancel }
+
+// Kind returns KindAttach.
+func (*Attach) Kind() Kind { return KindAttach }
+
+// Kind returns KindLevel.
+func (*Level) Kind() Kind { return KindLevel }
+
+// Kind returns KindNews.
+func (*News) Kind() Kind { return KindNews }
+
+// Kind returns KindLeaseAsk.
+func (*LeaseAsk) Kind() Kind { return KindLeaseAsk }
+
+// Kind returns KindLeaseAck.
+func (*LeaseAck) Kind() Kind { return KindLeaseAck }
+
+// Kind returns KindFetch.
+func (*Fetch) Kind() Kind { return KindFetch }
+
+// Kind returns KindFetched.
+func (*Fetched) Kind() Kind { return KindFetched }
--- /dev/null
+++ b/core/wire/link.go
@@ -0,0 +1,241 @@
+package wire
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"lycheepond/core/ring"
+)
+
+// Timing of links. A peer is taken for dead after three missed heartbeats.
+const (
+	// DefaultHeartbeat is the longest silence of a healthy peer.
+	DefaultHeartbeat = time.Second
+	// MissedHeartbeats is how many heartbeats may be missed.
+	MissedHeartbeats = 3
+	// ringSize is how many messages may wait for the writer of one link. At
+	// 31,000 tokens a second over 115 links it is several seconds of output.
+	ringSize = 1024
+)
+
+// ErrSilent reports a peer that missed its heartbeats.
+var ErrSilent = errors.New("wire: peer missed its heartbeats: it is stopped, paused or cut off; the link is closed and dialled again")
+
+// ErrClosed reports a send on a link that has ended.
+var ErrClosed = errors.New("wire: link closed: offer the request to another agent")
+
+// Counts is a link's traffic in bytes, as framed, without TCP and IP headers.
+type Counts struct {
+	// ControlIn and ControlOut are everything but callers' requests and answers.
+	ControlIn, ControlOut uint64
+	// DataIn and DataOut are callers' requests and answers.
+	DataIn, DataOut uint64
+}
+
+// Link is one connection to another lycheepond process.
+type Link struct {
+	conn net.Conn
+	peer Hello
+	out  *ring.Ring[Message]
+	// done is closed once, by cancel's owner Run, when the link has ended.
+	done chan struct{}
+	stop context.CancelFunc
+	ctx  context.Context
+	// beat makes the heartbeat to send on an idle link; it may be nil.
+	beat      func() Message
+	heartbeat time.Duration
+	// lastOut is the time of the last write in nanoseconds since start.
+	lastOut atomic.Int64
+	start   time.Time
+
+	controlIn, controlOut, dataIn, dataOut atomic.Uint64
+}
+
+// Config says how a link behaves.
+type Config struct {
+	// Heartbeat is the longest silence; zero means DefaultHeartbeat.
+	Heartbeat time.Duration
+	// Beat makes the heartbeat; nil sends an empty Beat.
+	Beat func() Message
+}
+
+// New returns a link over conn to a peer whose Hello was checked. It does
+// nothing until Run.
+func New(conn net.Conn, peer Hello, cfg Config) *Link {
+	if cfg.Heartbeat <= 0 {
+		cfg.Heartbeat = DefaultHeartbeat
+	}
+	if cfg.Beat == nil {
+		cfg.Beat = func() Message { return new(Beat) }
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	return &Link{
+		conn: conn, peer: peer, out: ring.New[Message](ringSize), done: make(chan struct{}),
+		ctx: ctx, stop: stop, beat: cfg.Beat, heartbeat: cfg.Heartbeat, start: time.Now(),
+	}
+}
+
+// Peer returns the peer's Hello.
+func (l *Link) Peer() Hello { return l.peer }
+
+// Done returns a channel that is closed when the link has ended.
+func (l *Link) Done() <-chan struct{} { return l.done }
+
+// Send queues m without waiting. When the ring is full the peer reads too
+// slowly for messages that must not wait: the link is closed.
+func (l *Link) Send(m Message) error {
+	if l.ctx.Err() != nil {
+		return ErrClosed
+	}
+	if err := l.out.Offer(m); err != nil {
+		l.stop()
+		return err
+	}
+	return nil
+}
+
+// SendWait queues m and waits for room until ctx or the link ends. It is for
+// the pieces of answers, whose producer may be held back.
+func (l *Link) SendWait(ctx context.Context, m Message) error {
+	if l.ctx.Err() != nil {
+		return ErrClosed
+	}
+	select {
+	case <-l.ctx.Done():
+		return ErrClosed
+	default:
+	}
+	if err := l.out.Offer(m); err == nil {
+		return nil
+	}
+	joined, cancel := context.WithCancel(ctx)
+	defer cancel()
+	unhook := context.AfterFunc(l.ctx, cancel)
+	defer unhook()
+	if err := l.out.Put(joined, m); err != nil {
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		return ErrClosed
+	}
+	return nil
+}
+
+// Close ends the link; Run returns soon after.
+func (l *Link) Close() { l.stop() }
+
+// Counts returns the traffic so far.
+func (l *Link) Counts() Counts {
+	return Counts{
+		ControlIn: l.controlIn.Load(), ControlOut: l.controlOut.Load(),
+		DataIn: l.dataIn.Load(), DataOut: l.dataOut.Load(),
+	}
+}
+
+// Run reads messages and gives each to handle, in order, until the link fails
+// or ctx ends. It returns why the link ended and is to be called once.
+func (l *Link) Run(ctx context.Context, handle func(Message)) error {
+	defer close(l.done)
+	defer l.stop()
+	unhook := context.AfterFunc(ctx, l.stop)
+	defer unhook()
+	written := make(chan error, 1)
+	go func() { written <- l.write(l.ctx) }()
+	closer := context.AfterFunc(l.ctx, func() { l.conn.Close() })
+	defer closer()
+	readErr := l.read(handle)
+	stopped := l.ctx.Err() != nil
+	l.stop()
+	l.conn.Close()
+	writeErr := <-written
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	if stopped && writeErr != nil {
+		return writeErr
+	}
+	return readErr
+}
+
+func (l *Link) read(handle func(Message)) error {
+	r := NewReader(l.conn)
+	silence := l.heartbeat * MissedHeartbeats
+	for {
+		if err := l.conn.SetReadDeadline(time.Now().Add(silence)); err != nil {
+			return err
+		}
+		m, err := r.Next()
+		if err != nil {
+			var timeout net.Error
+			if errors.As(err, &timeout) && timeout.Timeout() {
+				return ErrSilent
+			}
+			return err
+		}
+		l.controlIn.Store(r.control)
+		l.dataIn.Store(r.data)
+		handle(m)
+	}
+}
+
+// write sends what is queued, in batches, and a heartbeat when nothing was
+// sent for one period.
+func (l *Link) write(ctx context.Context) error {
+	defer l.stop()
+	w := bufio.NewWriterSize(l.conn, 32<<10)
+	tick := time.NewTicker(l.heartbeat)
+	defer tick.Stop()
+	var buf []byte
+	sent := false
+	for {
+		var m Message
+		select {
+		case <-ctx.Done():
+			return ErrClosed
+		case m = <-l.out.Items():
+			sent = true
+		case <-tick.C:
+			if sent {
+				sent = false
+				continue
+			}
+			m = l.beat()
+		}
+		var err error
+		if buf, err = l.batch(w, m, buf); err != nil {
+			return err
+		}
+	}
+}
+
+// batch writes m and all that waits behind it with one flush.
+func (l *Link) batch(w *bufio.Writer, m Message, buf []byte) ([]byte, error) {
+	if err := l.conn.SetWriteDeadline(time.Now().Add(l.heartbeat * MissedHeartbeats)); err != nil {
+		return buf, err
+	}
+	for {
+		var err error
+		buf, err = Append(buf[:0], m)
+		if err != nil {
+			return buf, err
+		}
+		if m.Kind().Control() {
+			l.controlOut.Add(uint64(len(buf)))
+		} else {
+			l.dataOut.Add(uint64(len(buf)))
+		}
+		if _, err := w.Write(buf); err != nil {
+			return buf, err
+		}
+		select {
+		case m = <-l.out.Items():
+			continue
+		default:
+		}
+		return buf, w.Flush()
+	}
+}
--- /dev/null
+++ b/entry/main.go
@@ -0,0 +1,4 @@
+// Command entry is part of lycheepond.
+package main
+
+func main() {}
--- /dev/null
+++ b/lychee/main.go
@@ -0,0 +1,4 @@
+// Command lychee is part of lycheepond.
+package main
+
+func main() {}
--- /dev/null
+++ b/tools/tools.go
@@ -0,0 +1,2 @@
+// Package tools pins the formatter and the linter.
+package tools
--- /dev/null
+++ b/trial/main.go
@@ -0,0 +1,4 @@
+// Command trial is part of lycheepond.
+package main
+
+func main() {}
