--- /dev/null
+++ b/core/ring/ring_test.go
@@ -0,0 +1,47 @@
+package ring_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+
+	"lycheepond/core/ring"
+)
+
+// The reader of a ring stops reading while its writer goes on. The writer
+// learns at once that the ring is full instead of growing without bound.
+func TestOfferReportsFull(t *testing.T) {
+	r := ring.New[int](1)
+	if err := r.Offer(1); err != nil {
+		t.Fatal(err)
+	}
+	if err := r.Offer(2); !errors.Is(err, ring.ErrFull) {
+		t.Fatalf("second Offer: %v", err)
+	}
+	if r.Len() != 1 || r.Cap() != 1 {
+		t.Fatalf("Len %d, Cap %d", r.Len(), r.Cap())
+	}
+}
+
+func TestPutEndsWithContext(t *testing.T) {
+	r := ring.New[int](1)
+	ctx, cancel := context.WithCancelCause(context.Background())
+	if err := r.Put(ctx, 1); err != nil {
+		t.Fatal(err)
+	}
+	cause := errors.New("stopping")
+	cancel(cause)
+	if err := r.Put(ctx, 2); !errors.Is(err, cause) {
+		t.Fatalf("Put: %v", err)
+	}
+}
+
+func ExampleRing() {
+	r := ring.New[string](4)
+	fmt.Println(r.Offer("first"), r.Offer("second"))
+	fmt.Println(<-r.Items(), <-r.Items())
+	// Output:
+	// <nil> <nil>
+	// first second
+}
