--- a/core/wire/message.go
+++ b/core/wire/message.go
@@ -290,9 +290,13 @@
 	_msgpack struct{} `msgpack:",as_array"`
 	ID       ident.ID
 	Next     uint32
-	// Stream, Repeatable and Key let a new incarnation of the agent resume
-	// the request at an engine that can.
+	// Stream lets a new incarnation of the agent resume the request at an
+	// engine that can.
 	Stream bool
+	// Agent is the incarnation of the agent whose link the grant was written
+	// to. Another incarnation cannot know that the grant never came, so it
+	// never answers with ReasonNeverGranted. Zero means not told.
+	Agent uint64
 }
 
 // Level tells an agent the shed level of its pool.
@@ -314,15 +318,22 @@
 	Data     []byte
 }
 
-// LeaseAsk asks an entry how fresh its knowledge of a pool's homes is.
+// LeaseAsk asks an entry how fresh its knowledge of a pool's homes is, or, if
+// Pool is AssignPrefix and a model, of that model's assignments.
 type LeaseAsk struct {
 	_msgpack struct{} `msgpack:",as_array"`
 	Seq      uint32
 	Pool     string
 }
 
+// AssignPrefix begins the Pool of a LeaseAsk that is about assign/MODEL. The
+// Epoch of its LeaseAck is the Epoch inside the object.
+const AssignPrefix = "assign/"
+
 // LeaseAck confirms that Epoch was the epoch of the pool's homes AgeMS
-// milliseconds before the ask was received.
+// milliseconds before the ask was received. The age counts from the moment
+// before the conditional write that showed the epoch was sent; a plain read
+// may be answered from the past and confirms nothing.
 type LeaseAck struct {
 	_msgpack struct{} `msgpack:",as_array"`
 	Seq      uint32
