--- /dev/null
+++ b/agent/slot/attach.go
@@ -0,0 +1,142 @@
+package slot
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"go.uber.org/zap"
+
+	"lycheepond/agent/answer"
+	"lycheepond/agent/call"
+	"lycheepond/agent/engine"
+	"lycheepond/core/ident"
+	"lycheepond/core/wire"
+)
+
+// attach deals with an entry that lost its link after a grant.
+//
+// Only what this incarnation claimed can be said never to have come: the grant
+// follows the claim, so without a record of one the grant went to an agent that
+// ran here before, and what became of it is asked of the engine.
+func (o *Owner) attach(now time.Duration, p *Peer, m *wire.Attach) {
+	r := o.recs[m.ID]
+	if r != nil && r.log != nil {
+		o.startFollow(r, r.id, r.log, p, m.Next)
+		r.link = p
+		return
+	}
+	foreign := m.Agent != 0 && m.Agent != o.cfg.Self.Incarnation
+	if r == nil || foreign {
+		o.resume(now, p, m)
+		return
+	}
+	switch r.state {
+	case queued, parked, claimed, lapsed:
+		o.queue.Remove(r.id)
+		o.bury(now, r, wire.ReasonNeverGranted)
+		o.sendReturnTo(p, r.id, wire.ReasonNeverGranted)
+	case dead:
+		o.sendReturnTo(p, r.id, r.reason)
+	default:
+		o.sendForgotten(p, m.ID)
+	}
+}
+
+func (o *Owner) sendForgotten(p *Peer, id ident.ID) {
+	o.publish()
+	o.log.Warn("run-forgotten", zap.Stringer("request", id), zap.String("peer", p.Name))
+	o.send(p, &wire.End{ID: id, Reason: wire.ReasonForgotten, Load: *o.load.Load()})
+}
+
+// resume takes up a stream that an earlier incarnation of this agent started.
+func (o *Owner) resume(now time.Duration, p *Peer, m *wire.Attach) {
+	if o.cfg.Resume == nil || !m.Stream || o.leaving {
+		o.sendForgotten(p, m.ID)
+		return
+	}
+	if old := o.recs[m.ID]; old != nil {
+		o.queue.Remove(old.id)
+		o.forget(now, old)
+	}
+	r := &rec{id: m.ID, sess: o.session(p), link: p, arrived: now, log: answer.New(&o.budget)}
+	o.recs[m.ID] = r
+	o.startFollow(r, r.id, r.log, p, m.Next)
+	id := m.ID
+	o.launch(now, r, func(ctx context.Context, sink call.Sink) call.Result {
+		res := o.cfg.Resume(ctx, id, sink, r.progress)
+		res.Sent = true
+		return res
+	})
+	o.log.Info("run-resumed", zap.Stringer("request", id), zap.String("peer", p.Name))
+}
+
+// brokenReason says why an answer that the owner did not stop is not whole.
+func brokenReason(err error) wire.Reason {
+	if errors.Is(err, engine.ErrUnknown) {
+		return wire.ReasonForgotten
+	}
+	return wire.ReasonBroken
+}
+
+func (o *Owner) session(p *Peer) *session {
+	s := o.sessions[p.Incarnation]
+	if s == nil {
+		s = &session{name: p.Name, incarnation: p.Incarnation, levels: make(map[string]levelHeard)}
+		o.sessions[p.Incarnation] = s
+	}
+	return s
+}
+
+func (o *Owner) linkUp(_ time.Duration, p *Peer) {
+	s := o.session(p)
+	s.link = p
+	o.askNext = 0
+	o.log.Info("link-up", zap.String("peer", p.Name), zap.Uint64("incarnation", p.Incarnation))
+	if o.leaving {
+		o.sayLeaving(p)
+	}
+}
+
+// linkDown forgets what was only offered on the link. What was granted goes
+// on, and its answer is kept for an Attach.
+func (o *Owner) linkDown(now time.Duration, p *Peer) {
+	for _, r := range o.waiting {
+		if r.link == p && r.state != ready {
+			o.lapse(now, r)
+		}
+	}
+	s := o.session(p)
+	if s.link == p {
+		s.link, s.gone = nil, now
+	}
+	o.log.Info("link-down", zap.String("peer", p.Name), zap.Uint64("incarnation", p.Incarnation))
+}
+
+// lapse takes a waiting request out whose link has ended. A claimed one leaves
+// a record: the grant may have been written and lost, and an Attach will ask.
+func (o *Owner) lapse(now time.Duration, r *rec) {
+	o.queue.Remove(r.id)
+	if r.state != claimed {
+		o.forget(now, r)
+		return
+	}
+	o.setState(now, r, lapsed)
+	o.firstLost(now, r)
+}
+
+func (o *Owner) expireSessions(now time.Duration) {
+	for id, s := range o.sessions {
+		if s.link != nil || now-s.gone < sessionGrace {
+			continue
+		}
+		for _, r := range o.running {
+			if r.sess == s && r.key == nil && r.offer != nil && r.offer.Repeatable {
+				o.halt(r, wire.ReasonCallerGone)
+			}
+		}
+		if now-s.gone > keepRecord {
+			delete(o.sessions, id)
+		}
+	}
+}
--- /dev/null
+++ b/agent/slot/claim.go
@@ -0,0 +1,174 @@
+package slot
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"lycheepond/agent/answer"
+	"lycheepond/core/bound"
+	"lycheepond/core/ident"
+	"lycheepond/core/wire"
+)
+
+// dispatch starts and claims whatever there is room for.
+func (o *Owner) dispatch(now time.Duration) {
+	o.startReady(now)
+	for !o.leaving && !o.down && !o.stalled {
+		it, ok := o.queue.Peek(now)
+		if !ok {
+			return
+		}
+		r := o.recs[it.ID]
+		if r == nil || r.state != queued {
+			o.queue.Remove(it.ID)
+			continue
+		}
+		if !o.mayClaim(now, r) && !o.displace(now, r) {
+			return
+		}
+		if !o.mayClaim(now, r) {
+			return
+		}
+		o.queue.Remove(it.ID)
+		o.claim(now, r)
+	}
+}
+
+func (o *Owner) claim(now time.Duration, r *rec) {
+	o.setState(now, r, claimed)
+	r.long = o.bound.Long(r.work)
+	o.publish()
+	o.send(r.link, &wire.Claim{ID: r.id, Load: *o.load.Load()})
+}
+
+// committed sums up what runs, and with claims also what may run any moment.
+func (o *Owner) committed(withClaims bool) bound.Running {
+	var sum bound.Running
+	add := func(r *rec) {
+		sum.Count++
+		sum.Tokens += r.work.Tokens
+		if r.long {
+			sum.LongCount++
+		}
+	}
+	for _, r := range o.running {
+		add(r)
+	}
+	if !withClaims {
+		return sum
+	}
+	for _, r := range o.ready {
+		add(r)
+	}
+	if o.claims > 0 {
+		for _, r := range o.waiting {
+			if r.state == claimed {
+				add(r)
+			}
+		}
+	}
+	return sum
+}
+
+func (o *Owner) mayClaim(now time.Duration, r *rec) bool {
+	if o.bound.Room(now, o.committed(true), r.work) {
+		return true
+	}
+	return o.claims+len(o.ready) == 0 && len(o.running) > 0 && r.work.Cost > 0 && r.work.Cost <= aheadCost
+}
+
+// expireClaims drops claims that were never answered. The test is made again
+// when a grant comes: after a pause of this process a late grant may be read
+// before the timer.
+func (o *Owner) expireClaims(now time.Duration) {
+	if o.claims == 0 {
+		return
+	}
+	for _, r := range o.waiting {
+		if r.state == claimed && now-r.changed > claimTimeout {
+			o.log.Warn("claim-unanswered", zap.Stringer("request", r.id), zap.String("peer", r.sess.name))
+			o.bury(now, r, wire.ReasonNeverGranted)
+		}
+	}
+}
+
+func (o *Owner) grant(now time.Duration, p *Peer, m *wire.Grant) {
+	r := o.recs[m.ID]
+	if r == nil {
+		o.refuseGrant(now, p, m.ID)
+		return
+	}
+	switch r.state {
+	case dead:
+		o.sendReturnTo(p, r.id, wire.ReasonNeverGranted)
+		return
+	case claimed:
+	default:
+		// A duplicate of a grant that was taken, or one for a claim that this
+		// link did not carry.
+		o.cfg.Stats.strayGrants.Inc(1)
+		o.log.Warn("grant-refused", zap.Stringer("request", r.id), zap.String("peer", p.Name))
+		return
+	}
+	if r.link != p {
+		o.cfg.Stats.strayGrants.Inc(1)
+		return
+	}
+	if reason := o.tooLate(now, r); reason != wire.ReasonNone {
+		o.bury(now, r, reason)
+		o.sendReturn(r, reason)
+		return
+	}
+	o.setState(now, r, ready)
+	r.grant, r.log = m, answer.New(&o.budget)
+	o.ready = append(o.ready, r)
+	o.startFollow(r, r.id, r.log, p, 0)
+	o.firstGranted(now, r)
+	o.startReady(now)
+}
+
+// refuseGrant puts a tombstone on an ID that was never claimed here.
+func (o *Owner) refuseGrant(now time.Duration, p *Peer, id ident.ID) {
+	r := &rec{id: id, sess: o.session(p), link: p, reason: wire.ReasonNeverGranted, state: dead, changed: now}
+	o.recs[id] = r
+	o.old = append(o.old, r)
+	o.cfg.Stats.strayGrants.Inc(1)
+	o.sendReturnTo(p, id, wire.ReasonNeverGranted)
+}
+
+// tooLate says why a granted request must not be started now.
+func (o *Owner) tooLate(now time.Duration, r *rec) wire.Reason {
+	switch {
+	case r.state == claimed && now-r.changed > claimTimeout:
+		return wire.ReasonNeverGranted
+	case r.expired(now):
+		return wire.ReasonDeadline
+	case r.offer.Tier > o.levelOf(now, r.offer.Pool):
+		return wire.ReasonShed
+	case r.key != nil:
+		return o.keyRefusal(now, r.offer)
+	}
+	return wire.ReasonNone
+}
+
+// startReady hands granted requests to the endpoint while it has room.
+func (o *Owner) startReady(now time.Duration) {
+	for i := 0; i < len(o.ready); {
+		r := o.ready[i]
+		if o.down {
+			o.giveBack(now, r, wire.ReasonUnreachable)
+			continue
+		}
+		if reason := o.tooLate(now, r); reason != wire.ReasonNone {
+			o.giveBack(now, r, reason)
+			continue
+		}
+		if !o.bound.Room(now, o.committed(false), r.work) {
+			i++
+			continue
+		}
+		o.ready = append(o.ready[:i], o.ready[i+1:]...)
+		o.start(now, r)
+	}
+}
--- /dev/null
+++ b/agent/slot/load.go
@@ -0,0 +1,108 @@
+package slot
+
+import (
+	"errors"
+	"time"
+
+	"go.uber.org/zap"
+
+	"lycheepond/agent/engine"
+	"lycheepond/core/bound"
+	"lycheepond/core/wire"
+)
+
+// missedReports is how many reports in a row may fail to come before nothing
+// more is claimed.
+const missedReports = 3
+
+// lateFactor is how many times its target a first byte may be late before the
+// bound hears of it without waiting for the end.
+const lateFactor = 2
+
+// Load returns what is known of the endpoint. It is safe for concurrent use.
+func (o *Owner) Load() wire.Load { return *o.load.Load() }
+
+// publish brings what other goroutines see up to date.
+func (o *Owner) publish() {
+	var l wire.Load
+	var now time.Duration
+	if o.cfg.Now != nil {
+		now = o.cfg.Now()
+	}
+	l.InFlight = uint16(len(o.running) + len(o.ready))
+	l.Bound = uint16(o.bound.Limit())
+	l.Queued = uint16(min(o.queue.Len(), 1<<16-1))
+	l.QueuedCost = uint32(min(o.queue.Cost().Milliseconds(), 1<<32-1))
+	l.Waiting = o.queue.Mask()
+	for _, r := range o.running {
+		if r.offer != nil {
+			l.Running |= 1 << r.offer.Tier
+		}
+	}
+	if o.claims+len(o.ready) > 0 {
+		for _, r := range o.waiting {
+			if r.state == claimed || r.state == ready {
+				l.Waiting |= 1 << r.offer.Tier
+			}
+		}
+	}
+	l.Level = o.reportedLevel(now)
+	l.Leaving = o.leaving
+	l.Slow = o.stalled || o.down || o.bound.Slow()
+	if old := o.load.Load(); old == nil || *old != l {
+		o.load.Store(&l)
+	}
+}
+
+func (o *Owner) report(now time.Duration, l engine.Load, err error) {
+	if err == nil || errors.Is(err, engine.ErrNoReport) {
+		o.endpointUp()
+	}
+	switch {
+	case err == nil:
+		o.bound.Report(now, bound.Report{Running: l.Running, Waiting: l.Waiting, KVUsed: l.KVUsed, KVTotal: l.KVTotal, Age: l.Age()})
+		o.orders.version = l.Version
+	case errors.Is(err, engine.ErrRefused):
+		o.endpointDown(now)
+	case !errors.Is(err, engine.ErrNoReport):
+		o.lateProbe++
+		if o.lateProbe == missedReports {
+			o.stalled = true
+			o.log.Warn("endpoint-stalled", zap.Error(err))
+		}
+	}
+}
+
+func (o *Owner) endpointUp() {
+	if o.down || o.stalled {
+		o.log.Info("endpoint-up")
+	}
+	o.down, o.stalled, o.lateProbe = false, false, 0
+}
+
+// endpointDown gives all that waits back, because another endpoint may be up.
+func (o *Owner) endpointDown(now time.Duration) {
+	if !o.down {
+		o.log.Warn("endpoint-down")
+	}
+	o.down = true
+	for _, r := range o.waiting {
+		if r.state != claimed {
+			o.giveBack(now, r, wire.ReasonUnreachable)
+		}
+	}
+}
+
+// watchRuns tells the bound of first bytes that are long overdue. A frozen
+// endpoint ends no run, so without this it would look as good as before.
+func (o *Owner) watchRuns(now time.Duration) {
+	for _, r := range o.running {
+		if r.observed || r.offer == nil || r.offer.FirstMS == 0 || r.progress.First.Load() != 0 {
+			continue
+		}
+		if waited := now - r.started; waited > lateFactor*ms(r.offer.FirstMS) {
+			r.observed = true
+			o.bound.Observe(now, o.sample(r, waited, wire.Usage{}))
+		}
+	}
+}
--- /dev/null
+++ b/agent/slot/order.go
@@ -0,0 +1,166 @@
+package slot
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"go.uber.org/zap"
+
+	"lycheepond/agent/call"
+	"lycheepond/core/spec"
+	"lycheepond/core/wire"
+)
+
+const (
+	// assignLease is how long a confirmation of an assignment lets this agent
+	// give orders that follow from it.
+	assignLease = 5 * time.Second
+	// orderAgain is how long a failed order rests.
+	orderAgain = time.Second
+	// orderMargin is what must be left of the lease for an order to be given.
+	orderMargin = time.Second
+)
+
+// ErrFenced reports an endpoint that has seen a newer order.
+var ErrFenced = errors.New("slot: the endpoint has seen a newer order: this one is dropped until newer news comes")
+
+var errOrderLease = errors.New("slot: the assignment is no longer known to be in force: the order is not given until an entry confirms it")
+
+// Order tells an endpoint what to serve.
+type Order struct {
+	// Fence is the version of the assignment object.
+	Fence int64  `json:"fence"`
+	Model string `json:"model"`
+	spec.Assignment
+	// Guard holds the order back once its lease has run out.
+	Guard *call.Guard `json:"-"`
+}
+
+// assigned is the newest assignment of one model that is known.
+type assigned struct {
+	version int64
+	epoch   int64
+	line    spec.Assignment
+	// mine is set when the assignment names this endpoint.
+	mine bool
+	// until is when its last confirmation runs out.
+	until time.Duration
+}
+
+// orders is what the owner knows of assignments and orders.
+type orders struct {
+	seen map[string]*assigned
+	// given is the newest fence of an order that was ever sent; none older is
+	// sent after it, whatever the endpoint makes of fences.
+	given int64
+	// done is the newest fence that the endpoint accepted.
+	done int64
+	// busy is set while an order is under way.
+	busy bool
+	next time.Duration
+	// version is what the endpoint last said to serve.
+	version string
+}
+
+func (o *Owner) newsAssign(_ time.Duration, m *wire.News) {
+	if m.Gone || o.cfg.Order == nil {
+		return
+	}
+	var a spec.Assign
+	if err := json.Unmarshal(m.Data, &a); err != nil {
+		o.log.Error("object-rejected", zap.String("object", m.Object+"/"+m.Name), zap.Int64("version", m.Version), zap.Error(err))
+		return
+	}
+	if o.orders.seen == nil {
+		o.orders.seen = make(map[string]*assigned)
+	}
+	old := o.orders.seen[m.Name]
+	if old != nil && m.Version <= old.version {
+		return
+	}
+	line, mine := a.Endpoints[o.cfg.Self.Name]
+	next := &assigned{version: m.Version, epoch: a.Epoch, line: line, mine: mine}
+	if old != nil && old.epoch == a.Epoch {
+		next.until = old.until
+	}
+	o.orders.seen[m.Name] = next
+	o.askNext = 0
+}
+
+// confirmAssign takes in that an assignment was in force when it was asked.
+func (o *Owner) confirmAssign(_ time.Duration, q ask, m *wire.LeaseAck) {
+	if len(m.Pool) <= len(wire.AssignPrefix) || m.Pool[:len(wire.AssignPrefix)] != wire.AssignPrefix {
+		return
+	}
+	a := o.orders.seen[m.Pool[len(wire.AssignPrefix):]]
+	if a != nil && a.epoch == m.Epoch {
+		a.until = max(a.until, q.at-ms(m.AgeMS)+assignLease)
+	}
+}
+
+// tickOrders gives the newest order for this endpoint if it is due.
+func (o *Owner) tickOrders(now time.Duration) {
+	if o.orders.busy || now < o.orders.next || o.cfg.Order == nil {
+		return
+	}
+	model, a := o.newest()
+	if a == nil || a.version <= o.orders.done || a.version < o.orders.given || now+orderMargin > a.until {
+		return
+	}
+	if a.line.Version == o.orders.version && a.line.Adapter == "" && a.line.Role == "" && o.orders.given == 0 {
+		// The endpoint serves what it is to serve.
+		o.orders.done = a.version
+		return
+	}
+	o.order(now, model, a)
+}
+
+// newest returns the assignment of this endpoint with the highest version.
+func (o *Owner) newest() (string, *assigned) {
+	var name string
+	var best *assigned
+	for model, a := range o.orders.seen {
+		if a.mine && (best == nil || a.version > best.version) {
+			name, best = model, a
+		}
+	}
+	return name, best
+}
+
+func (o *Owner) order(now time.Duration, model string, a *assigned) {
+	until, clock := a.until, o.cfg.Now
+	ord := Order{Fence: a.version, Model: model, Assignment: a.line, Guard: &call.Guard{Check: func() error {
+		if clock() >= until {
+			return errOrderLease
+		}
+		return nil
+	}}}
+	o.orders.busy, o.orders.given = true, a.version
+	give := o.cfg.Order
+	limit := until - now
+	o.log.Info("order-given", zap.String("model", model), zap.String("version", a.line.Version), zap.Int64("fence", a.version))
+	o.task(func(ctx context.Context) event {
+		ctx, stop := context.WithTimeout(ctx, limit)
+		defer stop()
+		return ordered{ord, give(ctx, ord)}
+	})
+}
+
+type ordered struct {
+	o   Order
+	err error
+}
+
+func (e ordered) apply(o *Owner, now time.Duration) {
+	o.orders.busy = false
+	if e.err == nil || errors.Is(e.err, ErrFenced) {
+		o.orders.done = max(o.orders.done, e.o.Fence)
+	} else {
+		o.orders.next = now + orderAgain
+	}
+	if e.err != nil {
+		o.log.Warn("order-failed", zap.Int64("fence", e.o.Fence), zap.Error(e.err))
+	}
+}
--- /dev/null
+++ b/agent/slot/run.go
@@ -0,0 +1,197 @@
+package slot
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"go.uber.org/zap"
+
+	"lycheepond/agent/answer"
+	"lycheepond/agent/call"
+	"lycheepond/core/bound"
+	"lycheepond/core/ident"
+	"lycheepond/core/wire"
+)
+
+// cancelTimeout is how long the endpoint may take to answer a cancel.
+const cancelTimeout = 2 * time.Second
+
+// start hands a granted request to the endpoint.
+func (o *Owner) start(now time.Duration, r *rec) {
+	g := r.grant
+	r.grant = nil
+	req := &call.Request{
+		ID: r.id, Method: g.Method, Path: g.Path, Header: g.Header, Body: g.Body, Stream: g.Stream,
+		Guard: o.guard(r),
+	}
+	o.launch(now, r, func(ctx context.Context, sink call.Sink) call.Result {
+		return o.cfg.Run(ctx, req, sink, r.progress)
+	})
+}
+
+// launch runs f as the endpoint's side of r.
+func (o *Owner) launch(now time.Duration, r *rec, f func(ctx context.Context, sink call.Sink) call.Result) {
+	o.setState(now, r, running)
+	r.inFlight, r.started = len(o.running), now
+	r.progress = call.NewProgress()
+	sink := call.Sink{Head: r.log.SetHead, Chunk: r.log.Append}
+	ctx, stop := context.WithCancel(o.ctx)
+	r.stop = stop
+	o.task(func(context.Context) event {
+		defer stop()
+		return finished{r, f(ctx, sink)}
+	})
+}
+
+// finish takes in how a run ended.
+func (o *Owner) finish(now time.Duration, r *rec, res call.Result) {
+	took := now - r.changed
+	o.setState(now, r, ended)
+	if r.offer != nil {
+		o.queue.Done(r.offer.Customer, r.offer.Tier, r.work.Cost, took)
+	}
+	if !res.Sent {
+		o.notRun(now, r, res)
+		return
+	}
+	o.observe(now, r, res)
+	reason := r.stopped
+	if !res.Whole && reason == wire.ReasonNone {
+		reason = brokenReason(res.Err)
+		o.log.Warn("answer-broken", zap.Stringer("request", r.id), zap.Error(res.Err))
+	}
+	if res.Whole {
+		reason = wire.ReasonNone
+	}
+	o.publish()
+	r.log.Close(wire.End{Whole: res.Whole, Reason: reason, Usage: res.Usage})
+	o.cfg.Stats.ended(r.offer, res, took)
+	o.keyEnded(now, r)
+	r.offer = nil
+}
+
+// notRun gives a request back that the endpoint certainly did not see.
+func (o *Owner) notRun(now time.Duration, r *rec, res call.Result) {
+	reason := wire.ReasonUnreachable
+	switch {
+	case r.guard.Blocked():
+		reason = wire.ReasonNoLease
+	case r.stopped != wire.ReasonNone:
+		reason = r.stopped
+	case errors.Is(res.Err, call.ErrUnreachable):
+		o.endpointDown(now)
+	}
+	o.bury(now, r, reason)
+	o.sendReturn(r, reason)
+}
+
+// halt stops a run. What the endpoint has done by then stays done.
+func (o *Owner) halt(r *rec, reason wire.Reason) {
+	if r.stopped != wire.ReasonNone {
+		return
+	}
+	r.stopped = reason
+	o.log.Info("run-cancelled", zap.Stringer("request", r.id), zap.String("reason", reason.String()))
+	stop := r.stop
+	cancel, id := o.cfg.Cancel, r.id
+	if cancel == nil {
+		stop()
+		return
+	}
+	o.task(func(ctx context.Context) event {
+		ctx, done := context.WithTimeout(ctx, cancelTimeout)
+		defer done()
+		err := cancel(ctx, id)
+		stop()
+		if err != nil {
+			return cancelFailed{id, err}
+		}
+		return nil
+	})
+}
+
+type cancelFailed struct {
+	id  ident.ID
+	err error
+}
+
+func (e cancelFailed) apply(o *Owner, _ time.Duration) {
+	o.log.Warn("cancel-failed", zap.Stringer("request", e.id), zap.Error(e.err))
+}
+
+// cancel takes an entry's Cancel. A keyed run goes on, because a retry with
+// its key is to get its answer.
+func (o *Owner) cancel(now time.Duration, m *wire.Cancel) {
+	r := o.recs[m.ID]
+	if r == nil {
+		return
+	}
+	switch r.state {
+	case queued, parked, lapsed:
+		o.withdraw(now, m.ID)
+	case claimed:
+		o.bury(now, r, wire.ReasonCancelled)
+	case ready:
+		o.giveBack(now, r, wire.ReasonCancelled)
+	case running, ended:
+		o.cancelRun(r, m.Reason)
+	}
+}
+
+func (o *Owner) cancelRun(r *rec, reason wire.Reason) {
+	if reason == wire.ReasonNone {
+		reason = wire.ReasonCancelled
+	}
+	if r.key != nil {
+		o.unfollow(r)
+		return
+	}
+	if r.state == running {
+		o.halt(r, reason)
+	}
+}
+
+// startFollow sends the answer in log to a link under id from piece next on.
+func (o *Owner) startFollow(r *rec, id ident.ID, log *answer.Log, p *Peer, next uint32) {
+	o.unfollow(r)
+	ctx, stop := context.WithCancel(o.ctx)
+	f := &following{stop: stop}
+	r.follow = f
+	follower := &answer.Follower{ID: id, From: next, Send: p.SendWait, Load: func() wire.Load { return *o.load.Load() }}
+	o.task(func(context.Context) event {
+		defer stop()
+		// A failed link ends the follower; the entry attaches on a new one.
+		_ = log.Follow(ctx, follower)
+		return followed{r, f}
+	})
+}
+
+func (o *Owner) unfollow(r *rec) {
+	if r.follow != nil {
+		r.follow.stop()
+		r.follow = nil
+	}
+}
+
+// observe shows the bound what a run was like.
+func (o *Owner) observe(now time.Duration, r *rec, res call.Result) {
+	if r.observed || r.offer == nil || r.stopped != wire.ReasonNone {
+		return
+	}
+	first := time.Duration(r.progress.First.Load())
+	o.firstMean += (first - o.firstMean) / 8
+	o.bound.Observe(now, o.sample(r, first, res.Usage))
+}
+
+func (o *Owner) sample(r *rec, first time.Duration, u wire.Usage) bound.Sample {
+	s := bound.Sample{
+		First: first, Between: r.progress.Between(), BetweenTarget: ms(r.offer.BetweenMS),
+		PromptTokens: int(u.PromptTokens), CachedTokens: int(u.CachedTokens), OutputTokens: int(u.OutputTokens),
+		InFlight: r.inFlight,
+	}
+	if r.offer.FirstMS > 0 {
+		s.FirstTarget = max(ms(r.offer.FirstMS)-ms(r.offer.WaitedMS)-(r.started-r.arrived), time.Millisecond)
+	}
+	return s
+}
