--- /dev/null
+++ b/trial/procs/proc.go
@@ -0,0 +1,147 @@
+package procs
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"runtime"
+	"syscall"
+	"time"
+)
+
+// ErrEnded reports a signal to a process that has ended.
+var ErrEnded = errors.New("procs: the process has ended: start it again")
+
+// Name returns the name that the process was started under.
+func (p *Proc) Name() string { return p.name }
+
+// PID returns the process ID.
+func (p *Proc) PID() int { return p.cmd.Process.Pid }
+
+// Log returns the path of the process's log.
+func (p *Proc) Log() string { return p.log }
+
+// Done is closed when the process has ended and was reaped.
+func (p *Proc) Done() <-chan struct{} { return p.done }
+
+// Exit returns how the process ended; it is meaningful once Done is closed.
+func (p *Proc) Exit() error { return p.err }
+
+// Signal sends sig to the process, never to a process that took over its ID.
+func (p *Proc) Signal(sig syscall.Signal) error {
+	select {
+	case <-p.done:
+		return ErrEnded
+	default:
+	}
+	if err := p.cmd.Process.Signal(sig); err != nil {
+		return fmt.Errorf("procs: %s: %w", p.name, err)
+	}
+	return nil
+}
+
+// Kill ends the process at once, without any chance to say so, and reaps it.
+func (p *Proc) Kill() error {
+	if err := p.Signal(syscall.SIGKILL); err != nil {
+		return err
+	}
+	<-p.done
+	return nil
+}
+
+// Pause stops the process until Resume; its connections stay open.
+func (p *Proc) Pause() error { return p.Signal(syscall.SIGSTOP) }
+
+// Resume lets a paused process go on.
+func (p *Proc) Resume() error { return p.Signal(syscall.SIGCONT) }
+
+// Stop asks the process to end and waits for it, at most grace.
+func (p *Proc) Stop(grace time.Duration) error {
+	if err := p.Signal(syscall.SIGTERM); err != nil {
+		return err
+	}
+	return p.reap(grace)
+}
+
+// reap waits for the end and kills the process when grace is over.
+func (p *Proc) reap(grace time.Duration) error {
+	t := time.NewTimer(max(grace, 0))
+	defer t.Stop()
+	select {
+	case <-p.done:
+		return nil
+	case <-t.C:
+	}
+	if err := p.Kill(); err != nil && !errors.Is(err, ErrEnded) && !errors.Is(err, os.ErrProcessDone) {
+		return err
+	}
+	return fmt.Errorf("procs: %s did not stop within its grace time and was killed: read %s", p.name, p.log)
+}
+
+// pollEvery is the pause between two looks at a process that is not ready.
+const pollEvery = 20 * time.Millisecond
+
+// WaitHTTP asks url until it answers 200.
+func WaitHTTP(ctx context.Context, url string) error {
+	var last error
+	for {
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+		if err != nil {
+			return err
+		}
+		resp, err := http.DefaultClient.Do(req)
+		if err == nil {
+			resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				return nil
+			}
+			err = errors.New(resp.Status)
+		}
+		if ctx.Err() == nil {
+			last = err
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("procs: %s did not answer 200 in time: %w", url, last)
+		case <-time.After(pollEvery):
+		}
+	}
+}
+
+// forker starts processes from one thread that never ends.
+type forker struct {
+	asks chan fork
+}
+
+type fork struct {
+	cmd  *exec.Cmd
+	done chan error
+}
+
+// starts is the one forker. Pdeathsig is bound to the thread that forks: if the
+// runtime retired that thread, the kernel would kill a healthy process, seen as
+// a process that dies with SIGKILL for no reason.
+var starts = newForker()
+
+func newForker() *forker {
+	f := &forker{asks: make(chan fork)}
+	go f.run()
+	return f
+}
+
+// run lasts as long as the process, which is what Pdeathsig needs.
+func (f *forker) run() {
+	runtime.LockOSThread()
+	for a := range f.asks {
+		a.done <- a.cmd.Start()
+	}
+}
+
+func (f *forker) start(cmd *exec.Cmd) error {
+	done := make(chan error, 1)
+	f.asks <- fork{cmd: cmd, done: done}
+	return <-done
+}
