wire: bound the lists inside a message

Cause: fuzzing found that a frame of 40 bytes claiming a list of 3.7e9 headers ended the process for want of memory: the codec allocates a list from its claimed length. Excluded: byte strings, which it reads in steps, and nested lists behind the last field, which it refuses.

--- a/core/wire/frame_test.go
+++ b/core/wire/frame_test.go
@@ -95,3 +95,35 @@
 		}
 	})
 }
+
+// A hostile peer sends a small frame that claims an enormous list, or one that
+// is nested without end. Without a bound the process dies for want of memory or
+// stack and every caller on it loses its answer; with it only the link closes.
+func TestHostileLengths(t *testing.T) {
+	id := ident.Make(1, 1)
+	frame := func(k Kind, body []byte) []byte {
+		head := []byte{byte(len(body) >> 24), byte(len(body) >> 16), byte(len(body) >> 8), byte(len(body)), byte(k)}
+		return append(head, body...)
+	}
+	withID := func(n byte, rest ...byte) []byte {
+		body := append([]byte{0x90 | n, 0xc4, ident.Size}, id[:]...)
+		return append(body, rest...)
+	}
+	endless := bytes.Repeat([]byte{0x91}, MaxFrame-64)
+	for _, tc := range []struct {
+		name  string
+		input []byte
+	}{
+		{"list of headers", frame(KindHead, withID(3, 0xcd, 0, 200, 0xdd, 0xff, 0xff, 0xff, 0xff))},
+		{"list of headers too long by one", frame(KindHead, withID(3, 0xcd, 0, 200, 0xdc, 1, 1))},
+		{"nested lists behind the last field", frame(KindDeny, withID(2, endless...))},
+		{"body of bytes", frame(KindChunk, withID(3, 0, 0xc6, 0xff, 0xff, 0xff, 0xff))},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			var bad *FrameError
+			if _, err := NewReader(bytes.NewReader(tc.input)).Next(); !errors.As(err, &bad) {
+				t.Fatalf("error %v", err)
+			}
+		})
+	}
+}
--- a/core/wire/message.go
+++ b/core/wire/message.go
@@ -95,7 +95,7 @@
 	// endpoint, in milliseconds.
 	CostMS uint32
 	// Prefix holds hashes of growing beginnings of the prompt, shortest first.
-	Prefix []uint64
+	Prefix Prefix
 	// WaitedMS is how long the request has waited since it was accepted.
 	WaitedMS uint32
 	// FirstMS is the class's target for the first byte, BetweenMS between two
@@ -148,7 +148,7 @@
 	ID       ident.ID
 	Method   string
 	Path     string
-	Header   []Field
+	Header   Fields
 	Body     []byte
 	Stream   bool
 }
@@ -237,7 +237,7 @@
 	_msgpack struct{} `msgpack:",as_array"`
 	ID       ident.ID
 	Status   uint16
-	Header   []Field
+	Header   Fields
 }
 
 // Chunk is the Seq-th piece of an answer's body, counted from zero.
