--- /dev/null
+++ b/core/conf/load.go
@@ -0,0 +1,57 @@
+package conf
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+
+	"gopkg.in/yaml.v3"
+
+	"lycheepond/core/spec"
+)
+
+// maxFile is the largest settings file in bytes.
+const maxFile = 1 << 20
+
+// settings is what Load can read.
+type settings interface {
+	defaults()
+	check() spec.Problems
+}
+
+// Load reads the settings file at path into an *Entry or *Agent. The error is
+// a spec.Problems when the content is wrong.
+func Load(path string, into any) error {
+	f, err := os.Open(path)
+	if err != nil {
+		return fmt.Errorf("conf: %w: give the settings file with --config", err)
+	}
+	defer f.Close()
+	data, err := io.ReadAll(io.LimitReader(f, maxFile+1))
+	if err != nil {
+		return fmt.Errorf("conf: %w", err)
+	}
+	return Parse(data, os.LookupEnv, into)
+}
+
+// Parse reads settings from data; env looks environment variables up.
+func Parse(data []byte, env func(string) (string, bool), into any) error {
+	if len(data) > maxFile {
+		return spec.Problems{{Reason: "file is larger than 1 MiB", Remedy: "check that it is the settings file"}}
+	}
+	s, ok := into.(settings)
+	if !ok {
+		return fmt.Errorf("conf: cannot read settings into %T: use *Entry or *Agent", into)
+	}
+	data, problems := expand(data, env)
+	dec := yaml.NewDecoder(bytes.NewReader(data))
+	dec.KnownFields(true)
+	if err := dec.Decode(into); err != nil && !errors.Is(err, io.EOF) {
+		return append(problems, spec.YAMLProblems(err)...)
+	}
+	s.defaults()
+	problems = append(problems, s.check()...)
+	return problems.Err()
+}
--- /dev/null
+++ b/core/feed/watch.go
@@ -0,0 +1,113 @@
+package feed
+
+import (
+	"context"
+	"errors"
+	"math"
+	"time"
+
+	"lycheepond/core/plat"
+	"lycheepond/core/spec"
+)
+
+// kinds are what a feed lists. Status objects are for operators alone.
+var kinds = []string{
+	spec.KindClass, spec.KindCustomer, spec.KindModel, spec.KindService,
+	spec.KindHomes, spec.KindAssign,
+}
+
+// objects lists once and then watches. A watch from a compacted version lists
+// again.
+func (f *Feed) objects(ctx context.Context) {
+	listed, asked := false, false
+	var b backoff
+	for ctx.Err() == nil {
+		var err error
+		if listed {
+			err = f.watch(ctx)
+		} else {
+			err = f.list(ctx)
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		if errors.Is(err, plat.ErrCompacted) {
+			// A lagging replica may list an older state than the compacted
+			// version, so listing again is not to be tried in a tight loop.
+			listed = false
+			b.sleep(ctx, f.cfg.Random)
+			continue
+		}
+		if err != nil {
+			f.failed(err)
+			if !listed && !asked {
+				asked = f.fromPeers(ctx)
+			}
+			b.sleep(ctx, f.cfg.Random)
+			continue
+		}
+		listed = true
+		b.reset()
+	}
+}
+
+// list takes every kind. The watch goes on from the oldest of the lists, so
+// that no change between two of them is missed.
+func (f *Feed) list(ctx context.Context) error {
+	oldest := int64(math.MaxInt64)
+	for _, kind := range kinds {
+		asked := time.Now()
+		batch, err := f.cfg.Platform.List(ctx, kind)
+		if err != nil {
+			return err
+		}
+		f.answered(asked)
+		f.report(f.cfg.Store.AcceptList(kind, batch))
+		oldest = min(oldest, batch.Version)
+	}
+	f.cfg.Store.AcceptBatch(plat.Batch{Version: oldest})
+	f.haveConfig()
+	return nil
+}
+
+func (f *Feed) watch(ctx context.Context) error {
+	asked := time.Now()
+	batch, err := f.cfg.Platform.Watch(ctx, plat.AnyKind, f.cfg.Store.Complete(), f.cfg.Wait)
+	if err != nil {
+		return err
+	}
+	f.answered(asked)
+	before := f.cfg.Store.Complete()
+	f.report(f.cfg.Store.AcceptBatch(batch))
+	if len(batch.Events) > 0 && f.cfg.Store.Complete() == before {
+		// Events without progress are a replay. Asking again at once would
+		// get the same answer as fast as the platform can give it.
+		return f.pause(ctx)
+	}
+	return nil
+}
+
+// instances follows the instance list.
+func (f *Feed) instances(ctx context.Context) {
+	var b backoff
+	for ctx.Err() == nil {
+		asked := time.Now()
+		before := f.cfg.Store.Roster().Version
+		roster, err := f.cfg.Platform.Instances(ctx, before, f.cfg.Wait)
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			f.failed(err)
+			b.sleep(ctx, f.cfg.Random)
+			continue
+		}
+		f.answered(asked)
+		b.reset()
+		if f.cfg.Store.AcceptRoster(roster) || roster.Version == before {
+			continue
+		}
+		// An older list comes from a lagging replica, at once.
+		_ = f.pause(ctx)
+	}
+}
--- /dev/null
+++ b/core/logs/event.go
@@ -0,0 +1,67 @@
+package logs
+
+import "go.uber.org/zap"
+
+// Event names what happened. Each line carries one under the key "event", so
+// that alerts need not match texts; docs/OPERATIONS.md lists them all.
+type Event string
+
+// The events. Names are never reused for something else.
+const (
+	EventStarting         Event = "starting"
+	EventReady            Event = "ready"
+	EventNotReady         Event = "not_ready"
+	EventLeaving          Event = "leaving"
+	EventStopped          Event = "stopped"
+	EventRequestAccepted  Event = "request_accepted"
+	EventRequestRefused   Event = "request_refused"
+	EventRequestComplete  Event = "request_complete"
+	EventRequestUnknown   Event = "request_unknown"
+	EventRequestReturned  Event = "request_returned"
+	EventRequestCancelled Event = "request_cancelled"
+	EventLinkUp           Event = "link_up"
+	EventLinkLost         Event = "link_lost"
+	EventLinkRefused      Event = "link_refused"
+	EventLevelChanged     Event = "level_changed"
+	EventConfigChanged    Event = "config_changed"
+	EventConfigRejected   Event = "config_rejected"
+	EventConfigFromPeers  Event = "config_from_peers"
+	EventPlatformAway     Event = "platform_away"
+	EventPlatformBack     Event = "platform_back"
+	EventKeyTakenOver     Event = "key_taken_over"
+	EventKeysReloaded     Event = "keys_reloaded"
+	EventSettingsRejected Event = "settings_rejected"
+	EventHomesChanged     Event = "homes_changed"
+	EventLeaseLost        Event = "lease_lost"
+	EventLeaseHeld        Event = "lease_held"
+	EventOrderGiven       Event = "order_given"
+	EventOrderRefused     Event = "order_refused"
+	EventOrderDone        Event = "order_done"
+	EventEndpointSlow     Event = "endpoint_slow"
+	EventEndpointUsual    Event = "endpoint_usual"
+	EventEndpointAway     Event = "endpoint_away"
+	EventEndpointBack     Event = "endpoint_back"
+	EventBoundChanged     Event = "bound_changed"
+	EventAnswerBroken     Event = "answer_broken"
+	EventBadFrame         Event = "bad_frame"
+	EventLinesDropped     Event = "lines_dropped"
+	EventFailed           Event = "failed"
+)
+
+// Field keys that several lines share.
+const (
+	keyEvent   = "event"
+	keyRequest = "request_id"
+)
+
+// Info writes one line for an event.
+func Info(l *zap.Logger, e Event, fields ...zap.Field) { l.Info(string(e), fields...) }
+
+// Warn writes one line for an event that an operator may have to act on.
+func Warn(l *zap.Logger, e Event, fields ...zap.Field) { l.Warn(string(e), fields...) }
+
+// Error writes one line for an event that an operator has to act on.
+func Error(l *zap.Logger, e Event, fields ...zap.Field) { l.Error(string(e), fields...) }
+
+// Request is the field for a request's ID.
+func Request(id interface{ String() string }) zap.Field { return zap.Stringer(keyRequest, id) }
--- /dev/null
+++ b/core/meter/write.go
@@ -0,0 +1,98 @@
+package meter
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+
+	metrics "github.com/rcrowley/go-metrics"
+)
+
+var quantiles = []float64{0.5, 0.95, 0.99}
+
+// Summary is the reading of a histogram.
+type Summary struct {
+	Count int64   `json:"count"`
+	Min   int64   `json:"min"`
+	Max   int64   `json:"max"`
+	Mean  float64 `json:"mean"`
+	P50   float64 `json:"p50"`
+	P95   float64 `json:"p95"`
+	P99   float64 `json:"p99"`
+}
+
+// Reading is the value of every metric by its full name.
+type Reading struct {
+	Counters   map[string]int64   `json:"counters"`
+	Gauges     map[string]int64   `json:"gauges"`
+	Histograms map[string]Summary `json:"histograms"`
+}
+
+// Read returns the value of every metric.
+func (s *Set) Read() Reading {
+	r := Reading{Counters: map[string]int64{}, Gauges: map[string]int64{}, Histograms: map[string]Summary{}}
+	s.registry.Each(func(name string, v any) {
+		switch m := v.(type) {
+		case metrics.Counter:
+			r.Counters[name] = m.Count()
+		case metrics.Gauge:
+			r.Gauges[name] = m.Value()
+		case metrics.Histogram:
+			r.Histograms[name] = summary(m.Snapshot())
+		}
+	})
+	return r
+}
+
+func summary(h metrics.Histogram) Summary {
+	q := h.Percentiles(quantiles)
+	return Summary{Count: h.Count(), Min: h.Min(), Max: h.Max(), Mean: h.Mean(), P50: q[0], P95: q[1], P99: q[2]}
+}
+
+// ServeHTTP writes every metric, as JSON when the caller asks for it by
+// ?format=json or the Accept header, else as text.
+func (s *Set) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Query().Get("format") == "json" || strings.Contains(r.Header.Get("Accept"), "application/json") {
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(s.Read())
+		return
+	}
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	s.WriteText(w)
+}
+
+// WriteText writes one line for each value, sorted by name.
+func (s *Set) WriteText(w io.Writer) {
+	r := s.Read()
+	var lines []string
+	for name, v := range r.Counters {
+		lines = append(lines, fmt.Sprintf("%s %d", name, v))
+	}
+	for name, v := range r.Gauges {
+		lines = append(lines, fmt.Sprintf("%s %d", name, v))
+	}
+	for name, h := range r.Histograms {
+		lines = append(lines,
+			fmt.Sprintf("%s %d", suffixed(name, "_count"), h.Count),
+			fmt.Sprintf("%s %g", suffixed(name, "_mean"), h.Mean),
+			fmt.Sprintf("%s %g", suffixed(name, "_p50"), h.P50),
+			fmt.Sprintf("%s %g", suffixed(name, "_p95"), h.P95),
+			fmt.Sprintf("%s %g", suffixed(name, "_p99"), h.P99),
+			fmt.Sprintf("%s %d", suffixed(name, "_max"), h.Max))
+	}
+	slices.Sort(lines)
+	for _, l := range lines {
+		fmt.Fprintln(w, l)
+	}
+}
+
+// suffixed puts a suffix behind the name and before its labels.
+func suffixed(name, suffix string) string {
+	if i := strings.IndexByte(name, '{'); i >= 0 {
+		return name[:i] + suffix + name[i:]
+	}
+	return name + suffix
+}
--- /dev/null
+++ b/core/plat/client.go
@@ -0,0 +1,189 @@
+package plat
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+)
+
+const (
+	// MaxData is the largest object in bytes that the platform takes.
+	MaxData = 1 << 20
+	// maxAnswer bounds what is read of one answer. A list of 21,000 customers
+	// is some 10 MB.
+	maxAnswer = 256 << 20
+	// callTimeout bounds a call that does not wait. The platform answers in
+	// milliseconds; a slow one is treated as away and asked again later.
+	callTimeout = 10 * time.Second
+	// AnyKind watches every kind at once.
+	AnyKind = "*"
+	// Unconditional as the version of Put and Delete writes without a condition.
+	Unconditional int64 = -1
+	// Absent as the version of Put demands that the object does not exist.
+	Absent int64 = 0
+)
+
+// Config says where the platform is.
+type Config struct {
+	// Base is the address with its scheme, such as http://127.0.0.1:7000.
+	Base string
+	// Token is sent as the bearer token; empty sends none.
+	Token string
+	// HTTP makes the calls; nil means a client of its own. It must have no
+	// timeout, because a watch waits.
+	HTTP *http.Client
+}
+
+// Client calls the platform. It is safe for concurrent use.
+type Client struct {
+	base  string
+	token string
+	http  *http.Client
+	calls Calls
+}
+
+// New returns a client; it makes no call yet.
+func New(cfg Config) *Client {
+	if cfg.HTTP == nil {
+		cfg.HTTP = &http.Client{Transport: &http.Transport{
+			MaxIdleConnsPerHost: 8, IdleConnTimeout: time.Minute, ResponseHeaderTimeout: 2 * time.Minute,
+		}}
+	}
+	return &Client{base: strings.TrimRight(cfg.Base, "/"), token: cfg.Token, http: cfg.HTTP}
+}
+
+// Calls returns the counters of the calls made.
+func (c *Client) Calls() *Calls { return &c.calls }
+
+// Get reads one object; ErrNotFound if there is none.
+func (c *Client) Get(ctx context.Context, kind, name string) (Object, error) {
+	c.calls.get.Add(1)
+	var o Object
+	err := c.call(ctx, request{method: http.MethodGet, path: objectPath(kind, name)}, &o)
+	return o, err
+}
+
+// List reads every object of a kind.
+func (c *Client) List(ctx context.Context, kind string) (Batch, error) {
+	c.calls.list.Add(1)
+	var b Batch
+	err := c.call(ctx, request{method: http.MethodGet, path: "/v1/objects/" + url.PathEscape(kind)}, &b)
+	return b, err
+}
+
+// Put writes an object if it is still at ifVersion, which may be Absent or
+// Unconditional. It returns a *ConflictError if it is not, and an
+// *UncertainError if the write may have taken effect without a reply.
+func (c *Client) Put(ctx context.Context, kind, name string, data []byte, ifVersion int64) (Object, error) {
+	c.calls.put.Add(1)
+	if len(data) > MaxData {
+		return Object{}, ErrTooLarge
+	}
+	var o Object
+	err := c.call(ctx, request{
+		method: http.MethodPut, path: objectPath(kind, name), body: data,
+		kind: kind, name: name, ifVersion: ifVersion,
+	}, &o)
+	return o, err
+}
+
+// Delete removes an object under the same conditions as Put.
+func (c *Client) Delete(ctx context.Context, kind, name string, ifVersion int64) error {
+	c.calls.remove.Add(1)
+	return c.call(ctx, request{
+		method: http.MethodDelete, path: objectPath(kind, name),
+		kind: kind, name: name, ifVersion: ifVersion,
+	}, nil)
+}
+
+// Watch waits up to wait for changes after a version; no change is an empty
+// Batch. It returns ErrCompacted when the platform no longer has them.
+func (c *Client) Watch(ctx context.Context, kind string, after int64, wait time.Duration) (Batch, error) {
+	c.calls.watch.Add(1)
+	path := "/v1/watch/" + url.PathEscape(kind)
+	if kind == AnyKind {
+		path = "/v1/watch/" + AnyKind
+	}
+	var b Batch
+	err := c.call(ctx, request{method: http.MethodGet, path: path + pollQuery(after, wait), wait: wait}, &b)
+	return b, err
+}
+
+// Instances waits up to wait for an instance list newer than after.
+func (c *Client) Instances(ctx context.Context, after int64, wait time.Duration) (Roster, error) {
+	c.calls.instances.Add(1)
+	var r Roster
+	err := c.call(ctx, request{method: http.MethodGet, path: "/v1/instances" + pollQuery(after, wait), wait: wait}, &r)
+	return r, err
+}
+
+func objectPath(kind, name string) string {
+	return "/v1/objects/" + url.PathEscape(kind) + "/" + url.PathEscape(name)
+}
+
+func pollQuery(after int64, wait time.Duration) string {
+	return "?after=" + strconv.FormatInt(after, 10) + "&wait=" + wait.String()
+}
+
+// request is one call.
+type request struct {
+	method, path string
+	body         []byte
+	// kind, name and ifVersion are set for writes.
+	kind, name string
+	ifVersion  int64
+	// wait is how long the platform may hold the answer back.
+	wait time.Duration
+}
+
+func (q request) writes() bool { return q.method == http.MethodPut || q.method == http.MethodDelete }
+
+func (c *Client) call(ctx context.Context, q request, into any) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout+q.wait)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, q.method, c.base+q.path, bytes.NewReader(q.body))
+	if err != nil {
+		return fmt.Errorf("plat: %w: check platform.address", err)
+	}
+	if c.token != "" {
+		req.Header.Set("Authorization", "Bearer "+c.token)
+	}
+	if q.writes() && q.ifVersion != Unconditional {
+		req.Header.Set("If-Match", strconv.Quote(strconv.FormatInt(q.ifVersion, 10)))
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		c.calls.failed.Add(1)
+		return q.lost(err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		c.calls.refused(resp.StatusCode)
+		return q.refusal(resp)
+	}
+	if into == nil {
+		return nil
+	}
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxAnswer)).Decode(into); err != nil {
+		c.calls.failed.Add(1)
+		return q.lost(fmt.Errorf("answer cut short or not JSON: %w", err))
+	}
+	return nil
+}
+
+// lost is the error of a call without a whole answer. A write without an
+// answer may have taken effect: to repeat it blindly would undo what another
+// operator wrote meanwhile.
+func (q request) lost(err error) error {
+	if q.writes() && !refusedConnection(err) {
+		return &UncertainError{kind: q.kind, name: q.name, err: err}
+	}
+	return &AwayError{err: err}
+}
