--- /dev/null
+++ b/trial/platf/platf_test.go
@@ -0,0 +1,131 @@
+package platf
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"lycheepond/core/plat"
+	"lycheepond/core/spec"
+)
+
+func call(t *testing.T, method, url, match, body string, into any) int {
+	t.Helper()
+	req, err := http.NewRequest(method, url, bytes.NewReader([]byte(body)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if match != "" {
+		req.Header.Set("If-Match", match)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	if into != nil {
+		if err := json.NewDecoder(resp.Body).Decode(into); err != nil {
+			t.Fatalf("%s %s: %s: %v", method, url, resp.Status, err)
+		}
+	}
+	return resp.StatusCode
+}
+
+func TestObjects(t *testing.T) {
+	p := New(Config{Retain: 4})
+	srv := httptest.NewServer(p.Handler())
+	defer srv.Close()
+	u := srv.URL + "/v1/objects/class/swap"
+	var o plat.Object
+	if got := call(t, "PUT", u, `"0"`, `{"a":1}`, &o); got != 200 || o.Version != 1 {
+		t.Fatalf("create: %d, %+v", got, o)
+	}
+	var c conflict
+	if got := call(t, "PUT", u, `"0"`, `{}`, &c); got != 409 || c.Current != 1 {
+		t.Errorf("create again: %d, %+v", got, c)
+	}
+	if got := call(t, "PUT", u, "", `{`, nil); got != 400 {
+		t.Errorf("broken JSON: %d", got)
+	}
+	var b plat.Batch
+	if got := call(t, "GET", srv.URL+"/v1/watch/class?after=0&wait=1s", "", "", &b); got != 200 || len(b.Events) != 1 {
+		t.Errorf("watch: %d, %+v", got, b)
+	}
+	for range 6 {
+		call(t, "PUT", u, "", `{}`, nil)
+	}
+	if got := call(t, "GET", srv.URL+"/v1/watch/class?after=0&wait=1s", "", "", nil); got != 410 {
+		t.Errorf("watch from a compacted version: %d", got)
+	}
+	if got := call(t, "DELETE", u, "7", "", &b); got != 200 || b.Version != 8 {
+		t.Errorf("delete: %d, %+v", got, b)
+	}
+	if got := call(t, "GET", u, "", "", nil); got != 404 {
+		t.Errorf("get after delete: %d", got)
+	}
+}
+
+// The reply to a write is lost after the write took effect. A client that
+// simply repeats the write sees a conflict with its own change.
+func TestLostReply(t *testing.T) {
+	p := New(Config{})
+	srv := httptest.NewServer(p.Handler())
+	defer srv.Close()
+	p.SetFault(Fault{LoseReplies: 1})
+	u := srv.URL + "/v1/objects/class/swap"
+	if got := call(t, "PUT", u, "0", `{}`, nil); got != 0 {
+		t.Fatalf("the reply arrived: %d", got)
+	}
+	if got := call(t, "PUT", u, "0", `{}`, nil); got != 409 {
+		t.Errorf("the write did not take effect: %d", got)
+	}
+}
+
+// A replica that lags answers reads from the past; a watch repeats old events
+// behind new ones. A reader that takes what comes last would go back to an old
+// configuration.
+func TestStaleAndReplay(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := New(Config{})
+	p.now = func() time.Time { return now }
+	put := func(data string) { p.Put("class", "swap", json.RawMessage(data), Unconditional) }
+	put(`1`)
+	now = now.Add(10 * time.Second)
+	put(`2`)
+	p.SetFault(Fault{StaleReads: spec.Duration(5 * time.Second)})
+	if b := p.batch("class"); b.Version != 1 || string(b.Events[0].Object.Data) != "1" {
+		t.Errorf("stale list: %+v", b)
+	}
+	p.SetFault(Fault{Replay: 1})
+	b, _ := p.since("class", 1)
+	if len(b.Events) != 2 || b.Version != 2 || b.Events[1].Object.Version != 1 {
+		t.Errorf("replay: %+v", b)
+	}
+	p.SetFault(Fault{Lag: spec.Duration(5 * time.Second)})
+	b, hidden := p.since("class", 1)
+	if len(b.Events) != 0 || hidden != 5*time.Second {
+		t.Errorf("lag: %+v, hidden %v", b, hidden)
+	}
+}
+
+func TestInstances(t *testing.T) {
+	p := New(Config{WeightRate: 1, WeightTime: time.Millisecond})
+	srv := httptest.NewServer(p.Handler())
+	defer srv.Close()
+	call(t, "PUT", srv.URL+"/admin/instances/e1", "", `{"role":"endpoint"}`, nil)
+	var r plat.Roster
+	call(t, "GET", srv.URL+"/v1/instances?after=0&wait=1s", "", "", &r)
+	if r.Version != 1 || len(r.Instances) != 1 || r.Instances[0].State != plat.StateLive {
+		t.Errorf("roster %+v", r)
+	}
+	if got := call(t, "GET", srv.URL+"/v1/weights/roster/v1", "", "", nil); got != 200 {
+		t.Errorf("weights: %d", got)
+	}
+	p.SetFault(Fault{Down: true})
+	if got := call(t, "GET", srv.URL+"/v1/instances", "", "", nil); got != 503 {
+		t.Errorf("an outage: %d", got)
+	}
+}
--- /dev/null
+++ b/trial/prox.go
@@ -0,0 +1,51 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strings"
+
+	"lycheepond/trial/proxy"
+	"lycheepond/trial/serve"
+)
+
+func proxyCommand() command {
+	sub := newSub("proxy", "TCP proxy that injects faults")
+	admin, frames := anyPort, false
+	var routes []string
+	sub.StringSlice(&routes, "r", "route", "LISTEN=UPSTREAM, may be repeated")
+	sub.String(&admin, "a", "admin", "address of the HTTP API that sets faults")
+	sub.Bool(&frames, "f", "frames", "pass whole lycheepond frames, so that single ones can be tampered with")
+	return command{sub: sub, run: func(ctx context.Context) error {
+		return runProxies(ctx, admin, routes, frames)
+	}}
+}
+
+func runProxies(ctx context.Context, admin string, routes []string, frames bool) error {
+	var proxies []*proxy.Proxy
+	for _, r := range routes {
+		listen, upstream, ok := strings.Cut(r, "=")
+		if !ok {
+			return fmt.Errorf("route %q: write LISTEN=UPSTREAM", r)
+		}
+		p, err := proxy.New(proxy.Config{Listen: listen, Upstream: upstream, Frames: frames})
+		if err != nil {
+			return err
+		}
+		proxies = append(proxies, p)
+	}
+	ended := make(chan error, len(proxies))
+	for _, p := range proxies {
+		go func() { ended <- p.Run(ctx) }()
+	}
+	if err := serve.Run(ctx, "proxy", admin, proxy.Admin(proxies), os.Stdout); err != nil {
+		return err
+	}
+	for range proxies {
+		if err := <-ended; err != nil {
+			return err
+		}
+	}
+	return nil
+}
