--- a/core/conf/check.go
+++ b/core/conf/check.go
@@ -1,9 +1,135 @@
 package conf
 
-import "lycheepond/core/spec"
+import (
+	"fmt"
+	"net"
+	"net/url"
+	"strconv"
+	"time"
 
-func (c *Common) check() spec.Problems { return nil }
+	"lycheepond/core/logs"
+	"lycheepond/core/spec"
+)
 
-func (e *Entry) check() spec.Problems { return e.Common.check() }
+// Bounds of settings.
+const (
+	minKey       = 16
+	minHeartbeat = 50 * time.Millisecond
+	maxHeartbeat = time.Minute
+	maxGrace     = time.Hour
+)
 
-func (a *Agent) check() spec.Problems { return a.Common.check() }
+// checker collects problems.
+type checker struct{ problems spec.Problems }
+
+func (c *checker) add(field, reason, remedy string) {
+	c.problems = append(c.problems, spec.Problem{Field: field, Reason: reason, Remedy: remedy})
+}
+
+func (c *checker) required(field, value, remedy string) {
+	if value == "" {
+		c.add(field, "is missing", remedy)
+	}
+}
+
+// listen checks an address to listen at.
+func (c *checker) listen(field, value string) {
+	if value == "" {
+		c.add(field, "is missing", "write HOST:PORT, such as 127.0.0.1:8080")
+		return
+	}
+	_, port, err := net.SplitHostPort(value)
+	if n, perr := strconv.ParseUint(port, 10, 16); err != nil || perr != nil || n > 65535 {
+		c.add(field, fmt.Sprintf("%q is not an address", value), "write HOST:PORT, such as 127.0.0.1:8080")
+	}
+}
+
+// address checks the address of an HTTP server.
+func (c *checker) address(field, value string) {
+	if value == "" {
+		c.add(field, "is missing", "write its address with the scheme, such as http://127.0.0.1:7000")
+		return
+	}
+	u, err := url.Parse(value)
+	if err != nil || (u.Scheme != "http" && u.Scheme != "https") || u.Host == "" {
+		c.add(field, fmt.Sprintf("%q is not an address", value), "write its address with the scheme, such as http://127.0.0.1:7000")
+	}
+}
+
+func (c *checker) between(field string, d spec.Duration, low, high time.Duration) {
+	if d.Std() < low || d.Std() > high {
+		c.add(field, fmt.Sprintf("%v is out of range", d.Std()), fmt.Sprintf("write %v to %v", low, high))
+	}
+}
+
+func (c *checker) common(s *Common) {
+	c.required("name", s.Name, "write the instance's name, unique in the fleet")
+	c.required("zone", s.Zone, "write the instance's availability zone")
+	c.fleetKeys(s)
+	c.address("platform.address", s.Platform.Address)
+	if _, err := logs.Level(s.Log.Level); err != nil {
+		c.add("log.level", fmt.Sprintf("%q is not a level", s.Log.Level), "write debug, info, warn or error")
+	}
+	if t := s.TLS; t.On() {
+		c.required("tls.cert", t.Cert, "write the certificate's file, or leave tls out")
+		c.required("tls.key", t.Key, "write the private key's file, or leave tls out")
+		c.required("tls.ca", t.CA, "write the file of the fleet's certificate authority, or leave tls out")
+	}
+}
+
+func (c *checker) fleetKeys(s *Common) {
+	const remedy = "write at least 16 characters, the same for all processes, best as ${LYCHEE_FLEET_KEY}"
+	if s.FleetKey == "" && len(s.FleetKeys) == 0 {
+		c.add("fleet_key", "is missing", remedy)
+		return
+	}
+	if s.FleetKey != "" && len(s.FleetKeys) > 0 {
+		c.add("fleet_keys", "stands beside fleet_key", "keep one of them")
+	}
+	if s.FleetKey != "" && len(s.FleetKey) < minKey {
+		c.add("fleet_key", "is too short", remedy)
+	}
+	for i, k := range s.FleetKeys {
+		if len(k) < minKey {
+			c.add("fleet_keys["+strconv.Itoa(i)+"]", "is too short", remedy)
+		}
+	}
+}
+
+func (c *checker) admin(a Admin) {
+	if a.Listen == "" && a.Token == "" {
+		return
+	}
+	c.listen("admin.listen", a.Listen)
+	if a.Token == "" {
+		c.add("admin.token", "is missing", "write the operators' token, best as ${LYCHEE_ADMIN_TOKEN}")
+	}
+}
+
+func (e *Entry) check() spec.Problems {
+	var c checker
+	c.common(&e.Common)
+	c.listen("listen", e.Listen)
+	c.listen("link", e.Link)
+	c.admin(e.Admin)
+	for i, p := range e.Peers {
+		c.listen("peers["+strconv.Itoa(i)+"]", p)
+	}
+	c.between("heartbeat", e.Heartbeat, minHeartbeat, maxHeartbeat)
+	c.between("grace", e.Grace, 0, maxGrace)
+	return c.problems
+}
+
+func (a *Agent) check() spec.Problems {
+	var c checker
+	c.common(&a.Common)
+	c.listen("link", a.Link)
+	c.address("endpoint.address", a.Endpoint.Address)
+	if k := a.Endpoint.Kind; k != EndpointEngine && k != EndpointService {
+		c.add("endpoint.kind", fmt.Sprintf("%q is not a kind", k), "write engine or service")
+	}
+	c.admin(a.Admin)
+	c.between("heartbeat", a.Heartbeat, minHeartbeat, maxHeartbeat)
+	c.between("grace", a.Grace, 0, maxGrace)
+	return c.problems
+}
--- a/core/conf/load.go
+++ b/core/conf/load.go
@@ -1,8 +1,6 @@
 package conf
 
 import (
-	"bytes"
-	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -45,13 +43,17 @@
 	if !ok {
 		return fmt.Errorf("conf: cannot read settings into %T: use *Entry or *Agent", into)
 	}
-	data, problems := expand(data, env)
-	dec := yaml.NewDecoder(bytes.NewReader(data))
-	dec.KnownFields(true)
-	if err := dec.Decode(into); err != nil && !errors.Is(err, io.EOF) {
-		return append(problems, spec.YAMLProblems(err)...)
+	var doc yaml.Node
+	if err := yaml.Unmarshal(data, &doc); err != nil {
+		return spec.Problems{spec.Syntax(err)}
 	}
+	if len(doc.Content) == 0 {
+		return spec.Problems{{Reason: "file is empty", Remedy: "write the settings as docs/OPERATIONS.md shows"}}
+	}
+	problems := expand(&doc, env)
+	problems = append(problems, spec.DecodeNode(&doc, into)...)
 	s.defaults()
-	problems = append(problems, s.check()...)
-	return problems.Err()
+	found := s.check()
+	found.Locate(&doc)
+	return problems.With(found).Err()
 }
--- a/core/feed/peer.go
+++ b/core/feed/peer.go
@@ -82,7 +82,12 @@
 		case <-ctx.Done():
 			return b, ctx.Err()
 		case <-done:
-			return b, ErrShort
+			// What came before the end is still in the ring.
+			select {
+			case m = <-got.Items():
+			default:
+				return b, ErrShort
+			}
 		}
 		switch m := m.(type) {
 		case *wire.News:
--- a/core/feed/watch.go
+++ b/core/feed/watch.go
@@ -46,11 +46,26 @@
 			b.sleep(ctx, f.cfg.Random)
 			continue
 		}
+		if !listed && !asked && f.lacking() {
+			asked = f.fromPeers(ctx)
+		}
 		listed = true
 		b.reset()
 	}
 }
 
+// lacking reports whether an object has no good version here. A process that
+// starts while the newest version of an object is bad has none, but its peers
+// still have the last good one.
+func (f *Feed) lacking() bool {
+	for _, r := range f.cfg.Store.Rejected() {
+		if r.InForce == 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // list takes every kind. The watch goes on from the oldest of the lists, so
 // that no change between two of them is missed.
 func (f *Feed) list(ctx context.Context) error {
--- a/core/spec/problem.go
+++ b/core/spec/problem.go
@@ -58,3 +58,30 @@
 func (ps *Problems) add(field, reason, remedy string) {
 	*ps = append(*ps, Problem{Field: field, Reason: reason, Remedy: remedy})
 }
+
+// With returns the problems and those of more that concern other fields. A
+// field whose value could not be read is not also reported as missing.
+func (ps Problems) With(more Problems) Problems {
+	out := ps
+	for _, m := range more {
+		if !ps.concern(m.Field) {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+func (ps Problems) concern(field string) bool {
+	for _, p := range ps {
+		if p.Field == field || within(field, p.Field) || within(p.Field, field) {
+			return true
+		}
+	}
+	return false
+}
+
+// within reports whether inner names a part of the field outer.
+func within(inner, outer string) bool {
+	rest, ok := strings.CutPrefix(inner, outer)
+	return ok && outer != "" && rest != "" && (rest[0] == '.' || rest[0] == '[')
+}
--- a/core/spec/spec.go
+++ b/core/spec/spec.go
@@ -30,6 +30,8 @@
 	Target Target `json:"target" yaml:"target"`
 	// Deadline is when an answer is of no more use; zero means DefaultDeadline.
 	Deadline Duration `json:"deadline,omitempty" yaml:"deadline,omitempty"`
+	// Applied says who wrote the object; it is not for operators to write.
+	Applied *Applied `json:"applied,omitempty" yaml:"-"`
 }
 
 // DefaultDeadline is the deadline of a class that states none.
@@ -50,6 +52,8 @@
 	// Classes lists the classes that the customer may use; none means all.
 	Classes []string `json:"classes,omitempty" yaml:"classes,omitempty"`
 	Limits  Limits   `json:"limits,omitempty" yaml:"limits,omitempty"`
+	// Applied says who wrote the object; it is not for operators to write.
+	Applied *Applied `json:"applied,omitempty" yaml:"-"`
 }
 
 // Key is one API key of a customer, stored as its hash.
@@ -75,6 +79,8 @@
 	// them as they are.
 	Version  string   `json:"version,omitempty" yaml:"version,omitempty"`
 	Adapters []string `json:"adapters,omitempty" yaml:"adapters,omitempty"`
+	// Applied says who wrote the object; it is not for operators to write.
+	Applied *Applied `json:"applied,omitempty" yaml:"-"`
 }
 
 // Service is a plain service under /services/NAME/.
@@ -84,6 +90,19 @@
 	// Idempotent lists the methods that may be repeated; none means GET, HEAD
 	// and OPTIONS.
 	Idempotent []string `json:"idempotent,omitempty" yaml:"idempotent,omitempty"`
+	// Applied says who wrote the object; it is not for operators to write.
+	Applied *Applied `json:"applied,omitempty" yaml:"-"`
+}
+
+// Applied is who wrote an object last, so that an operator who lost a race
+// learns against whom.
+type Applied struct {
+	By string `json:"by"`
+	// At is the writer's own clock.
+	At time.Time `json:"at"`
+	// ID is fresh for each write. A writer whose reply was lost knows by it
+	// whether the write took effect.
+	ID string `json:"id"`
 }
 
 // Matches reports whether labels holds every pair of selector.
--- a/core/store/accept.go
+++ b/core/store/accept.go
@@ -17,6 +17,9 @@
 	// InForce is the version that stays, zero if there is none.
 	InForce  int64         `json:"in_force"`
 	Problems spec.Problems `json:"problems"`
+	// object is the refused version itself. It is handed to peers, so that an
+	// object without a good version is not taken for a deleted one.
+	object plat.Object
 }
 
 // RejectedError reports an object with bad content.
@@ -86,10 +89,14 @@
 	if known && o.Version <= had.object.Version {
 		return false, nil
 	}
-	if !known && o.Version <= next.complete {
+	bad, wasRefused := next.rejected.get(at)
+	if wasRefused && bad.Version == o.Version {
 		return false, nil
 	}
-	if bad, ok := next.rejected.get(at); ok && bad.Version == o.Version {
+	// An unknown object that is no newer than the complete version was deleted.
+	// One whose newest version was refused is not unknown: a peer may still
+	// have its last good version.
+	if !known && (o.Version <= next.floor || !wasRefused && o.Version <= next.complete) {
 		return false, nil
 	}
 	if ev.Gone {
@@ -106,7 +113,7 @@
 	had, known := next.records.get(at)
 	decoded, problems := spec.Decode(o.Kind, o.Name, o.Data)
 	if len(problems) > 0 {
-		r := Rejection{Kind: o.Kind, Name: o.Name, Version: o.Version, Problems: problems}
+		r := Rejection{Kind: o.Kind, Name: o.Name, Version: o.Version, Problems: problems, object: o}
 		if known && !had.gone {
 			r.InForce = had.object.Version
 		}
@@ -163,7 +170,12 @@
 // good one.
 func (s *Store) Rejected() []Rejection {
 	var all []Rejection
-	s.snap.Load().rejected.each(func(_ ref, r Rejection) bool {
+	now := s.snap.Load()
+	now.rejected.each(func(at ref, r Rejection) bool {
+		r.InForce = 0
+		if had, ok := now.records.get(at); ok && !had.gone {
+			r.InForce = had.object.Version
+		}
 		all = append(all, r)
 		return true
 	})
--- a/core/store/list.go
+++ b/core/store/list.go
@@ -1,6 +1,7 @@
 package store
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 
@@ -41,17 +42,25 @@
 	return changed, refused
 }
 
+// missing returns what is older than a list and does not stand in it.
 func missing(now *snapshot, kind string, listed map[ref]struct{}, version int64) []ref {
 	var out []ref
-	now.records.each(func(at ref, r record) bool {
-		if r.gone || r.object.Version >= version || (kind != plat.AnyKind && kind != at.kind) {
-			return true
+	check := func(at ref, v int64) {
+		if _, ok := listed[at]; ok || v >= version || (kind != plat.AnyKind && kind != at.kind) {
+			return
 		}
-		if _, ok := listed[at]; !ok {
-			out = append(out, at)
+		out = append(out, at)
+	}
+	now.records.each(func(at ref, r record) bool {
+		if !r.gone {
+			check(at, r.object.Version)
 		}
 		return true
 	})
+	now.rejected.each(func(at ref, r Rejection) bool {
+		check(at, r.Version)
+		return true
+	})
 	return out
 }
 
@@ -67,15 +76,16 @@
 		}
 		return true
 	})
-	slices.SortFunc(old, func(a, b record) int { return int(a.object.Version - b.object.Version) })
+	slices.SortFunc(old, func(a, b record) int { return cmp.Compare(a.object.Version, b.object.Version) })
 	for _, r := range old[:min(len(old), maxTombs/2)] {
 		next.records = next.records.without(ref{r.object.Kind, r.object.Name})
+		next.floor = max(next.floor, r.object.Version)
 		next.tombs--
 	}
 }
 
-// All returns every object in force and the remembered deletions, oldest
-// first, for a peer that starts while the platform is away.
+// All returns every object in force, the remembered deletions and the refused
+// versions, oldest first, for a peer that starts while the platform is away.
 func (s *Store) All() []plat.Event {
 	now := s.snap.Load()
 	all := make([]plat.Event, 0, now.records.size)
@@ -83,7 +93,11 @@
 		all = append(all, plat.Event{Gone: r.gone, Object: r.object})
 		return true
 	})
-	slices.SortFunc(all, func(a, b plat.Event) int { return int(a.Object.Version - b.Object.Version) })
+	now.rejected.each(func(_ ref, r Rejection) bool {
+		all = append(all, plat.Event{Object: r.object})
+		return true
+	})
+	slices.SortFunc(all, func(a, b plat.Event) int { return cmp.Compare(a.Object.Version, b.Object.Version) })
 	return all
 }
 
--- /dev/null
+++ b/core/store/model_test.go
@@ -0,0 +1,149 @@
+package store
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"lycheepond/core/plat"
+	"lycheepond/core/spec"
+)
+
+// history is every write of a platform, oldest first; versions count from one.
+type history struct{ events []plat.Event }
+
+func (h *history) write(t *rapid.T) {
+	name := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "name")
+	version := int64(len(h.events) + 1)
+	switch rapid.IntRange(0, 5).Draw(t, "write") {
+	case 0:
+		h.events = append(h.events, plat.Event{Gone: true, Object: plat.Object{Kind: spec.KindClass, Name: name, Version: version}})
+	case 1:
+		h.events = append(h.events, plat.Event{Object: plat.Object{
+			Kind: spec.KindClass, Name: name, Version: version, Data: []byte(`{"name":"bad","tier":-1}`),
+		}})
+	default:
+		data := fmt.Sprintf(`{"name":%q,"tier":%d,"target":{}}`, name, version%spec.Tiers)
+		h.events = append(h.events, plat.Event{Object: plat.Object{Kind: spec.KindClass, Name: name, Version: version, Data: []byte(data)}})
+	}
+}
+
+// list is the content at a version.
+func (h *history) list(version int64) plat.Batch {
+	last := make(map[string]plat.Event)
+	for _, ev := range h.events[:version] {
+		last[ev.Object.Name] = ev
+	}
+	b := plat.Batch{Version: version}
+	for _, ev := range last {
+		if !ev.Gone {
+			b.Events = append(b.Events, ev)
+		}
+	}
+	return b
+}
+
+// watch is what changed after one version up to another.
+func (h *history) watch(after, upTo int64) plat.Batch {
+	if after >= upTo {
+		return plat.Batch{Version: upTo}
+	}
+	return plat.Batch{Version: upTo, Events: h.events[after:upTo]}
+}
+
+// view is what one process has shown of an object.
+type view struct{ newest, gone int64 }
+
+func TestNeverReverts(t *testing.T) {
+	// Two processes read one platform through lagging replicas, replaying
+	// watches and each other, in any order. An operator must never see an
+	// object return to an older version or come back after its deletion, and
+	// both must end at the newest state.
+	rapid.Check(t, func(t *rapid.T) {
+		var h history
+		stores := []*Store{New(), New()}
+		views := []map[string]*view{{}, {}}
+		steps := rapid.IntRange(1, 60).Draw(t, "steps")
+		for range steps {
+			h.write(t)
+			i := rapid.IntRange(0, 1).Draw(t, "process")
+			deliver(t, &h, stores[i], stores[1-i])
+			observe(t, stores[i], views[i])
+		}
+		for i, s := range stores {
+			s.AcceptBatch(h.watch(s.Complete(), int64(len(h.events))))
+			observe(t, s, views[i])
+			converged(t, &h, s)
+		}
+	})
+}
+
+func deliver(t *rapid.T, h *history, s, peer *Store) {
+	now := int64(len(h.events))
+	version := rapid.Int64Range(0, now).Draw(t, "version")
+	switch rapid.IntRange(0, 4).Draw(t, "deliver") {
+	case 0:
+		s.AcceptList(plat.AnyKind, h.list(version))
+	case 1:
+		s.AcceptList(spec.KindClass, h.list(version))
+	case 2:
+		s.AcceptBatch(h.watch(s.Complete(), version))
+	case 3:
+		if version > 0 {
+			_, _ = s.Accept(h.events[version-1])
+		}
+	case 4:
+		s.AcceptList(plat.AnyKind, plat.Batch{Version: peer.Complete(), Events: peer.All()})
+	}
+}
+
+func observe(t *rapid.T, s *Store, seen map[string]*view) {
+	for _, name := range []string{"a", "b", "c"} {
+		v := seen[name]
+		if v == nil {
+			v = new(view)
+			seen[name] = v
+		}
+		o, ok := s.Raw(spec.KindClass, name)
+		_, typed := s.Class(name)
+		if ok != typed {
+			t.Fatalf("%s: raw %v, typed %v", name, ok, typed)
+		}
+		if !ok {
+			v.gone = v.newest
+			continue
+		}
+		if o.Version < v.newest || (v.gone > 0 && o.Version <= v.gone) {
+			t.Fatalf("%s went back to version %d, newest shown %d, shown as deleted after %d", name, o.Version, v.newest, v.gone)
+		}
+		v.newest = o.Version
+	}
+}
+
+func converged(t *rapid.T, h *history, s *Store) {
+	for _, name := range []string{"a", "b", "c"} {
+		var last plat.Event
+		good := map[int64]bool{}
+		for _, ev := range h.events {
+			if ev.Object.Name != name {
+				continue
+			}
+			last = ev
+			if _, bad := spec.Decode(ev.Object.Kind, name, ev.Object.Data); ev.Gone {
+				good = map[int64]bool{}
+			} else if len(bad) == 0 {
+				good[ev.Object.Version] = true
+			}
+		}
+		o, ok := s.Raw(spec.KindClass, name)
+		switch {
+		case ok && !good[o.Version]:
+			t.Fatalf("%s: version %d in force was deleted or never good", name, o.Version)
+		case good[last.Object.Version] && o.Version != last.Object.Version:
+			t.Fatalf("%s: version %d in force, newest is %d", name, o.Version, last.Object.Version)
+		case last.Gone && ok:
+			t.Fatalf("%s: deleted at %d, version %d in force", name, last.Object.Version, o.Version)
+		}
+	}
+}
--- a/core/store/store.go
+++ b/core/store/store.go
@@ -58,6 +58,9 @@
 	// complete is a version up to which every object is known, so that an
 	// unknown object of such a version is one that was deleted.
 	complete int64
+	// floor is the newest deletion that is no longer remembered by itself.
+	// Nothing unknown up to it is taken from anyone.
+	floor int64
 }
 
 // New returns an empty store.
