--- a/core/queue/next.go
+++ b/core/queue/next.go
@@ -6,17 +6,17 @@
 type Fit uint8
 
 const (
-	// Fits: the item runs now.
+	// Fits means that the item runs now.
 	Fits Fit = iota
-	// Pass: the item must wait, and others may run before it for as long as
+	// Pass means that the item must wait, and that others may run before it for as long as
 	// it does, as with long work whose places are taken.
 	Pass
-	// PassFew: the item must wait, and only some others may run before it, as
-	// with work that needs more memory than is free. If all could pass, small
+	// PassFew means that the item must wait, and that only some others may run
+	// before it, as with work that needs more memory than is free. If all could pass, small
 	// work would take each piece of memory that becomes free and large work
 	// would never run.
 	PassFew
-	// Stop: nothing can run now.
+	// Stop means that nothing can run now.
 	Stop
 )
 
--- a/core/shed/shed.go
+++ b/core/shed/shed.go
@@ -11,11 +11,11 @@
 
 // The reasons of a verdict.
 const (
-	// Admitted: the request is admitted.
+	// Admitted means that the request is admitted.
 	Admitted Why = iota
-	// Level: the pool serves only higher tiers at present.
+	// Level means that the pool serves only higher tiers at present.
 	Level
-	// Late: the request would miss its target in its customer's fair share.
+	// Late means that the request would miss its target in its customer's fair share.
 	Late
 )
 
