--- a/trial/fleet/fleet.go
+++ b/trial/fleet/fleet.go
@@ -60,6 +60,9 @@
 	if err := f.startPlatform(ctx); err != nil {
 		return nil, err
 	}
+	if err := f.Apply(ctx, plan.Objects); err != nil {
+		return nil, err
+	}
 	if err := f.startUnits(ctx); err != nil {
 		return nil, err
 	}
--- a/trial/fleet/plan.go
+++ b/trial/fleet/plan.go
@@ -28,6 +28,8 @@
 	// Via returns the address under which entries reach the link of an agent;
 	// nil is the link itself. A fault-injecting proxy goes here.
 	Via func(name, link string) (string, error)
+	// Objects are written to the platform before anything else starts.
+	Objects []spec.Item
 	// NoAgents leaves agents and entries out, for the baselines.
 	NoAgents bool
 }
