--- /dev/null
+++ b/entry/admin/admin.go
@@ -0,0 +1,113 @@
+// Package admin is the entry's side towards operators.
+package admin
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/json"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"lycheepond/core/ident"
+	"lycheepond/entry/sched"
+)
+
+// Config is what a Server depends on.
+type Config struct {
+	Listen string
+	// Token is demanded of operators; empty demands none.
+	Token   string
+	Metrics http.Handler
+	Status  func() any
+	Explain func(ident.ID) (sched.Explained, bool)
+	Log     *zap.Logger
+}
+
+// Server answers operators.
+type Server struct {
+	cfg Config
+	// want is the hash of the token, so that the comparison takes the same
+	// time whatever was sent.
+	want [sha256.Size]byte
+}
+
+// New returns a Server that does nothing until Run.
+func New(cfg Config) *Server { return &Server{cfg: cfg, want: sha256.Sum256([]byte(cfg.Token))} }
+
+// Run serves operators until ctx ends. Without an address it only waits.
+func (s *Server) Run(ctx context.Context) error {
+	if s.cfg.Listen == "" {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	ln, err := net.Listen("tcp", s.cfg.Listen)
+	if err != nil {
+		return err
+	}
+	server := &http.Server{Handler: s.Handler(), ReadHeaderTimeout: 10 * time.Second}
+	defer context.AfterFunc(ctx, func() { server.Close() })()
+	err = server.Serve(ln)
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	return err
+}
+
+// Handler returns the paths for operators behind the check of the token.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /status", s.status)
+	mux.HandleFunc("GET /explain/{id}", s.explain)
+	mux.Handle("GET /metrics", s.cfg.Metrics)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !s.allowed(r) {
+			refuse(w, http.StatusUnauthorized, "missing or wrong operator token: send the entry's admin.token as Authorization: Bearer TOKEN")
+			return
+		}
+		mux.ServeHTTP(w, r)
+	})
+}
+
+func (s *Server) allowed(r *http.Request) bool {
+	if s.cfg.Token == "" {
+		return true
+	}
+	got := sha256.Sum256([]byte(strings.TrimPrefix(r.Header.Get("Authorization"), "Bearer ")))
+	return subtle.ConstantTimeCompare(got[:], s.want[:]) == 1
+}
+
+func (s *Server) status(w http.ResponseWriter, _ *http.Request) { write(w, s.cfg.Status()) }
+
+func (s *Server) explain(w http.ResponseWriter, r *http.Request) {
+	id, err := ident.Parse(r.PathValue("id"))
+	if err != nil {
+		refuse(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	e, ok := s.cfg.Explain(id)
+	if !ok {
+		refuse(w, http.StatusNotFound, "this entry has no record of the request: ask the entry that answered it, soon enough")
+		return
+	}
+	write(w, e)
+}
+
+func write(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	e := json.NewEncoder(w)
+	e.SetIndent("", "  ")
+	e.Encode(v)
+}
+
+func refuse(w http.ResponseWriter, status int, message string) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	json.NewEncoder(w).Encode(struct {
+		Error string `json:"error"`
+	}{message})
+}
--- /dev/null
+++ b/entry/caller/accept.go
@@ -0,0 +1,188 @@
+package caller
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+	"errors"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"lycheepond/core/spec"
+	"lycheepond/core/wire"
+	"lycheepond/entry/fault"
+	"lycheepond/entry/sched"
+)
+
+const (
+	// maxDeadline bounds what a caller may ask for.
+	maxDeadline = time.Hour
+	// maxKey is the longest idempotency key in bytes.
+	maxKey = 255
+)
+
+// accept checks what all requests have in common and returns the job as far as
+// it is known then.
+func (s *Server) accept(r *http.Request) (*sched.Job, *fault.Error) {
+	j := &sched.Job{ID: s.cfg.NewID(), Accepted: s.cfg.Now(), Method: r.Method}
+	if s.cfg.Leaving() {
+		return j, fault.New(fault.Leaving, "this entry is stopping: ask again, the balancer will choose another").After(time.Second)
+	}
+	if !s.cfg.Ready() {
+		return j, fault.New(fault.Leaving, "this entry has no configuration yet: ask again").After(time.Second)
+	}
+	customer, key, ok := s.cfg.Store.CustomerByKey(bearer(r))
+	if !ok {
+		return j, fault.New(fault.BadKey, "missing or unknown key: send a valid key as Authorization: Bearer KEY")
+	}
+	j.Customer = customer.Name
+	if e := s.class(r, j, customer, key); e != nil {
+		return j, e
+	}
+	if e := deadline(r, j); e != nil {
+		return j, e
+	}
+	return j, nil
+}
+
+func bearer(r *http.Request) string {
+	const prefix = "Bearer "
+	h := r.Header.Get("Authorization")
+	if len(h) < len(prefix) || !strings.EqualFold(h[:len(prefix)], prefix) {
+		return ""
+	}
+	return h[len(prefix):]
+}
+
+func (s *Server) class(r *http.Request, j *sched.Job, c spec.Customer, k spec.Key) *fault.Error {
+	name := r.Header.Get(headerClass)
+	if name == "" {
+		name = k.Class
+	}
+	class, ok := s.cfg.Store.Class(name)
+	if !ok {
+		return fault.New(fault.UnknownClass, "unknown class "+quote(name)+": name a class in "+headerClass+" that the operator has defined")
+	}
+	if len(c.Classes) > 0 && !slices.Contains(c.Classes, name) {
+		return fault.New(fault.Forbidden, "this customer may not use class "+quote(name)+": use one of "+strings.Join(c.Classes, ", "))
+	}
+	j.Class = class
+	return nil
+}
+
+func deadline(r *http.Request, j *sched.Job) *fault.Error {
+	j.Deadline = j.Class.Deadline.Std()
+	if j.Deadline <= 0 {
+		j.Deadline = spec.DefaultDeadline
+	}
+	h := r.Header.Get(headerDeadline)
+	if h == "" {
+		return nil
+	}
+	d, err := time.ParseDuration(h)
+	if err != nil || d <= 0 || d > maxDeadline {
+		return fault.New(fault.BadRequest, "bad "+headerDeadline+" "+quote(h)+": write a time of at most 1h with its unit, such as 30s")
+	}
+	j.Deadline = d
+	return nil
+}
+
+// once reads the marks that forbid a second run. safe tells whether the
+// request may be repeated as far as its kind goes.
+func once(r *http.Request, j *sched.Job, safe bool) *fault.Error {
+	mark, e := nonIdempotent(r)
+	if e != nil {
+		return e
+	}
+	j.Repeatable = safe && !mark
+	keys := r.Header.Values(headerKey)
+	if len(keys) == 0 {
+		return nil
+	}
+	key := keys[0]
+	if len(keys) > 1 || key == "" || len(key) > maxKey {
+		return fault.New(fault.BadRequest, "bad "+headerKey+": send one key of 1 to 255 bytes, such as a UUIDv7")
+	}
+	sum := sha256.Sum256([]byte(j.Customer + "\x00" + key))
+	j.Key, j.KeyMade, j.Repeatable = sum[:], madeAt(key), false
+	return nil
+}
+
+func nonIdempotent(r *http.Request) (bool, *fault.Error) {
+	switch h := strings.ToLower(r.Header.Get(headerNonIdempotent)); h {
+	case "", "false", "0":
+		return false, nil
+	case "true", "1":
+		return true, nil
+	default:
+		return false, fault.New(fault.BadRequest, "bad "+headerNonIdempotent+" "+quote(h)+": write true or leave it out")
+	}
+}
+
+// madeAt returns when a UUIDv7 was made in Unix milliseconds, zero for any
+// other key.
+func madeAt(key string) int64 {
+	if len(key) != 36 || key[8] != '-' || key[13] != '-' || key[14] != '7' {
+		return 0
+	}
+	var b [8]byte
+	if _, err := hex.Decode(b[2:], []byte(key[:8]+key[9:13])); err != nil {
+		return 0
+	}
+	return int64(binary.BigEndian.Uint64(b[:]))
+}
+
+// digest tells two requests under one key apart.
+func digest(j *sched.Job) uint64 {
+	h := sha256.New()
+	io.WriteString(h, j.Method+" "+j.Pool+" "+j.Path+"\x00")
+	h.Write(j.Body)
+	return binary.BigEndian.Uint64(h.Sum(nil))
+}
+
+// body reads the whole body of a request.
+func body(w http.ResponseWriter, r *http.Request) ([]byte, *fault.Error) {
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, fault.New(fault.TooLarge, "the body is larger than 4 MiB: send less")
+	case err != nil:
+		return nil, fault.New(fault.BadRequest, "the body could not be read to its end: send it whole")
+	}
+	return data, nil
+}
+
+// dropped are headers that concern one hop or the system itself only.
+var dropped = map[string]bool{
+	"Authorization": true, "Connection": true, "Keep-Alive": true, "Proxy-Authorization": true,
+	"Proxy-Connection": true, "Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
+	"Content-Length": true, "Host": true, "X-Request-Id": true, "Expect": true, "Accept-Encoding": true,
+	headerClass: true, headerNonIdempotent: true, headerDeadline: true, headerID: true, headerOutcome: true,
+}
+
+// fields returns the headers to pass on.
+func fields(h http.Header) []wire.Field {
+	out := make([]wire.Field, 0, len(h))
+	for name, values := range h {
+		if dropped[name] {
+			continue
+		}
+		for _, v := range values {
+			out = append(out, wire.Field{Name: name, Value: v})
+		}
+	}
+	return out
+}
+
+// quote shortens what a caller sent for use in a message.
+func quote(s string) string {
+	const limit = 64
+	if len(s) > limit {
+		s = s[:limit] + "..."
+	}
+	return "\"" + strings.ToValidUTF8(s, "?") + "\""
+}
--- /dev/null
+++ b/entry/caller/model.go
@@ -0,0 +1,149 @@
+package caller
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strings"
+
+	"lycheepond/core/spec"
+	"lycheepond/entry/fault"
+	"lycheepond/entry/sched"
+)
+
+// prompt is the part of a model request that the entry reads; the rest passes
+// unread.
+type prompt struct {
+	Model     string          `json:"model"`
+	Prompt    json.RawMessage `json:"prompt"`
+	Messages  json.RawMessage `json:"messages"`
+	MaxTokens int             `json:"max_tokens"`
+	Stream    bool            `json:"stream"`
+}
+
+// model serves /v1/completions and /v1/chat/completions.
+func (s *Server) model(w http.ResponseWriter, r *http.Request) {
+	j, e := s.accept(r)
+	if e == nil {
+		e = s.readModel(w, r, j)
+	}
+	if e != nil {
+		s.refuse(w, j.ID, j, e)
+		return
+	}
+	s.serve(w, r, j)
+}
+
+func (s *Server) readModel(w http.ResponseWriter, r *http.Request, j *sched.Job) *fault.Error {
+	data, e := body(w, r)
+	if e != nil {
+		return e
+	}
+	var p prompt
+	if err := json.Unmarshal(data, &p); err != nil {
+		return fault.New(fault.BadRequest, "the body is no JSON object of a completions request ("+err.Error()+"): send model and prompt or messages")
+	}
+	text := p.Prompt
+	if strings.HasSuffix(r.URL.Path, "/chat/completions") {
+		text = p.Messages
+	}
+	if len(text) == 0 {
+		return fault.New(fault.BadRequest, "the prompt is missing: send prompt to /v1/completions and messages to /v1/chat/completions")
+	}
+	if p.MaxTokens < 0 {
+		return fault.New(fault.BadRequest, "max_tokens is negative: send a positive number or leave it out")
+	}
+	if _, ok := s.cfg.Store.Model(p.Model); !ok {
+		return fault.New(fault.UnknownModel, "unknown model "+quote(p.Model)+": GET /v1/models lists the models")
+	}
+	j.Pool, j.Model, j.Path, j.Body, j.Prompt = p.Model, p.Model, r.URL.Path, data, text
+	j.MaxTokens, j.Stream, j.Header = p.MaxTokens, p.Stream, fields(r.Header)
+	if e := once(r, j, true); e != nil {
+		return e
+	}
+	if j.Key != nil {
+		j.Digest = digest(j)
+	}
+	return nil
+}
+
+// models lists the models.
+func (s *Server) models(w http.ResponseWriter, r *http.Request) {
+	j, e := s.accept(r)
+	if e != nil {
+		s.refuse(w, j.ID, j, e)
+		return
+	}
+	type line struct {
+		ID      string `json:"id"`
+		Object  string `json:"object"`
+		Version string `json:"version,omitempty"`
+	}
+	list := struct {
+		Object string `json:"object"`
+		Data   []line `json:"data"`
+	}{Object: "list", Data: []line{}}
+	for _, m := range s.cfg.Store.Models() {
+		list.Data = append(list.Data, line{ID: m.Name, Object: "model", Version: m.Version})
+	}
+	slices.SortFunc(list.Data, func(a, b line) int { return strings.Compare(a.ID, b.ID) })
+	w.Header().Set(headerID, j.ID.String())
+	w.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(w).Encode(list)
+}
+
+// service serves /services/NAME/...
+func (s *Server) service(w http.ResponseWriter, r *http.Request) {
+	j, e := s.accept(r)
+	if e == nil {
+		e = s.readService(w, r, j)
+	}
+	if e != nil {
+		s.refuse(w, j.ID, j, e)
+		return
+	}
+	s.serve(w, r, j)
+}
+
+// idempotentMethods are those of a service that lists none.
+var idempotentMethods = []string{http.MethodGet, http.MethodHead, http.MethodOptions}
+
+func (s *Server) readService(w http.ResponseWriter, r *http.Request, j *sched.Job) *fault.Error {
+	name := r.PathValue("name")
+	svc, ok := s.cfg.Store.Service(name)
+	if !ok {
+		return fault.New(fault.UnknownName, "unknown service "+quote(name)+": name one that the operator has defined")
+	}
+	data, e := body(w, r)
+	if e != nil {
+		return e
+	}
+	path := strings.TrimPrefix(r.URL.EscapedPath(), "/services/"+name)
+	if path == "" {
+		path = "/"
+	}
+	if r.URL.RawQuery != "" {
+		path += "?" + r.URL.RawQuery
+	}
+	j.Pool, j.Path, j.Body, j.Header = name, path, data, fields(r.Header)
+	if e := once(r, j, repeatable(svc, r.Method)); e != nil {
+		return e
+	}
+	if j.Key != nil {
+		j.Digest = digest(j)
+	}
+	return nil
+}
+
+func repeatable(svc spec.Service, method string) bool {
+	if len(svc.Idempotent) == 0 {
+		return slices.Contains(idempotentMethods, method)
+	}
+	return slices.Contains(svc.Idempotent, method)
+}
+
+// customerLimits returns the limits of a customer.
+func (s *Server) customerLimits(name string) spec.Limits {
+	c, _ := s.cfg.Store.Customer(name)
+	return c.Limits
+}
--- /dev/null
+++ b/entry/caller/reply.go
@@ -0,0 +1,122 @@
+package caller
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"lycheepond/core/ident"
+	"lycheepond/core/wire"
+	"lycheepond/entry/fault"
+	"lycheepond/entry/sched"
+)
+
+const (
+	// callerPatience is how long one write to a caller may take. A caller that
+	// stops reading would hold its request's goroutine for good.
+	callerPatience = 30 * time.Second
+	// deadlineEvery spares a system call for most flushes.
+	deadlineEvery = time.Second
+)
+
+// reply writes one answer. It is owned by the goroutine that serves the caller.
+type reply struct {
+	w   http.ResponseWriter
+	rc  *http.ResponseController
+	job *sched.Job
+	// begun is set once the status line is written.
+	begun bool
+	// limit is when the write deadline was last moved.
+	limit time.Time
+}
+
+func newReply(w http.ResponseWriter, j *sched.Job) *reply {
+	return &reply{w: w, rc: http.NewResponseController(w), job: j}
+}
+
+func (r *reply) sink() *sched.Sink {
+	return &sched.Sink{Head: r.head, Data: r.data, Flush: r.flush, Direct: r.job.Stream}
+}
+
+func (r *reply) head(status int, header []wire.Field) {
+	h := r.w.Header()
+	for _, f := range header {
+		name := http.CanonicalHeaderKey(f.Name)
+		if !dropped[name] {
+			h.Add(name, f.Value)
+		}
+	}
+	h.Set(headerID, r.job.ID.String())
+	if r.job.Stream && status < http.StatusMultipleChoices {
+		h.Set("Trailer", headerOutcome)
+	} else {
+		// An answer that is not streamed is passed on only when it is whole.
+		h.Set(headerOutcome, "complete")
+	}
+	r.begun = true
+	r.extend()
+	r.w.WriteHeader(status)
+}
+
+func (r *reply) data(b []byte) { r.w.Write(b) }
+
+func (r *reply) flush() {
+	r.extend()
+	r.rc.Flush()
+}
+
+func (r *reply) extend() {
+	if now := time.Now(); now.Sub(r.limit) > deadlineEvery {
+		r.limit = now
+		r.rc.SetWriteDeadline(now.Add(callerPatience))
+	}
+}
+
+// close writes what the answer's end demands.
+func (r *reply) close(res *sched.Result) {
+	switch {
+	case !r.begun && res.Fault != nil:
+		r.extend()
+		writeFault(r.w, r.job.ID, res.Fault)
+	case res.Fault != nil:
+		r.w.Write([]byte("event: error\ndata: "))
+		r.w.Write(faultBody(r.job.ID, res.Fault))
+		r.w.Write([]byte("\n\n"))
+		r.w.Header().Set(headerOutcome, res.Outcome.String())
+	case r.job.Stream:
+		r.w.Header().Set(headerOutcome, res.Outcome.String())
+	}
+	r.rc.SetWriteDeadline(time.Time{})
+}
+
+type faultJSON struct {
+	Error struct {
+		Type         fault.Kind `json:"type"`
+		Message      string     `json:"message"`
+		Outcome      string     `json:"outcome"`
+		RequestID    string     `json:"request_id"`
+		RetryAfterMS int64      `json:"retry_after_ms,omitempty"`
+	} `json:"error"`
+}
+
+func faultBody(id ident.ID, e *fault.Error) []byte {
+	var f faultJSON
+	f.Error.Type, f.Error.Message = e.Kind(), e.Error()
+	f.Error.Outcome, f.Error.RequestID = e.Outcome().String(), id.String()
+	f.Error.RetryAfterMS = e.RetryAfter().Milliseconds()
+	b, _ := json.Marshal(f)
+	return b
+}
+
+func writeFault(w http.ResponseWriter, id ident.ID, e *fault.Error) {
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set(headerID, id.String())
+	h.Set(headerOutcome, e.Outcome().String())
+	if d := e.RetryAfter(); d > 0 {
+		h.Set(headerRetry, strconv.FormatInt(int64((d+time.Second-1)/time.Second), 10))
+	}
+	w.WriteHeader(e.Status())
+	w.Write(append(faultBody(id, e), '\n'))
+}
--- /dev/null
+++ b/entry/node.go
@@ -0,0 +1,196 @@
+package main
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	mathrand "math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"lycheepond/core/conf"
+	"lycheepond/core/feed"
+	"lycheepond/core/logs"
+	"lycheepond/core/meter"
+	"lycheepond/core/plat"
+	"lycheepond/core/store"
+	"lycheepond/core/wire"
+	"lycheepond/entry/admin"
+	"lycheepond/entry/agents"
+	"lycheepond/entry/caller"
+	"lycheepond/entry/peers"
+	"lycheepond/entry/sched"
+	"lycheepond/entry/tally"
+)
+
+// node is one running entry.
+type node struct {
+	cfg   *conf.Entry
+	path  string
+	log   *zap.Logger
+	start time.Time
+	self  wire.Hello
+	store *store.Store
+	plat  *plat.Client
+	feed  *feed.Feed
+	set   *agents.Set
+	sched *sched.Sched
+	meter *meter.Set
+	tally *tally.Tally
+	// keys is replaced when the settings are read again.
+	keys    atomic.Pointer[wire.Keys]
+	leaving atomic.Bool
+	ready   atomic.Bool
+}
+
+func newNode(cfg *conf.Entry, path string) *node {
+	n := &node{
+		cfg: cfg, path: path, start: time.Now(), store: store.New(), meter: meter.New(),
+		log:  logs.New(cfg.Log.Level, cfg.Name),
+		plat: plat.New(plat.Config{Base: cfg.Platform.Address, Token: string(cfg.Platform.Token)}),
+	}
+	keys := cfg.Keys()
+	n.keys.Store(&keys)
+	n.self = wire.Hello{Role: wire.RoleEntry, Name: cfg.Name, Zone: cfg.Zone, Incarnation: incarnation()}
+	n.tally = tally.New(n.meter, n.log)
+	return n
+}
+
+func incarnation() uint64 {
+	var b [8]byte
+	if _, err := rand.Read(b[:]); err != nil {
+		return mathrand.Uint64()
+	}
+	return binary.BigEndian.Uint64(b[:])
+}
+
+func (n *node) now() time.Duration { return time.Since(n.start) }
+
+func (n *node) linkKeys() wire.Keys { return *n.keys.Load() }
+
+// beat is what an idle link carries.
+func (n *node) beat() wire.Message {
+	return &wire.Beat{Leaving: n.leaving.Load(), Config: n.store.Version()}
+}
+
+// run serves until ctx ends, then stops in order.
+func (n *node) run(ctx context.Context) error {
+	work, end := context.WithCancel(context.Background())
+	defer end()
+	logs.Info(n.log, logs.EventStarting)
+	n.build(work)
+	ended := make(chan error, 8)
+	n.begin(work, ended)
+	ln, err := net.Listen("tcp", n.cfg.Listen)
+	if err != nil {
+		return err
+	}
+	server := n.server()
+	select {
+	case <-n.feed.Ready():
+	case <-ctx.Done():
+		return nil
+	case err := <-ended:
+		return err
+	}
+	n.ready.Store(true)
+	go func() { ended <- server.Serve(ln) }()
+	n.announce(ln.Addr().String())
+	select {
+	case <-ctx.Done():
+		return n.stop(server)
+	case err := <-ended:
+		return err
+	}
+}
+
+// announce tells whoever started the process where it listens.
+func (n *node) announce(addr string) {
+	logs.Info(n.log, logs.EventReady, zap.String("listen", addr))
+	line, _ := json.Marshal(struct {
+		Ready  string `json:"ready"`
+		Listen string `json:"listen"`
+	}{n.cfg.Name, addr})
+	os.Stdout.Write(append(line, '\n'))
+}
+
+// stop refuses new requests, waits for the running ones and ends. The listener
+// stays open for a moment, so that callers the balancer still sends hear a
+// truthful refusal in place of a refused connection.
+func (n *node) stop(server *http.Server) error {
+	n.leaving.Store(true)
+	logs.Info(n.log, logs.EventLeaving, zap.Int("running", n.sched.Running()))
+	grace, cancel := context.WithTimeout(context.Background(), n.cfg.Grace.Std())
+	defer cancel()
+	select {
+	case <-grace.Done():
+	case <-time.After(min(balancerNotice, n.cfg.Grace.Std()/4)):
+	}
+	err := server.Shutdown(grace)
+	if errors.Is(err, context.DeadlineExceeded) {
+		logs.Warn(n.log, logs.EventStopped, zap.Int("interrupted", n.sched.Running()))
+		return server.Close()
+	}
+	logs.Info(n.log, logs.EventStopped)
+	return err
+}
+
+// balancerNotice is how long a balancer may take to see that /readyz changed.
+const balancerNotice = 2 * time.Second
+
+func (n *node) server() *http.Server {
+	front := caller.New(caller.Config{
+		Store: n.store, NewID: n.sched.NewID, Serve: n.sched.Serve, Now: n.now,
+		Ready: n.ready.Load, Leaving: n.leaving.Load, Done: n.tally.Done, Metrics: n.meter, Log: n.log,
+	})
+	return &http.Server{Handler: front, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+}
+
+const (
+	headerTimeout = 10 * time.Second
+	idleTimeout   = 2 * time.Minute
+)
+
+// build makes the parts; begin starts them.
+func (n *node) build(ctx context.Context) {
+	n.feed = feed.New(feed.Config{
+		Platform: n.plat, Store: n.store, Peers: n.peerFetches(), Random: mathrand.Float64, Note: n.noteFeed,
+	})
+	n.sched = sched.New(ctx, sched.Config{
+		Incarnation: n.self.Incarnation, Zone: n.cfg.Zone, Now: n.now, Log: n.log,
+		Pool:    func(name string) *agents.Members { return n.set.Pool(name) },
+		Entries: n.entries,
+	})
+	n.set = agents.New(agents.Config{
+		Self: n.self, Keys: n.linkKeys, Heartbeat: n.cfg.Heartbeat.Std(), Beat: n.beat,
+		Dial: n.dial, Roster: n.store.Roster, Pools: n.pools, Choose: n.choose,
+		Handle: n.handle, Up: n.up, Down: n.sched.Down, Now: n.now, Log: n.log,
+	})
+}
+
+func (n *node) begin(ctx context.Context, ended chan<- error) {
+	changed, _ := n.store.Subscribe()
+	go func() { ended <- n.feed.Run(ctx) }()
+	go func() { ended <- n.set.Run(ctx, changed) }()
+	port := peers.New(peers.Config{
+		Listen: n.cfg.Link, Self: n.self, Keys: n.linkKeys, Heartbeat: n.cfg.Heartbeat.Std(),
+		Beat: n.beat, Store: n.store, TLS: n.serverTLS, Log: n.log,
+	})
+	go func() { ended <- port.Run(ctx) }()
+	operators := admin.New(admin.Config{
+		Listen: n.cfg.Admin.Listen, Token: string(n.cfg.Admin.Token), Metrics: n.meter,
+		Status: n.status, Explain: n.sched.Trail().Explain, Log: n.log,
+	})
+	go func() { ended <- operators.Run(ctx) }()
+}
+
+func (n *node) handle(p *agents.Peer, m wire.Message) { n.sched.Handle(p, m) }
+
+func (n *node) up(p *agents.Peer) { n.sched.Up(p) }
--- /dev/null
+++ b/entry/sched/sched.go
@@ -0,0 +1,170 @@
+package sched
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"lycheepond/core/ident"
+	"lycheepond/core/wire"
+	"lycheepond/entry/agents"
+)
+
+// attempts is how many IDs a request has: the last byte counts its attempts,
+// so that the endpoint's record leads back to the request.
+const attempts = 256
+
+// Config is what a Sched depends on. All functions must be set.
+type Config struct {
+	Incarnation uint64
+	Zone        string
+	Now         func() time.Duration
+	// Pool returns the agents of a pool, nil if there is no such pool.
+	Pool func(name string) *agents.Members
+	// Entries returns how many entries share the pools.
+	Entries func() int
+	// Home finds the agent that keeps a key; it may be nil when no pool takes
+	// keyed requests.
+	Home func(pool string, key []byte) (Home, error)
+	Log  *zap.Logger
+}
+
+// Home is the agent that keeps the record of an idempotency key.
+type Home struct {
+	Peer  *agents.Peer
+	Epoch int64
+}
+
+// Sched serves requests.
+type Sched struct {
+	cfg     Config
+	table   *table
+	last    atomic.Uint64
+	trail   *Trail
+	running atomic.Int64
+
+	mu    sync.Mutex
+	pools map[string]*pool
+	ctx   context.Context
+}
+
+// New returns a Sched that serves until ctx ends.
+func New(ctx context.Context, cfg Config) *Sched {
+	return &Sched{
+		cfg: cfg, table: newTable(), trail: newTrail(),
+		pools: make(map[string]*pool), ctx: ctx,
+	}
+}
+
+// Trail returns the record of recent decisions.
+func (s *Sched) Trail() *Trail { return s.trail }
+
+// Running returns how many requests are being served.
+func (s *Sched) Running() int { return int(s.running.Load()) }
+
+// Figures is what operators see of a pool at one entry.
+type Figures struct {
+	Pool     string `json:"pool"`
+	InFlight int    `json:"in_flight"`
+	Queued   int    `json:"queued"`
+	Level    int    `json:"shed_level"`
+}
+
+// Figures returns the figures of a pool.
+func (s *Sched) Figures(name string) Figures {
+	p := s.pool(name)
+	return Figures{
+		Pool: name, InFlight: int(p.inflight.Load()), Queued: int(p.queued.Load()), Level: int(p.shown.Load()),
+	}
+}
+
+// NewID returns the ID of a new request.
+func (s *Sched) NewID() ident.ID {
+	return ident.Make(s.cfg.Incarnation, s.last.Add(1)*attempts)
+}
+
+// nextAttempt returns the ID that follows id, false when all are used.
+func nextAttempt(id ident.ID) (ident.ID, bool) {
+	if id[ident.Size-1] == attempts-1 {
+		return id, false
+	}
+	id[ident.Size-1]++
+	return id, true
+}
+
+// Handle takes a message of an agent. It never waits.
+func (s *Sched) Handle(p *agents.Peer, m wire.Message) {
+	id, ok := subject(m)
+	if !ok {
+		return
+	}
+	f := s.table.get(id)
+	if f == nil {
+		if _, claim := m.(*wire.Claim); claim {
+			p.Send(&wire.Deny{ID: id})
+		}
+		return
+	}
+	f.mail.put(event{peer: p, inc: p.Agent().Incarnation, msg: m})
+}
+
+// Up tells every request that an agent is linked again.
+func (s *Sched) Up(p *agents.Peer) { s.tell(p, eventUp) }
+
+// Down tells every request that the link to an agent ended.
+func (s *Sched) Down(p *agents.Peer) { s.tell(p, eventDown) }
+
+func (s *Sched) tell(p *agents.Peer, kind eventKind) {
+	e := event{peer: p, inc: p.Agent().Incarnation, kind: kind}
+	s.table.each(func(f *flight) { f.mail.put(e) })
+}
+
+// pool returns the owner of a pool, started on first use.
+func (s *Sched) pool(name string) *pool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p, ok := s.pools[name]
+	if !ok {
+		p = newPool(name, s.cfg)
+		s.pools[name] = p
+		go p.run(s.ctx)
+	}
+	return p
+}
+
+// Serve carries j to its end and returns how it ended. ctx ends when the
+// caller hangs up.
+func (s *Sched) Serve(ctx context.Context, j *Job, sink *Sink) Result {
+	s.running.Add(1)
+	defer s.running.Add(-1)
+	f := newFlight(s, j, sink)
+	s.table.put(f.once.ID(), f)
+	res := f.run(ctx)
+	s.table.drop(f.once.ID())
+	return res
+}
+
+func random() uint64 { return rand.Uint64() }
+
+// subject returns the request that a message is about.
+func subject(m wire.Message) (ident.ID, bool) {
+	switch m := m.(type) {
+	case *wire.Chunk:
+		return m.ID, true
+	case *wire.Claim:
+		return m.ID, true
+	case *wire.Head:
+		return m.ID, true
+	case *wire.End:
+		return m.ID, true
+	case *wire.Return:
+		return m.ID, true
+	case *wire.Known:
+		return m.ID, true
+	}
+	return ident.ID{}, false
+}
--- /dev/null
+++ b/entry/sched/trail.go
@@ -0,0 +1,107 @@
+package sched
+
+import (
+	"sync"
+	"time"
+
+	"lycheepond/core/ident"
+	"lycheepond/core/place"
+)
+
+// trailSize is how many requests can be explained.
+const trailSize = 4096
+
+// maxSteps bounds the record of one request.
+const maxSteps = 64
+
+// Step is one decision about a request.
+type Step struct {
+	AtMS  int64  `json:"at_ms"`
+	What  string `json:"what"`
+	Agent string `json:"agent,omitempty"`
+	Why   string `json:"why,omitempty"`
+}
+
+// Trace is the record of the decisions about one request.
+type Trace struct {
+	mu     sync.Mutex
+	view   Explained
+	begin  time.Duration
+	prefix []uint64
+}
+
+// Explained is a trace as operators see it.
+type Explained struct {
+	ID       string `json:"id"`
+	Pool     string `json:"pool"`
+	Class    string `json:"class"`
+	Tier     uint8  `json:"tier"`
+	Customer string `json:"customer"`
+	Outcome  string `json:"outcome,omitempty"`
+	Fault    string `json:"fault,omitempty"`
+	Steps    []Step `json:"steps"`
+}
+
+// Trail is a bounded record of recent decisions. It is safe for concurrent use.
+type Trail struct {
+	mu sync.Mutex
+	// order holds the IDs in byID from the oldest at next on.
+	order []ident.ID
+	next  int
+	byID  map[ident.ID]*Trace
+}
+
+func newTrail() *Trail {
+	return &Trail{order: make([]ident.ID, trailSize), byID: make(map[ident.ID]*Trace)}
+}
+
+func (t *Trail) open(j *Job) *Trace {
+	tr := &Trace{begin: j.Accepted, view: Explained{
+		ID: j.ID.String(), Pool: j.Pool, Class: j.Class.Name, Tier: j.Class.Tier, Customer: j.Customer,
+	}}
+	if j.Model != "" {
+		tr.prefix = place.Fingerprint(j.Prompt)
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.byID, t.order[t.next])
+	t.order[t.next] = j.ID
+	t.next = (t.next + 1) % trailSize
+	t.byID[j.ID] = tr
+	return tr
+}
+
+// Explain returns the record of a request by the ID of any of its attempts.
+func (t *Trail) Explain(id ident.ID) (Explained, bool) {
+	id[ident.Size-1] = 0
+	t.mu.Lock()
+	tr := t.byID[id]
+	t.mu.Unlock()
+	if tr == nil {
+		return Explained{}, false
+	}
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	v := tr.view
+	v.Steps = append([]Step(nil), v.Steps...)
+	return v, true
+}
+
+// step records a decision.
+func (f *flight) step(what, agent, why string) {
+	t := f.trace
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.view.Steps) < maxSteps {
+		t.view.Steps = append(t.view.Steps, Step{AtMS: (f.now() - t.begin).Milliseconds(), What: what, Agent: agent, Why: why})
+	}
+}
+
+func (t *Trace) close(f *flight) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.view.Outcome = f.res.Outcome.String()
+	if f.res.Fault != nil {
+		t.view.Fault = string(f.res.Fault.Kind())
+	}
+}
--- /dev/null
+++ b/entry/view.go
@@ -0,0 +1,100 @@
+package main
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+
+	"go.uber.org/zap"
+
+	"lycheepond/core/feed"
+	"lycheepond/core/logs"
+	"lycheepond/core/plat"
+	"lycheepond/core/subset"
+	"lycheepond/core/wire"
+	"lycheepond/entry/agents"
+)
+
+// pools returns what the configuration in force wants served.
+func (n *node) pools() []agents.Pool {
+	var out []agents.Pool
+	for _, m := range n.store.Models() {
+		out = append(out, agents.Pool{Name: m.Name, Selector: m.Endpoints})
+	}
+	for _, s := range n.store.Services() {
+		out = append(out, agents.Pool{Name: s.Name, Selector: s.Endpoints})
+	}
+	return out
+}
+
+// choose returns the agents of a pool that this entry links to.
+func (n *node) choose(pool []plat.Instance, all plat.Roster) []string {
+	self := subset.Node{Name: n.cfg.Name, Zone: n.cfg.Zone}
+	entries := []subset.Node{self}
+	for _, i := range all.Instances {
+		if i.Role == plat.RoleEntry && i.State == plat.StateLive && i.Name != self.Name {
+			entries = append(entries, subset.Node{Name: i.Name, Zone: i.Zone})
+		}
+	}
+	nodes := make([]subset.Node, len(pool))
+	for i := range pool {
+		nodes[i] = subset.Node{Name: pool[i].Name, Zone: pool[i].Zone}
+	}
+	return subset.Agents(self, entries, nodes, subset.Config{})
+}
+
+// entries returns how many entries share the pools, this one included.
+func (n *node) entries() int {
+	count, self := 0, false
+	for _, i := range n.store.Roster().Instances {
+		if i.Role == plat.RoleEntry && i.State == plat.StateLive {
+			count++
+			self = self || i.Name == n.cfg.Name
+		}
+	}
+	if !self {
+		count++
+	}
+	return count
+}
+
+func (n *node) hello() wire.Hello { return n.self }
+
+// dial opens a connection to another lycheepond process.
+func (n *node) dial(ctx context.Context, addr string) (net.Conn, error) {
+	var d net.Dialer
+	if !n.cfg.TLS.On() {
+		return d.DialContext(ctx, "tcp", addr)
+	}
+	c, err := n.clientTLS()
+	if err != nil {
+		return nil, err
+	}
+	return (&tls.Dialer{NetDialer: &d, Config: c}).DialContext(ctx, "tcp", addr)
+}
+
+func (n *node) peerFetches() []feed.Fetch {
+	var out []feed.Fetch
+	for _, addr := range n.cfg.Peers {
+		out = append(out, feed.Dial(addr, n.dial, n.hello, n.linkKeys))
+	}
+	return out
+}
+
+// noteFeed logs what happens to the configuration.
+func (n *node) noteFeed(note feed.Note) {
+	switch note.Kind {
+	case feed.NoteChanged:
+		logs.Info(n.log, logs.EventConfigChanged, zap.Int("changed", note.Changed), zap.Int64("version", note.Version))
+	case feed.NoteRejected:
+		logs.Warn(n.log, logs.EventConfigRejected, zap.Error(note.Err))
+	case feed.NoteAway:
+		logs.Warn(n.log, logs.EventPlatformAway, zap.Error(note.Err))
+	case feed.NoteBack:
+		logs.Info(n.log, logs.EventPlatformBack)
+	case feed.NoteFromPeers:
+		logs.Info(n.log, logs.EventConfigFromPeers, zap.Int64("version", note.Version))
+	case feed.NoteNoPeers:
+		logs.Warn(n.log, logs.EventNotReady, zap.Error(note.Err))
+	}
+}
