--- a/core/once/once.go
+++ b/core/once/once.go
@@ -10,6 +10,7 @@
 
 import (
 	"errors"
+	"slices"
 
 	"lycheepond/core/ident"
 )
@@ -92,6 +93,11 @@
 	holder Agent
 	// offers are the agents that may still claim the present ID.
 	offers []Agent
+	// former are the agents whose offer of the present ID has ended. None is
+	// offered it again: a copy of the Return that ended the first offer, held
+	// up on the way, would be taken for the word that the later grant did not
+	// run.
+	former []Agent
 	// ran is set for good once an attempt may have reached an endpoint.
 	ran bool
 	// repeatable is set when running twice does no harm. It is never set for a
@@ -123,26 +129,17 @@
 // Offers returns the agents that may still claim. The caller must not keep it.
 func (r *Request) Offers() []Agent { return r.offers }
 
-// Offer notes that the present ID is offered to a. It reports false when no
-// offer may be made any more.
+// Offer notes that the present ID is offered to a. It reports false when it
+// may not be.
 func (r *Request) Offer(a Agent) bool {
-	if r.state != Offered {
+	if r.state != Offered || slices.Contains(r.former, a) || r.offered(a) {
 		return false
 	}
-	if !r.offered(a) {
-		r.offers = append(r.offers, a)
-	}
+	r.offers = append(r.offers, a)
 	return true
 }
 
-func (r *Request) offered(a Agent) bool {
-	for _, o := range r.offers {
-		if o == a {
-			return true
-		}
-	}
-	return false
-}
+func (r *Request) offered(a Agent) bool { return slices.Contains(r.offers, a) }
 
 // Claim decides about a claim of id by a.
 func (r *Request) Claim(id ident.ID, a Agent) Verdict {
@@ -188,6 +185,7 @@
 	if r.state != Granted {
 		return
 	}
+	// The agent stays in former: its link has ended or is about to.
 	r.state, r.holder = Offered, Agent{}
 	r.grants--
 }
@@ -219,13 +217,13 @@
 func (r *Request) Drop(a Agent) bool { return r.drop(a) }
 
 func (r *Request) drop(a Agent) bool {
-	for i, o := range r.offers {
-		if o == a {
-			r.offers = append(r.offers[:i], r.offers[i+1:]...)
-			return true
-		}
+	i := slices.Index(r.offers, a)
+	if i < 0 {
+		return false
 	}
-	return false
+	r.offers = slices.Delete(r.offers, i, i+1)
+	r.former = append(r.former, a)
+	return true
 }
 
 // Begin notes that a part of the answer arrived from the granted agent.
@@ -255,11 +253,13 @@
 	}
 }
 
-// MayRenew reports whether another attempt could be made: the last one
-// certainly did not run, or running again does no harm and the caller has
-// nothing of the first answer.
+// MayRenew reports whether another attempt could be made: nobody holds the
+// last one's offer, or it certainly did not run, or running again does no harm
+// and the caller has nothing of the first answer.
 func (r *Request) MayRenew() bool {
 	switch r.state {
+	case Offered:
+		return len(r.offers) == 0
 	case Returned:
 		return !r.given
 	case Failed:
@@ -278,7 +278,7 @@
 	}
 	r.id, r.state, r.holder, r.grants = id, Offered, Agent{}, 0
 	r.began = false
-	r.offers = r.offers[:0]
+	r.offers, r.former = r.offers[:0], r.former[:0]
 	return nil
 }
 
--- a/entry/sched/offer.go
+++ b/entry/sched/offer.go
@@ -16,6 +16,8 @@
 	op := opAgain
 	if first {
 		op = opArrive
+	} else if !f.reissue() {
+		return
 	}
 	if f.job.Key != nil && !first {
 		f.placeHome()
@@ -78,7 +80,11 @@
 // offer sends the description to p.
 func (f *flight) offer(p *agents.Peer, epoch int64) {
 	a := p.Agent()
-	if p.Leaving() || p.Send(f.describe(epoch)) != nil || !f.once.Offer(a) {
+	if p.Leaving() || !f.once.Offer(a) {
+		return
+	}
+	if p.Send(f.describe(epoch)) != nil {
+		f.once.Drop(a)
 		return
 	}
 	f.wait = waitNothing
@@ -190,37 +196,33 @@
 		f.finish(fault.New(fault.UnknownFate, "the answer is lost and the request may have run ("+why+"): find out before asking again").After(time.Second))
 		return
 	}
-	id, ok := nextAttempt(f.once.ID())
 	f.pool.tell(note{op: opRetry, f: f})
-	c := <-f.reply
-	if c.fault != nil || !ok {
-		f.finish(c.refusal())
+	if c := <-f.reply; c.fault != nil {
+		f.finish(c.fault)
 		return
 	}
-	f.s.table.drop(f.once.ID())
-	if err := f.once.Renew(id); err != nil {
-		f.finish(fault.New(fault.UnknownFate, err.Error()))
+	if !f.reissue() {
 		return
 	}
-	f.s.table.put(id, f)
 	f.fresh()
 	f.step("renewed", "", why)
 	f.pause()
 }
 
-func reason(r wire.Reason) string {
-	if int(r) < len(reasons) {
-		return reasons[r]
+// reissue puts the request under a fresh ID, so that no frame about an earlier
+// offer can be taken for one about the next.
+func (f *flight) reissue() bool {
+	id, ok := nextAttempt(f.once.ID())
+	if !ok {
+		f.finish(fault.New(fault.Overloaded, "every attempt came back: ask again later").After(time.Second))
+		return false
 	}
-	return "unknown"
-}
-
-var reasons = [...]string{
-	wire.ReasonNone: "none", wire.ReasonLeaving: "leaving", wire.ReasonDisplaced: "displaced",
-	wire.ReasonFull: "full", wire.ReasonShed: "shed", wire.ReasonNotHome: "not-home",
-	wire.ReasonNoLease: "no-lease", wire.ReasonNeverGranted: "never-granted",
-	wire.ReasonUnreachable: "unreachable", wire.ReasonBroken: "broken",
-	wire.ReasonCancelled: "cancelled", wire.ReasonForgotten: "forgotten",
-	wire.ReasonDeadline: "deadline", wire.ReasonCallerGone: "caller-gone",
-	wire.ReasonTooLong: "too-long",
+	f.s.table.drop(f.once.ID())
+	if err := f.once.Renew(id); err != nil {
+		f.finish(fault.New(fault.UnknownFate, err.Error()))
+		return false
+	}
+	f.held.clear()
+	f.s.table.put(id, f)
+	return true
 }
--- a/entry/sched/pool.go
+++ b/entry/sched/pool.go
@@ -64,14 +64,6 @@
 	peers []*agents.Peer
 }
 
-// refusal returns the fault, or one for a request without an attempt left.
-func (c *choice) refusal() *fault.Error {
-	if c.fault != nil {
-		return c.fault
-	}
-	return fault.New(fault.Overloaded, "every attempt came back: ask again later").After(time.Second)
-}
-
 // standing is a request in the pool's books.
 type standing struct {
 	offered time.Duration
--- a/entry/sched/sched.go
+++ b/entry/sched/sched.go
@@ -14,9 +14,9 @@
 	"lycheepond/entry/agents"
 )
 
-// attempts is how many IDs a request has: the last byte counts its attempts,
-// so that the endpoint's record leads back to the request.
-const attempts = 256
+// attempts is how many IDs a request has: the last two bytes count its
+// attempts, so that the endpoint's record leads back to the request.
+const attempts = 1 << 16
 
 // Config is what a Sched depends on. All functions must be set.
 type Config struct {
@@ -89,11 +89,17 @@
 
 // nextAttempt returns the ID that follows id, false when all are used.
 func nextAttempt(id ident.ID) (ident.ID, bool) {
-	if id[ident.Size-1] == attempts-1 {
-		return id, false
+	const low, high = ident.Size - 1, ident.Size - 2
+	if id[low]++; id[low] == 0 {
+		id[high]++
 	}
-	id[ident.Size-1]++
-	return id, true
+	return id, id != rootOf(id)
+}
+
+// rootOf returns the ID of the request that id is an attempt of.
+func rootOf(id ident.ID) ident.ID {
+	id[ident.Size-1], id[ident.Size-2] = 0, 0
+	return id
 }
 
 // Handle takes a message of an agent. It never waits.
--- a/entry/sched/table.go
+++ b/entry/sched/table.go
@@ -27,7 +27,7 @@
 }
 
 // at picks the shard by the counter's digits above the attempt number.
-func at(id ident.ID) int { return int(id[ident.Size-2]) % shards }
+func at(id ident.ID) int { return int(id[ident.Size-3]) % shards }
 
 func (t *table) put(id ident.ID, f *flight) {
 	s := &t.shard[at(id)]
--- a/entry/sched/trail.go
+++ b/entry/sched/trail.go
@@ -73,9 +73,8 @@
 
 // Explain returns the record of a request by the ID of any of its attempts.
 func (t *Trail) Explain(id ident.ID) (Explained, bool) {
-	id[ident.Size-1] = 0
 	t.mu.Lock()
-	tr := t.byID[id]
+	tr := t.byID[rootOf(id)]
 	t.mu.Unlock()
 	if tr == nil {
 		return Explained{}, false
