--- /dev/null
+++ b/entry/keys/owner.go
@@ -0,0 +1,114 @@
+package keys
+
+import (
+	"errors"
+	"time"
+
+	"lycheepond/core/homes"
+	"lycheepond/core/once"
+	"lycheepond/core/plat"
+	"lycheepond/core/spec"
+	"lycheepond/entry/agents"
+	"lycheepond/entry/sched"
+)
+
+// ErrNoHome reports that the agent that keeps a key can't be reached.
+var ErrNoHome = errors.New("keys: the agent that keeps this idempotency key can't be reached: ask again with the same key")
+
+// Home returns the agent that keeps the record of a hashed key.
+func (k *Keeper) Home(pool string, key []byte) (sched.Home, error) {
+	k.mu.Lock()
+	b := k.books[pool]
+	if b == nil {
+		k.mu.Unlock()
+		return sched.Home{}, ErrNoHome
+	}
+	table := b.table
+	k.mu.Unlock()
+	o, ok := homes.Home(table, key)
+	if !ok {
+		return sched.Home{}, ErrNoHome
+	}
+	p, ok := k.cfg.Peer(o.Name)
+	if !ok {
+		k.cfg.Want(o.Name)
+		return sched.Home{}, ErrNoHome
+	}
+	if !p.Linked() || p.Agent() != (once.Agent{Name: o.Name, Incarnation: o.Incarnation}) {
+		k.Wake()
+		return sched.Home{}, ErrNoHome
+	}
+	return sched.Home{Peer: p, Epoch: table.Epoch}, nil
+}
+
+// live returns the agents that may own slots. ready is false while too little
+// is known to change the table.
+func (k *Keeper) live(pool string, b *book, now time.Duration) (out []spec.HomeOwner, ready bool) {
+	m := k.cfg.Members(pool)
+	if m == nil {
+		return nil, false
+	}
+	linked := make(map[string]bool)
+	missing := 0
+	for _, p := range m.Peers {
+		if p.Leaving() {
+			continue
+		}
+		if !p.Linked() {
+			missing++
+			continue
+		}
+		linked[p.Name()] = true
+		out = append(out, owner(p))
+	}
+	if len(out) == 0 || (b.version == 0 && missing > 0 && now-b.began < settle) {
+		return nil, false
+	}
+	isolated := missing > len(out)
+	states := states(k.cfg.Roster())
+	for _, o := range b.table.Owners {
+		if linked[o.Name] {
+			delete(b.absent, o)
+			continue
+		}
+		if k.present(b, o, states[o.Name], now, isolated) {
+			out = append(out, o)
+		}
+	}
+	return out, true
+}
+
+func owner(p *agents.Peer) spec.HomeOwner {
+	a := p.Agent()
+	return spec.HomeOwner{Name: a.Name, Incarnation: a.Incarnation}
+}
+
+func states(r plat.Roster) map[string]string {
+	out := make(map[string]string, len(r.Instances))
+	for _, i := range r.Instances {
+		out[i.Name] = i.State
+	}
+	return out
+}
+
+// present reports whether an owner without a link still counts. A leaving one
+// takes no new work, so its keys go to others at once.
+func (k *Keeper) present(b *book, o spec.HomeOwner, state string, now time.Duration, isolated bool) bool {
+	if p, ok := k.cfg.Peer(o.Name); ok {
+		if p.Linked() && p.Leaving() {
+			return false
+		}
+	} else if state == plat.StateLive {
+		// Another entry may be linked to it; ask for a link before judging.
+		k.cfg.Want(o.Name)
+	}
+	since, ok := b.absent[o]
+	if !ok {
+		b.absent[o] = now
+		return true
+	}
+	if state != plat.StateLive {
+		return now-since < goneAfter
+	}
+	return isolated || now-since < lostAfter
+}
--- a/entry/node.go
+++ b/entry/node.go
@@ -25,6 +25,7 @@
 	"lycheepond/entry/admin"
 	"lycheepond/entry/agents"
 	"lycheepond/entry/caller"
+	"lycheepond/entry/keys"
 	"lycheepond/entry/peers"
 	"lycheepond/entry/sched"
 	"lycheepond/entry/tally"
@@ -42,8 +43,10 @@
 	feed  *feed.Feed
 	set   *agents.Set
 	sched *sched.Sched
-	meter *meter.Set
-	tally *tally.Tally
+	// keeper keeps the tables of idempotency keys.
+	keeper *keys.Keeper
+	meter  *meter.Set
+	tally  *tally.Tally
 	// keys is replaced when the settings are read again.
 	keys    atomic.Pointer[wire.Keys]
 	leaving atomic.Bool
@@ -167,18 +170,25 @@
 		Incarnation: n.self.Incarnation, Zone: n.cfg.Zone, Now: n.now, Log: n.log,
 		Pool:    func(name string) *agents.Members { return n.set.Pool(name) },
 		Entries: n.entries,
+		Home:    func(pool string, key []byte) (sched.Home, error) { return n.keeper.Home(pool, key) },
 	})
 	n.set = agents.New(agents.Config{
 		Self: n.self, Keys: n.linkKeys, Heartbeat: n.cfg.Heartbeat.Std(), Beat: n.beat,
 		Dial: n.dial, Roster: n.store.Roster, Pools: n.pools, Choose: n.choose,
 		Handle: n.handle, Up: n.up, Down: n.sched.Down, Now: n.now, Log: n.log,
 	})
+	n.keeper = keys.New(keys.Config{
+		Put: n.plat.Put, Get: n.plat.Get, Raw: n.store.Raw, Accept: func(e plat.Event) { n.store.Accept(e) },
+		Pools: n.set.Pools, Members: n.set.Pool, Peer: n.set.Peer, Want: n.set.Want, Roster: n.store.Roster,
+		Now: n.now, Wall: func() int64 { return time.Now().UnixMilli() }, Random: mathrand.Float64, Log: n.log,
+	})
 }
 
 func (n *node) begin(ctx context.Context, ended chan<- error) {
 	changed, _ := n.store.Subscribe()
 	go func() { ended <- n.feed.Run(ctx) }()
 	go func() { ended <- n.set.Run(ctx, changed) }()
+	go func() { ended <- n.keeper.Run(ctx) }()
 	port := peers.New(peers.Config{
 		Listen: n.cfg.Link, Self: n.self, Keys: n.linkKeys, Heartbeat: n.cfg.Heartbeat.Std(),
 		Beat: n.beat, Store: n.store, TLS: n.serverTLS, Log: n.log,
@@ -191,6 +201,16 @@
 	go func() { ended <- operators.Run(ctx) }()
 }
 
-func (n *node) handle(p *agents.Peer, m wire.Message) { n.sched.Handle(p, m) }
+// handle takes a message of an agent; it is called by the link's reader.
+func (n *node) handle(p *agents.Peer, m wire.Message) {
+	if ask, ok := m.(*wire.LeaseAsk); ok {
+		n.keeper.Ack(p, ask)
+		return
+	}
+	n.sched.Handle(p, m)
+}
 
-func (n *node) up(p *agents.Peer) { n.sched.Up(p) }
+func (n *node) up(p *agents.Peer) {
+	n.sched.Up(p)
+	n.keeper.Wake()
+}
--- a/entry/sched/relay.go
+++ b/entry/sched/relay.go
@@ -147,7 +147,9 @@
 
 func (f *flight) attach() {
 	f.ans.Resume()
-	f.holder.Send(&wire.Attach{ID: f.once.ID(), Next: f.ans.Next(), Stream: f.job.Stream})
+	f.holder.Send(&wire.Attach{
+		ID: f.once.ID(), Next: f.ans.Next(), Stream: f.job.Stream, Agent: f.once.Holder().Incarnation,
+	})
 	f.sleep(waitAttach, f.patience())
 }
 
