--- a/entry/keys/keeper.go
+++ b/entry/keys/keeper.go
@@ -140,7 +140,13 @@
 // read takes the table in force into b.
 func (k *Keeper) read(pool string, b *book) {
 	o, ok := k.cfg.Raw(spec.KindHomes, pool)
-	if !ok || o.Version <= b.version {
+	if !ok {
+		// A deleted table is written again as it was: a new one would let keys
+		// run that the old one forbids.
+		b.version = 0
+		return
+	}
+	if o.Version <= b.version {
 		return
 	}
 	var t spec.Homes
