--- a/agent/engine/engine.go
+++ b/agent/engine/engine.go
@@ -36,44 +36,79 @@
 	return &Engine{base: base, calls: calls, side: side}
 }
 
-// Run sends r once and gives the answer to sink.
+// maxRejoins is how often a stream that broke off is taken up again.
+const maxRejoins = 3
+
+// Run sends r once and gives the answer to sink. When a stream breaks off while
+// the engine goes on, it is taken up again where it broke, so that the caller
+// gets the whole answer and nothing is computed twice.
 func (e *Engine) Run(ctx context.Context, r *call.Request, sink call.Sink, p *call.Progress) call.Result {
 	resp, sent, err := call.Do(ctx, e.calls, e.base, r)
 	if err != nil {
 		return call.Result{Sent: sent, Err: err}
 	}
-	defer resp.Body.Close()
-	return relay(ctx, resp, sink, p)
+	a := &relay{sink: sink, progress: p}
+	res := a.read(ctx, resp)
+	for range maxRejoins {
+		if res.Err == nil || !a.streamed || ctx.Err() != nil {
+			break
+		}
+		again := e.join(ctx, r.ID, a)
+		if errors.Is(again.Err, ErrUnknown) {
+			break
+		}
+		res = again
+	}
+	return res
 }
 
 // Resume takes up the stream of a request that the engine is still running,
 // from its first event.
 func (e *Engine) Resume(ctx context.Context, id ident.ID, sink call.Sink, p *call.Progress) call.Result {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, e.base+"/v1/requests/"+id.String()+"/stream?from=0", nil)
+	return e.join(ctx, id, &relay{sink: sink, progress: p})
+}
+
+// join reads the stream of a request from the first event that a lacks.
+func (e *Engine) join(ctx context.Context, id ident.ID, a *relay) call.Result {
+	url := fmt.Sprintf("%s/v1/requests/%s/stream?from=%d", e.base, id, a.events)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
-		return call.Result{Err: err}
+		return call.Result{Sent: true, Err: err}
 	}
 	resp, err := e.calls.Do(req)
 	if err != nil {
 		return call.Result{Sent: true, Err: err}
 	}
-	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
+		resp.Body.Close()
 		return call.Result{Sent: true, Status: resp.StatusCode, Err: ErrUnknown}
 	}
-	return relay(ctx, resp, sink, p)
+	return a.read(ctx, resp)
 }
 
-func relay(ctx context.Context, resp *http.Response, sink call.Sink, p *call.Progress) call.Result {
+// relay carries one answer to its sink, over one response or several.
+type relay struct {
+	sink     call.Sink
+	progress *call.Progress
+	// events is how many events of a stream have been given to the sink.
+	events int
+	// streamed is set when the answer is a stream, done when it has ended.
+	streamed, done bool
+	usage          wire.Usage
+}
+
+func (a *relay) read(ctx context.Context, resp *http.Response) call.Result {
+	defer resp.Body.Close()
 	res := call.Result{Sent: true, Status: resp.StatusCode}
-	sink.Head(resp.StatusCode, call.Fields(resp.Header))
+	a.sink.Head(resp.StatusCode, call.Fields(resp.Header))
 	if strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
-		res.Usage, res.Err = stream(ctx, resp.Body, sink, p)
+		a.streamed = true
+		res.Err = a.stream(ctx, resp.Body)
 	} else {
-		res.Usage, res.Err = whole(ctx, resp, sink, p)
+		res.Err = a.whole(ctx, resp)
 	}
-	res.Whole = res.Err == nil
-	p.Fill(&res.Usage)
+	res.Whole, res.Usage = res.Err == nil, a.usage
+	a.progress.Fill(&res.Usage)
 	return res
 }
 
@@ -81,7 +116,7 @@
 // for being complete JSON beyond what its framing says.
 const maxParsed = 1 << 20
 
-func whole(ctx context.Context, resp *http.Response, sink call.Sink, p *call.Progress) (wire.Usage, error) {
+func (a *relay) whole(ctx context.Context, resp *http.Response) error {
 	var body []byte
 	over := false
 	seen := func(b []byte) {
@@ -90,17 +125,18 @@
 			body = append(body, b...)
 		}
 	}
-	if err := call.Copy(ctx, resp.Body, sink, p, seen); err != nil {
-		return wire.Usage{}, err
+	if err := call.Copy(ctx, resp.Body, a.sink, a.progress, seen); err != nil {
+		return err
 	}
 	if over || resp.StatusCode != http.StatusOK {
-		return wire.Usage{}, nil
+		return nil
 	}
 	u, ok := usageOf(body)
 	if !ok && !json.Valid(body) {
-		return u, ErrTruncated
+		return ErrTruncated
 	}
-	return u, nil
+	a.usage = u
+	return nil
 }
 
 // usageJSON is the part of an answer that tells its cost.
--- a/agent/engine/stream.go
+++ b/agent/engine/stream.go
@@ -6,13 +6,14 @@
 	"context"
 	"errors"
 	"io"
-
-	"lycheepond/agent/call"
-	"lycheepond/core/wire"
 )
 
-// maxEvent is the longest event of a stream in bytes.
-const maxEvent = 1 << 20
+// maxEvent is the longest event of a stream in bytes, readSize how much of it
+// is read at once.
+const (
+	maxEvent = 1 << 20
+	readSize = 16 << 10
+)
 
 var errEventSize = errors.New("engine: event of a stream longer than 1 MiB: the engine does not speak the completions form")
 
@@ -24,35 +25,42 @@
 
 // stream relays server-sent events, one piece each, so that the number of a
 // piece is the number by which the engine resumes.
-func stream(ctx context.Context, body io.Reader, sink call.Sink, p *call.Progress) (wire.Usage, error) {
-	var u wire.Usage
-	r := bufio.NewReaderSize(body, 16<<10)
-	done := false
+func (a *relay) stream(ctx context.Context, body io.Reader) error {
+	r := bufio.NewReaderSize(body, readSize)
 	for {
 		event, err := readEvent(r)
-		if err != nil {
-			if errors.Is(err, io.EOF) && done {
-				return u, nil
-			}
-			if errors.Is(err, io.EOF) {
-				return u, ErrTruncated
-			}
-			return u, err
-		}
 		switch {
-		case bytes.HasPrefix(event, doneMark):
-			done = true
-		case bytes.Contains(event, usageMark):
-			if got, ok := usageOf(bytes.TrimSpace(bytes.TrimPrefix(event, dataMark))); ok {
-				u = got
-			}
+		case errors.Is(err, io.EOF) && a.done:
+			return nil
+		case errors.Is(err, io.EOF):
+			return ErrTruncated
+		case err != nil && a.done:
+			// All of the answer has come; how its connection ended is nothing
+			// to the caller.
+			return nil
+		case err != nil:
+			return err
 		}
-		if !done {
-			p.Mark()
-		}
-		if err := sink.Chunk(ctx, event); err != nil {
-			return u, err
+		a.look(event)
+		if err := a.sink.Chunk(ctx, event); err != nil {
+			return err
 		}
+		a.events++
+	}
+}
+
+// look takes what an event tells about the answer.
+func (a *relay) look(event []byte) {
+	if bytes.HasPrefix(event, doneMark) {
+		a.done = true
+		return
+	}
+	a.progress.Mark()
+	if !bytes.Contains(event, usageMark) {
+		return
+	}
+	if u, ok := usageOf(bytes.TrimSpace(bytes.TrimPrefix(event, dataMark))); ok {
+		a.usage = u
 	}
 }
 
