--- a/core/once/once_test.go
+++ b/core/once/once_test.go
@@ -88,7 +88,7 @@
 				f := rapid.SampledFrom(w.sent).Draw(t, "frame")
 				w.r.Return(f.id, f.a)
 			},
-			"run": func(t *rapid.T) {
+			"run": func(_ *rapid.T) {
 				for id := range w.granted {
 					delete(w.granted, id)
 					delete(w.offered, frame{id, w.r.Holder()})
