entry: dispatch nothing twice unless its caller says so

Cause: model work and idempotent methods counted as repeatable, so a lost or displaced run was dispatched again although the caller had not agreed; the promise is one dispatch for each request, and a doubled status lookup can cost a fee. Excluded: dropping repetition altogether; Lychee-Repeatable keeps it for callers that want it. Before: once.New(id, repeatable by kind). After: only by the caller's mark.

--- a/entry/caller/accept.go
+++ b/entry/caller/accept.go
@@ -90,14 +90,21 @@
 	return nil
 }
 
-// once reads the marks that forbid a second run. safe tells whether the
-// request may be repeated as far as its kind goes.
+// once reads the marks that forbid or allow a second run. safe tells whether
+// the request may be cancelled and repeated as far as its kind goes.
 func once(r *http.Request, j *sched.Job, safe bool) *fault.Error {
-	mark, e := nonIdempotent(r)
+	mark, e := flag(r, headerNonIdempotent)
 	if e != nil {
 		return e
 	}
-	j.Repeatable = safe && !mark
+	redo, e := flag(r, headerRepeatable)
+	if e != nil {
+		return e
+	}
+	if mark && redo {
+		return fault.New(fault.BadRequest, "both "+headerNonIdempotent+" and "+headerRepeatable+" are set: send one of them")
+	}
+	j.Repeatable, j.Redo = safe && !mark, safe && redo
 	keys := r.Header.Values(headerKey)
 	if len(keys) == 0 {
 		return nil
@@ -107,18 +114,19 @@
 		return fault.New(fault.BadRequest, "bad "+headerKey+": send one key of 1 to 255 bytes, such as a UUIDv7")
 	}
 	sum := sha256.Sum256([]byte(j.Customer + "\x00" + key))
-	j.Key, j.KeyMade, j.Repeatable = sum[:], madeAt(key), false
+	j.Key, j.KeyMade, j.Repeatable, j.Redo = sum[:], madeAt(key), false, false
 	return nil
 }
 
-func nonIdempotent(r *http.Request) (bool, *fault.Error) {
-	switch h := strings.ToLower(r.Header.Get(headerNonIdempotent)); h {
+// flag reads a header that is true, false or absent.
+func flag(r *http.Request, name string) (bool, *fault.Error) {
+	switch h := strings.ToLower(r.Header.Get(name)); h {
 	case "", "false", "0":
 		return false, nil
 	case "true", "1":
 		return true, nil
 	default:
-		return false, fault.New(fault.BadRequest, "bad "+headerNonIdempotent+" "+quote(h)+": write true or leave it out")
+		return false, fault.New(fault.BadRequest, "bad "+name+" "+quote(h)+": write true or leave it out")
 	}
 }
 
@@ -161,7 +169,7 @@
 	"Authorization": true, "Connection": true, "Keep-Alive": true, "Proxy-Authorization": true,
 	"Proxy-Connection": true, "Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
 	"Content-Length": true, "Host": true, "X-Request-Id": true, "Expect": true, "Accept-Encoding": true,
-	headerClass: true, headerNonIdempotent: true, headerDeadline: true, headerID: true, headerOutcome: true,
+	headerClass: true, headerNonIdempotent: true, headerRepeatable: true, headerDeadline: true, headerID: true, headerOutcome: true,
 }
 
 // fields returns the headers to pass on.
--- a/entry/caller/server.go
+++ b/entry/caller/server.go
@@ -20,6 +20,7 @@
 	headerClass         = "Lychee-Class"
 	headerKey           = "Idempotency-Key"
 	headerNonIdempotent = "Lychee-Non-Idempotent"
+	headerRepeatable    = "Lychee-Repeatable"
 	headerDeadline      = "Lychee-Deadline"
 	headerID            = "Lychee-Request-Id"
 	headerOutcome       = "Lychee-Outcome"
--- a/entry/sched/flight.go
+++ b/entry/sched/flight.go
@@ -80,7 +80,7 @@
 func newFlight(s *Sched, j *Job, sink *Sink) *flight {
 	return &flight{
 		s: s, job: j, sink: sink, pool: s.pool(j.Pool), mail: newMailbox(),
-		once: once.New(j.ID, j.Repeatable), reply: make(chan choice, 1),
+		once: once.New(j.ID, j.Redo), reply: make(chan choice, 1),
 		trace: s.trail.open(j),
 	}
 }
