--- /dev/null
+++ b/trial/proof/once_test.go
@@ -0,0 +1,205 @@
+package proof
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"lycheepond/core/spec"
+	"lycheepond/core/wire"
+	"lycheepond/trial/engin"
+	"lycheepond/trial/load"
+	"lycheepond/trial/proxy"
+)
+
+// A network between entries and agents delivers a frame twice, late, or not at
+// all, or breaks at any step of a request. A caller sees at worst a refusal or
+// outcome unknown; no assignment is made twice and none is called not-run that
+// was made.
+func TestFramesMisbehave(t *testing.T) {
+	t.Parallel()
+	r := newRig(t, shape{engines: []engin.Config{quick(), quick()}, entries: 2})
+	steps := []struct {
+		kind wire.Kind
+		dir  proxy.Direction
+	}{
+		{wire.KindOffer, proxy.Up},
+		{wire.KindClaim, proxy.Down},
+		{wire.KindGrant, proxy.Up},
+		{wire.KindDeny, proxy.Up},
+		{wire.KindHead, proxy.Down},
+		{wire.KindChunk, proxy.Down},
+		{wire.KindEnd, proxy.Down},
+	}
+	for _, step := range steps {
+		for _, action := range []proxy.Action{proxy.Duplicate, proxy.Late, proxy.CutBefore, proxy.CutAfter} {
+			name := fmt.Sprintf("%s-%s", step.kind, action)
+			trick := proxy.Trick{Direction: step.dir, Kind: step.kind, Action: action, Hold: spec.Duration(300 * time.Millisecond)}
+			for _, p := range r.proxies {
+				p.Play(trick)
+			}
+			var b batch
+			for i := range 8 {
+				r.send(&b, i%2, ask(i%spec.Tiers, fmt.Sprintf("%s-%d", name, i), 12, i%3 != 0))
+			}
+			seen := r.judge(b.end())
+			t.Log(name, seen)
+			r.settled(name)
+		}
+	}
+}
+
+// A link stops carrying bytes without closing, at any step, for longer than the
+// heartbeats allow, and then goes on with what it held back. The agent then gets
+// grants that are long given up. A caller hears unknown at worst.
+func TestLinkFreezes(t *testing.T) {
+	t.Parallel()
+	r := newRig(t, shape{engines: []engin.Config{quick(), quick()}, entries: 2})
+	steps := []struct {
+		kind wire.Kind
+		dir  proxy.Direction
+	}{
+		{wire.KindOffer, proxy.Up},
+		{wire.KindClaim, proxy.Down},
+		{wire.KindGrant, proxy.Up},
+		{wire.KindChunk, proxy.Down},
+	}
+	for _, step := range steps {
+		name := fmt.Sprintf("freeze-%s", step.kind)
+		p := r.proxies["engine-1"]
+		p.Play(proxy.Trick{Direction: step.dir, Kind: step.kind, Action: proxy.FreezeAt})
+		var b batch
+		for i := range 8 {
+			r.send(&b, i%2, ask(i%spec.Tiers, fmt.Sprintf("%s-%d", name, i), 12, i%3 != 0))
+		}
+		results := b.end()
+		p.Set(proxy.Fault{})
+		r.settled(name)
+		t.Log(name, r.judge(results))
+	}
+}
+
+// An agent is killed while offers wait at it and answers stream from it, and is
+// started again. Its callers hear unknown or are served elsewhere; what ran once
+// does not run again.
+func TestAgentKilled(t *testing.T) {
+	t.Parallel()
+	for _, at := range []struct {
+		name string
+		dir  proxy.Direction
+		kind wire.Kind
+	}{
+		{"offer", proxy.Up, wire.KindOffer},
+		{"claim", proxy.Down, wire.KindClaim},
+		{"grant", proxy.Up, wire.KindGrant},
+		{"chunk", proxy.Down, wire.KindChunk},
+		{"end", proxy.Down, wire.KindEnd},
+	} {
+		t.Run(at.name, func(t *testing.T) {
+			r := newRig(t, shape{engines: []engin.Config{quick(), quick()}, entries: 2})
+			u := r.fleet.Unit("engine-1")
+			p := r.proxies[u.Name]
+			before := p.Seen(at.dir, at.kind)
+			var b batch
+			for i := range 16 {
+				r.send(&b, i%2, ask(i%spec.Tiers, fmt.Sprintf("kill-%s-%d", at.name, i), 30, i%3 != 0))
+			}
+			r.must(p.Await(r.ctx, at.dir, at.kind, before+1))
+			r.must(u.Agent.Kill())
+			r.must(r.fleet.RestartAgent(r.ctx, u))
+			seen := r.judge(b.end())
+			t.Log(seen)
+			if seen[load.Complete] == 0 {
+				t.Error("nothing was completed by the other endpoint")
+			}
+			r.settled(at.name)
+		})
+	}
+}
+
+// An agent is paused, by its instance or a debugger, holding claims and grants,
+// for longer than the entries wait. When it wakes it finds grants that were
+// given up and offers that ran elsewhere. It runs none of those for which a
+// caller was told not-run, and nothing twice.
+func TestAgentPausedAndWakesLate(t *testing.T) {
+	t.Parallel()
+	for _, at := range []struct {
+		name string
+		dir  proxy.Direction
+		kind wire.Kind
+	}{
+		{"offer", proxy.Up, wire.KindOffer},
+		{"claim", proxy.Down, wire.KindClaim},
+		{"grant", proxy.Up, wire.KindGrant},
+		{"chunk", proxy.Down, wire.KindChunk},
+	} {
+		t.Run(at.name, func(t *testing.T) {
+			r := newRig(t, shape{engines: []engin.Config{quick(), quick()}, entries: 2})
+			u := r.fleet.Unit("engine-1")
+			p := r.proxies[u.Name]
+			before := p.Seen(at.dir, at.kind)
+			var b batch
+			for i := range 16 {
+				r.send(&b, i%2, ask(i%spec.Tiers, fmt.Sprintf("pause-%s-%d", at.name, i), 30, i%3 != 0))
+			}
+			r.must(p.Await(r.ctx, at.dir, at.kind, before+1))
+			r.must(u.Agent.Pause())
+			results := b.end()
+			r.must(u.Agent.Resume())
+			r.settled(at.name)
+			t.Log(r.judge(results))
+		})
+	}
+}
+
+// An entry is killed, or paused past every timeout, while its callers' requests
+// run. Its callers see the connection break or end late; the requests ran at
+// most once and the other entry goes on.
+func TestEntryKilledOrPaused(t *testing.T) {
+	t.Parallel()
+	for _, pause := range []bool{false, true} {
+		t.Run(fmt.Sprintf("pause=%v", pause), func(t *testing.T) {
+			r := newRig(t, shape{engines: []engin.Config{quick(), quick()}, entries: 2})
+			e := r.fleet.Entries()[0]
+			var b batch
+			for i := range 16 {
+				r.send(&b, i%2, ask(i%spec.Tiers, fmt.Sprintf("entry-%v-%d", pause, i), 60, i%3 != 0))
+			}
+			r.must(r.proxies["engine-1"].Await(r.ctx, proxy.Down, wire.KindChunk, 1))
+			if pause {
+				r.must(e.Proc.Pause())
+				r.await("the agents have closed the silent links", func() bool {
+					return len(r.executed()) >= 8
+				})
+				time.Sleep(heartbeat * 5)
+				r.must(e.Proc.Resume())
+			} else {
+				r.must(e.Proc.Kill())
+			}
+			results := b.end()
+			if !pause {
+				r.must(r.fleet.RestartEntry(r.ctx, e))
+			}
+			r.settled("entry")
+			t.Log(r.judge(results))
+		})
+	}
+}
+
+// An engine breaks an answer off half way. The caller never takes the half for
+// the whole: a whole answer becomes outcome unknown, a stream ends with an
+// error.
+func TestTruncatedAnswers(t *testing.T) {
+	t.Parallel()
+	r := newRig(t, shape{engines: []engin.Config{quick()}, services: 1, entries: 1})
+	r.must(r.fleet.Unit("engine-1").Fault(r.ctx, engin.Fault{TruncateNext: 4}))
+	var b batch
+	for i := range 4 {
+		r.send(&b, 0, ask(1, fmt.Sprintf("cut-%d", i), 20, i%2 == 0))
+	}
+	seen := r.judge(b.end())
+	t.Log(seen)
+	if seen[load.Complete]+seen[load.Unknown] != 4 {
+		t.Errorf("outcomes %v", seen)
+	}
+}
