--- a/entry/caller/accept.go
+++ b/entry/caller/accept.go
@@ -90,9 +90,9 @@
 	return nil
 }
 
-// once reads the marks that forbid a second run. safe tells whether the
+// marks reads the marks that forbid a second run. safe tells whether the
 // request may be repeated as far as its kind goes.
-func once(r *http.Request, j *sched.Job, safe bool) *fault.Error {
+func marks(r *http.Request, j *sched.Job, safe bool) *fault.Error {
 	mark, e := nonIdempotent(r)
 	if e != nil {
 		return e
--- a/entry/caller/model.go
+++ b/entry/caller/model.go
@@ -58,7 +58,7 @@
 	}
 	j.Pool, j.Model, j.Path, j.Body, j.Prompt = p.Model, p.Model, r.URL.Path, data, text
 	j.MaxTokens, j.Stream, j.Header = p.MaxTokens, p.Stream, fields(r.Header)
-	if e := once(r, j, true); e != nil {
+	if e := marks(r, j, true); e != nil {
 		return e
 	}
 	if j.Key != nil {
@@ -126,7 +126,7 @@
 		path += "?" + r.URL.RawQuery
 	}
 	j.Pool, j.Path, j.Body, j.Header = name, path, data, fields(r.Header)
-	if e := once(r, j, repeatable(svc, r.Method)); e != nil {
+	if e := marks(r, j, repeatable(svc, r.Method)); e != nil {
 		return e
 	}
 	if j.Key != nil {
