--- a/entry/sched/offer.go
+++ b/entry/sched/offer.go
@@ -49,6 +49,10 @@
 		f.finish(fault.New(fault.NoHome, "no agent keeps idempotency keys yet: ask again").After(time.Second))
 		return
 	}
+	if f.retries >= maxHomeTries {
+		f.finish(fault.New(fault.NoHome, "the agent that keeps this idempotency key can't be reached: ask again with the same key").After(homeRetryAfter))
+		return
+	}
 	home, err := f.s.cfg.Home(f.job.Pool, f.job.Key)
 	if err == nil {
 		f.offer(home.Peer, home.Epoch)
@@ -56,17 +60,13 @@
 	if len(f.once.Offers()) > 0 {
 		return
 	}
-	if f.retries >= maxHomeTries {
-		f.finish(fault.New(fault.NoHome, "the agent that keeps this idempotency key can't be reached: ask again with the same key").After(homeRetryAfter))
-		return
-	}
 	f.step("wait", "", "home of the key away")
 	f.pause()
 }
 
 const (
-	// maxHomeTries times the backoff is about as long as the instance list
-	// needs to tell of a restart.
+	// maxHomeTries bounds how often a home is asked that is away, or says that
+	// it is not the home or has no lease.
 	maxHomeTries   = 8
 	homeRetryAfter = 2 * time.Second
 )
