A deleted object does not come back by a peer that is behind

The property test of the store failed at 11,000 draws: a process that had seen an older deletion, and then a list without the object, took it again from a peer; and a peer's tombstone counted as a listed object, so a newer list did not delete what the receiver still had. Both have a test of their own now.

--- a/core/store/accept.go
+++ b/core/store/accept.go
@@ -93,10 +93,14 @@
 	if wasRefused && bad.Version == o.Version {
 		return false, nil
 	}
-	// An unknown object that is no newer than the complete version was deleted.
-	// One whose newest version was refused is not unknown: a peer may still
-	// have its last good version.
-	if !known && (o.Version <= next.floor || !wasRefused && o.Version <= next.complete) {
+	if !known && o.Version <= next.floor {
+		return false, nil
+	}
+	// An object that is not in force here although it is no newer than the
+	// complete version was deleted, whatever a peer or a lagging replica says.
+	// One whose newest version was refused is different: a peer may still have
+	// its last good version.
+	if (!known || had.gone) && !wasRefused && o.Version <= next.complete {
 		return false, nil
 	}
 	if ev.Gone {
--- a/core/store/list.go
+++ b/core/store/list.go
@@ -25,7 +25,9 @@
 	next := *s.snap.Load()
 	listed := make(map[ref]struct{}, len(b.Events))
 	for _, ev := range b.Events {
-		listed[ref{ev.Object.Kind, ev.Object.Name}] = struct{}{}
+		if !ev.Gone {
+			listed[ref{ev.Object.Kind, ev.Object.Name}] = struct{}{}
+		}
 	}
 	changed, refused = s.acceptAll(&next, b.Events)
 	for _, at := range missing(&next, kind, listed, b.Version) {
--- a/core/store/store_test.go
+++ b/core/store/store_test.go
@@ -86,6 +86,25 @@
 	}
 }
 
+func TestPeerWithDeletedObject(t *testing.T) {
+	// A class is deleted, made again and deleted again. One process saw the
+	// first deletion and then a list without the class; a peer that is behind
+	// still serves it. Neither may bring it back to the other.
+	deleted := plat.Event{Gone: true, Object: plat.Object{Kind: spec.KindClass, Name: "swap", Version: 1}}
+	ahead, behind := New(), New()
+	ahead.AcceptBatch(plat.Batch{Version: 1, Events: []plat.Event{deleted}})
+	ahead.AcceptList(plat.AnyKind, plat.Batch{Version: 9})
+	behind.AcceptList(plat.AnyKind, plat.Batch{Version: 5, Events: []plat.Event{class(t, "swap", 5, 0)}})
+	ahead.AcceptList(plat.AnyKind, plat.Batch{Version: behind.Complete(), Events: behind.All()})
+	if _, ok := ahead.Class("swap"); ok {
+		t.Error("a peer that is behind brought a deleted class back")
+	}
+	behind.AcceptList(plat.AnyKind, plat.Batch{Version: ahead.Complete(), Events: ahead.All()})
+	if _, ok := behind.Class("swap"); ok {
+		t.Error("a peer that is ahead did not take the deleted class away")
+	}
+}
+
 func TestPeerWithoutGoodVersion(t *testing.T) {
 	// The newest version of a class is bad. One peer has started after it was
 	// written and has no good version; another has the one before. A process
