--- /dev/null
+++ b/core/certs/certs_test.go
@@ -0,0 +1,168 @@
+package certs
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+)
+
+type authority struct {
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+	pem  []byte
+}
+
+func newAuthority(t *testing.T, name string) authority {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	shape := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: name}, NotBefore: time.Now().Add(-time.Hour),
+		NotAfter: time.Now().Add(time.Hour), IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign,
+	}
+	der, err := x509.CreateCertificate(rand.Reader, shape, shape, &key.PublicKey, key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	cert, err := x509.ParseCertificate(der)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return authority{cert, key, pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der})}
+}
+
+// write makes a certificate and writes it with its key and the authorities.
+func (a authority) write(t *testing.T, dir string, trusted ...authority) Files {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	shape := &x509.Certificate{
+		SerialNumber: big.NewInt(2), Subject: pkix.Name{CommonName: "instance"}, NotBefore: time.Now().Add(-time.Hour),
+		NotAfter:    time.Now().Add(time.Hour),
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth, x509.ExtKeyUsageServerAuth},
+	}
+	der, err := x509.CreateCertificate(rand.Reader, shape, a.cert, &key.PublicKey, a.key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	secret, err := x509.MarshalPKCS8PrivateKey(key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var pool []byte
+	for _, c := range trusted {
+		pool = append(pool, c.pem...)
+	}
+	f := Files{filepath.Join(dir, "cert.pem"), filepath.Join(dir, "key.pem"), filepath.Join(dir, "ca.pem")}
+	for path, data := range map[string][]byte{
+		f.Cert: pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der}),
+		f.Key:  pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: secret}),
+		f.CA:   pool,
+	} {
+		if err := os.WriteFile(path, data, 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return f
+}
+
+func source(t *testing.T, f Files) *Source {
+	t.Helper()
+	s, err := New(f)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// greet lets client dial server and returns what each end made of it.
+func greet(t *testing.T, server *Source, client *tls.Config) (serverErr, clientErr error) {
+	t.Helper()
+	plain, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer plain.Close()
+	l := server.Listen(plain)
+	result := make(chan error, 1)
+	go func() {
+		conn, err := l.Accept()
+		if err == nil {
+			err = conn.(*tls.Conn).Handshake()
+			conn.Close()
+		}
+		result <- err
+	}()
+	raw, err := net.Dial("tcp", plain.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	conn := tls.Client(raw, client)
+	clientErr = conn.Handshake()
+	conn.Close()
+	return <-result, clientErr
+}
+
+func TestMutual(t *testing.T) {
+	// A process of another fleet, or one without a certificate, reaches a link
+	// port. It must not learn or change anything.
+	ours, theirs := newAuthority(t, "ours"), newAuthority(t, "theirs")
+	server := source(t, ours.write(t, t.TempDir(), ours))
+	if s, c := greet(t, server, source(t, ours.write(t, t.TempDir(), ours)).Client()); s != nil || c != nil {
+		t.Errorf("same fleet: server %v, client %v", s, c)
+	}
+	foreign := source(t, theirs.write(t, t.TempDir(), theirs, ours))
+	if s, _ := greet(t, server, foreign.Client()); s == nil {
+		t.Error("server accepted a certificate of another authority")
+	}
+	if s, _ := greet(t, server, &tls.Config{InsecureSkipVerify: true}); s == nil {
+		t.Error("server accepted a peer without a certificate")
+	}
+	if _, c := greet(t, foreign, source(t, ours.write(t, t.TempDir(), ours)).Client()); c == nil {
+		t.Error("client accepted a server of another authority")
+	}
+}
+
+func TestReplacedWithoutRestart(t *testing.T) {
+	// The fleet's authority is replaced while everything runs. Links opened
+	// after the files changed must use the new one, and half-written files
+	// must not cost the process its certificate.
+	older, newer := newAuthority(t, "older"), newAuthority(t, "newer")
+	dir := t.TempDir()
+	files := older.write(t, dir, older)
+	server := source(t, files)
+	fresh := source(t, newer.write(t, t.TempDir(), newer))
+	if s, _ := greet(t, server, fresh.Client()); s == nil {
+		t.Fatal("the new authority was accepted too early")
+	}
+	if err := os.WriteFile(files.Cert, []byte("half"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if changed, err := server.Refresh(); changed || err == nil {
+		t.Fatalf("half-written file: changed %v, err %v", changed, err)
+	}
+	if s, c := greet(t, server, source(t, older.write(t, t.TempDir(), older)).Client()); s != nil || c != nil {
+		t.Fatalf("old certificate after a failed refresh: server %v, client %v", s, c)
+	}
+	newer.write(t, dir, older, newer)
+	if changed, err := server.Refresh(); !changed || err != nil {
+		t.Fatalf("replaced files: changed %v, err %v", changed, err)
+	}
+	if s, c := greet(t, server, fresh.Client()); s != nil || c != nil {
+		t.Fatalf("new authority: server %v, client %v", s, c)
+	}
+}
