--- /dev/null
+++ b/trial/measure.go
@@ -0,0 +1,99 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"strings"
+
+	"lycheepond/trial/basel"
+	"lycheepond/trial/exper"
+	"lycheepond/trial/serve"
+)
+
+func baselineCommand() command {
+	sub := newSub("baseline", "dispatcher that pushes by turn or by the lagging load report")
+	listen, cfg := anyPort, basel.Config{Policy: basel.RoundRobin}
+	sub.String(&listen, "l", "listen", "address to listen on")
+	sub.String(&cfg.Policy, "p", "policy", basel.RoundRobin+" or "+basel.LeastLoad)
+	sub.StringSlice(&cfg.Engines, "e", "engine", "address of an engine, may be repeated")
+	return command{sub: sub, run: func(ctx context.Context) error {
+		d, err := basel.New(cfg)
+		if err != nil {
+			return err
+		}
+		ended := make(chan error, 1)
+		go func() { ended <- d.Run(ctx) }()
+		return errors.Join(serve.Run(ctx, "baseline", listen, d, os.Stdout), <-ended)
+	}}
+}
+
+func measureCommand() command {
+	sub := newSub("measure", "run the experiments and print one JSON line for each scenario, policy and tier")
+	scenario, policy, dir := "", "", "measure"
+	sub.String(&scenario, "s", "scenario", "one scenario; all by default")
+	sub.String(&policy, "p", "policy", "one policy; all by default")
+	sub.String(&dir, "d", "dir", "directory of the plots")
+	return command{sub: sub, run: func(ctx context.Context) error { return measure(ctx, scenario, policy, dir) }}
+}
+
+func measure(ctx context.Context, scenario, policy, dir string) error {
+	ran := 0
+	for _, sc := range exper.Scenarios() {
+		for _, p := range exper.Policies() {
+			if (scenario != "" && sc.Name != scenario) || (policy != "" && p != policy) {
+				continue
+			}
+			ran++
+			if err := measureOne(ctx, sc, p, false, dir); err != nil {
+				return err
+			}
+			if p == exper.Lycheepond && sc.HasCalm() {
+				if err := measureOne(ctx, sc, p, true, dir); err != nil {
+					return err
+				}
+			}
+		}
+	}
+	if ran > 0 {
+		return nil
+	}
+	var names []string
+	for _, sc := range exper.Scenarios() {
+		names = append(names, sc.Name)
+	}
+	return fmt.Errorf("no scenario %q with policy %q: scenarios are %s, policies %s",
+		scenario, policy, strings.Join(names, ", "), strings.Join(exper.Policies(), ", "))
+}
+
+// measureOne runs one scenario under one policy. The calm run of a scenario,
+// to compare with, leaves a note on standard error and no line.
+func measureOne(ctx context.Context, sc exper.Scenario, policy string, calm bool, dir string) (err error) {
+	set, err := newSet("measure")
+	if err != nil {
+		return err
+	}
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("%s, %s: %w (logs are in %s)", sc.Name, policy, err, set.Dir())
+			return
+		}
+		os.RemoveAll(set.Dir())
+	}()
+	out, err := exper.Run(ctx, set, sc, policy, calm, os.Stderr)
+	if err = errors.Join(err, set.Close(stopWait)); err != nil {
+		return err
+	}
+	if err := json.NewEncoder(os.Stderr).Encode(out.Note(calm)); err != nil || calm {
+		return err
+	}
+	enc := json.NewEncoder(os.Stdout)
+	for _, line := range out.Lines() {
+		if err := enc.Encode(line); err != nil {
+			return err
+		}
+	}
+	return out.Plot(dir)
+}
