--- /dev/null
+++ b/trial/basel/basel_test.go
@@ -0,0 +1,60 @@
+package basel
+
+import (
+	"context"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"lycheepond/core/spec"
+	"lycheepond/trial/engin"
+	"lycheepond/trial/load"
+)
+
+func TestPick(t *testing.T) {
+	d, err := New(Config{Policy: LeastLoad, Engines: []string{"a", "b", "c"}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	d.loads = []int{2, 1, 2}
+	for range 3 {
+		if got := d.pick(); got != "b" {
+			t.Errorf("got %s, want the least loaded", got)
+		}
+	}
+	d.cfg.Policy = RoundRobin
+	seen := make(map[string]int)
+	for range 6 {
+		seen[d.pick()]++
+	}
+	if seen["a"] != 2 || seen["b"] != 2 || seen["c"] != 2 {
+		t.Errorf("in turn: %v", seen)
+	}
+}
+
+func TestPush(t *testing.T) {
+	e := engin.New(engin.Default())
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- e.Run(ctx) }()
+	defer func() { stop(); <-ended }()
+	srv := httptest.NewServer(e.Handler())
+	defer srv.Close()
+	d, err := New(Config{Policy: RoundRobin, Engines: []string{srv.Listener.Addr().String()}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	front := httptest.NewServer(d)
+	defer front.Close()
+	c := load.NewCaller([]string{front.Listener.Addr().String()})
+	c.Trust = true
+	for _, stream := range []bool{true, false} {
+		r := c.Send(ctx, 0, load.Job{
+			Class: spec.Class{Deadline: spec.Duration(30 * time.Second)},
+			Ask:   engin.Ask{Model: "roster", Prompt: "x", MaxTokens: 8, Stream: stream},
+		})
+		if r.Outcome != load.Complete {
+			t.Errorf("stream %v: %s %s", stream, r.Outcome, r.Detail)
+		}
+	}
+}
--- a/trial/exper/sum.go
+++ b/trial/exper/sum.go
@@ -109,8 +109,9 @@
 	// answered within target, in requests a second.
 	CapacityRPS float64 `json:"capacity_rps"`
 	GoodputRPS  float64 `json:"goodput_rps"`
-	// WorkShare is the work of the answers within target, as a part of what
-	// the engines can do in the same time at their best.
+	// WorkShare is the work of the answers within target that ended while
+	// requests arrived, as a part of what the engines can do in that time at
+	// their best.
 	WorkShare float64 `json:"work_share"`
 	// RefusalP99MS is from sending to the refusal.
 	RefusalP99MS float64 `json:"refusal_p99_ms"`
@@ -163,8 +164,8 @@
 		work[s.class.Name] = s.work()
 	}
 	var done float64
-	for _, r := range o.counted() {
-		if r.Within() {
+	for _, r := range o.Results {
+		if at := r.Sent + r.Total; r.Within() && at >= o.lead && at < span {
 			done += work[r.Job.Class.Name]
 		}
 	}
