--- a/entry/sched/relay.go
+++ b/entry/sched/relay.go
@@ -147,13 +147,15 @@
 
 func (f *flight) attach() {
 	f.ans.Resume()
-	f.holder.Send(&wire.Attach{ID: f.once.ID(), Next: f.ans.Next(), Stream: f.job.Stream})
+	f.holder.Send(&wire.Attach{
+		ID: f.once.ID(), Next: f.ans.Next(), Stream: f.job.Stream, Agent: f.once.Holder().Incarnation,
+	})
 	f.sleep(waitAttach, f.patience())
 }
 
 // patience is how long a lost holder is waited for.
 func (f *flight) patience() time.Duration {
-	if f.job.Repeatable && !f.once.Given() {
+	if f.job.Redo && !f.once.Given() {
 		return repeatWait
 	}
 	return attachWait
