--- /dev/null
+++ b/core/feed/feed_test.go
@@ -0,0 +1,279 @@
+package feed
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"lycheepond/core/plat"
+	"lycheepond/core/spec"
+	"lycheepond/core/store"
+	"lycheepond/core/wire"
+)
+
+// platform is a small object API of classes.
+type platform struct {
+	mu        sync.Mutex
+	events    []plat.Event
+	compacted int64
+	out       bool
+	// changed is closed and replaced at every change.
+	changed chan struct{}
+}
+
+func newPlatform() *platform { return &platform{changed: make(chan struct{})} }
+
+func (p *platform) set(f func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	f()
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+func (p *platform) put(name string) {
+	p.set(func() { p.events = append(p.events, class(name, int64(len(p.events)+1))) })
+}
+
+func class(name string, version int64) plat.Event {
+	data := fmt.Sprintf(`{"name":%q,"tier":0,"target":{}}`, name)
+	return plat.Event{Object: plat.Object{Kind: spec.KindClass, Name: name, Version: version, Data: []byte(data)}}
+}
+
+func (p *platform) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	after, _ := strconv.ParseInt(r.URL.Query().Get("after"), 10, 64)
+	watch := strings.HasPrefix(r.URL.Path, "/v1/watch/")
+	waits := watch || r.URL.Path == "/v1/instances"
+	for waits && !p.out && after >= int64(len(p.events)) && r.Context().Err() == nil {
+		changed := p.changed
+		p.mu.Unlock()
+		select {
+		case <-changed:
+		case <-r.Context().Done():
+		}
+		p.mu.Lock()
+	}
+	b := plat.Batch{Version: int64(len(p.events))}
+	switch {
+	case p.out:
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	case watch && after < p.compacted:
+		w.WriteHeader(http.StatusGone)
+		return
+	case watch:
+		b.Events = p.events[min(after, b.Version):]
+	case r.URL.Path == "/v1/objects/class":
+		b.Events = p.events
+	}
+	_ = json.NewEncoder(w).Encode(b)
+}
+
+// feeding is a feed that runs and tells its notes.
+type feeding struct {
+	*Feed
+	store *store.Store
+	notes chan Note
+}
+
+func run(t *testing.T, p *platform, peers ...Fetch) *feeding {
+	t.Helper()
+	server := httptest.NewServer(p)
+	f := &feeding{store: store.New(), notes: make(chan Note, 100)}
+	f.Feed = New(Config{
+		Platform: plat.New(plat.Config{Base: server.URL}), Store: f.store, Peers: peers,
+		Random: func() float64 { return 0 }, Note: func(n Note) { f.notes <- n },
+	})
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- f.Run(ctx) }()
+	t.Cleanup(func() {
+		stop()
+		<-ended
+		server.CloseClientConnections()
+		server.Close()
+	})
+	return f
+}
+
+// until waits for the class to be in force.
+func (f *feeding) until(name string) {
+	changed, stop := f.store.Subscribe()
+	defer stop()
+	for {
+		if _, ok := f.store.Class(name); ok {
+			return
+		}
+		<-changed
+	}
+}
+
+func (f *feeding) expect(kind NoteKind) Note {
+	for n := range f.notes {
+		if n.Kind == kind {
+			return n
+		}
+	}
+	return Note{}
+}
+
+func TestFollows(t *testing.T) {
+	p := newPlatform()
+	p.put("first")
+	f := run(t, p)
+	<-f.Ready()
+	f.until("first")
+	p.put("second")
+	f.until("second")
+	if c := f.Last(); c.Asked.IsZero() || c.Answered.Before(c.Asked) || f.Away() {
+		t.Errorf("last contact %+v, away %v", c, f.Away())
+	}
+}
+
+func TestOutage(t *testing.T) {
+	// The platform goes away for a while and a class is written as soon as it
+	// is back. Meanwhile the former classes stay in force.
+	p := newPlatform()
+	p.put("first")
+	f := run(t, p)
+	f.until("first")
+	p.set(func() { p.out = true })
+	f.expect(NoteAway)
+	if _, ok := f.store.Class("first"); !ok || !f.Away() {
+		t.Errorf("class in force %v, away %v", ok, f.Away())
+	}
+	p.set(func() { p.out = false })
+	f.expect(NoteBack)
+	p.put("second")
+	f.until("second")
+}
+
+func TestCompacted(t *testing.T) {
+	// An outage lasts longer than the platform keeps changes. The watch is
+	// refused for good, and only a new list tells what happened meanwhile.
+	p := newPlatform()
+	p.put("first")
+	f := run(t, p)
+	f.until("first")
+	p.set(func() { p.out = true })
+	f.expect(NoteAway)
+	p.set(func() {
+		p.events = append(p.events, class("second", 2), class("third", 3))
+		p.compacted, p.out = 3, false
+	})
+	f.until("third")
+}
+
+func TestStartDuringOutage(t *testing.T) {
+	// An instance is replaced while the platform is away. Of its peers one is
+	// dead, one is behind and one is ahead; it must serve what the one ahead
+	// has, and later what the platform has.
+	p := newPlatform()
+	for range 3 {
+		p.put("first")
+	}
+	p.out = true
+	peer := func(version int64) Fetch {
+		return func(context.Context) (plat.Batch, error) {
+			return plat.Batch{Version: version, Events: []plat.Event{class("first", version)}}, nil
+		}
+	}
+	dead := func(context.Context) (plat.Batch, error) { return plat.Batch{}, errors.New("no route") }
+	f := run(t, p, dead, peer(2), peer(1))
+	<-f.Ready()
+	if o, _ := f.store.Raw(spec.KindClass, "first"); o.Version != 2 {
+		t.Errorf("version %d in force, want 2", o.Version)
+	}
+	p.set(func() { p.out = false })
+	p.put("second")
+	f.until("second")
+	if o, _ := f.store.Raw(spec.KindClass, "first"); o.Version != 3 {
+		t.Errorf("version %d in force, want 3", o.Version)
+	}
+}
+
+func TestNobodyHasConfiguration(t *testing.T) {
+	// The platform is away and no peer answers. The process must say so and
+	// not call itself ready with an empty configuration.
+	p := newPlatform()
+	p.out = true
+	f := run(t, p, func(context.Context) (plat.Batch, error) { return plat.Batch{}, errors.New("no route") })
+	if n := f.expect(NoteNoPeers); !errors.Is(n.Err, ErrNoPeers) {
+		t.Errorf("got %v", n.Err)
+	}
+	select {
+	case <-f.Ready():
+		t.Error("ready without a configuration")
+	default:
+	}
+}
+
+func TestFetchOverLink(t *testing.T) {
+	// A peer sends everything it has over a link, more than the link's ring
+	// holds, refused versions and deletions included.
+	const classes = 3000
+	have := store.New()
+	for i := range int64(classes) {
+		if _, err := have.Accept(class(fmt.Sprint("c", i), i+1)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	have.AcceptBatch(plat.Batch{Version: classes + 1, Events: []plat.Event{
+		{Gone: true, Object: plat.Object{Kind: spec.KindClass, Name: "c0", Version: classes + 1}},
+	}})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	keys := wire.OneKey([]byte("0123456789abcdef"))
+	ctx, stop := context.WithTimeout(context.Background(), time.Minute)
+	defer stop()
+	served := make(chan error, 1)
+	go func() { served <- answerOne(ctx, l, keys, have) }()
+	dial := func(ctx context.Context, address string) (net.Conn, error) {
+		return new(net.Dialer).DialContext(ctx, "tcp", address)
+	}
+	hello := func() wire.Hello { return wire.Hello{Role: wire.RoleEntry, Name: "a", Zone: "z", Incarnation: 1} }
+	b, err := Dial(l.Addr().String(), dial, hello, func() wire.Keys { return keys })(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got := store.New()
+	got.AcceptList(plat.AnyKind, b)
+	if got.Digest() != have.Digest() || b.Version != classes+1 || len(b.Events) != classes {
+		t.Errorf("version %d, %d events, digests %x %x", b.Version, len(b.Events), got.Digest(), have.Digest())
+	}
+	<-served
+}
+
+// answerOne is the serving end of one fetch.
+func answerOne(ctx context.Context, l net.Listener, keys wire.Keys, have *store.Store) error {
+	conn, err := l.Accept()
+	if err != nil {
+		return err
+	}
+	peer, err := wire.Open(ctx, conn, wire.Hello{Role: wire.RoleEntry, Name: "b", Zone: "z", Incarnation: 2}, keys)
+	if err != nil {
+		return err
+	}
+	link := wire.New(conn, peer, wire.Config{})
+	answered := make(chan error, 1)
+	err = link.Run(ctx, func(m wire.Message) {
+		if _, ok := m.(*wire.Fetch); ok {
+			go func() { answered <- Answer(ctx, have, link) }()
+		}
+	})
+	return errors.Join(err, <-answered)
+}
--- /dev/null
+++ b/core/meter/meter_test.go
@@ -0,0 +1,77 @@
+package meter
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http/httptest"
+	"strings"
+	"testing"
+)
+
+func TestServeHTTP(t *testing.T) {
+	s := New()
+	s.Counter("requests", Outcome("complete"), Tier(0)).Inc(3)
+	s.Gauge("level").Update(2)
+	s.GaugeFunc("links", func() int64 { return 7 })
+	s.Histogram("first_token_ms", Class("swap")).Update(40)
+	s.Top("latency_ms").Observe("metro \"league\"", 5)
+	w := httptest.NewRecorder()
+	s.ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
+	for _, line := range []string{
+		`requests{outcome="complete",tier="0"} 3`, `level 2`, `links 7`,
+		`first_token_ms_p99{class="swap"} 40`, `latency_ms_count{customer="metro \"league\""} 1`,
+	} {
+		if !strings.Contains(w.Body.String(), line+"\n") {
+			t.Errorf("no line %s in\n%s", line, w.Body)
+		}
+	}
+	w = httptest.NewRecorder()
+	s.ServeHTTP(w, httptest.NewRequest("GET", "/metrics?format=json", nil))
+	var r Reading
+	if err := json.Unmarshal(w.Body.Bytes(), &r); err != nil || r.Histograms[`first_token_ms{class="swap"}`].Max != 40 {
+		t.Errorf("%v: %s", err, w.Body)
+	}
+}
+
+func TestTopIsBounded(t *testing.T) {
+	// 21,000 customers call, most of them seldom. The busy ones must have
+	// histograms of their own, also those who come late, and the memory must
+	// not grow with the number of customers.
+	s := New()
+	top := s.Top("latency_ms")
+	for i := range 21000 {
+		top.Observe(fmt.Sprint("seldom-", i), 1)
+	}
+	for range 200 {
+		for i := range 10 {
+			top.Observe(fmt.Sprint("busy-", i), 1)
+		}
+	}
+	own := 0
+	for name := range s.Read().Histograms {
+		if strings.Contains(name, "busy-") {
+			own++
+		}
+	}
+	if own != 10 {
+		t.Errorf("%d of 10 busy customers have a histogram", own)
+	}
+	if n := len(s.Read().Histograms); n > TopCustomers+1 {
+		t.Errorf("%d histograms", n)
+	}
+	if n := len(top.counts); n > candidates {
+		t.Errorf("%d candidates", n)
+	}
+}
+
+func BenchmarkObserve(b *testing.B) {
+	top := New().Top("latency_ms")
+	names := make([]string, 21000)
+	for i := range names {
+		names[i] = fmt.Sprint("customer-", i)
+	}
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		top.Observe(names[i%len(names)], int64(i))
+	}
+}
--- /dev/null
+++ b/core/plat/client_test.go
@@ -0,0 +1,124 @@
+package plat
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+)
+
+// serve answers every call with f.
+func serve(t *testing.T, f http.HandlerFunc) *Client {
+	t.Helper()
+	server := httptest.NewServer(f)
+	t.Cleanup(server.Close)
+	return New(Config{Base: server.URL + "/", Token: "t0", HTTP: server.Client()})
+}
+
+func TestCalls(t *testing.T) {
+	var got []string
+	c := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		got = append(got, r.Method+" "+r.URL.String()+" "+r.Header.Get("If-Match")+" "+r.Header.Get("Authorization"))
+		fmt.Fprint(w, `{"kind":"class","name":"swap","version":7,"events":[{"object":{"name":"x"}}],"instances":[{"name":"w"}]}`)
+	})
+	ctx := context.Background()
+	if o, err := c.Get(ctx, "class", "a/b"); err != nil || o.Version != 7 {
+		t.Errorf("Get: %+v %v", o, err)
+	}
+	if b, err := c.List(ctx, "class"); err != nil || b.Version != 7 || len(b.Events) != 1 {
+		t.Errorf("List: %+v %v", b, err)
+	}
+	if _, err := c.Put(ctx, "class", "swap", []byte("{}"), Absent); err != nil {
+		t.Error(err)
+	}
+	if _, err := c.Put(ctx, "class", "swap", []byte("{}"), Unconditional); err != nil {
+		t.Error(err)
+	}
+	if err := c.Delete(ctx, "class", "swap", 7); err != nil {
+		t.Error(err)
+	}
+	if _, err := c.Watch(ctx, AnyKind, 7, 30*time.Second); err != nil {
+		t.Error(err)
+	}
+	if r, err := c.Instances(ctx, 7, time.Second); err != nil || len(r.Instances) != 1 {
+		t.Errorf("Instances: %+v %v", r, err)
+	}
+	want := []string{
+		"GET /v1/objects/class/a%2Fb  Bearer t0",
+		"GET /v1/objects/class  Bearer t0",
+		`PUT /v1/objects/class/swap "0" Bearer t0`,
+		"PUT /v1/objects/class/swap  Bearer t0",
+		`DELETE /v1/objects/class/swap "7" Bearer t0`,
+		"GET /v1/watch/*?after=7&wait=30s  Bearer t0",
+		"GET /v1/instances?after=7&wait=1s  Bearer t0",
+	}
+	for i := range want {
+		if i >= len(got) || got[i] != want[i] {
+			t.Errorf("call %d: got %q, want %q", i, got[min(i, len(got)-1)], want[i])
+		}
+	}
+	if n := c.Calls().Read(); n != (CallCounts{Get: 1, List: 1, Put: 2, Delete: 1, Watch: 1, Instances: 1}) {
+		t.Errorf("counts %+v", n)
+	}
+}
+
+func TestLostReply(t *testing.T) {
+	// The platform takes a write and the connection breaks before its reply.
+	// If the client called it failed, an operator would repeat it and perhaps
+	// undo what someone else wrote meanwhile.
+	c := serve(t, func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
+	var uncertain *UncertainError
+	if _, err := c.Put(context.Background(), "class", "swap", []byte("{}"), 3); !errors.As(err, &uncertain) {
+		t.Errorf("Put: %v, want an UncertainError", err)
+	}
+	if err := c.Delete(context.Background(), "class", "swap", 3); !errors.As(err, &uncertain) {
+		t.Errorf("Delete: %v, want an UncertainError", err)
+	}
+	var away *AwayError
+	if _, err := c.Get(context.Background(), "class", "swap"); !errors.As(err, &away) {
+		t.Errorf("Get: %v, want an AwayError", err)
+	}
+}
+
+func TestUnreachable(t *testing.T) {
+	// Nothing listens at the platform's address. A write had certainly no
+	// effect and may be repeated.
+	server := httptest.NewServer(http.NotFoundHandler())
+	c := New(Config{Base: server.URL})
+	server.Close()
+	var away *AwayError
+	if _, err := c.Put(context.Background(), "class", "swap", []byte("{}"), 3); !errors.As(err, &away) {
+		t.Errorf("got %v, want an AwayError", err)
+	}
+}
+
+func TestRefusals(t *testing.T) {
+	var conflict *ConflictError
+	var away *AwayError
+	var status *StatusError
+	var uncertain *UncertainError
+	for _, tt := range []struct {
+		status int
+		is     func(error) bool
+	}{
+		{404, func(err error) bool { return errors.Is(err, ErrNotFound) }},
+		{409, func(err error) bool { return errors.As(err, &conflict) && conflict.Current() == 9 }},
+		{410, func(err error) bool { return errors.Is(err, ErrCompacted) }},
+		{413, func(err error) bool { return errors.Is(err, ErrTooLarge) }},
+		{401, func(err error) bool { return errors.Is(err, ErrToken) }},
+		{503, func(err error) bool { return errors.As(err, &away) }},
+		{502, func(err error) bool { return errors.As(err, &uncertain) }},
+		{418, func(err error) bool { return errors.As(err, &status) && status.Status() == 418 }},
+	} {
+		c := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(tt.status)
+			fmt.Fprint(w, `{"current":9}`)
+		})
+		if _, err := c.Put(context.Background(), "class", "swap", []byte("{}"), 3); !tt.is(err) {
+			t.Errorf("%d: %v", tt.status, err)
+		}
+	}
+}
