wire: pieces of answers have a ring of their own; agent: nothing is said about grants to another incarnation

Cause: producers of answers fill the link's ring whenever the entry reads more slowly than they write. A claim or return then found no room, which ends the link, just when the agent is busiest. A batch also went on for as long as messages came, under one write deadline. Now Send and SendWait have a ring each, what was given to Send goes first, and a batch is at most 256 messages.

--- a/agent/slot/attach.go
+++ b/agent/slot/attach.go
@@ -56,16 +56,12 @@
 
 // resume takes up a stream that an earlier incarnation of this agent started.
 func (o *Owner) resume(now time.Duration, p *Peer, m *wire.Attach) {
+	r := o.disown(now, p, m.ID)
 	if o.cfg.Resume == nil || !m.Stream || o.leaving {
 		o.sendForgotten(p, m.ID)
 		return
 	}
-	if old := o.recs[m.ID]; old != nil {
-		o.queue.Remove(old.id)
-		o.forget(now, old)
-	}
-	r := &rec{id: m.ID, sess: o.session(p), link: p, arrived: now, log: answer.New(&o.budget)}
-	o.recs[m.ID] = r
+	r.log = answer.New(&o.budget)
 	o.startFollow(r, r.id, r.log, p, m.Next)
 	id := m.ID
 	o.launch(now, r, func(ctx context.Context, sink call.Sink) call.Result {
@@ -76,6 +72,21 @@
 	logs.Info(o.log, logs.EventRequestResumed, logs.Request(id), zap.String("peer", p.Name))
 }
 
+// disown makes the record of a request that was granted to an earlier
+// incarnation. Nothing will be run or returned under its ID here: a Return
+// would say that it was not run, which only that incarnation could know.
+func (o *Owner) disown(now time.Duration, p *Peer, id ident.ID) *rec {
+	if old := o.recs[id]; old != nil {
+		o.unready(old)
+		o.queue.Remove(id)
+		o.forget(now, old)
+	}
+	r := &rec{id: id, sess: o.session(p), link: p, arrived: now}
+	o.recs[id] = r
+	o.setState(now, r, ended)
+	return r
+}
+
 // brokenReason says why an answer that the owner did not stop is not whole.
 func brokenReason(err error) wire.Reason {
 	if errors.Is(err, engine.ErrUnknown) {
--- a/agent/slot/load.go
+++ b/agent/slot/load.go
@@ -32,9 +32,13 @@
 	l.QueuedCost = uint32(min(o.queue.Cost().Milliseconds(), 1<<32-1))
 	l.Waiting = o.queue.Mask()
 	for _, r := range o.running {
+		tier := uint8(lowest)
 		if r.offer != nil {
-			l.Running |= 1 << r.offer.Tier
+			// The tier of a resumed run is not known, which counts as lowest:
+			// an entry that is told too little would refuse a higher tier.
+			tier = r.offer.Tier
 		}
+		l.Running |= 1 << tier
 	}
 	if o.claims+len(o.ready) > 0 {
 		for _, r := range o.waiting {
--- a/agent/slot/once_test.go
+++ b/agent/slot/once_test.go
@@ -197,6 +197,61 @@
 	b.idle()
 }
 
+// A claim was never answered and its link breaks. When the entry offers the
+// request anew, only the grant for the new claim counts: the one that the old
+// link still delivers is nobody's promise any more.
+func TestGrantCountsOnItsOwnLinkOnly(t *testing.T) {
+	b := newBench(t, testBound)
+	p := b.link(entryInc)
+	m := offerOf(1)
+	p.send(m)
+	next[*wire.Claim](p)
+	q := b.link(entryInc)
+	q.send(m)
+	next[*wire.Claim](q)
+	p.send(grantOf(m))
+	b.idle()
+	q.send(grantOf(m))
+	b.run()
+}
+
+// The agent did not get an answer to its claim, and the entry asks later what
+// became of the grant. The answer is the same whether the timer came first.
+func TestAttachAfterUnansweredClaim(t *testing.T) {
+	b := newBench(t, testBound)
+	p := b.link(entryInc)
+	p.send(offerOf(1))
+	next[*wire.Claim](p)
+	b.after(claimTimeout + time.Millisecond)
+	p.send(&wire.Attach{ID: offerOf(1).ID, Agent: selfInc})
+	if r := next[*wire.Return](p); r.Reason != wire.ReasonNeverGranted {
+		t.Fatalf("return %+v", r)
+	}
+}
+
+// The request was granted to this agent's predecessor, and a copy of the offer
+// was claimed here in vain. That nothing was granted here says nothing about
+// the predecessor, so the caller must not hear that its request did not run.
+func TestClaimSaysNothingOfAnotherIncarnation(t *testing.T) {
+	for _, tombstone := range []bool{false, true} {
+		b := newBench(t, testBound)
+		p := b.link(entryInc)
+		m := offerOf(1)
+		p.send(m)
+		next[*wire.Claim](p)
+		if tombstone {
+			b.after(claimTimeout + time.Millisecond)
+		}
+		p.send(&wire.Attach{ID: m.ID, Agent: selfInc + 1})
+		if e := next[*wire.End](p); e.Whole || e.Reason != wire.ReasonForgotten {
+			t.Fatalf("end %+v", e)
+		}
+		none[*wire.Return](p)
+		p.send(grantOf(m))
+		b.idle()
+	}
+}
+
 // The agent restarted after the grant. It cannot know what its predecessor
 // did, so it never says "not run": it takes the stream up at the engine, or
 // the caller hears that the outcome is unknown.
--- a/agent/slot/owner.go
+++ b/agent/slot/owner.go
@@ -42,6 +42,9 @@
 	sessionGrace = 10 * time.Second
 	// keepRecord is how long an ended or refused request is remembered.
 	keepRecord = 10 * time.Minute
+	// keepAnswer is how long the answer of an unkeyed request is kept after
+	// its end for an entry that lost its link.
+	keepAnswer = time.Minute
 	// tickEvery is how often deadlines are looked at.
 	tickEvery = 50 * time.Millisecond
 	// aheadCost is the longest work that is claimed before its place is free:
@@ -103,7 +106,9 @@
 	// ready are granted requests that wait for room, oldest first.
 	ready []*rec
 	// old are ended records in the order of their end.
-	old      []*rec
+	old []*rec
+	// dropped is how many of old have had their answer dropped.
+	dropped  int
 	sessions map[uint64]*session
 	keys     map[string]*keyRec
 	oldKeys  []*keyRec
--- a/agent/slot/rec.go
+++ b/agent/slot/rec.go
@@ -162,22 +162,25 @@
 }
 
 // expireRecords drops records that are old enough that no message about them
-// can still be on its way.
+// can still be on its way, and answers earlier.
 func (o *Owner) expireRecords(now time.Duration) {
+	for o.dropped < len(o.old) && now-o.old[o.dropped].changed > keepAnswer {
+		if r := o.old[o.dropped]; r.state == ended && r.key == nil && r.log != nil {
+			r.log.Drop()
+		}
+		o.dropped++
+	}
 	n := 0
 	for n < len(o.old) && now-o.old[n].changed > keepRecord {
 		r := o.old[n]
 		n++
-		if o.recs[r.id] != r || (r.state != ended && r.state != dead && r.state != lapsed) {
-			continue
-		}
-		delete(o.recs, r.id)
-		if r.log != nil && r.key == nil {
-			r.log.Drop()
+		if o.recs[r.id] == r && (r.state == ended || r.state == dead || r.state == lapsed) {
+			delete(o.recs, r.id)
 		}
 	}
 	if n > 0 {
 		o.old = append(o.old[:0], o.old[n:]...)
+		o.dropped = max(o.dropped-n, 0)
 	}
 	o.expireKeys(now)
 	o.shrink()
--- a/core/wire/link.go
+++ b/core/wire/link.go
@@ -40,7 +40,11 @@
 type Link struct {
 	conn net.Conn
 	peer Hello
-	out  *ring.Ring[Message]
+	// out holds what Send queued and bulk what SendWait queued. They are apart
+	// because the producers of answers fill their ring whenever the peer reads
+	// more slowly than they write; in one ring a claim or a return would then
+	// find no room and end the link, just when there is most to do.
+	out, bulk *ring.Ring[Message]
 	// done is closed once, by cancel's owner Run, when the link has ended.
 	done chan struct{}
 	stop context.CancelFunc
@@ -77,7 +81,7 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	return &Link{
-		conn: conn, peer: peer, out: ring.New[Message](ringSize), done: make(chan struct{}),
+		conn: conn, peer: peer, out: ring.New[Message](ringSize), bulk: ring.New[Message](ringSize), done: make(chan struct{}),
 		ctx: ctx, stop: stop, beat: cfg.Beat, heartbeat: cfg.Heartbeat, start: time.Now(),
 	}
 }
@@ -103,7 +107,9 @@
 }
 
 // SendWait queues m and waits for room until ctx or the link ends. It is for
-// the pieces of answers, whose producer may be held back.
+// the pieces of answers, whose producer may be held back. Messages may arrive
+// before others that were given to SendWait earlier and to Send later, never
+// after those that were given to Send before.
 func (l *Link) SendWait(ctx context.Context, m Message) error {
 	if l.ctx.Err() != nil {
 		return ErrClosed
@@ -114,14 +120,14 @@
 	default:
 	}
 	l.queued.Add(1)
-	if err := l.out.Offer(m); err == nil {
+	if err := l.bulk.Offer(m); err == nil {
 		return nil
 	}
 	joined, cancel := context.WithCancel(ctx)
 	defer cancel()
 	unhook := context.AfterFunc(l.ctx, cancel)
 	defer unhook()
-	if err := l.out.Put(joined, m); err != nil {
+	if err := l.bulk.Put(joined, m); err != nil {
 		l.queued.Add(^uint64(0))
 		if ctx.Err() != nil {
 			return ctx.Err()
@@ -203,11 +209,14 @@
 	sent := false
 	for {
 		var m Message
+		bulk := false
 		select {
 		case <-ctx.Done():
 			return ErrClosed
 		case m = <-l.out.Items():
 			sent = true
+		case m = <-l.bulk.Items():
+			sent, bulk = true, true
 		case <-tick.C:
 			if sent {
 				sent = false
@@ -217,40 +226,74 @@
 			l.queued.Add(1)
 		}
 		var err error
-		if buf, err = l.batch(w, m, buf); err != nil {
+		if buf, err = l.batch(w, m, bulk, buf); err != nil {
 			return err
 		}
 	}
 }
 
-// batch writes m and all that waits behind it with one flush.
-func (l *Link) batch(w *bufio.Writer, m Message, buf []byte) ([]byte, error) {
+// maxBatch is how many messages are written before the deadline is set anew.
+const maxBatch = 256
+
+// batch writes m and what waits behind it with one flush. Before a message
+// that was given to SendWait it writes all that was given to Send.
+func (l *Link) batch(w *bufio.Writer, m Message, bulk bool, buf []byte) ([]byte, error) {
 	if err := l.conn.SetWriteDeadline(time.Now().Add(l.heartbeat * MissedHeartbeats)); err != nil {
 		return buf, err
 	}
-	for n := uint64(1); ; n++ {
-		var err error
-		buf, err = Append(buf[:0], m)
-		if err != nil {
-			return buf, err
-		}
-		if m.Kind().Control() {
-			l.controlOut.Add(uint64(len(buf)))
-		} else {
-			l.dataOut.Add(uint64(len(buf)))
+	n := uint64(0)
+	for more := true; more && n < maxBatch; {
+		for before := true; bulk && before; {
+			var c Message
+			if c, before = take(l.out); !before {
+				continue
+			}
+			var err error
+			if buf, err = l.put(w, c, buf); err != nil {
+				return buf, err
+			}
+			n++
 		}
-		if _, err := w.Write(buf); err != nil {
+		var err error
+		if buf, err = l.put(w, m, buf); err != nil {
 			return buf, err
 		}
-		select {
-		case m = <-l.out.Items():
-			continue
-		default:
+		if n++; n >= maxBatch {
+			break
 		}
-		if err := w.Flush(); err != nil {
-			return buf, err
+		bulk = false
+		if m, more = take(l.out); !more {
+			m, more = take(l.bulk)
+			bulk = more
 		}
-		l.written.Add(n)
-		return buf, nil
 	}
+	if err := w.Flush(); err != nil {
+		return buf, err
+	}
+	l.written.Add(n)
+	return buf, nil
+}
+
+func take(r *ring.Ring[Message]) (Message, bool) {
+	select {
+	case m := <-r.Items():
+		return m, true
+	default:
+		return nil, false
+	}
+}
+
+// put writes the frame of m to w.
+func (l *Link) put(w *bufio.Writer, m Message, buf []byte) ([]byte, error) {
+	buf, err := Append(buf[:0], m)
+	if err != nil {
+		return buf, err
+	}
+	if m.Kind().Control() {
+		l.controlOut.Add(uint64(len(buf)))
+	} else {
+		l.dataOut.Add(uint64(len(buf)))
+	}
+	_, err = w.Write(buf)
+	return buf, err
 }
--- a/core/wire/link_test.go
+++ b/core/wire/link_test.go
@@ -104,3 +104,57 @@
 		t.Fatal(errA, errB)
 	}
 }
+
+// A caller reads slowly, so the pieces of its answer fill the link. Claims and
+// returns must still find room: a link that ends under load is dialled again
+// by everyone at once. And the notice of a joined answer must come before it.
+func TestFullOfAnswersStillTakesControl(t *testing.T) {
+	keys := OneKey([]byte("k"))
+	a, b, errA, errB := pair(t, keys, keys)
+	if errA != nil || errB != nil {
+		t.Fatal(errA, errB)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	for i := range uint32(ringSize) {
+		if err := a.SendWait(ctx, &Chunk{Seq: i}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	full, hurry := context.WithCancel(ctx)
+	hurry()
+	if err := a.SendWait(full, &Chunk{}); !errors.Is(err, context.Canceled) {
+		t.Fatalf("the producer was not held back: %v", err)
+	}
+	if err := a.Send(&Known{}); err != nil {
+		t.Fatal(err)
+	}
+	got := make(chan Message, 2*ringSize)
+	ended := make(chan error, 2)
+	go func() { ended <- a.Run(ctx, func(Message) {}) }()
+	go func() { ended <- b.Run(ctx, func(m Message) { got <- m }) }()
+	if m := <-got; m.Kind() != KindKnown {
+		t.Fatalf("first came %s", m.Kind())
+	}
+	for i := range uint32(ringSize) {
+		if c, ok := (<-got).(*Chunk); !ok || c.Seq != i {
+			t.Fatalf("piece %d: %#v", i, c)
+		}
+	}
+	if err := a.Send(&Known{}); err != nil {
+		t.Fatal(err)
+	}
+	if err := a.SendWait(ctx, &Head{}); err != nil {
+		t.Fatal(err)
+	}
+	if m := <-got; m.Kind() != KindKnown {
+		t.Fatalf("%s came before the notice", m.Kind())
+	}
+	<-got
+	cancel()
+	<-ended
+	<-ended
+	if !a.Idle() {
+		t.Fatal("the link is not idle although all has arrived")
+	}
+}
