--- /dev/null
+++ b/trial/capacity.go
@@ -0,0 +1,71 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"time"
+
+	"lycheepond/trial/capac"
+	"lycheepond/trial/procs"
+)
+
+// Defaults of trial capacity.
+const (
+	capacitySample = 8 * time.Second
+	capacityRate   = 2
+)
+
+func capacityCommand() command {
+	sub := newSub("capacity", "print what entries and agents spend as agents and customers grow, and the slopes")
+	cfg := capac.Config{Sample: capacitySample, Rate: capacityRate}
+	sub.IntSlice(&cfg.Agents, "a", "agents", "numbers of agents, repeated; 10, 25, 50 by default")
+	sub.IntSlice(&cfg.Customers, "c", "customers", "numbers of customers, repeated; 1000, 7000, 21000 by default")
+	sub.Duration(&cfg.Sample, "d", "sample", "how long each point is measured")
+	sub.Float64(&cfg.Rate, "r", "rate", "requests a second and agent at full load")
+	return command{sub: sub, run: func(ctx context.Context) error { return capacity(ctx, cfg) }}
+}
+
+func capacity(ctx context.Context, cfg capac.Config) error {
+	if len(cfg.Agents) == 0 && len(cfg.Customers) == 0 {
+		cfg.Agents, cfg.Customers = []int{10, 25, 50}, []int{1000, 7000, 21000}
+	}
+	enc := json.NewEncoder(os.Stdout)
+	cfg.Show = func(p capac.Point) error { return enc.Encode(p) }
+	var points []capac.Point
+	for _, n := range cfg.Agents {
+		found, err := withSet(func(set *procs.Set) ([]capac.Point, error) { return capac.Agents(ctx, set, cfg, n) })
+		if err != nil {
+			return fmt.Errorf("%d agents: %w", n, err)
+		}
+		points = append(points, found...)
+	}
+	for _, n := range cfg.Customers {
+		found, err := withSet(func(set *procs.Set) ([]capac.Point, error) { return capac.Customers(ctx, set, cfg, n) })
+		if err != nil {
+			return fmt.Errorf("%d customers: %w", n, err)
+		}
+		points = append(points, found...)
+	}
+	for _, s := range capac.Slopes(points) {
+		if err := enc.Encode(s); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// withSet runs f with a fresh set of processes and ends them.
+func withSet(f func(*procs.Set) ([]capac.Point, error)) ([]capac.Point, error) {
+	set, err := newSet("capacity")
+	if err != nil {
+		return nil, err
+	}
+	points, err := f(set)
+	if err = errors.Join(err, set.Close(stopWait)); err != nil {
+		return nil, fmt.Errorf("%w (logs are in %s)", err, set.Dir())
+	}
+	return points, os.RemoveAll(set.Dir())
+}
--- a/trial/fleet/fleet.go
+++ b/trial/fleet/fleet.go
@@ -106,6 +106,10 @@
 
 func (f *Fleet) startUnits(ctx context.Context) error {
 	for _, ep := range f.plan.Endpoints {
+		if ep.Share != "" {
+			f.units = append(f.units, &Unit{Endpoint: ep})
+			continue
+		}
 		stand, err := f.set.Start(ep.Name, "trial", ep.args(loopback, f.platform.addr)...)
 		if err != nil {
 			return err
@@ -113,6 +117,12 @@
 		f.units = append(f.units, &Unit{Endpoint: ep, Stand: stand})
 	}
 	for _, u := range f.units {
+		if other := f.Unit(u.Share); other != nil {
+			u.Stand = other.Stand
+		}
+		if u.Stand == nil {
+			return fmt.Errorf("fleet: endpoint %s shares %s, which does not stand before it: correct the plan", u.Name, u.Share)
+		}
 		addr, err := u.Stand.Ready(ctx)
 		if err != nil {
 			return err
--- a/trial/fleet/plan.go
+++ b/trial/fleet/plan.go
@@ -42,6 +42,9 @@
 	Labels map[string]string
 	Engine *engin.Config
 	Plain  *plain.Config
+	// Share names an earlier endpoint whose stand-in this one uses too, to
+	// have many agents with few stand-ins.
+	Share string
 }
 
 // Admin tokens and the key of links. They guard nothing but loopback.
--- a/trial/platf/http.go
+++ b/trial/platf/http.go
@@ -29,6 +29,12 @@
 	Waiting int64 `json:"waiting"`
 }
 
+// Total returns the number of calls that the system made. A waiting watch is
+// one call.
+func (s Stats) Total() int64 {
+	return s.Get + s.List + s.Put + s.Delete + s.Watch + s.Instances + s.Weights
+}
+
 // conflict is the body of an answer to a write whose condition did not hold.
 type conflict struct {
 	Current int64 `json:"current"`
