--- a/agent/slot/load.go
+++ b/agent/slot/load.go
@@ -16,10 +16,6 @@
 // more is claimed.
 const missedReports = 3
 
-// lateFactor is how many times its target a first byte may be late before the
-// bound hears of it without waiting for the end.
-const lateFactor = 2
-
 // Load returns what is known of the endpoint. It is safe for concurrent use.
 func (o *Owner) Load() wire.Load { return *o.load.Load() }
 
@@ -36,9 +32,13 @@
 	l.QueuedCost = uint32(min(o.queue.Cost().Milliseconds(), 1<<32-1))
 	l.Waiting = o.queue.Mask()
 	for _, r := range o.running {
+		tier := uint8(lowest)
 		if r.offer != nil {
-			l.Running |= 1 << r.offer.Tier
+			// The tier of a resumed run is not known, which counts as lowest:
+			// an entry that is told too little would refuse a higher tier.
+			tier = r.offer.Tier
 		}
+		l.Running |= 1 << tier
 	}
 	if o.claims+len(o.ready) > 0 {
 		for _, r := range o.waiting {
@@ -93,17 +93,3 @@
 		}
 	}
 }
-
-// watchRuns tells the bound of first bytes that are long overdue. A frozen
-// endpoint ends no run, so without this it would look as good as before.
-func (o *Owner) watchRuns(now time.Duration) {
-	for _, r := range o.running {
-		if r.observed || r.offer == nil || r.offer.FirstMS == 0 || r.progress.First.Load() != 0 {
-			continue
-		}
-		if waited := now - r.started; waited > lateFactor*ms(r.offer.FirstMS) {
-			r.observed = true
-			o.bound.Observe(now, o.sample(r, waited, wire.Usage{}))
-		}
-	}
-}
--- a/agent/slot/rec.go
+++ b/agent/slot/rec.go
@@ -53,6 +53,8 @@
 	work             bound.Work
 	long             bool
 	grant            *wire.Grant
+	// charged is set while the work counts against its customer's share.
+	charged bool
 	// log is the answer; several records of one key share it.
 	log      *answer.Log
 	follow   *following
@@ -65,9 +67,11 @@
 	// reason says why a dead record did not run.
 	reason wire.Reason
 	key    *keyRec
-	// inFlight is how many ran when this one was started, itself included.
-	inFlight int
-	observed bool
+	// firstSeen is set when the bound has heard of the first byte; tokens and
+	// lastToken are how far it has heard of the stream.
+	firstSeen bool
+	tokens    int64
+	lastToken int64
 }
 
 // following is one follower's goroutine.
@@ -150,6 +154,7 @@
 	if r.state == claimed {
 		o.claims--
 	}
+	o.uncharge(r)
 	r.state, r.changed = dead, now
 	delete(o.waiting, r.id)
 	delete(o.recs, r.id)
@@ -157,22 +162,25 @@
 }
 
 // expireRecords drops records that are old enough that no message about them
-// can still be on its way.
+// can still be on its way, and answers earlier.
 func (o *Owner) expireRecords(now time.Duration) {
+	for o.dropped < len(o.old) && now-o.old[o.dropped].changed > keepAnswer {
+		if r := o.old[o.dropped]; r.state == ended && r.key == nil && r.log != nil {
+			r.log.Drop()
+		}
+		o.dropped++
+	}
 	n := 0
 	for n < len(o.old) && now-o.old[n].changed > keepRecord {
 		r := o.old[n]
 		n++
-		if o.recs[r.id] != r || (r.state != ended && r.state != dead && r.state != lapsed) {
-			continue
-		}
-		delete(o.recs, r.id)
-		if r.log != nil && r.key == nil {
-			r.log.Drop()
+		if o.recs[r.id] == r && (r.state == ended || r.state == dead || r.state == lapsed) {
+			delete(o.recs, r.id)
 		}
 	}
 	if n > 0 {
 		o.old = append(o.old[:0], o.old[n:]...)
+		o.dropped = max(o.dropped-n, 0)
 	}
 	o.expireKeys(now)
 	o.shrink()
