--- a/core/wire/link.go
+++ b/core/wire/link.go
@@ -177,12 +177,22 @@
 	return readErr
 }
 
+// readSteps is how many times the read deadline moves in the time that a
+// peer may be silent.
+const readSteps = 16
+
 func (l *Link) read(handle func(Message)) error {
 	r := NewReader(l.conn)
 	silence := l.heartbeat * MissedHeartbeats
+	var limit time.Time
 	for {
-		if err := l.conn.SetReadDeadline(time.Now().Add(silence)); err != nil {
-			return err
+		// The deadline moves in steps, because most frames follow each other
+		// closely and each move costs more than to decode a frame.
+		if now := time.Now(); limit.Sub(now) < silence {
+			limit = now.Add(silence + silence/readSteps)
+			if err := l.conn.SetReadDeadline(limit); err != nil {
+				return err
+			}
 		}
 		m, err := r.Next()
 		if err != nil {
