--- a/agent/slot/attach.go
+++ b/agent/slot/attach.go
@@ -112,6 +112,9 @@
 	if o.leaving {
 		o.sayLeaving(p)
 	}
+	if o.orders.version != "" {
+		o.sayServes(p)
+	}
 }
 
 // linkDown forgets what was only offered on the link. What was granted goes
--- a/agent/slot/load.go
+++ b/agent/slot/load.go
@@ -62,7 +62,7 @@
 	switch {
 	case err == nil:
 		o.bound.Report(now, bound.Report{Running: l.Running, Waiting: l.Waiting, KVUsed: l.KVUsed, KVTotal: l.KVTotal, Age: l.Age()})
-		o.orders.version = l.Version
+		o.serves(l.Model, l.Version)
 	case errors.Is(err, engine.ErrRefused):
 		o.endpointDown(now)
 	case !errors.Is(err, engine.ErrNoReport):
@@ -74,6 +74,23 @@
 	}
 }
 
+// serves notes what the endpoint serves and tells every entry of a change.
+func (o *Owner) serves(model, version string) {
+	if o.orders.model == model && o.orders.version == version {
+		return
+	}
+	o.orders.model, o.orders.version = model, version
+	for _, s := range o.sessions {
+		if s.link != nil {
+			o.sayServes(s.link)
+		}
+	}
+}
+
+func (o *Owner) sayServes(p *Peer) {
+	o.send(p, &wire.Beat{Load: *o.load.Load(), Leaving: o.leaving, Model: o.orders.model, Version: o.orders.version})
+}
+
 func (o *Owner) endpointUp() {
 	if o.down || o.stalled {
 		logs.Info(o.log, logs.EventEndpointBack)
--- a/agent/slot/order.go
+++ b/agent/slot/order.go
@@ -49,8 +49,8 @@
 	// busy is set while an order is under way.
 	busy bool
 	next time.Duration
-	// version is what the endpoint last said to serve.
-	version string
+	// model and version are what the endpoint last said to serve.
+	model, version string
 }
 
 func (o *Owner) newsAssign(_ time.Duration, m *wire.News) {
--- a/core/wire/message.go
+++ b/core/wire/message.go
@@ -75,6 +75,9 @@
 	Leaving bool
 	// Config is the newest configuration version in force at the sender.
 	Config int64
+	// Model and Version are what the agent's endpoint serves; empty when it is
+	// unknown or was told before over this link.
+	Model, Version string
 }
 
 // Offer describes a request to an agent that may claim it. It carries neither
--- a/entry/agents/dial.go
+++ b/entry/agents/dial.go
@@ -90,6 +90,7 @@
 func (s *Set) up(p *Peer, link *wire.Link) {
 	p.inc.Store(link.Peer().Incarnation)
 	p.load.Store(nil)
+	p.serves.Store(nil)
 	p.offered.Store(0)
 	p.link.Store(link)
 	logs.Info(s.log, logs.EventLinkUp, zap.String("agent", p.name))
--- a/entry/agents/peer.go
+++ b/entry/agents/peer.go
@@ -35,11 +35,14 @@
 	offered atomic.Int32
 	// lost is when the last link ended, in nanoseconds since start.
 	lost atomic.Int64
-	// config is the configuration version in force that the agent reported.
-	config atomic.Int64
+	// serves is what the endpoint was last said to serve, nil if unknown.
+	serves atomic.Pointer[served]
 	stop   func()
 }
 
+// served is a version of a model.
+type served struct{ model, version string }
+
 // Name returns the name of the agent's instance.
 func (p *Peer) Name() string { return p.name }
 
@@ -86,8 +89,14 @@
 // Offered returns how many offers the agent's last load does not count yet.
 func (p *Peer) Offered() int { return int(p.offered.Load()) }
 
-// Config returns the configuration version that the agent last reported.
-func (p *Peer) Config() int64 { return p.config.Load() }
+// Serves returns the model and version that the endpoint serves, both empty
+// while the agent has not told.
+func (p *Peer) Serves() (model, version string) {
+	if s := p.serves.Load(); s != nil {
+		return s.model, s.version
+	}
+	return "", ""
+}
 
 // Send queues m for the agent. An error means that nothing was queued.
 func (p *Peer) Send(m wire.Message) error {
@@ -106,7 +115,9 @@
 	switch m := m.(type) {
 	case *wire.Beat:
 		p.setLoad(&m.Load)
-		p.config.Store(m.Config)
+		if m.Version != "" {
+			p.serves.Store(&served{m.Model, m.Version})
+		}
 	case *wire.Claim:
 		p.setLoad(&m.Load)
 	case *wire.Return:
--- a/entry/keys/keeper.go
+++ b/entry/keys/keeper.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"sync"
 	"time"
 
@@ -18,6 +17,7 @@
 	"lycheepond/core/spec"
 	"lycheepond/core/wire"
 	"lycheepond/entry/agents"
+	"lycheepond/entry/record"
 )
 
 const (
@@ -33,18 +33,13 @@
 	// must be without a link, and lostAfter the same for one that it does.
 	goneAfter = 3 * time.Second
 	lostAfter = 30 * time.Second
-	// callTimeout bounds one call to the platform.
-	callTimeout = 3 * time.Second
 	// conflictPause spreads entries that raced one another.
 	conflictPause = 300 * time.Millisecond
 )
 
 // Config is what a Keeper depends on. All functions must be set.
 type Config struct {
-	Put     func(ctx context.Context, kind, name string, data []byte, ifVersion int64) (plat.Object, error)
-	Get     func(ctx context.Context, kind, name string) (plat.Object, error)
-	Raw     func(kind, name string) (plat.Object, bool)
-	Accept  func(plat.Event)
+	Record  record.Config
 	Pools   func() []string
 	Members func(pool string) *agents.Members
 	Peer    func(name string) (*agents.Peer, bool)
@@ -71,23 +66,18 @@
 }
 
 // book is what the keeper knows of one pool's table. Run alone changes it, but
-// epoch, confirmed and fresh are read under Keeper.mu by others.
+// table is read under Keeper.mu by others.
 type book struct {
+	*record.Record
 	table   spec.Homes
 	version int64
-	// epoch was in force at confirmed, when fresh is set: a conditional write
-	// that began then succeeded.
-	epoch     int64
-	confirmed time.Duration
-	fresh     bool
+	data    []byte
 	// next is when to confirm again.
 	next time.Duration
 	// began is when the pool was first looked at.
 	began time.Duration
 	// absent holds since when an owner has no link.
 	absent map[spec.HomeOwner]time.Duration
-	// told holds the epoch that was sent over each link.
-	told map[*wire.Link]int64
 }
 
 // New returns a Keeper that does nothing until Run.
@@ -131,7 +121,10 @@
 	defer k.mu.Unlock()
 	b := k.books[pool]
 	if b == nil {
-		b = &book{began: k.cfg.Now(), absent: make(map[spec.HomeOwner]time.Duration), told: make(map[*wire.Link]int64)}
+		b = &book{
+			Record: record.New(k.cfg.Record, spec.KindHomes, pool), began: k.cfg.Now(),
+			absent: make(map[spec.HomeOwner]time.Duration),
+		}
 		k.books[pool] = b
 	}
 	return b
@@ -139,7 +132,7 @@
 
 // read takes the table in force into b.
 func (k *Keeper) read(pool string, b *book) {
-	o, ok := k.cfg.Raw(spec.KindHomes, pool)
+	o, ok := b.Read()
 	if !ok {
 		// A deleted table is written again as it was: a new one would let keys
 		// run that the old one forbids.
@@ -157,7 +150,7 @@
 		logs.Info(k.cfg.Log, logs.EventHomesChanged, zap.String("pool", pool), zap.Int64("epoch", t.Epoch))
 	}
 	k.mu.Lock()
-	b.table, b.version = t, o.Version
+	b.table, b.version, b.data = t, o.Version, o.Data
 	k.mu.Unlock()
 }
 
@@ -177,80 +170,35 @@
 }
 
 // write puts a table in force under the condition that b holds the present
-// one. The confirmation counts from before the call.
+// one.
 func (k *Keeper) write(ctx context.Context, pool string, b *book, t spec.Homes) {
 	data, err := json.Marshal(t)
 	if err != nil {
 		return
 	}
 	began := k.cfg.Now()
-	call, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	o, err := k.cfg.Put(call, spec.KindHomes, pool, data, b.version)
-	b.next = began + time.Duration(float64(k.cfg.Touch)*(0.75+k.cfg.Random()/2))
-	if err != nil {
+	if err := b.Write(ctx, data, t.Epoch, b.version); err != nil {
 		b.next = began + time.Duration(float64(conflictPause)*(0.5+k.cfg.Random()))
-		k.refresh(ctx, pool, err)
 		return
 	}
-	k.mu.Lock()
-	b.epoch, b.confirmed, b.fresh = t.Epoch, began, true
-	k.mu.Unlock()
-	o.Kind, o.Name, o.Data = spec.KindHomes, pool, data
-	k.cfg.Accept(plat.Event{Object: o})
+	b.next = began + time.Duration(float64(k.cfg.Touch)*(0.75+k.cfg.Random()/2))
 	k.read(pool, b)
 	k.tell(pool, b)
 }
 
-// refresh reads the table after a write that failed, or whose reply was lost.
-func (k *Keeper) refresh(ctx context.Context, pool string, err error) {
-	var away *plat.AwayError
-	if errors.As(err, &away) {
-		return
-	}
-	call, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	if o, err := k.cfg.Get(call, spec.KindHomes, pool); err == nil {
-		k.cfg.Accept(plat.Event{Object: o})
-	}
-}
-
-// tell sends the table to every agent of the pool that has not heard of its
-// epoch. Confirmations change nothing for agents and are not sent.
 func (k *Keeper) tell(pool string, b *book) {
-	m := k.cfg.Members(pool)
-	if m == nil || b.version == 0 {
-		return
-	}
-	seen := make(map[*wire.Link]int64, len(m.Peers))
-	var news *wire.News
-	for _, p := range m.Peers {
-		l := p.Link()
-		if l == nil {
-			continue
-		}
-		if b.told[l] != b.table.Epoch {
-			if news == nil {
-				data, _ := json.Marshal(b.table)
-				news = &wire.News{Object: spec.KindHomes, Name: pool, Version: b.version, Data: data}
-			}
-			if l.Send(news) != nil {
-				continue
-			}
-		}
-		seen[l] = b.table.Epoch
+	if m := k.cfg.Members(pool); m != nil && b.version != 0 {
+		b.Tell(m.Peers, b.version, b.table.Epoch, b.data)
 	}
-	b.told = seen
 }
 
-// Ack answers an agent that asks how fresh the entry's knowledge is.
-func (k *Keeper) Ack(p *agents.Peer, m *wire.LeaseAsk) {
-	ack := &wire.LeaseAck{Seq: m.Seq, Pool: m.Pool}
+// Ack fills in the answer to an agent that asks how fresh the entry's
+// knowledge of a pool's table is.
+func (k *Keeper) Ack(ack *wire.LeaseAck) {
 	k.mu.Lock()
-	if b := k.books[m.Pool]; b != nil && b.fresh {
-		ack.Epoch, ack.Fresh = b.epoch, true
-		ack.AgeMS = uint32((k.cfg.Now() - b.confirmed + time.Millisecond - 1) / time.Millisecond)
-	}
+	b := k.books[ack.Pool]
 	k.mu.Unlock()
-	p.Send(ack)
+	if b != nil {
+		b.Ack(ack)
+	}
 }
--- a/entry/node.go
+++ b/entry/node.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -26,7 +27,9 @@
 	"lycheepond/entry/agents"
 	"lycheepond/entry/caller"
 	"lycheepond/entry/keys"
+	"lycheepond/entry/orders"
 	"lycheepond/entry/peers"
+	"lycheepond/entry/record"
 	"lycheepond/entry/sched"
 	"lycheepond/entry/tally"
 )
@@ -45,8 +48,10 @@
 	sched *sched.Sched
 	// keeper keeps the tables of idempotency keys.
 	keeper *keys.Keeper
-	meter  *meter.Set
-	tally  *tally.Tally
+	// planner decides which endpoint serves which version.
+	planner *orders.Planner
+	meter   *meter.Set
+	tally   *tally.Tally
 	// keys is replaced when the settings are read again.
 	keys    atomic.Pointer[wire.Keys]
 	leaving atomic.Bool
@@ -177,11 +182,16 @@
 		Dial: n.dial, Roster: n.store.Roster, Pools: n.pools, Choose: n.choose,
 		Handle: n.handle, Up: n.up, Down: n.sched.Down, Now: n.now, Log: n.log,
 	})
+	rec := record.Config{
+		Put: n.plat.Put, Get: n.plat.Get, Raw: n.store.Raw, Accept: func(e plat.Event) { n.store.Accept(e) }, Now: n.now,
+	}
 	n.keeper = keys.New(keys.Config{
-		Put: n.plat.Put, Get: n.plat.Get, Raw: n.store.Raw, Accept: func(e plat.Event) { n.store.Accept(e) },
-		Pools: n.set.Pools, Members: n.set.Pool, Peer: n.set.Peer, Want: n.set.Want, Roster: n.store.Roster,
+		Record: rec, Pools: n.set.Pools, Members: n.set.Pool, Peer: n.set.Peer, Want: n.set.Want, Roster: n.store.Roster,
 		Now: n.now, Wall: func() int64 { return time.Now().UnixMilli() }, Random: mathrand.Float64, Log: n.log,
 	})
+	n.planner = orders.New(orders.Config{
+		Record: rec, Models: n.store.Models, Members: n.set.Pool, Now: n.now, Random: mathrand.Float64, Log: n.log,
+	})
 }
 
 func (n *node) begin(ctx context.Context, ended chan<- error) {
@@ -189,6 +199,7 @@
 	go func() { ended <- n.feed.Run(ctx) }()
 	go func() { ended <- n.set.Run(ctx, changed) }()
 	go func() { ended <- n.keeper.Run(ctx) }()
+	go func() { ended <- n.planner.Run(ctx) }()
 	port := peers.New(peers.Config{
 		Listen: n.cfg.Link, Self: n.self, Keys: n.linkKeys, Heartbeat: n.cfg.Heartbeat.Std(),
 		Beat: n.beat, Store: n.store, TLS: n.serverTLS, Log: n.log,
@@ -204,13 +215,25 @@
 // handle takes a message of an agent; it is called by the link's reader.
 func (n *node) handle(p *agents.Peer, m wire.Message) {
 	if ask, ok := m.(*wire.LeaseAsk); ok {
-		n.keeper.Ack(p, ask)
+		n.ack(p, ask)
 		return
 	}
 	n.sched.Handle(p, m)
 }
 
+// ack tells an agent how fresh the entry's knowledge of a record is.
+func (n *node) ack(p *agents.Peer, ask *wire.LeaseAsk) {
+	ack := &wire.LeaseAck{Seq: ask.Seq, Pool: ask.Pool}
+	if model, ok := strings.CutPrefix(ask.Pool, wire.AssignPrefix); ok {
+		n.planner.Ack(model, ack)
+	} else {
+		n.keeper.Ack(ack)
+	}
+	p.Send(ack)
+}
+
 func (n *node) up(p *agents.Peer) {
 	n.sched.Up(p)
 	n.keeper.Wake()
+	n.planner.Wake()
 }
--- a/entry/status.go
+++ b/entry/status.go
@@ -37,9 +37,7 @@
 	Queued   uint16 `json:"queued"`
 	Level    uint8  `json:"level"`
 	Slow     bool   `json:"slow"`
-	Config   int64  `json:"config_version"`
-	// Lags is set while the agent has an older configuration in force.
-	Lags bool `json:"lags"`
+	Version  string `json:"version,omitempty"`
 }
 
 func (n *node) status() any {
@@ -63,10 +61,11 @@
 	ps.Beyond = m.Beyond
 	for _, p := range m.Peers {
 		l, _ := p.Load()
+		_, version := p.Serves()
 		ps.Agents = append(ps.Agents, agentStatus{
 			Name: p.Name(), Zone: p.Zone(), Linked: p.Linked(), Leaving: p.Leaving(),
 			InFlight: l.InFlight, Bound: l.Bound, Queued: l.Queued, Level: l.Level, Slow: l.Slow,
-			Config: p.Config(), Lags: p.Linked() && p.Config() < n.store.Version(),
+			Version: version,
 		})
 	}
 	return ps
