--- a/agent/slot/offer.go
+++ b/agent/slot/offer.go
@@ -17,7 +17,8 @@
 )
 
 func (o *Owner) offer(now time.Duration, p *Peer, m *wire.Offer) {
-	if r := o.recs[m.ID]; r != nil && o.offeredAgain(now, p, r) {
+	m.Tier = min(m.Tier, lowest)
+	if r := o.recs[m.ID]; r != nil && (o.known(p, m.ID) == nil || o.offeredAgain(now, p, r)) {
 		return
 	}
 	s := o.session(p)
--- a/agent/slot/order_test.go
+++ b/agent/slot/order_test.go
@@ -88,7 +88,7 @@
 	p.assign(11, 2, "v3")
 	p.confirm(2, 0)
 	b.after(time.Second)
-	if b.o.orders.busy || len(got) > 0 {
-		t.Fatal("an older order was given")
+	if b.o.orders.busy || len(got) > 0 || b.o.orders.seen["roster"].version != 12 {
+		t.Fatal("older news counted")
 	}
 }
--- a/agent/slot/owner.go
+++ b/agent/slot/owner.go
@@ -47,6 +47,8 @@
 	keepAnswer = time.Minute
 	// tickEvery is how often deadlines are looked at.
 	tickEvery = 50 * time.Millisecond
+	// statusEvery is how often what operators see is brought up to date.
+	statusEvery = 250 * time.Millisecond
 	// aheadCost is the longest work that is claimed before its place is free:
 	// for longer work a round trip of idle time is no loss, and it is better
 	// left for an endpoint that has room sooner.
@@ -127,6 +129,8 @@
 	down      bool
 	stalled   bool
 	lateProbe int
+	// statusNext is when the status is published next.
+	statusNext time.Duration
 	// firstMean is the mean time to first byte seen lately.
 	firstMean time.Duration
 }
@@ -206,7 +210,10 @@
 	o.checkLevels(now)
 	o.tickOrders(now)
 	o.tickLeave(now)
-	o.publishStatus()
+	if now >= o.statusNext {
+		o.statusNext = now + statusEvery
+		o.publishStatus()
+	}
 }
 
 // task runs f in a goroutine whose end the owner takes in.
--- a/agent/slot/tier_test.go
+++ b/agent/slot/tier_test.go
@@ -95,12 +95,14 @@
 // allows it, then the slate that began last is cancelled and goes elsewhere;
 // work that must not be repeated and answers that have begun are spared.
 func TestHigherTierCancelsRunningWork(t *testing.T) {
-	b := newBench(t, 3)
+	b := newBench(t, 4)
 	p := b.link(entryInc)
+	p.started(tiered(5, 2))
 	once := tiered(1, 3)
 	once.Repeatable = false
 	p.started(once)
 	p.started(tiered(2, 3)).sink.Head(200, nil)
+	b.after(time.Millisecond)
 	p.started(tiered(3, 2))
 	swap := tiered(4, 0)
 	swap.FirstMS = 8000
@@ -111,6 +113,7 @@
 	b.after(5 * time.Second)
 	none[*wire.End](p)
 	b.after(3*time.Second + time.Millisecond)
+	b.after(time.Millisecond)
 	if id := <-b.cancels; id != tiered(3, 2).ID {
 		t.Fatalf("cancelled %s", id)
 	}
