--- a/agent/slot/load.go
+++ b/agent/slot/load.go
@@ -16,10 +16,6 @@
 // more is claimed.
 const missedReports = 3
 
-// lateFactor is how many times its target a first byte may be late before the
-// bound hears of it without waiting for the end.
-const lateFactor = 2
-
 // Load returns what is known of the endpoint. It is safe for concurrent use.
 func (o *Owner) Load() wire.Load { return *o.load.Load() }
 
@@ -36,9 +32,13 @@
 	l.QueuedCost = uint32(min(o.queue.Cost().Milliseconds(), 1<<32-1))
 	l.Waiting = o.queue.Mask()
 	for _, r := range o.running {
+		tier := uint8(lowest)
 		if r.offer != nil {
-			l.Running |= 1 << r.offer.Tier
+			// The tier of a resumed run is not known, which counts as lowest:
+			// an entry that is told too little would refuse a higher tier.
+			tier = r.offer.Tier
 		}
+		l.Running |= 1 << tier
 	}
 	if o.claims+len(o.ready) > 0 {
 		for _, r := range o.waiting {
@@ -62,7 +62,7 @@
 	switch {
 	case err == nil:
 		o.bound.Report(now, bound.Report{Running: l.Running, Waiting: l.Waiting, KVUsed: l.KVUsed, KVTotal: l.KVTotal, Age: l.Age()})
-		o.orders.version = l.Version
+		o.serves(l.Model, l.Version)
 	case errors.Is(err, engine.ErrRefused):
 		o.endpointDown(now)
 	case !errors.Is(err, engine.ErrNoReport):
@@ -74,6 +74,23 @@
 	}
 }
 
+// serves notes what the endpoint serves and tells every entry of a change.
+func (o *Owner) serves(model, version string) {
+	if o.orders.model == model && o.orders.version == version {
+		return
+	}
+	o.orders.model, o.orders.version = model, version
+	for _, s := range o.sessions {
+		if s.link != nil {
+			o.sayServes(s.link)
+		}
+	}
+}
+
+func (o *Owner) sayServes(p *Peer) {
+	o.send(p, &wire.Beat{Load: *o.load.Load(), Leaving: o.leaving, Model: o.orders.model, Version: o.orders.version})
+}
+
 func (o *Owner) endpointUp() {
 	if o.down || o.stalled {
 		logs.Info(o.log, logs.EventEndpointBack)
@@ -93,17 +110,3 @@
 		}
 	}
 }
-
-// watchRuns tells the bound of first bytes that are long overdue. A frozen
-// endpoint ends no run, so without this it would look as good as before.
-func (o *Owner) watchRuns(now time.Duration) {
-	for _, r := range o.running {
-		if r.observed || r.offer == nil || r.offer.FirstMS == 0 || r.progress.First.Load() != 0 {
-			continue
-		}
-		if waited := now - r.started; waited > lateFactor*ms(r.offer.FirstMS) {
-			r.observed = true
-			o.bound.Observe(now, o.sample(r, waited, wire.Usage{}))
-		}
-	}
-}
--- a/agent/slot/offer.go
+++ b/agent/slot/offer.go
@@ -17,7 +17,8 @@
 )
 
 func (o *Owner) offer(now time.Duration, p *Peer, m *wire.Offer) {
-	if r := o.recs[m.ID]; r != nil && o.offeredAgain(now, p, r) {
+	m.Tier = min(m.Tier, lowest)
+	if r := o.recs[m.ID]; r != nil && (o.known(p, m.ID) == nil || o.offeredAgain(now, p, r)) {
 		return
 	}
 	s := o.session(p)
@@ -106,6 +107,7 @@
 // bury puts a tombstone on a request that was claimed and did not run.
 func (o *Owner) bury(now time.Duration, r *rec, reason wire.Reason) {
 	r.reason = reason
+	o.uncharge(r)
 	o.setState(now, r, dead)
 	o.unfollow(r)
 	if r.log != nil {
--- a/agent/slot/owner.go
+++ b/agent/slot/owner.go
@@ -42,8 +42,13 @@
 	sessionGrace = 10 * time.Second
 	// keepRecord is how long an ended or refused request is remembered.
 	keepRecord = 10 * time.Minute
+	// keepAnswer is how long the answer of an unkeyed request is kept after
+	// its end for an entry that lost its link.
+	keepAnswer = time.Minute
 	// tickEvery is how often deadlines are looked at.
 	tickEvery = 50 * time.Millisecond
+	// statusEvery is how often what operators see is brought up to date.
+	statusEvery = 250 * time.Millisecond
 	// aheadCost is the longest work that is claimed before its place is free:
 	// for longer work a round trip of idle time is no loss, and it is better
 	// left for an endpoint that has room sooner.
@@ -103,7 +108,9 @@
 	// ready are granted requests that wait for room, oldest first.
 	ready []*rec
 	// old are ended records in the order of their end.
-	old      []*rec
+	old []*rec
+	// dropped is how many of old have had their answer dropped.
+	dropped  int
 	sessions map[uint64]*session
 	keys     map[string]*keyRec
 	oldKeys  []*keyRec
@@ -122,6 +129,8 @@
 	down      bool
 	stalled   bool
 	lateProbe int
+	// statusNext is when the status is published next.
+	statusNext time.Duration
 	// firstMean is the mean time to first byte seen lately.
 	firstMean time.Duration
 }
@@ -201,7 +210,10 @@
 	o.checkLevels(now)
 	o.tickOrders(now)
 	o.tickLeave(now)
-	o.publishStatus()
+	if now >= o.statusNext {
+		o.statusNext = now + statusEvery
+		o.publishStatus()
+	}
 }
 
 // task runs f in a goroutine whose end the owner takes in.
--- a/entry/sched/offer.go
+++ b/entry/sched/offer.go
@@ -70,8 +70,8 @@
 }
 
 const (
-	// maxHomeTries times the backoff is about as long as the instance list
-	// needs to tell of a restart.
+	// maxHomeTries bounds how often a home is asked that is away, or says that
+	// it is not the home or has no lease.
 	maxHomeTries   = 8
 	homeRetryAfter = 2 * time.Second
 )
