--- a/core/conf/expand.go
+++ b/core/conf/expand.go
@@ -24,6 +24,7 @@
 					Line: n.Line, Reason: fmt.Sprintf("environment variable %s is not set", name),
 					Remedy: "set it before the start or write the value",
 				})
+				return m
 			}
 			return v
 		})
--- a/core/spec/read.go
+++ b/core/spec/read.go
@@ -20,9 +20,15 @@
 	// Line is where the object begins.
 	Line   int
 	Object Named
-	node   *yaml.Node
+	// IfVersion is the version that the operator's change was made from, zero
+	// if the file does not tell.
+	IfVersion int64
+	node      *yaml.Node
 }
 
+// ItemOf returns an object that does not come from a file as an Item.
+func ItemOf(kind string, o Named) Item { return Item{Kind: kind, Name: o.ObjectName(), Object: o} }
+
 // Ref returns KIND/NAME.
 func (i Item) Ref() string { return i.Kind + "/" + i.Name }
 
@@ -84,15 +90,22 @@
 	rest := *n
 	rest.Content = nil
 	for i := 0; i+1 < len(n.Content); i += 2 {
-		if n.Content[i+1] != kind {
-			rest.Content = append(rest.Content, n.Content[i], n.Content[i+1])
+		switch key, value := n.Content[i], n.Content[i+1]; {
+		case value == kind:
+		case key.Value == "if_version":
+			if value.Decode(&item.IfVersion) != nil || item.IfVersion < 1 {
+				ps.at(key, "if_version", quoted(value)+" is not a version", "write what `lychee get` printed, or leave it out")
+			}
+		default:
+			rest.Content = append(rest.Content, key, value)
 		}
 	}
 	item.node = &rest
 	if name, _ := child(n, "name"); name != nil {
 		item.Name = name.Value
 	}
-	o, ps := readKind(item.Kind, &rest)
+	o, found := readKind(item.Kind, &rest)
+	ps = append(ps, found...)
 	if len(ps) == 0 {
 		item.Object = o
 	}
