--- a/entry/caller/accept.go
+++ b/entry/caller/accept.go
@@ -90,9 +90,9 @@
 	return nil
 }
 
-// once reads the marks that forbid or allow a second run. safe tells whether
+// marks reads the marks that forbid or allow a second run. safe tells whether
 // the request may be cancelled and repeated as far as its kind goes.
-func once(r *http.Request, j *sched.Job, safe bool) *fault.Error {
+func marks(r *http.Request, j *sched.Job, safe bool) *fault.Error {
 	mark, e := flag(r, headerNonIdempotent)
 	if e != nil {
 		return e
