--- a/agent/admin/admin.go
+++ b/agent/admin/admin.go
@@ -22,6 +22,8 @@
 	Status  func() any
 	// Ready reports whether the agent takes work.
 	Ready func() bool
+	// Drain begins a planned stop; it may be called again.
+	Drain func(context.Context) error
 }
 
 // Server answers operators.
@@ -53,9 +55,19 @@
 	mux.HandleFunc("GET /readyz", s.ready)
 	mux.Handle("GET /metrics", s.demand(s.cfg.Metrics))
 	mux.Handle("GET /status", s.demand(http.HandlerFunc(s.status)))
+	mux.Handle("POST /drain", s.demand(http.HandlerFunc(s.drain)))
 	return mux
 }
 
+// drain answers once the stop has begun, before it is complete.
+func (s *Server) drain(w http.ResponseWriter, r *http.Request) {
+	if err := s.cfg.Drain(r.Context()); err != nil {
+		http.Error(w, "the planned stop did not begin: ask again, or send SIGTERM", http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusAccepted)
+}
+
 func (s *Server) ready(w http.ResponseWriter, _ *http.Request) {
 	if !s.cfg.Ready() {
 		http.Error(w, "not ready: leaving, or the endpoint is away", http.StatusServiceUnavailable)
--- /dev/null
+++ b/agent/admin/admin_test.go
@@ -0,0 +1,35 @@
+package admin
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+)
+
+func TestDrain(t *testing.T) {
+	// Anyone who reaches the operators' port could take an endpoint out of
+	// service, so the stop begins only for a holder of the token.
+	begun := 0
+	s := New(Config{
+		Token: "op", Metrics: http.NotFoundHandler(), Status: func() any { return nil }, Ready: func() bool { return true },
+		Drain: func(context.Context) error { begun++; return nil },
+	})
+	for _, c := range []struct {
+		method, token string
+		status, begun int
+	}{
+		{http.MethodPost, "", http.StatusUnauthorized, 0},
+		{http.MethodPost, "guess", http.StatusUnauthorized, 0},
+		{http.MethodGet, "op", http.StatusMethodNotAllowed, 0},
+		{http.MethodPost, "op", http.StatusAccepted, 1},
+	} {
+		r := httptest.NewRequest(c.method, "/drain", nil)
+		r.Header.Set("Authorization", "Bearer "+c.token)
+		w := httptest.NewRecorder()
+		s.Handler().ServeHTTP(w, r)
+		if w.Code != c.status || begun != c.begun {
+			t.Errorf("%s with token %q: status %d, begun %d", c.method, c.token, w.Code, begun)
+		}
+	}
+}
--- a/agent/node.go
+++ b/agent/node.go
@@ -151,7 +151,7 @@
 func (n *node) operators() *admin.Server {
 	return admin.New(admin.Config{
 		Token: string(n.cfg.Admin.Token), Metrics: n.set,
-		Status: func() any { return n.owner.Status() },
+		Status: func() any { return n.owner.Status() }, Drain: n.owner.Leave,
 		Ready: func() bool {
 			s := n.owner.Status()
 			return !s.Leaving && !s.Down && !s.Stalled
--- a/core/spec/duration.go
+++ b/core/spec/duration.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"strings"
 	"time"
 
 	"gopkg.in/yaml.v3"
@@ -15,8 +16,20 @@
 // Std returns the duration as the standard library's type.
 func (d Duration) Std() time.Duration { return time.Duration(d) }
 
+// String returns the duration as operators write it, such as 5m.
+func (d Duration) String() string {
+	s := time.Duration(d).String()
+	if strings.HasSuffix(s, "m0s") {
+		s = s[:len(s)-2]
+	}
+	if strings.HasSuffix(s, "h0m") {
+		s = s[:len(s)-2]
+	}
+	return s
+}
+
 // MarshalJSON writes the duration as text.
-func (d Duration) MarshalJSON() ([]byte, error) { return json.Marshal(time.Duration(d).String()) }
+func (d Duration) MarshalJSON() ([]byte, error) { return json.Marshal(d.String()) }
 
 // UnmarshalJSON reads text with a unit.
 func (d *Duration) UnmarshalJSON(b []byte) error {
@@ -28,7 +41,7 @@
 }
 
 // MarshalYAML writes the duration as text.
-func (d Duration) MarshalYAML() (any, error) { return time.Duration(d).String(), nil }
+func (d Duration) MarshalYAML() (any, error) { return d.String(), nil }
 
 // UnmarshalYAML reads text with a unit.
 func (d *Duration) UnmarshalYAML(n *yaml.Node) error {
--- a/core/spec/spec_test.go
+++ b/core/spec/spec_test.go
@@ -133,6 +133,15 @@
 	}
 }
 
+func TestDurationText(t *testing.T) {
+	for _, text := range []string{"0s", "49ms", "1.5s", "10s", "5m", "5m10s", "10m", "1h", "10h", "1h0m5s", "20h30m"} {
+		var d Duration
+		if err := d.parse(text); err != nil || d.String() != text {
+			t.Errorf("%s: got %v, %v", text, d, err)
+		}
+	}
+}
+
 func TestEncodeDecode(t *testing.T) {
 	items, ps := Read([]byte("kind: class\nname: swap\ntier: 1\ntarget: {first_token: 1.5s}\ndeadline: 2m\n"))
 	if len(ps) > 0 {
