--- a/core/feed/backoff.go
+++ b/core/feed/backoff.go
@@ -12,8 +12,6 @@
 const (
 	firstPause   = 100 * time.Millisecond
 	longestPause = 5 * time.Second
-	// replayPause follows an answer that brought nothing new at once.
-	replayPause = 250 * time.Millisecond
 )
 
 // backoff is the pause of one loop; its zero value is ready.
@@ -27,15 +25,6 @@
 	return b.next/2 + time.Duration(random*float64(b.next/2))
 }
 
-func (b *backoff) sleep(ctx context.Context, random func() float64) {
-	sleep(ctx, b.take(random()))
-}
-
-func (f *Feed) pause(ctx context.Context) error {
-	sleep(ctx, replayPause)
-	return ctx.Err()
-}
-
 func sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
--- a/core/feed/feed.go
+++ b/core/feed/feed.go
@@ -25,6 +25,9 @@
 	Random func() float64
 	// Wait is how long a watch waits; zero means DefaultWait.
 	Wait time.Duration
+	// Every is the shortest time from one watch to the next; zero means
+	// DefaultEvery.
+	Every time.Duration
 	// Note hears what happens, one call at a time; nil hears nothing.
 	Note func(Note)
 }
@@ -37,6 +40,11 @@
 // watches, so 420 entries make 28 calls a second while nothing changes.
 const DefaultWait = 30 * time.Second
 
+// DefaultEvery bounds the calls while something changes all the time: 420
+// entries then make at most 840 watches a second. A change after a quiet half
+// second is still heard at once.
+const DefaultEvery = 500 * time.Millisecond
+
 // ErrNoPeers reports that no peer had a configuration.
 var ErrNoPeers = errors.New("feed: platform is away and no peer has a configuration: check platform.address and peers")
 
@@ -50,6 +58,8 @@
 	// ready is closed by readyOnce once the store has a configuration.
 	ready     chan struct{}
 	readyOnce sync.Once
+	// sleep waits until a time has passed or ctx ends.
+	sleep func(ctx context.Context, d time.Duration)
 }
 
 // Contact is one call that the platform answered.
@@ -65,13 +75,16 @@
 	if cfg.Wait <= 0 {
 		cfg.Wait = DefaultWait
 	}
+	if cfg.Every <= 0 {
+		cfg.Every = DefaultEvery
+	}
 	if cfg.Random == nil {
 		cfg.Random = func() float64 { return 0.5 }
 	}
 	if cfg.Note == nil {
 		cfg.Note = func(Note) {}
 	}
-	return &Feed{cfg: cfg, ready: make(chan struct{})}
+	return &Feed{cfg: cfg, ready: make(chan struct{}), sleep: sleep}
 }
 
 // Ready returns a channel that is closed once the store has a configuration,
--- a/core/feed/feed_test.go
+++ b/core/feed/feed_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"lycheepond/core/meter"
 	"lycheepond/core/plat"
 	"lycheepond/core/spec"
 	"lycheepond/core/store"
@@ -93,7 +94,7 @@
 	f := &feeding{store: store.New(), notes: make(chan Note, 100)}
 	f.Feed = New(Config{
 		Platform: plat.New(plat.Config{Base: server.URL}), Store: f.store, Peers: peers,
-		Random: func() float64 { return 0 }, Note: func(n Note) { f.notes <- n },
+		Random: func() float64 { return 0 }, Every: time.Millisecond, Note: func(n Note) { f.notes <- n },
 	})
 	ctx, stop := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
@@ -159,6 +160,62 @@
 	f.until("second")
 }
 
+func TestReplay(t *testing.T) {
+	// A watch repeats its last events again and again, as a platform does that
+	// fails over to a replica. The process must neither go back nor ask
+	// without a pause.
+	watches := make(chan struct{}, 100)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		b := plat.Batch{Version: 5, Events: []plat.Event{class("first", 5)}}
+		if strings.HasPrefix(r.URL.Path, "/v1/watch/") {
+			b.Events = []plat.Event{class("first", 4)}
+			watches <- struct{}{}
+		} else if r.URL.Path == "/v1/instances" {
+			<-r.Context().Done()
+		}
+		_ = json.NewEncoder(w).Encode(b)
+	}))
+	defer server.Close()
+	s := store.New()
+	f := New(Config{Platform: plat.New(plat.Config{Base: server.URL}), Store: s, Every: time.Hour})
+	pauses, goOn := make(chan time.Duration), make(chan struct{})
+	f.sleep = func(ctx context.Context, d time.Duration) {
+		select {
+		case pauses <- d:
+			<-goOn
+		case <-ctx.Done():
+		}
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- f.Run(ctx) }()
+	for i := range 3 {
+		if d := <-pauses; d <= 0 || len(watches) != i+1 {
+			t.Errorf("pause of %v after %d watches", d, len(watches))
+		}
+		goOn <- struct{}{}
+	}
+	if o, _ := s.Raw(spec.KindClass, "first"); o.Version != 5 {
+		t.Errorf("version %d in force", o.Version)
+	}
+	stop()
+	<-ended
+}
+
+func TestMeasure(t *testing.T) {
+	p := newPlatform()
+	p.put("first")
+	f := run(t, p)
+	f.until("first")
+	set := meter.New()
+	f.Measure(set)
+	set.Process()
+	g := set.Read().Gauges
+	if g["config_version"] != 1 || g["platform_away"] != 0 || g[`platform_calls{kind="list"}`] == 0 || g["process_heap_bytes"] == 0 {
+		t.Errorf("got %v", g)
+	}
+}
+
 func TestCompacted(t *testing.T) {
 	// An outage lasts longer than the platform keeps changes. The watch is
 	// refused for good, and only a new list tells what happened meanwhile.
--- /dev/null
+++ b/core/feed/gauge.go
@@ -0,0 +1,36 @@
+package feed
+
+import (
+	"time"
+
+	"lycheepond/core/meter"
+	"lycheepond/core/plat"
+)
+
+// Measure adds the feed's state and the client's calls to a process's metrics.
+func (f *Feed) Measure(set *meter.Set) {
+	set.GaugeFunc("config_version", f.cfg.Store.Version)
+	set.GaugeFunc("config_rejected_objects", func() int64 { return int64(len(f.cfg.Store.Rejected())) })
+	set.GaugeFunc("platform_away", func() int64 {
+		if f.Away() {
+			return 1
+		}
+		return 0
+	})
+	set.GaugeFunc("platform_answer_age_ms", func() int64 {
+		if c := f.Last(); !c.Answered.IsZero() {
+			return time.Since(c.Answered).Milliseconds()
+		}
+		return -1
+	})
+	calls := f.cfg.Platform.Calls()
+	for name, count := range map[string]func(plat.CallCounts) uint64{
+		"get": func(c plat.CallCounts) uint64 { return c.Get }, "list": func(c plat.CallCounts) uint64 { return c.List },
+		"put": func(c plat.CallCounts) uint64 { return c.Put }, "delete": func(c plat.CallCounts) uint64 { return c.Delete },
+		"watch": func(c plat.CallCounts) uint64 { return c.Watch }, "instances": func(c plat.CallCounts) uint64 { return c.Instances },
+		"failed": func(c plat.CallCounts) uint64 { return c.Failed }, "conflict": func(c plat.CallCounts) uint64 { return c.Conflict },
+		"unavailable": func(c plat.CallCounts) uint64 { return c.Unavailable },
+	} {
+		set.GaugeFunc("platform_calls", func() int64 { return int64(count(calls.Read())) }, meter.Label{Key: "kind", Value: name})
+	}
+}
--- a/core/feed/watch.go
+++ b/core/feed/watch.go
@@ -35,7 +35,7 @@
 			// A lagging replica may list an older state than the compacted
 			// version, so listing again is not to be tried in a tight loop.
 			listed = false
-			b.sleep(ctx, f.cfg.Random)
+			f.sleep(ctx, b.take(f.cfg.Random()))
 			continue
 		}
 		if err != nil {
@@ -43,7 +43,7 @@
 			if !listed && !asked {
 				asked = f.fromPeers(ctx)
 			}
-			b.sleep(ctx, f.cfg.Random)
+			f.sleep(ctx, b.take(f.cfg.Random()))
 			continue
 		}
 		if !listed && !asked && f.lacking() {
@@ -92,16 +92,22 @@
 		return err
 	}
 	f.answered(asked)
-	before := f.cfg.Store.Complete()
 	f.report(f.cfg.Store.AcceptBatch(batch))
-	if len(batch.Events) > 0 && f.cfg.Store.Complete() == before {
-		// Events without progress are a replay. Asking again at once would
-		// get the same answer as fast as the platform can give it.
-		return f.pause(ctx)
+	if len(batch.Events) > 0 {
+		f.pace(ctx, asked)
 	}
 	return nil
 }
 
+// pace waits until the next call may be made. Changes come in runs, and a
+// platform that replays old events answers at once: without a pause every
+// process would ask as fast as the platform can answer.
+func (f *Feed) pace(ctx context.Context, asked time.Time) {
+	if left := f.cfg.Every - time.Since(asked); left > 0 {
+		f.sleep(ctx, left)
+	}
+}
+
 // instances follows the instance list.
 func (f *Feed) instances(ctx context.Context) {
 	var b backoff
@@ -114,15 +120,14 @@
 		}
 		if err != nil {
 			f.failed(err)
-			b.sleep(ctx, f.cfg.Random)
+			f.sleep(ctx, b.take(f.cfg.Random()))
 			continue
 		}
 		f.answered(asked)
 		b.reset()
-		if f.cfg.Store.AcceptRoster(roster) || roster.Version == before {
-			continue
+		f.cfg.Store.AcceptRoster(roster)
+		if roster.Version != before {
+			f.pace(ctx, asked)
 		}
-		// An older list comes from a lagging replica, at once.
-		_ = f.pause(ctx)
 	}
 }
