--- a/trial/engin/report.go
+++ b/trial/engin/report.go
@@ -10,7 +10,9 @@
 	"lycheepond/trial/serve"
 )
 
-// keepLoad stores a load report and forgets those that are too old to show.
+// keepLoad stores a load report and forgets those that are too old to show. As
+// in real engines, a request that arrives during a step is not yet waiting: the
+// scheduler sees it at the next step.
 func (e *Engine) keepLoad(now time.Time) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -18,7 +20,7 @@
 		return
 	}
 	l := Load{
-		Running: e.shown.running, Waiting: e.shown.waiting + len(e.inbox), KVUsed: e.shown.kvUsed,
+		Running: e.shown.running, Waiting: e.shown.waiting, KVUsed: e.shown.kvUsed,
 		KVTotal: e.cfg.KVBlocks, Model: e.served.model, Version: e.served.version, Role: e.served.role,
 	}
 	e.loads, e.loadAt = append(e.loads, l), append(e.loadAt, now)
--- a/trial/exper/run.go
+++ b/trial/exper/run.go
@@ -52,17 +52,27 @@
 	lead time.Duration
 }
 
-// Run runs a scenario under a policy with the processes of set. Notes go to
-// log. With calm the surplus of the scenario's hot customer is left out.
-func Run(ctx context.Context, set *procs.Set, sc Scenario, policy string, calm bool, log io.Writer) (Outcome, error) {
-	capacity := Capacity(sc.shapes)
+// Options are the choices of one run.
+type Options struct {
+	Policy string
+	// Calm leaves the surplus of the scenario's hot customer out.
+	Calm bool
+	// Log takes notes for those who read along.
+	Log io.Writer
+	// Trace takes the entries' status over time; nil for none.
+	Trace io.Writer
+}
+
+// Run runs a scenario with the processes of set.
+func Run(ctx context.Context, set *procs.Set, sc Scenario, opt Options) (Outcome, error) {
+	capacity, policy := Capacity(sc.shapes), opt.Policy
 	phases := sc.phases(capacity)
-	if calm {
+	if opt.Calm {
 		phases = even(hotLoad)(capacity)
 	}
 	jobs := generate(sc.seed, sc.shapes, phases, sc.prefix)
 	out := Outcome{Scenario: sc.Name, Policy: policy, Capacity: capacity, shapes: sc.shapes, lead: sc.lead}
-	r := &runner{ctx: ctx, policy: policy, set: set, log: log}
+	r := &runner{ctx: ctx, policy: policy, set: set, log: opt.Log}
 	if err := r.start(sc); err != nil {
 		return out, err
 	}
@@ -71,10 +81,7 @@
 	if err := r.warm(caller, jobs); err != nil {
 		return out, err
 	}
-	events := make(chan error, 1)
-	go func() { events <- r.play(sc.events) }()
-	out.Results = caller.Run(ctx, jobs)
-	err := <-events
+	err := r.drive(caller, jobs, sc.events, opt.Trace, &out)
 	for _, u := range r.fleet.Units() {
 		records, rerr := u.Records(ctx)
 		err = errors.Join(err, rerr)
@@ -83,6 +90,23 @@
 	return out, err
 }
 
+// drive sends the jobs while the events happen.
+func (r *runner) drive(c *load.Caller, jobs []load.Job, events []event, trace io.Writer, out *Outcome) error {
+	ctx, stop := context.WithCancel(r.ctx)
+	traced, played := make(chan struct{}), make(chan error, 1)
+	go func() {
+		defer close(traced)
+		if trace != nil {
+			r.trace(ctx, trace)
+		}
+	}()
+	go func() { played <- r.play(events) }()
+	out.Results = c.Run(r.ctx, jobs)
+	stop()
+	<-traced
+	return <-played
+}
+
 func (r *runner) start(sc Scenario) (err error) {
 	r.fleet, err = fleet.Start(r.ctx, r.set, plan(r.policy != Lycheepond, sc.shapes))
 	if err != nil || r.policy == Lycheepond {
--- a/trial/measure.go
+++ b/trial/measure.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"path/filepath"
 	"strings"
 
 	"lycheepond/trial/basel"
@@ -32,26 +33,33 @@
 
 func measureCommand() command {
 	sub := newSub("measure", "run the experiments and print one JSON line for each scenario, policy and tier")
-	scenario, policy, dir := "", "", "measure"
-	sub.String(&scenario, "s", "scenario", "one scenario; all by default")
-	sub.String(&policy, "p", "policy", "one policy; all by default")
-	sub.String(&dir, "d", "dir", "directory of the plots")
-	return command{sub: sub, run: func(ctx context.Context) error { return measure(ctx, scenario, policy, dir) }}
+	cfg := measureConfig{dir: "measure"}
+	sub.String(&cfg.scenario, "s", "scenario", "one scenario; all by default")
+	sub.String(&cfg.policy, "p", "policy", "one policy; all by default")
+	sub.String(&cfg.dir, "d", "dir", "directory of the plots")
+	sub.Bool(&cfg.trace, "t", "trace", "write the entries' status over time beside the plots")
+	return command{sub: sub, run: func(ctx context.Context) error { return measure(ctx, cfg) }}
 }
 
-func measure(ctx context.Context, scenario, policy, dir string) error {
+// measureConfig is the flags of trial measure.
+type measureConfig struct {
+	scenario, policy, dir string
+	trace                 bool
+}
+
+func measure(ctx context.Context, cfg measureConfig) error {
 	ran := 0
 	for _, sc := range exper.Scenarios() {
 		for _, p := range exper.Policies() {
-			if (scenario != "" && sc.Name != scenario) || (policy != "" && p != policy) {
+			if (cfg.scenario != "" && sc.Name != cfg.scenario) || (cfg.policy != "" && p != cfg.policy) {
 				continue
 			}
 			ran++
-			if err := measureOne(ctx, sc, p, false, dir); err != nil {
+			if err := measureOne(ctx, cfg, sc, p, false); err != nil {
 				return err
 			}
 			if p == exper.Lycheepond && sc.HasCalm() {
-				if err := measureOne(ctx, sc, p, true, dir); err != nil {
+				if err := measureOne(ctx, cfg, sc, p, true); err != nil {
 					return err
 				}
 			}
@@ -65,12 +73,12 @@
 		names = append(names, sc.Name)
 	}
 	return fmt.Errorf("no scenario %q with policy %q: scenarios are %s, policies %s",
-		scenario, policy, strings.Join(names, ", "), strings.Join(exper.Policies(), ", "))
+		cfg.scenario, cfg.policy, strings.Join(names, ", "), strings.Join(exper.Policies(), ", "))
 }
 
 // measureOne runs one scenario under one policy. The calm run of a scenario,
 // to compare with, leaves a note on standard error and no line.
-func measureOne(ctx context.Context, sc exper.Scenario, policy string, calm bool, dir string) (err error) {
+func measureOne(ctx context.Context, cfg measureConfig, sc exper.Scenario, policy string, calm bool) (err error) {
 	set, err := newSet("measure")
 	if err != nil {
 		return err
@@ -82,7 +90,16 @@
 		}
 		os.RemoveAll(set.Dir())
 	}()
-	out, err := exper.Run(ctx, set, sc, policy, calm, os.Stderr)
+	opt := exper.Options{Policy: policy, Calm: calm, Log: os.Stderr}
+	if cfg.trace && policy == exper.Lycheepond && !calm {
+		f, err := traceFile(cfg.dir, sc.Name)
+		if err != nil {
+			return err
+		}
+		defer f.Close()
+		opt.Trace = f
+	}
+	out, err := exper.Run(ctx, set, sc, opt)
 	if err = errors.Join(err, set.Close(stopWait)); err != nil {
 		return err
 	}
@@ -95,5 +112,12 @@
 			return err
 		}
 	}
-	return out.Plot(dir)
+	return out.Plot(cfg.dir)
+}
+
+func traceFile(dir, scenario string) (*os.File, error) {
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return nil, err
+	}
+	return os.Create(filepath.Join(dir, scenario+"-trace.jsonl"))
 }
