--- a/entry/sched/flight.go
+++ b/entry/sched/flight.go
@@ -69,9 +69,11 @@
 	// asks counts the pieces asked for again in this attempt and retries how
 	// often the request was placed again.
 	asks, retries int
-	reply         chan choice
-	trace         *Trace
-	res           Result
+	// homeTries is how often the home of the key was away or could not act.
+	homeTries int
+	reply     chan choice
+	trace     *Trace
+	res       Result
 	// last is when the last piece arrived, granted when the grant was written.
 	last, granted time.Duration
 	done          bool
