Links of entry and agent take their certificates from core/certs

Each program read its files by itself, at each connection, so half-written files cost connections, and the dialer asked for the peer's address in its certificate. Tried with an entry and an agent over TLS and a replaced authority: the dialer checked the peer before it looked at the files, and never reached an agent of the new authority; now it looks first, and a test shows it failing before.

--- a/agent/node.go
+++ b/agent/node.go
@@ -22,6 +22,7 @@
 	"lycheepond/agent/plain"
 	"lycheepond/agent/probe"
 	"lycheepond/agent/slot"
+	"lycheepond/core/certs"
 	"lycheepond/core/conf"
 	"lycheepond/core/logs"
 	"lycheepond/core/meter"
@@ -40,8 +41,10 @@
 
 // node is one agent process.
 type node struct {
-	cfg   *conf.Agent
-	path  string
+	cfg  *conf.Agent
+	path string
+	// certs are the certificates of links, nil if links are plain.
+	certs *certs.Source
 	log   *zap.Logger
 	keys  atomic.Pointer[wire.Keys]
 	set   *meter.Set
@@ -65,6 +68,9 @@
 	}
 	keys := cfg.Keys()
 	n.keys.Store(&keys)
+	if err := n.secure(); err != nil {
+		return nil, err
+	}
 	begun := time.Now()
 	sc := slot.Config{
 		Self: spec.HomeOwner{Name: cfg.Name, Incarnation: incarnation},
@@ -77,7 +83,7 @@
 	n.links = links.New(links.Config{
 		Self: wire.Hello{Role: wire.RoleAgent, Name: cfg.Name, Zone: cfg.Zone, Incarnation: incarnation},
 		Keys: func() wire.Keys { return *n.keys.Load() }, Heartbeat: cfg.Heartbeat.Std(),
-		Owner: n.owner, Log: n.log, Secure: n.secure(),
+		Owner: n.owner, Log: n.log, Secure: n.certs.Accept,
 	})
 	n.gauges()
 	return n, nil
--- a/agent/tls.go
+++ b/agent/tls.go
@@ -1,44 +1,28 @@
 package main
 
 import (
-	"crypto/tls"
-	"crypto/x509"
-	"errors"
-	"net"
-	"os"
-)
+	"go.uber.org/zap"
 
-var errCA = errors.New("agent: no certificate in tls.ca: give a PEM file with the fleet's authority")
+	"lycheepond/core/certs"
+	"lycheepond/core/logs"
+)
 
-// secure returns how an accepted connection becomes a TLS one, nil if links
-// use none. The files are read for each connection, so that certificates are
-// replaced without a restart.
-func (n *node) secure() func(net.Conn) net.Conn {
-	if !n.cfg.TLS.On() {
+// secure reads the certificates of links; without tls in the settings links
+// are plain.
+func (n *node) secure() error {
+	t := n.cfg.TLS
+	if !t.On() {
 		return nil
 	}
-	cfg := &tls.Config{
-		MinVersion:         tls.VersionTLS13,
-		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) { return n.certificates() },
-	}
-	return func(conn net.Conn) net.Conn { return tls.Server(conn, cfg) }
+	var err error
+	n.certs, err = certs.New(certs.Files{Cert: t.Cert, Key: t.Key, CA: t.CA}, n.noteCerts)
+	return err
 }
 
-func (n *node) certificates() (*tls.Config, error) {
-	cert, err := tls.LoadX509KeyPair(n.cfg.TLS.Cert, n.cfg.TLS.Key)
+func (n *node) noteCerts(_ bool, err error) {
 	if err != nil {
-		return nil, err
-	}
-	pem, err := os.ReadFile(n.cfg.TLS.CA)
-	if err != nil {
-		return nil, err
-	}
-	pool := x509.NewCertPool()
-	if !pool.AppendCertsFromPEM(pem) {
-		return nil, errCA
+		logs.Warn(n.log, logs.EventSettingsRejected, zap.Error(err))
+		return
 	}
-	return &tls.Config{
-		Certificates: []tls.Certificate{cert}, ClientCAs: pool,
-		ClientAuth: tls.RequireAndVerifyClientCert, MinVersion: tls.VersionTLS13,
-	}, nil
+	logs.Info(n.log, logs.EventCertsReloaded)
 }
--- a/core/certs/certs.go
+++ b/core/certs/certs.go
@@ -45,14 +45,19 @@
 // Source holds the current certificates. It is safe for concurrent use.
 type Source struct {
 	files Files
+	note  func(changed bool, err error)
 	// mu keeps reloads one at a time.
 	mu      sync.Mutex
 	current atomic.Pointer[pair]
 }
 
-// New reads the files.
-func New(files Files) (*Source, error) {
-	s := &Source{files: files}
+// New reads the files. note hears when they were replaced and when what they
+// hold cannot be used; nil hears nothing.
+func New(files Files, note func(changed bool, err error)) (*Source, error) {
+	if note == nil {
+		note = func(bool, error) {}
+	}
+	s := &Source{files: files, note: note}
 	stamps, err := files.stamps()
 	if err != nil {
 		return nil, err
@@ -83,20 +88,14 @@
 	return true, nil
 }
 
-// Run refreshes at every period until ctx ends and tells note what came of it.
-func (s *Source) Run(ctx context.Context, period time.Duration, note func(changed bool, err error)) {
-	t := time.NewTicker(period)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-			if changed, err := s.Refresh(); changed || err != nil {
-				note(changed, err)
-			}
-		}
+// latest returns what the files hold now. It is called for each connection, so
+// that replaced files are used by the next one; a look at three files is small
+// beside a handshake.
+func (s *Source) latest() *pair {
+	if changed, err := s.Refresh(); changed || err != nil {
+		s.note(changed, err)
 	}
+	return s.current.Load()
 }
 
 func (f Files) stamps() (out [3]stamp, err error) {
@@ -131,7 +130,7 @@
 	return &tls.Config{
 		MinVersion: tls.VersionTLS13,
 		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
-			p := s.current.Load()
+			p := s.latest()
 			return &tls.Config{
 				MinVersion: tls.VersionTLS13, Certificates: []tls.Certificate{*p.cert},
 				ClientAuth: tls.RequireAndVerifyClientCert, ClientCAs: p.pool,
@@ -145,7 +144,7 @@
 	return &tls.Config{
 		MinVersion: tls.VersionTLS13,
 		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
-			return s.current.Load().cert, nil
+			return s.latest().cert, nil
 		},
 		// The standard check would ask for a host name and could not follow a
 		// replaced authority; verify does the rest of it.
@@ -163,7 +162,7 @@
 		between.AddCert(c)
 	}
 	_, err := state.PeerCertificates[0].Verify(x509.VerifyOptions{
-		Roots: s.current.Load().pool, Intermediates: between,
+		Roots: s.latest().pool, Intermediates: between,
 		KeyUsages: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth},
 	})
 	if err != nil {
@@ -172,12 +171,12 @@
 	return nil
 }
 
-// Listen wraps a listener of links; a nil Source leaves it plain.
-func (s *Source) Listen(l net.Listener) net.Listener {
+// Accept wraps an accepted connection; a nil Source leaves it plain.
+func (s *Source) Accept(conn net.Conn) net.Conn {
 	if s == nil {
-		return l
+		return conn
 	}
-	return tls.NewListener(l, s.Server())
+	return tls.Server(conn, s.Server())
 }
 
 // Dial opens a link connection; a nil Source opens a plain one.
--- a/core/certs/certs_test.go
+++ b/core/certs/certs_test.go
@@ -82,7 +82,7 @@
 
 func source(t *testing.T, f Files) *Source {
 	t.Helper()
-	s, err := New(f)
+	s, err := New(f, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -97,11 +97,11 @@
 		t.Fatal(err)
 	}
 	defer plain.Close()
-	l := server.Listen(plain)
 	result := make(chan error, 1)
 	go func() {
-		conn, err := l.Accept()
+		conn, err := plain.Accept()
 		if err == nil {
+			conn = server.Accept(conn)
 			err = conn.(*tls.Conn).Handshake()
 			conn.Close()
 		}
@@ -159,10 +159,27 @@
 		t.Fatalf("old certificate after a failed refresh: server %v, client %v", s, c)
 	}
 	newer.write(t, dir, older, newer)
-	if changed, err := server.Refresh(); !changed || err != nil {
-		t.Fatalf("replaced files: changed %v, err %v", changed, err)
-	}
+	// No one asks for a refresh here: the next connection looks by itself.
 	if s, c := greet(t, server, fresh.Client()); s != nil || c != nil {
 		t.Fatalf("new authority: server %v, client %v", s, c)
 	}
 }
+
+func TestDialerFollowsAuthority(t *testing.T) {
+	// An agent comes back with a certificate of the new authority. An entry
+	// that has only ever dialled with the old one must reach it again.
+	older, newer := newAuthority(t, "older"), newAuthority(t, "newer")
+	dir := t.TempDir()
+	files := older.write(t, dir, older)
+	client := source(t, files)
+	server := source(t, newer.write(t, t.TempDir(), newer, older))
+	if _, c := greet(t, server, client.Client()); c == nil {
+		t.Fatal("the new authority was accepted too early")
+	}
+	if err := os.WriteFile(files.CA, append(older.pem, newer.pem...), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if s, c := greet(t, server, client.Client()); s != nil || c != nil {
+		t.Fatalf("server %v, client %v", s, c)
+	}
+}
--- a/core/logs/event.go
+++ b/core/logs/event.go
@@ -30,6 +30,7 @@
 	EventPlatformBack     Event = "platform_back"
 	EventKeyTakenOver     Event = "key_taken_over"
 	EventKeysReloaded     Event = "keys_reloaded"
+	EventCertsReloaded    Event = "certs_reloaded"
 	EventSettingsRejected Event = "settings_rejected"
 	EventHomesChanged     Event = "homes_changed"
 	EventLeaseLost        Event = "lease_lost"
--- a/entry/node.go
+++ b/entry/node.go
@@ -16,6 +16,7 @@
 
 	"go.uber.org/zap"
 
+	"lycheepond/core/certs"
 	"lycheepond/core/conf"
 	"lycheepond/core/feed"
 	"lycheepond/core/logs"
@@ -36,8 +37,10 @@
 
 // node is one running entry.
 type node struct {
-	cfg   *conf.Entry
-	path  string
+	cfg  *conf.Entry
+	path string
+	// certs are the certificates of links, nil if links are plain.
+	certs *certs.Source
 	log   *zap.Logger
 	start time.Time
 	self  wire.Hello
@@ -93,6 +96,9 @@
 	work, end := context.WithCancel(context.Background())
 	defer end()
 	logs.Info(n.log, logs.EventStarting)
+	if err := n.secure(); err != nil {
+		return err
+	}
 	n.build(work)
 	ended := make(chan error, 8)
 	n.begin(work, ended)
@@ -202,7 +208,7 @@
 	go func() { ended <- n.planner.Run(ctx) }()
 	port := peers.New(peers.Config{
 		Listen: n.cfg.Link, Self: n.self, Keys: n.linkKeys, Heartbeat: n.cfg.Heartbeat.Std(),
-		Beat: n.beat, Store: n.store, TLS: n.serverTLS, Log: n.log,
+		Beat: n.beat, Store: n.store, Accept: n.certs.Accept, Log: n.log,
 	})
 	go func() { ended <- port.Run(ctx) }()
 	operators := admin.New(admin.Config{
--- a/entry/peers/peers.go
+++ b/entry/peers/peers.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"errors"
 	"net"
 	"sync"
@@ -30,9 +29,9 @@
 	Heartbeat time.Duration
 	Beat      func() wire.Message
 	Store     *store.Store
-	// TLS returns how to speak TLS, nil for plain TCP.
-	TLS func() (*tls.Config, error)
-	Log *zap.Logger
+	// Accept wraps a fresh connection in TLS, or leaves it as it is.
+	Accept func(net.Conn) net.Conn
+	Log    *zap.Logger
 }
 
 // Port accepts links from other entries and operators.
@@ -81,14 +80,7 @@
 
 func (p *Port) serve(ctx context.Context, conn net.Conn) {
 	defer conn.Close()
-	c, err := p.cfg.TLS()
-	if err == nil && c != nil {
-		conn = tls.Server(conn, c)
-	}
-	if err != nil {
-		logs.Warn(p.cfg.Log, logs.EventLinkRefused, zap.Error(err))
-		return
-	}
+	conn = p.cfg.Accept(conn)
 	peer, err := wire.Open(ctx, conn, p.cfg.Self, p.cfg.Keys())
 	if err != nil {
 		logs.Warn(p.cfg.Log, logs.EventLinkRefused, zap.String("remote", conn.RemoteAddr().String()), zap.Error(err))
--- a/entry/tls.go
+++ b/entry/tls.go
@@ -1,51 +1,28 @@
 package main
 
 import (
-	"crypto/tls"
-	"crypto/x509"
-	"errors"
-	"os"
-)
-
-var errCA = errors.New("entry: no certificate in tls.ca: give a PEM file with the fleet's authority")
+	"go.uber.org/zap"
 
-// certificates reads the files at each connection, so that they are replaced
-// without a restart.
-func (n *node) certificates() (tls.Certificate, *x509.CertPool, error) {
-	cert, err := tls.LoadX509KeyPair(n.cfg.TLS.Cert, n.cfg.TLS.Key)
-	if err != nil {
-		return cert, nil, err
-	}
-	pem, err := os.ReadFile(n.cfg.TLS.CA)
-	if err != nil {
-		return cert, nil, err
-	}
-	pool := x509.NewCertPool()
-	if !pool.AppendCertsFromPEM(pem) {
-		return cert, nil, errCA
-	}
-	return cert, pool, nil
-}
+	"lycheepond/core/certs"
+	"lycheepond/core/logs"
+)
 
-func (n *node) clientTLS() (*tls.Config, error) {
-	cert, pool, err := n.certificates()
-	if err != nil {
-		return nil, err
+// secure reads the certificates of links; without tls in the settings links
+// are plain.
+func (n *node) secure() error {
+	t := n.cfg.TLS
+	if !t.On() {
+		return nil
 	}
-	return &tls.Config{Certificates: []tls.Certificate{cert}, RootCAs: pool, MinVersion: tls.VersionTLS13}, nil
+	var err error
+	n.certs, err = certs.New(certs.Files{Cert: t.Cert, Key: t.Key, CA: t.CA}, n.noteCerts)
+	return err
 }
 
-// serverTLS returns how the link port speaks TLS, nil if it does not.
-func (n *node) serverTLS() (*tls.Config, error) {
-	if !n.cfg.TLS.On() {
-		return nil, nil
-	}
-	cert, pool, err := n.certificates()
+func (n *node) noteCerts(_ bool, err error) {
 	if err != nil {
-		return nil, err
+		logs.Warn(n.log, logs.EventSettingsRejected, zap.Error(err))
+		return
 	}
-	return &tls.Config{
-		Certificates: []tls.Certificate{cert}, ClientCAs: pool,
-		ClientAuth: tls.RequireAndVerifyClientCert, MinVersion: tls.VersionTLS13,
-	}, nil
+	logs.Info(n.log, logs.EventCertsReloaded)
 }
--- a/entry/view.go
+++ b/entry/view.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"net"
 
 	"go.uber.org/zap"
@@ -62,15 +61,7 @@
 
 // dial opens a connection to another lycheepond process.
 func (n *node) dial(ctx context.Context, addr string) (net.Conn, error) {
-	var d net.Dialer
-	if !n.cfg.TLS.On() {
-		return d.DialContext(ctx, "tcp", addr)
-	}
-	c, err := n.clientTLS()
-	if err != nil {
-		return nil, err
-	}
-	return (&tls.Dialer{NetDialer: &d, Config: c}).DialContext(ctx, "tcp", addr)
+	return n.certs.Dial(ctx, addr)
 }
 
 func (n *node) peerFetches() []feed.Fetch {
