--- a/entry/node.go
+++ b/entry/node.go
@@ -53,7 +53,9 @@
 	meter   *meter.Set
 	tally   *tally.Tally
 	// keys is replaced when the settings are read again.
-	keys    atomic.Pointer[wire.Keys]
+	keys atomic.Pointer[wire.Keys]
+	// noted is the configuration version that was last logged.
+	noted   atomic.Int64
 	leaving atomic.Bool
 	ready   atomic.Bool
 }
@@ -198,6 +200,7 @@
 	changed, _ := n.store.Subscribe()
 	go func() { ended <- n.feed.Run(ctx) }()
 	go func() { ended <- n.set.Run(ctx, changed) }()
+	go func() { ended <- n.reload(ctx) }()
 	go func() { ended <- n.keeper.Run(ctx) }()
 	go func() { ended <- n.planner.Run(ctx) }()
 	port := peers.New(peers.Config{
--- a/entry/sched/pick.go
+++ b/entry/sched/pick.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"lycheepond/core/place"
+	"lycheepond/core/wire"
 	"lycheepond/entry/agents"
 )
 
@@ -14,11 +15,16 @@
 		return nil
 	}
 	p.cand, p.members = p.cand[:0], p.members[:0]
+	held := f.held.len() > 0
 	for _, peer := range m.Peers {
-		if !peer.Linked() || peer.Leaving() || f.held.has(peer) {
+		if peer.Leaving() || held && f.held.has(peer) {
 			continue
 		}
-		p.cand = append(p.cand, p.describe(now, peer))
+		l, ok := peer.Load()
+		if !ok && !peer.Linked() {
+			continue
+		}
+		p.cand = append(p.cand, describe(now, peer, &l))
 		p.members = append(p.members, peer)
 	}
 	if len(p.cand) == 0 {
@@ -33,10 +39,9 @@
 	return out
 }
 
-func (p *pool) describe(now time.Duration, peer *agents.Peer) place.Agent {
-	l, _ := peer.Load()
+func describe(now time.Duration, peer *agents.Peer, l *wire.Load) place.Agent {
 	return place.Agent{
-		Name: peer.Name(), Zone: peer.Zone(), InFlight: int(l.InFlight), Bound: int(l.Bound),
+		Name: peer.Name(), Zone: peer.Zone(), InFlight: int(l.InFlight), Bound: max(1, int(l.Bound)),
 		Queued: int(l.Queued) + peer.Offered(), QueuedCost: time.Duration(l.QueuedCost) * time.Millisecond,
 		Slow: l.Slow, Full: peer.Full(now),
 	}
--- /dev/null
+++ b/entry/sched/pool_test.go
@@ -0,0 +1,146 @@
+package sched
+
+import (
+	"context"
+	"net"
+	"strconv"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"lycheepond/core/place"
+	"lycheepond/core/plat"
+	"lycheepond/core/spec"
+	"lycheepond/core/wire"
+	"lycheepond/entry/agents"
+)
+
+// linked returns the members of a pool of n agents that an entry is linked to,
+// each with the load that it reported.
+func linked(tb testing.TB, n int, load wire.Load) *agents.Members {
+	tb.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	roster := plat.Roster{Version: 1}
+	keys := func() wire.Keys { return wire.OneKey([]byte("k")) }
+	serving := make(chan struct{}, n)
+	for i := range n {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			tb.Fatal(err)
+		}
+		name := "agent-" + strconv.Itoa(i)
+		roster.Instances = append(roster.Instances, plat.Instance{
+			Name: name, Role: plat.RoleEndpoint, Zone: "z" + strconv.Itoa(i%3), Link: ln.Addr().String(), State: plat.StateLive,
+		})
+		go func() {
+			defer func() { serving <- struct{}{} }()
+			defer ln.Close()
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			hello, err := wire.Open(ctx, conn, wire.Hello{Role: wire.RoleAgent, Name: name}, keys())
+			if err != nil {
+				return
+			}
+			l := wire.New(conn, hello, wire.Config{Heartbeat: 10 * time.Second})
+			l.Send(&wire.Beat{Load: load})
+			l.Run(ctx, func(wire.Message) {})
+		}()
+	}
+	heard := make(chan struct{}, n)
+	start := time.Now()
+	set := agents.New(agents.Config{
+		Self: wire.Hello{Role: wire.RoleEntry, Name: "e"}, Keys: keys, Heartbeat: 10 * time.Second,
+		Beat: func() wire.Message { return new(wire.Beat) }, Now: func() time.Duration { return time.Since(start) },
+		Dial: func(ctx context.Context, addr string) (net.Conn, error) {
+			return new(net.Dialer).DialContext(ctx, "tcp", addr)
+		},
+		Roster: func() plat.Roster { return roster }, Pools: func() []agents.Pool { return []agents.Pool{{Name: "p"}} },
+		Choose: func(all []plat.Instance, _ plat.Roster) []string {
+			var out []string
+			for _, i := range all {
+				out = append(out, i.Name)
+			}
+			return out
+		},
+		Handle: func(_ *agents.Peer, m wire.Message) {
+			if m.Kind() == wire.KindBeat {
+				heard <- struct{}{}
+			}
+		},
+		Up: func(*agents.Peer) {}, Down: func(*agents.Peer) {}, Log: zap.NewNop(),
+	})
+	done := make(chan error, 1)
+	go func() { done <- set.Run(ctx, nil) }()
+	for range n {
+		<-heard
+	}
+	tb.Cleanup(func() {
+		cancel()
+		<-done
+		for range n {
+			<-serving
+		}
+	})
+	return set.Pool("p")
+}
+
+func testPool(m *agents.Members) *pool {
+	return newPool("p", Config{
+		Zone: "z0", Now: func() time.Duration { return time.Second }, Entries: func() int { return 1 },
+		Pool: func(string) *agents.Members { return m }, Log: zap.NewNop(),
+	})
+}
+
+// A higher tier may be refused only if it is certain that nothing lower is
+// served. What another entry has queued is seen through the agents' loads; an
+// agent without a link might serve anything.
+func TestLowerServed(t *testing.T) {
+	low := uint8(1 << (spec.Tiers - 1))
+	for _, c := range []struct {
+		name   string
+		load   wire.Load
+		beyond int
+		tier   uint8
+		want   bool
+	}{
+		{"idle", wire.Load{}, 0, 0, false},
+		{"lower runs", wire.Load{Running: low}, 0, 0, true},
+		{"lower waits", wire.Load{Waiting: low}, 0, 2, true},
+		{"same runs", wire.Load{Running: 1 << 1}, 0, 1, false},
+		{"higher runs", wire.Load{Running: 1}, 0, 1, false},
+		{"unlinked agent", wire.Load{}, 1, 0, true},
+		{"lowest tier", wire.Load{Running: low}, 1, spec.Tiers - 1, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			m := *linked(t, 2, c.load)
+			m.Beyond = c.beyond
+			if got := testPool(&m).lowerServed(c.tier); got != c.want {
+				t.Errorf("got %t", got)
+			}
+		})
+	}
+}
+
+// An entry that has granted work of a lower tier a moment ago has not yet
+// heard of it from the agent.
+func TestOwnLowerWorkCounts(t *testing.T) {
+	p := testPool(linked(t, 1, wire.Load{}))
+	p.running[spec.Tiers-1] = 1
+	if !p.lowerServed(0) {
+		t.Error("own running work of the lowest tier was overlooked")
+	}
+}
+
+// BenchmarkPlace chooses agents for a request among as many as an entry links
+// to at the target's size.
+func BenchmarkPlace(b *testing.B) {
+	p := testPool(linked(b, 115, wire.Load{Bound: 16, InFlight: 9, Queued: 3, QueuedCost: 500}))
+	f := &flight{job: &Job{Class: spec.Class{Tier: 1}}, trace: &Trace{prefix: place.Fingerprint(make([]byte, 4096))}}
+	b.ReportAllocs()
+	for b.Loop() {
+		p.pick(time.Second, f, firstOffers)
+	}
+}
--- a/entry/view.go
+++ b/entry/view.go
@@ -85,6 +85,10 @@
 func (n *node) noteFeed(note feed.Note) {
 	switch note.Kind {
 	case feed.NoteChanged:
+		// Confirmations of homes and assignments change no configuration.
+		if n.noted.Swap(note.Version) == note.Version {
+			return
+		}
 		logs.Info(n.log, logs.EventConfigChanged, zap.Int("changed", note.Changed), zap.Int64("version", note.Version))
 	case feed.NoteRejected:
 		logs.Warn(n.log, logs.EventConfigRejected, zap.Error(note.Err))
