--- a/entry/sched/pool_test.go
+++ b/entry/sched/pool_test.go
@@ -44,8 +44,7 @@
 			if err != nil {
 				return
 			}
-			l := wire.New(conn, hello, wire.Config{Heartbeat: 10 * time.Second})
-			l.Send(&wire.Beat{Load: load})
+			l := wire.New(conn, hello, wire.Config{Heartbeat: 10 * time.Second, Beat: func() wire.Message { return &wire.Beat{Load: load} }})
 			l.Run(ctx, func(wire.Message) {})
 		}()
 	}
