--- a/agent/node.go
+++ b/agent/node.go
@@ -10,7 +10,6 @@
 	"net"
 	"net/http"
 	"os"
-	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -30,9 +29,6 @@
 	"lycheepond/core/wire"
 )
 
-// reloadEvery is how often the settings are read for new fleet keys.
-const reloadEvery = 5 * time.Second
-
 // ready is the line on standard output once the agent listens.
 type ready struct {
 	Ready  string `json:"ready"`
@@ -41,12 +37,12 @@
 
 // node is one agent process.
 type node struct {
-	cfg  *conf.Agent
-	path string
+	cfg *conf.Agent
 	// certs are the certificates of links, nil if links are plain.
 	certs *certs.Source
 	log   *zap.Logger
-	keys  atomic.Pointer[wire.Keys]
+	// live holds the fleet's keys, which are replaced without a restart.
+	live  *conf.Live
 	set   *meter.Set
 	owner *slot.Owner
 	links *links.Server
@@ -63,11 +59,10 @@
 	// in a float64.
 	incarnation := binary.BigEndian.Uint64(b[:])>>11 | 1
 	n := &node{
-		cfg: cfg, path: path, log: logs.New(cfg.Log.Level, cfg.Name), set: meter.New(), out: os.Stdout,
+		cfg: cfg, log: logs.New(cfg.Log.Level, cfg.Name), set: meter.New(), out: os.Stdout,
 		side: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, Proxy: nil}},
 	}
-	keys := cfg.Keys()
-	n.keys.Store(&keys)
+	n.live = conf.NewLive(path, cfg.Keys(), conf.AgentKeys)
 	if err := n.secure(); err != nil {
 		return nil, err
 	}
@@ -82,7 +77,7 @@
 	n.owner = slot.New(sc)
 	n.links = links.New(links.Config{
 		Self: wire.Hello{Role: wire.RoleAgent, Name: cfg.Name, Zone: cfg.Zone, Incarnation: incarnation},
-		Keys: func() wire.Keys { return *n.keys.Load() }, Heartbeat: cfg.Heartbeat.Std(),
+		Keys: n.live.Keys, Heartbeat: cfg.Heartbeat.Std(),
 		Owner: n.owner, Log: n.log, Secure: n.certs.Accept,
 	})
 	n.gauges()
@@ -101,6 +96,7 @@
 }
 
 func (n *node) gauges() {
+	n.set.Process()
 	n.set.GaugeFunc("agent_in_flight", func() int64 { return int64(n.owner.Load().InFlight) })
 	n.set.GaugeFunc("agent_bound", func() int64 { return int64(n.owner.Load().Bound) })
 	n.set.GaugeFunc("agent_queued", func() int64 { return int64(n.owner.Load().Queued) })
@@ -137,7 +133,7 @@
 	}
 	duty(func() error { return n.links.Run(work, ln) })
 	duty(func() error { return probe.Run(work, n.cfg.Endpoint.Address, n.side, n.owner.Report) })
-	duty(func() error { return n.reload(work) })
+	duty(func() error { return n.live.Follow(work, n.noteKeys) })
 	unhook := context.AfterFunc(ctx, func() { _ = n.owner.Leave(work) })
 	defer unhook()
 	if err := json.NewEncoder(n.out).Encode(ready{n.cfg.Name, ln.Addr().String()}); err != nil {
@@ -164,38 +160,3 @@
 		},
 	})
 }
-
-// reload takes new fleet keys over from the settings file, so that a key is
-// replaced without a restart.
-func (n *node) reload(ctx context.Context) error {
-	tick := time.NewTicker(reloadEvery)
-	defer tick.Stop()
-	var last time.Time
-	if info, err := os.Stat(n.path); err == nil {
-		last = info.ModTime()
-	}
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-tick.C:
-		}
-		info, err := os.Stat(n.path)
-		if err != nil || info.ModTime().Equal(last) {
-			continue
-		}
-		last = info.ModTime()
-		n.reread()
-	}
-}
-
-func (n *node) reread() {
-	var cfg conf.Agent
-	if err := conf.Load(n.path, &cfg); err != nil {
-		logs.Warn(n.log, logs.EventSettingsRejected, zap.Error(err))
-		return
-	}
-	keys := cfg.Keys()
-	n.keys.Store(&keys)
-	logs.Info(n.log, logs.EventKeysReloaded)
-}
--- a/core/conf/live.go
+++ b/core/conf/live.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"os"
+	"os/signal"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"lycheepond/core/wire"
@@ -86,6 +88,15 @@
 	}
 }
 
+// Follow is Run with the signal SIGHUP and LivePeriod.
+func (l *Live) Follow(ctx context.Context, note func(error)) error {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	l.Run(ctx, hup, LivePeriod, note)
+	return ctx.Err()
+}
+
 func (l *Live) changed() bool {
 	info, err := os.Stat(l.path)
 	if err != nil || info.ModTime().Equal(l.seen) {
--- a/entry/node.go
+++ b/entry/node.go
@@ -37,8 +37,7 @@
 
 // node is one running entry.
 type node struct {
-	cfg  *conf.Entry
-	path string
+	cfg *conf.Entry
 	// certs are the certificates of links, nil if links are plain.
 	certs *certs.Source
 	log   *zap.Logger
@@ -55,8 +54,8 @@
 	planner *orders.Planner
 	meter   *meter.Set
 	tally   *tally.Tally
-	// keys is replaced when the settings are read again.
-	keys atomic.Pointer[wire.Keys]
+	// live holds the fleet's keys, which are replaced without a restart.
+	live *conf.Live
 	// noted is the configuration version that was last logged.
 	noted   atomic.Int64
 	leaving atomic.Bool
@@ -65,12 +64,11 @@
 
 func newNode(cfg *conf.Entry, path string) *node {
 	n := &node{
-		cfg: cfg, path: path, start: time.Now(), store: store.New(), meter: meter.New(),
+		cfg: cfg, start: time.Now(), store: store.New(), meter: meter.New(),
 		log:  logs.New(cfg.Log.Level, cfg.Name),
 		plat: plat.New(plat.Config{Base: cfg.Platform.Address, Token: string(cfg.Platform.Token)}),
 	}
-	keys := cfg.Keys()
-	n.keys.Store(&keys)
+	n.live = conf.NewLive(path, cfg.Keys(), conf.EntryKeys)
 	n.self = wire.Hello{Role: wire.RoleEntry, Name: cfg.Name, Zone: cfg.Zone, Incarnation: incarnation()}
 	n.tally = tally.New(n.meter, n.log)
 	return n
@@ -86,8 +84,6 @@
 
 func (n *node) now() time.Duration { return time.Since(n.start) }
 
-func (n *node) linkKeys() wire.Keys { return *n.keys.Load() }
-
 // beat is what an idle link carries.
 func (n *node) beat() wire.Message {
 	return &wire.Beat{Leaving: n.leaving.Load(), Config: n.store.Version()}
@@ -179,6 +175,8 @@
 	n.feed = feed.New(feed.Config{
 		Platform: n.plat, Store: n.store, Peers: n.peerFetches(), Random: mathrand.Float64, Note: n.noteFeed,
 	})
+	n.feed.Measure(n.meter)
+	n.meter.Process()
 	n.sched = sched.New(ctx, sched.Config{
 		Incarnation: n.self.Incarnation, Zone: n.cfg.Zone, Now: n.now, Log: n.log,
 		Pool:    func(name string) *agents.Members { return n.set.Pool(name) },
@@ -186,7 +184,7 @@
 		Home:    func(pool string, key []byte) (sched.Home, error) { return n.keeper.Home(pool, key) },
 	})
 	n.set = agents.New(agents.Config{
-		Self: n.self, Keys: n.linkKeys, Heartbeat: n.cfg.Heartbeat.Std(), Beat: n.beat,
+		Self: n.self, Keys: n.live.Keys, Heartbeat: n.cfg.Heartbeat.Std(), Beat: n.beat,
 		Dial: n.dial, Roster: n.store.Roster, Pools: n.pools, Choose: n.choose,
 		Handle: n.handle, Up: n.up, Down: n.sched.Down, Now: n.now, Log: n.log,
 	})
@@ -206,11 +204,11 @@
 	changed, _ := n.store.Subscribe()
 	go func() { ended <- n.feed.Run(ctx) }()
 	go func() { ended <- n.set.Run(ctx, changed) }()
-	go func() { ended <- n.reload(ctx) }()
+	go func() { ended <- n.live.Follow(ctx, n.noteKeys) }()
 	go func() { ended <- n.keeper.Run(ctx) }()
 	go func() { ended <- n.planner.Run(ctx) }()
 	port := peers.New(peers.Config{
-		Listen: n.cfg.Link, Self: n.self, Keys: n.linkKeys, Heartbeat: n.cfg.Heartbeat.Std(),
+		Listen: n.cfg.Link, Self: n.self, Keys: n.live.Keys, Heartbeat: n.cfg.Heartbeat.Std(),
 		Beat: n.beat, Store: n.store, Accept: n.certs.Accept, Log: n.log,
 	})
 	go func() { ended <- port.Run(ctx) }()
--- a/entry/view.go
+++ b/entry/view.go
@@ -67,7 +67,7 @@
 func (n *node) peerFetches() []feed.Fetch {
 	var out []feed.Fetch
 	for _, addr := range n.cfg.Peers {
-		out = append(out, feed.Dial(addr, n.dial, n.hello, n.linkKeys))
+		out = append(out, feed.Dial(addr, n.dial, n.hello, n.live.Keys))
 	}
 	return out
 }
