--- a/agent/slot/claim.go
+++ b/agent/slot/claim.go
@@ -32,7 +32,15 @@
 // fit tells whether a queued request may be claimed now.
 func (o *Owner) fit(now time.Duration, it queue.Item) queue.Fit {
 	r := o.recs[it.ID]
-	if o.bound.Room(now, o.committed(true), r.work) || o.ahead(r) {
+	switch o.bound.Fit(now, o.committed(true), r.work) {
+	case bound.Yes:
+		return queue.Fits
+	case bound.LongFull:
+		return queue.Pass
+	case bound.NoMemory:
+		return queue.PassFew
+	}
+	if o.ahead(r) {
 		return queue.Fits
 	}
 	return queue.Stop
--- a/agent/slot/displ.go
+++ b/agent/slot/displ.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"lycheepond/core/bound"
 	"lycheepond/core/wire"
 )
 
@@ -11,6 +12,10 @@
 // not started, what was claimed, and, when r would be late otherwise, what
 // runs, may be run again, and has shown nothing to its caller.
 func (o *Owner) displace(now time.Duration, r *rec) bool {
+	if o.bound.Fit(now, o.committed(true), r.work) == bound.LongFull {
+		// Short work of a lower tier holds places that r would not get.
+		return false
+	}
 	if v := o.waitingVictim(r); v != nil {
 		o.giveBack(now, v, wire.ReasonDisplaced)
 		return true
--- a/agent/slot/watch.go
+++ b/agent/slot/watch.go
@@ -11,6 +11,8 @@
 	// sampleTokens is over how many tokens the time between two of them is
 	// worth a sample.
 	sampleTokens = 16
+	// midStream is from how many tokens a stream has begun.
+	midStream = 2
 	// lateFactor is how many times its target a first byte may be late before
 	// the bound hears of it without waiting for the byte.
 	lateFactor = 2
@@ -22,11 +24,16 @@
 // ends its runs late and a frozen endpoint never, so without this it would
 // look as good as before for as long as its requests take.
 func (o *Owner) watchRuns(now time.Duration) {
+	alive, streams := time.Duration(0), false
 	for _, r := range o.running {
 		if r.offer == nil || r.stopped != wire.ReasonNone {
 			continue
 		}
 		if r.progress.First.Load() != 0 {
+			if r.progress.Tokens.Load() >= midStream {
+				streams = true
+				alive = max(alive, r.started+time.Duration(r.progress.Last.Load()))
+			}
 			if !r.firstSeen || r.progress.Tokens.Load()-r.tokens >= sampleTokens {
 				o.observe(now, r, wire.Usage{})
 			}
@@ -36,6 +43,11 @@
 			o.observe(now, r, wire.Usage{})
 		}
 	}
+	if streams {
+		// Only streams that have begun tell: the first byte of a long prompt
+		// may take seconds on the best of endpoints.
+		o.bound.Silence(now - alive)
+	}
 }
 
 // observe shows the bound what r has been like since the last time.
