--- a/agent/slot/owner.go
+++ b/agent/slot/owner.go
@@ -131,8 +131,9 @@
 	lateProbe int
 	// statusNext is when the status is published next.
 	statusNext time.Duration
-	// firstMean is the mean time to first byte seen lately.
-	firstMean time.Duration
+	// firstMean is the mean time to the first byte seen lately, and streamed
+	// when a stream last showed its pace.
+	firstMean, streamed time.Duration
 }
 
 // New returns an owner. It does nothing until Run.
--- a/agent/slot/rec.go
+++ b/agent/slot/rec.go
@@ -60,6 +60,8 @@
 	follow   *following
 	progress *call.Progress
 	stop     context.CancelFunc
+	// stream is set when the answer comes token by token.
+	stream bool
 	// guard is set for keyed work.
 	guard *call.Guard
 	// stopped says why the owner stopped the run; ReasonNone if it did not.
--- a/agent/slot/run.go
+++ b/agent/slot/run.go
@@ -20,7 +20,7 @@
 // start hands a granted request to the endpoint.
 func (o *Owner) start(now time.Duration, r *rec) {
 	g := r.grant
-	r.grant = nil
+	r.grant, r.stream = nil, g.Stream
 	req := &call.Request{
 		ID: r.id, Method: g.Method, Path: g.Path, Header: g.Header, Body: g.Body, Stream: g.Stream,
 		Guard: o.guard(r),
