--- a/entry/view.go
+++ b/entry/view.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"net"
 
 	"go.uber.org/zap"
@@ -62,15 +61,7 @@
 
 // dial opens a connection to another lycheepond process.
 func (n *node) dial(ctx context.Context, addr string) (net.Conn, error) {
-	var d net.Dialer
-	if !n.cfg.TLS.On() {
-		return d.DialContext(ctx, "tcp", addr)
-	}
-	c, err := n.clientTLS()
-	if err != nil {
-		return nil, err
-	}
-	return (&tls.Dialer{NetDialer: &d, Config: c}).DialContext(ctx, "tcp", addr)
+	return n.certs.Dial(ctx, addr)
 }
 
 func (n *node) peerFetches() []feed.Fetch {
@@ -85,6 +76,10 @@
 func (n *node) noteFeed(note feed.Note) {
 	switch note.Kind {
 	case feed.NoteChanged:
+		// Confirmations of homes and assignments change no configuration.
+		if n.noted.Swap(note.Version) == note.Version {
+			return
+		}
 		logs.Info(n.log, logs.EventConfigChanged, zap.Int("changed", note.Changed), zap.Int64("version", note.Version))
 	case feed.NoteRejected:
 		logs.Warn(n.log, logs.EventConfigRejected, zap.Error(note.Err))
