--- a/core/shed/level.go
+++ b/core/shed/level.go
@@ -34,14 +34,14 @@
 // see takes in which tiers are served in the pool.
 func (l *level) see(tier uint8, v View) {
 	lower := uint8(0xff) << (tier + 1)
-	switch {
-	case v.Served != 0:
+	if v.Served != 0 {
 		l.served = v.Served
-	case v.LowerServed:
-		l.served |= lower
-	default:
+	} else {
 		l.served &^= lower
 	}
+	if v.LowerServed {
+		l.served |= lower
+	}
 	l.step()
 }
 
--- a/core/shed/shed.go
+++ b/core/shed/shed.go
@@ -97,6 +97,9 @@
 	Places, Peers int
 }
 
+// lower reports whether work of a lower tier than tier may be served.
+func (v *View) lower(tier uint8) bool { return v.LowerServed || v.Served>>(tier+1) != 0 }
+
 // Verdict is the decision on a request.
 type Verdict struct {
 	Admit bool
@@ -186,7 +189,7 @@
 		p.level.fall(now, a.Tier)
 	}
 	excluded := a.Tier > p.level.inForce(now)
-	if v.LowerServed || (!late && !excluded) {
+	if v.lower(a.Tier) || (!late && !excluded) {
 		return Verdict{Admit: true, Wait: wait}
 	}
 	if late {
--- a/core/shed/shed_test.go
+++ b/core/shed/shed_test.go
@@ -231,10 +231,10 @@
 		t.Repeat(map[string]func(*rapid.T){
 			"decide": func(t *rapid.T) {
 				w := waiting{uint8(rapid.IntRange(0, 3).Draw(t, "tier")), rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "customer"), time.Duration(rapid.IntRange(0, 100).Draw(t, "work")) * second / 10}
-				v := View{LowerServed: rapid.Bool().Draw(t, "lower") && w.tier < 3, Places: rapid.IntRange(0, 4).Draw(t, "places")}
+				v := View{LowerServed: rapid.Bool().Draw(t, "lower") && w.tier < 3, Served: uint8(rapid.IntRange(0, 15).Draw(t, "served")), Places: rapid.IntRange(0, 4).Draw(t, "places")}
 				got := p.Decide(now, Ask{Tier: w.tier, Customer: w.customer, Work: w.work, Target: second}, v)
 				switch {
-				case !got.Admit && v.LowerServed:
+				case !got.Admit && (v.LowerServed || v.Served>>(w.tier+1) != 0):
 					t.Fatal("refused while lower work is served")
 				case !got.Admit && (got.RetryAfter < leastRetry || got.RetryAfter > mostRetry || got.Why == Admitted):
 					t.Fatalf("refusal %+v", got)
