--- a/core/place/model_test.go
+++ b/core/place/model_test.go
@@ -20,6 +20,10 @@
 	// computed counts prompt tokens that were computed.
 	computed int
 	waits    []time.Duration
+	// at, if set, is called as time passes, and took holds how long every
+	// request took.
+	at   func(now time.Duration)
+	took []time.Duration
 }
 
 const (
@@ -39,9 +43,8 @@
 	return m
 }
 
-// take runs a request with a prefix at agent i from now on and returns when it
-// ends.
-func (m *fleetModel) take(now time.Duration, i int, prefix uint64) time.Duration {
+// take runs a request with a prefix at agent i from now on.
+func (m *fleetModel) take(now time.Duration, i int, prefix uint64) {
 	place := 0
 	for k, end := range m.ends[i] {
 		if end < m.ends[i][place] {
@@ -57,7 +60,7 @@
 	}
 	m.waits = append(m.waits, start-now)
 	m.ends[i][place] = start + time.Duration(float64(work)/m.speed[i])
-	return m.ends[i][place]
+	m.took = append(m.took, m.ends[i][place]-now)
 }
 
 // load reports the load of every agent as the entries see it.
@@ -90,6 +93,9 @@
 			m.load(now)
 			reported = now
 		}
+		if m.at != nil {
+			m.at(now)
+		}
 		prefix := uint64(1)
 		if rnd.IntN(2) == 0 {
 			prefix = 2 + rnd.Uint64N(40)
@@ -123,3 +129,32 @@
 		t.Errorf("p99 wait %v, without prefixes %v", byWait, blindWait)
 	}
 }
+
+// One endpoint of twenty drops to an eighth of its pace and goes on reporting
+// what it always did. Until it is found slow, its callers wait eight times as
+// long; from then on hardly anybody may.
+func TestSlowEndpoint(t *testing.T) {
+	late := func(noticed time.Duration) (n int) {
+		m := newFleetModel(20, 4)
+		m.at = func(now time.Duration) {
+			if now > 20*time.Second {
+				m.speed[3] = 0.125
+				m.agents[3].Slow = now > 20*time.Second+noticed
+			}
+		}
+		m.run(New(Config{Zone: "z1"}), 0.6, false)
+		for _, d := range m.took {
+			if d > 5*time.Second {
+				n++
+			}
+		}
+		return n
+	}
+	// The bound finds an endpoint slow that drops to an eighth after 2.31 s
+	// (TestSlowAndBack in core/bound).
+	noticed, never := late(2310*time.Millisecond), late(time.Hour)
+	t.Logf("%d late answers, %d if it is never found slow", noticed, never)
+	if noticed > never/2 {
+		t.Errorf("%d late answers, %d if it is never found slow", noticed, never)
+	}
+}
--- /dev/null
+++ b/core/queue/model_test.go
@@ -0,0 +1,98 @@
+package queue
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"lycheepond/core/bound"
+	"lycheepond/core/ident"
+)
+
+// outcome counts the requests of one length and those that started in time.
+type outcome struct{ offered, within int }
+
+// mixture runs one endpoint with eight places at 70% of its capacity for an
+// hour of modelled time: one request in twenty is a hundred times as long as
+// the others. With fifo requests run in order of arrival, whatever they are.
+func mixture(fifo bool) (short, long outcome) {
+	const (
+		places = 8
+		tick   = 20 * time.Millisecond
+		mean   = 5.95 // seconds, of 19 requests of one second and one of a hundred
+	)
+	q, b, rnd := New(Config{}), bound.New(bound.Config{Min: places, Max: places}), rand.New(rand.NewPCG(5, 5))
+	type run struct {
+		end  time.Duration
+		long bool
+	}
+	var running []run
+	n := 0
+	for now := time.Duration(0); now < time.Hour; now += tick {
+		for i := 0; i < len(running); i++ {
+			if running[i].end <= now {
+				running = append(running[:i], running[i+1:]...)
+				i--
+			}
+		}
+		if rnd.Float64() < 0.7*places/mean*tick.Seconds() {
+			n++
+			it := Item{ID: ident.Make(1, uint64(n)), Tier: 1, Customer: fmt.Sprint(rnd.IntN(5)), Cost: second, Due: now + 2*second}
+			if rnd.IntN(20) == 0 {
+				it.Cost, it.Due = 100*second, now+5*time.Minute
+			}
+			if fifo {
+				it.Customer = "all"
+				it.Due, it.Deadline = 0, it.Due
+				it.Arrived = now - it.Cost
+			}
+			if _, _, err := q.Push(now, it); err != nil {
+				panic(err)
+			}
+		}
+		for {
+			r := bound.Running{Count: len(running)}
+			for i := range running {
+				if running[i].long {
+					r.LongCount++
+				}
+			}
+			it, ok := q.Next(now, func(it Item) Fit {
+				switch answer := b.Fit(now, r, bound.Work{Tier: 1, Cost: it.Cost}); {
+				case answer == bound.NoPlace:
+					return Stop
+				case answer == bound.LongFull && !fifo:
+					return Pass
+				}
+				return Fits
+			})
+			if !ok {
+				break
+			}
+			running = append(running, run{now + it.Cost, b.Long(bound.Work{Tier: 1, Cost: it.Cost})})
+			o := &short
+			if it.Cost > second {
+				o = &long
+			}
+			o.offered++
+			if now <= max(it.Due, it.Deadline) {
+				o.within++
+			}
+		}
+	}
+	return short, long
+}
+
+// One request in twenty is a hundred times as long as the others. In order of
+// arrival long work fills the places sooner or later, and short requests, whose
+// callers wait at a screen, wait for it to end.
+func TestLongAmongShort(t *testing.T) {
+	short, long := mixture(false)
+	fifoShort, fifoLong := mixture(true)
+	part := func(o outcome) float64 { return 100 * float64(o.within) / float64(o.offered) }
+	t.Logf("within target: short %.1f%%, long %.1f%%; in order of arrival %.1f%% and %.1f%%", part(short), part(long), part(fifoShort), part(fifoLong))
+	if part(short) < 99 || part(long) < 90 {
+		t.Error("too few within target")
+	}
+}
