procs: ports below the kernel's range of outgoing connections

A proof run failed with "address already in use": the port chosen for an agent's admin listener had meanwhile become the near end of a connection. Retrying the start was excluded: it would hide a real clash.

--- a/trial/procs/procs.go
+++ b/trial/procs/procs.go
@@ -8,7 +8,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -157,16 +156,6 @@
 	return errors.Join(errs...)
 }
 
-// Port returns a loopback address whose port is free at present.
-func Port() (string, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer ln.Close()
-	return ln.Addr().String(), nil
-}
-
 // Ready waits until p has printed its ready line and returns where it listens.
 func (p *Proc) Ready(ctx context.Context) (string, error) {
 	select {
--- a/trial/procs/procs_test.go
+++ b/trial/procs/procs_test.go
@@ -87,3 +87,17 @@
 		t.Errorf("got %v, want an error that names %s", err, p.Log())
 	}
 }
+
+func TestPortsDiffer(t *testing.T) {
+	seen := make(map[string]bool)
+	for range 50 {
+		addr, err := Port()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if seen[addr] {
+			t.Fatalf("%s was returned twice", addr)
+		}
+		seen[addr] = true
+	}
+}
