--- a/entry/sched/flight.go
+++ b/entry/sched/flight.go
@@ -63,6 +63,8 @@
 	// outgrow maxWhole.
 	body []byte
 	full bool
+	// shed is set when an agent sent the last offer back because of a level.
+	shed bool
 	// wait says what the timer stands for.
 	wait  waitFor
 	timer *time.Timer
@@ -109,7 +111,7 @@
 			f.wake()
 		}
 	}
-	f.pool.tell(note{op: opEnd, f: f, res: &f.res, bytes: len(f.job.Prompt)})
+	f.pool.tell(note{op: opEnd, f: f, res: &f.res})
 	f.trace.close(f)
 	return f.res
 }
--- a/entry/sched/offer.go
+++ b/entry/sched/offer.go
@@ -186,7 +186,8 @@
 	if !f.once.Return(m.ID, a) {
 		return
 	}
-	f.step("returned", p.Name(), reason(m.Reason))
+	f.step("returned", p.Name(), m.Reason.String())
+	f.shed = m.Reason == wire.ReasonShed
 	f.forget(p)
 	if m.Reason == wire.ReasonNoLease || m.Reason == wire.ReasonNotHome {
 		f.homeTries++
--- a/entry/sched/relay.go
+++ b/entry/sched/relay.go
@@ -121,7 +121,7 @@
 func (f *flight) broken() {
 	why := "its answer was damaged"
 	if e := f.ans.End(); e != nil && !e.Whole {
-		why = "it ended with " + reason(e.Reason)
+		why = "it ended with " + e.Reason.String()
 	}
 	f.once.Fail()
 	f.renew(why)
--- a/entry/sched/sched.go
+++ b/entry/sched/sched.go
@@ -49,14 +49,16 @@
 
 	mu    sync.Mutex
 	pools map[string]*pool
-	ctx   context.Context
+	// seen holds the last incarnation of each agent.
+	seen map[string]uint64
+	ctx  context.Context
 }
 
 // New returns a Sched that serves until ctx ends.
 func New(ctx context.Context, cfg Config) *Sched {
 	return &Sched{
 		cfg: cfg, table: newTable(), trail: newTrail(),
-		pools: make(map[string]*pool), ctx: ctx,
+		pools: make(map[string]*pool), seen: make(map[string]uint64), ctx: ctx,
 	}
 }
 
@@ -119,7 +121,25 @@
 }
 
 // Up tells every request that an agent is linked again.
-func (s *Sched) Up(p *agents.Peer) { s.tell(p, eventUp) }
+func (s *Sched) Up(p *agents.Peer) {
+	s.tell(p, eventUp)
+	s.forget(p)
+}
+
+// forget drops what is known of the caches of a restarted agent.
+func (s *Sched) forget(p *agents.Peer) {
+	a := p.Agent()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	old, known := s.seen[a.Name]
+	s.seen[a.Name] = a.Incarnation
+	if !known || old == a.Incarnation {
+		return
+	}
+	for _, pool := range s.pools {
+		go pool.tell(note{op: opForget, agent: a.Name})
+	}
+}
 
 // Down tells every request that the link to an agent ended.
 func (s *Sched) Down(p *agents.Peer) { s.tell(p, eventDown) }
