--- a/core/bound/memory.go
+++ b/core/bound/memory.go
@@ -7,15 +7,17 @@
 	// leastFill and mostFill bound it. It may exceed one, because requests are
 	// at different points of their answers and seldom need all they will need
 	// at the same time.
-	startFill, leastFill, mostFill = 0.85, 0.5, 1.5
+	startFill, leastFill, mostFill = 0.8, 0.5, 1.5
 	// tight is the used part of the memory above which the plan is cut, and
 	// loose that below which it grows while it holds work back.
 	tight, loose = 0.95, 0.85
 	fillCut      = 0.9
 	fillGrowth   = 0.003
-	// sizeFade is how fast the largest size of a token seen is forgotten, with
-	// each report.
-	sizeFade = 0.998
+	// sizeRise is the part of the way that the size of a token follows a larger
+	// one, and sizeFade how fast a larger one is forgotten, with each report.
+	sizeRise, sizeFade = 0.5, 0.995
+	// around is how exactly the time of a report is known.
+	around = 150 * time.Millisecond
 	// leastPart is the part of the memory that must be in use for a report to
 	// tell how much a token takes.
 	leastPart = 0.02
@@ -30,8 +32,8 @@
 type memory struct {
 	total int64
 	// size is the memory that one estimated token takes, in units of the
-	// report: the largest seen of late. Before the first useful report a token
-	// counts as a whole unit, which is more than it takes.
+	// report: about the largest seen of late. Until known is set by the first
+	// useful report memory holds nothing back: the bound is small by then.
 	size  float64
 	known bool
 	fill  float64
@@ -47,7 +49,7 @@
 	tokens int64
 }
 
-func newMemory() memory { return memory{size: 1, fill: startFill} }
+func newMemory() memory { return memory{fill: startFill} }
 
 // note remembers the tokens in flight.
 func (m *memory) note(now time.Duration, tokens int64) {
@@ -60,15 +62,18 @@
 	m.next = (m.next + 1) % notes
 }
 
-// at returns the tokens that were in flight at a time in the past.
-func (m *memory) at(t time.Duration) int64 {
+// at returns the most tokens that were in flight around a time in the past.
+func (m *memory) at(t time.Duration) (most int64) {
 	for i := 1; i <= notes; i++ {
 		n := &m.past[(m.next+notes-i)%notes]
-		if n.at <= t {
-			return n.tokens
+		if n.at <= t+around {
+			most = max(most, n.tokens)
+		}
+		if n.at <= t-around {
+			break
 		}
 	}
-	return 0
+	return most
 }
 
 func (m *memory) report(now time.Duration, r Report) {
@@ -76,7 +81,7 @@
 		return
 	}
 	if r.KVTotal != m.total {
-		m.total, m.size, m.known, m.fill = r.KVTotal, 1, false, startFill
+		m.total, m.size, m.known, m.fill = r.KVTotal, 0, false, startFill
 	}
 	m.learn(m.at(now-r.Age), r.KVUsed)
 	used := float64(r.KVUsed) / float64(r.KVTotal)
@@ -98,12 +103,16 @@
 		m.size, m.known = seen, true
 		return
 	}
-	m.size = min(max(seen, m.size*sizeFade), 1)
+	if seen > m.size {
+		m.size += (seen - m.size) * sizeRise
+		return
+	}
+	m.size = max(seen, m.size*sizeFade)
 }
 
 // room reports whether so many tokens may be in flight.
 func (m *memory) room(tokens int64) bool {
-	if m.total == 0 || float64(tokens)*m.size <= m.fill*float64(m.total) {
+	if !m.known || float64(tokens)*m.size <= m.fill*float64(m.total) {
 		return true
 	}
 	m.blocked = true
--- a/core/bound/pace.go
+++ b/core/bound/pace.go
@@ -148,6 +148,15 @@
 	return min(load, company/guilt)
 }
 
+// headway returns the load by which the bound may grow, which is more than
+// load for a first token: a queue inside the endpoint shows there first, long
+// before a report of it comes or a target is missed. It slows growth, and does
+// not hold it up.
+func (p *pace) headway(m Sample, load float64) float64 {
+	first := p.firstLoad(m)
+	return max(load, min(first*caution, roomy-0.01))
+}
+
 func (p *pace) betweenLoad(m Sample) float64 {
 	if m.Between == 0 {
 		return 0
--- a/core/bound/search.go
+++ b/core/bound/search.go
@@ -36,6 +36,8 @@
 	// ownCompany is how many times its own best an endpoint without a target
 	// may take.
 	ownCompany = 4
+	// caution is how many times as much a first token counts for growth.
+	caution = 2
 	// guilt is how many times its own best the first token must take for a
 	// late one to be due to the company it had, and not to its own prompt or
 	// to waiting before it came here.
@@ -56,13 +58,15 @@
 	// the part of the target that late ones used of late, at least one.
 	late, over float64
 	// changed is when size last changed. Since then there were samples of a
-	// nearly used bound, fresh of them of a first token, and load is the sum of
-	// the parts of their targets that they used.
-	changed        time.Duration
-	samples, fresh int
-	load           float64
-	// queued counts reports in a row that show a queue inside the endpoint.
+	// nearly used bound, fresh of them of a first token. load is the sum of the
+	// parts of their targets that all used, and freshLoad that of the fresh.
+	changed         time.Duration
+	samples, fresh  int
+	load, freshLoad float64
+	// queued counts reports in a row that show a queue inside the endpoint, and
+	// cutAt is when the last cut was made.
 	queued int
+	cutAt  time.Duration
 }
 
 func newSearch(cfg Config) search {
@@ -73,7 +77,8 @@
 
 func (s *search) set(now time.Duration, size float64) {
 	s.size = min(max(size, float64(s.cfg.Min)), float64(s.cfg.Max))
-	s.changed, s.samples, s.fresh, s.load = now, 0, 0, 0
+	s.changed, s.samples, s.fresh = now, 0, 0
+	s.load, s.freshLoad = 0, 0
 }
 
 // restart begins anew from the cold start, after a slow endpoint recovered.
@@ -96,7 +101,7 @@
 		s.cut(now)
 		return
 	}
-	s.count(m, load)
+	s.count(m, p.headway(m, load))
 	if s.samples >= s.limit() && s.fresh > 0 && s.late < lateWanted {
 		s.grow(now)
 	}
@@ -104,7 +109,7 @@
 
 func (s *search) cut(now time.Duration) {
 	keep := min(max(1/s.over, mostCut), leastCut)
-	s.late, s.over = lateWanted, 1
+	s.late, s.over, s.cutAt = lateWanted, 1, now
 	s.probe, s.ceiling = leastGrowth, max(math.Floor(s.size)-leastGrowth, float64(s.cfg.Min))
 	s.set(now, min(s.size*keep, s.size-leastGrowth))
 }
@@ -127,6 +132,7 @@
 	s.load += load
 	if m.First > 0 {
 		s.fresh++
+		s.freshLoad += load
 	}
 }
 
@@ -139,7 +145,8 @@
 
 // grow makes the bound larger by what the samples since its last change allow.
 func (s *search) grow(now time.Duration) {
-	size, load, wait := s.size+leastGrowth, s.load/float64(s.samples), probeLight
+	size, wait := s.size+leastGrowth, probeLight
+	load := max(s.load/float64(s.samples), s.freshLoad/float64(s.fresh))
 	switch {
 	case load >= roomy:
 		return
@@ -164,16 +171,19 @@
 }
 
 // report cuts the bound to what runs when the endpoint shows a queue of its
-// own. One report may just have met a request on its way in.
+// own. One report of one that waits may just have met it on its way in. A
+// report from before the bound last grew is good evidence all the same, and one
+// from before it was cut is none.
 func (s *search) report(now time.Duration, r Report) {
-	if r.Waiting == 0 || now-r.Age < s.changed {
+	if r.Waiting == 0 || now-r.Age < s.cutAt {
 		s.queued = 0
 		return
 	}
 	s.queued++
-	if s.queued < 2 || float64(r.Running) >= s.size {
+	if (s.queued < 2 && r.Waiting < 2) || float64(r.Running) >= s.size {
 		return
 	}
 	s.queued, s.probe, s.ceiling = 0, leastGrowth, float64(max(r.Running, s.cfg.Min))
+	s.cutAt = now
 	s.set(now, s.ceiling)
 }
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -35,7 +35,7 @@
 	// assumed when Config has none: an engine of middling speed.
 	DefaultPrefill = 125 * time.Microsecond
 	// zonePenalty is what an agent of another zone must be better by.
-	zonePenalty = 50 * time.Millisecond
+	zonePenalty = 10 * time.Millisecond
 	// crowding is the part of its work that a request loses in a full batch,
 	// against an empty one.
 	crowding = 8
--- a/core/shed/drain.go
+++ b/core/shed/drain.go
@@ -20,7 +20,7 @@
 	// are few starts.
 	priorFor = 1.0
 	// leastLeft is the least part of the rate that a tier is taken to get.
-	leastLeft = 0.05
+	leastLeft = 0.02
 )
 
 // drain measures the work that the pool takes from this entry, in estimated
--- a/core/shed/level.go
+++ b/core/shed/level.go
@@ -6,6 +6,9 @@
 	// mostHold bounds how long the level stays after it had to fall again and
 	// again.
 	mostHold = 16 * time.Second
+	// idleRise is how many times sooner the level rises while places are free
+	// and nothing waits for them.
+	idleRise = 4
 	// relapse is how soon after a rise a fall counts as a consequence of it.
 	relapse = 10 * time.Second
 )
@@ -22,6 +25,8 @@
 	// held is when a tier that is admitted was last late, and risen when own
 	// last rose.
 	held, risen time.Duration
+	// idle is set while places are free and nothing waits for them.
+	idle bool
 	// heard is the level of the other entries until until.
 	heard uint8
 	until time.Duration
@@ -97,7 +102,11 @@
 	if l.own == lowest && l.want == lowest {
 		return 0
 	}
-	return max(l.held+l.hold-now, 0)
+	hold := l.hold
+	if l.idle {
+		hold /= idleRise
+	}
+	return max(l.held+hold-now, 0)
 }
 
 func (l *level) peer(now time.Duration, heard uint8, hold time.Duration) {
--- a/core/shed/shed.go
+++ b/core/shed/shed.go
@@ -19,7 +19,8 @@
 // then it is admitted, and the pool's level falls, step by step, so that lower
 // tiers leave. The level falls at once and rises slowly, a tier at a time, and
 // more slowly when it just had to fall again: lower tiers that flicker would
-// take places that higher ones need a moment later.
+// take places that higher ones need a moment later. It rises sooner while
+// places are free and nothing waits, since endpoints would idle.
 //
 // Grounds of the figures: the margin of 0.7 leaves room for waits that differ
 // from the prediction, and is corrected by what callers then get; 32 starts
@@ -183,6 +184,7 @@
 	a.Tier = clamp(a.Tier)
 	p.drain.pass(now, p.waiting > 0)
 	p.level.see(a.Tier, v)
+	p.level.idle = p.waiting == 0 && v.Free > 0
 	wait, limit := p.wait(now, a, v), p.limit(a)
 	late := wait > limit && p.waiting >= v.Free
 	if late {
@@ -242,6 +244,7 @@
 // Level returns the lowest tier, the largest number, that this entry still
 // admits. It is what the entry tells the agents.
 func (p *Pool) Level(now time.Duration) uint8 {
+	p.level.idle = p.level.idle && p.waiting == 0
 	p.level.rise(now)
 	return p.level.own
 }
--- a/core/shed/shed_test.go
+++ b/core/shed/shed_test.go
@@ -204,6 +204,11 @@
 	}
 	now += 9 * second
 	check("and no more", 2)
+	l.idle = true
+	now += 900 * time.Millisecond
+	check("it rises no sooner", 2)
+	now += 100 * time.Millisecond
+	check("than after a quarter of its hold while places are idle", 3)
 }
 
 // Whatever arrives in whatever order, nothing is refused while lower work is
--- a/core/shed/tier.go
+++ b/core/shed/tier.go
@@ -14,6 +14,10 @@
 	marginUp, marginDown = 0.0003, 0.01
 	// arrivingFor is how long arrivals count as the present rate.
 	arrivingFor = 4 * time.Second
+	// leastAge is the least time that a rate is taken over, and idleRate the
+	// rate below which it is measured anew.
+	leastAge = 500 * time.Millisecond
+	idleRate = 1e-6
 	// buckets is the number of sizes of backlog told apart, each twice the one
 	// before, and leastBacklog the first in seconds.
 	buckets      = 40
@@ -43,9 +47,9 @@
 	// margin is the part of a target that the predicted wait may take.
 	margin float64
 	// rate is the admitted work that arrives, in seconds a second, decayed
-	// since seen.
-	rate float64
-	seen time.Duration
+	// since seen; it began to be measured at begun.
+	rate        float64
+	seen, begun time.Duration
 	// away is the refused work that will come back, less what could have run
 	// since awayAt.
 	away   float64
@@ -71,7 +75,10 @@
 		t.accounts[customer] = a
 	}
 	t.move(a, work, 1)
-	t.rate = t.arriving(now) + work/arrivingFor.Seconds()
+	if t.rate < idleRate {
+		t.rate, t.begun = 0, now
+	}
+	t.rate = t.decayed(now) + work/arrivingFor.Seconds()
 	t.seen = now
 }
 
@@ -144,12 +151,19 @@
 	return sum
 }
 
-// arriving returns the work that is admitted in seconds a second.
+func (t *tier) decayed(now time.Duration) float64 {
+	return t.rate * math.Exp(-(now-t.seen).Seconds()/arrivingFor.Seconds())
+}
+
+// arriving returns the work that is admitted in seconds a second. Soon after
+// the tier's work began to arrive the decayed sum holds only a part of it, and
+// lower tiers would be admitted to room that the tier is about to take.
 func (t *tier) arriving(now time.Duration) float64 {
 	if t.rate == 0 {
 		return 0
 	}
-	return t.rate * math.Exp(-(now-t.seen).Seconds()/arrivingFor.Seconds())
+	age := max(now-t.begun, leastAge)
+	return t.decayed(now) / (1 - math.Exp(-age.Seconds()/arrivingFor.Seconds()))
 }
 
 // turnAway adds refused work and returns what was refused before it and has
