--- a/trial/exper/sum.go
+++ b/trial/exper/sum.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"regexp"
 	"slices"
 	"time"
 
@@ -118,10 +119,18 @@
 	// Inversions counts refusals of a request while an answer of a lower tier
 	// was being streamed to a caller.
 	Inversions int `json:"inversions"`
+	// Unknown is what callers heard whose answers broke off, and how often.
+	Unknown []Reason `json:"unknown,omitempty"`
 	// Customers is answers within target by customer.
 	Customers []CustomerNote `json:"customers"`
 }
 
+// Reason is a reason that callers heard.
+type Reason struct {
+	Detail string `json:"detail"`
+	Count  int    `json:"count"`
+}
+
 // CustomerNote is one customer's part of a Note.
 type CustomerNote struct {
 	Name    string `json:"name"`
@@ -155,9 +164,29 @@
 	n.WorkShare = math.Round(o.workShare()*1000) / 1000
 	n.RefusalP99MS = percentile(refusals, 0.99)
 	n.Inversions = inversions(o.Results)
+	n.Unknown = reasons(o.counted())
 	return n
 }
 
+// ownID is what differs between two answers that tell the same reason.
+var ownID = regexp.MustCompile(`"request_id":"[0-9a-f]*"|127\.0\.0\.1:[0-9]+`)
+
+func reasons(results []load.Result) (out []Reason) {
+	for _, r := range results {
+		if r.Outcome != load.Unknown && r.Outcome != load.Failed {
+			continue
+		}
+		detail := ownID.ReplaceAllString(r.Detail, "")
+		i := slices.IndexFunc(out, func(x Reason) bool { return x.Detail == detail })
+		if i < 0 {
+			i = len(out)
+			out = append(out, Reason{Detail: detail})
+		}
+		out[i].Count++
+	}
+	return out
+}
+
 func (o Outcome) workShare() float64 {
 	work := make(map[string]float64)
 	for _, s := range o.shapes {
