--- a/agent/slot/claim.go
+++ b/agent/slot/claim.go
@@ -1,6 +1,7 @@
 package slot
 
 import (
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -22,17 +23,20 @@
 			o.claim(now, o.recs[it.ID])
 			continue
 		}
-		head, ok := o.queue.Peek(now)
-		if !ok || !o.displace(now, o.recs[head.ID]) {
-			return
+		if head, ok := o.queue.Peek(now); ok {
+			o.displace(now, o.recs[head.ID])
 		}
+		return
 	}
 }
 
-// fit tells whether a queued request may be claimed now.
+// fit tells whether a queued request may be claimed now. What was claimed or
+// granted for a lower tier and has not started does not stand in its way: it
+// waits, and is given back when it waits too long.
 func (o *Owner) fit(now time.Duration, it queue.Item) queue.Fit {
 	r := o.recs[it.ID]
-	switch o.bound.Fit(now, o.committed(true), r.work) {
+	sum, held := o.committed(int(r.offer.Tier))
+	switch o.bound.Fit(now, sum, r.work) {
 	case bound.Yes:
 		return queue.Fits
 	case bound.LongFull:
@@ -40,7 +44,7 @@
 	case bound.NoMemory:
 		return queue.PassFew
 	}
-	if o.ahead(r) {
+	if held == 0 && ahead(r) && len(o.running) > 0 {
 		return queue.Fits
 	}
 	return queue.Stop
@@ -48,9 +52,7 @@
 
 // ahead reports whether r may be claimed before its place is free, so that the
 // round trip to the entry costs no idle place.
-func (o *Owner) ahead(r *rec) bool {
-	return o.claims+len(o.ready) == 0 && len(o.running) > 0 && r.work.Cost > 0 && r.work.Cost <= aheadCost
-}
+func ahead(r *rec) bool { return r.work.Cost > 0 && r.work.Cost <= aheadCost }
 
 func (o *Owner) claim(now time.Duration, r *rec) {
 	o.setState(now, r, claimed)
@@ -68,33 +70,33 @@
 	}
 }
 
-// committed sums up what runs, and with claims also what may run any moment.
-func (o *Owner) committed(withClaims bool) bound.Running {
-	var sum bound.Running
-	add := func(r *rec) {
-		sum.Count++
-		sum.Tokens += r.work.Tokens
-		if r.long {
-			sum.LongCount++
-		}
-	}
+// onlyRunning leaves claims and grants out of committed.
+const onlyRunning = -1
+
+// committed sums up what runs, and what was claimed or granted for tiers down
+// to the given one, of which it also returns the number.
+func (o *Owner) committed(tier int) (sum bound.Running, held int) {
 	for _, r := range o.running {
-		add(r)
+		add(&sum, r)
 	}
-	if !withClaims {
-		return sum
+	if tier == onlyRunning || o.claims+len(o.ready) == 0 {
+		return sum, 0
 	}
-	for _, r := range o.ready {
-		add(r)
-	}
-	if o.claims > 0 {
-		for _, r := range o.waiting {
-			if r.state == claimed {
-				add(r)
-			}
+	for _, r := range o.waiting {
+		if (r.state == claimed || r.state == ready) && int(r.offer.Tier) <= tier {
+			add(&sum, r)
+			held++
 		}
 	}
-	return sum
+	return sum, held
+}
+
+func add(sum *bound.Running, r *rec) {
+	sum.Count++
+	sum.Tokens += r.work.Tokens
+	if r.long {
+		sum.LongCount++
+	}
 }
 
 // expireClaims drops claims that were never answered. The test is made again
@@ -170,19 +172,20 @@
 	return wire.ReasonNone
 }
 
-// startReady hands granted requests to the endpoint while it has room.
+// startReady hands granted requests to the endpoint while it has room, the
+// highest tier first.
 func (o *Owner) startReady(now time.Duration) {
+	if len(o.ready) == 0 {
+		return
+	}
+	slices.SortStableFunc(o.ready, func(a, b *rec) int { return int(a.offer.Tier) - int(b.offer.Tier) })
 	for i := 0; i < len(o.ready); {
 		r := o.ready[i]
-		if o.down {
-			o.giveBack(now, r, wire.ReasonUnreachable)
-			continue
-		}
-		if reason := o.tooLate(now, r); reason != wire.ReasonNone {
+		if reason := o.notStartable(now, r); reason != wire.ReasonNone {
 			o.giveBack(now, r, reason)
 			continue
 		}
-		if !o.bound.Room(now, o.committed(false), r.work) {
+		if sum, _ := o.committed(onlyRunning); !o.bound.Room(now, sum, r.work) {
 			i++
 			continue
 		}
@@ -190,3 +193,15 @@
 		o.start(now, r)
 	}
 }
+
+// notStartable says why a granted request must go back instead of waiting for
+// its place here.
+func (o *Owner) notStartable(now time.Duration, r *rec) wire.Reason {
+	switch {
+	case o.down:
+		return wire.ReasonUnreachable
+	case now-r.changed > readyPatience:
+		return wire.ReasonDisplaced
+	}
+	return o.tooLate(now, r)
+}
--- a/agent/slot/displ.go
+++ b/agent/slot/displ.go
@@ -7,39 +7,21 @@
 	"lycheepond/core/wire"
 )
 
-// displace makes room for r at the cost of work of a lower tier and reports
-// whether a place came free at once. In this order: what was granted and has
-// not started, what was claimed, and, when r would be late otherwise, what
-// runs, may be run again, and has shown nothing to its caller.
-func (o *Owner) displace(now time.Duration, r *rec) bool {
-	if o.bound.Fit(now, o.committed(true), r.work) == bound.LongFull {
+// displace makes room for r, which would be late otherwise, by stopping work
+// of a lower tier that runs, may be run again, and has shown nothing to its
+// caller. The place comes free when the run has ended.
+func (o *Owner) displace(now time.Duration, r *rec) {
+	sum, _ := o.committed(int(r.offer.Tier))
+	if o.bound.Fit(now, sum, r.work) == bound.LongFull {
 		// Short work of a lower tier holds places that r would not get.
-		return false
-	}
-	if v := o.waitingVictim(r); v != nil {
-		o.giveBack(now, v, wire.ReasonDisplaced)
-		return true
+		return
 	}
 	if !o.wouldBeLate(now, r) || o.halting() >= o.waitingAbove(r.offer.Tier) {
-		return false
+		return
 	}
 	if v := o.runningVictim(r); v != nil {
 		o.halt(v, wire.ReasonDisplaced)
 	}
-	return false
-}
-
-func (o *Owner) waitingVictim(r *rec) *rec {
-	var worst *rec
-	for _, v := range o.waiting {
-		if (v.state != ready && v.state != claimed) || v.offer.Tier <= r.offer.Tier {
-			continue
-		}
-		if worst == nil || v.offer.Tier > worst.offer.Tier || (v.offer.Tier == worst.offer.Tier && v.state > worst.state) {
-			worst = v
-		}
-	}
-	return worst
 }
 
 // runningVictim chooses the lowest tier and in it what began last, which has
--- a/agent/slot/owner.go
+++ b/agent/slot/owner.go
@@ -38,6 +38,9 @@
 	// claimTimeout is how long a claim may stay unanswered. A grant that comes
 	// later is given back.
 	claimTimeout = 2 * time.Second
+	// readyPatience is how long a granted request waits for its place before
+	// it is given back to be run elsewhere.
+	readyPatience = time.Second
 	// sessionGrace is how long repeatable work outlives the entry it is for.
 	sessionGrace = 10 * time.Second
 	// keepRecord is how long an ended or refused request is remembered.
