--- a/entry/agents/dial.go
+++ b/entry/agents/dial.go
@@ -99,20 +99,13 @@
 
 // up puts a link into use whose agent has sent its first message.
 func (s *Set) up(p *Peer, link *wire.Link, first wire.Message) {
-	p.inc.Store(link.Peer().Incarnation)
-	p.serves.Store(nil)
-	p.offered.Store(0)
-	p.hear(first)
-	p.link.Store(link)
+	p.Connect(link, first)
 	logs.Info(s.log, logs.EventLinkUp, zap.String("agent", p.name))
 	s.cfg.Up(p)
 }
 
 func (s *Set) down(p *Peer, link *wire.Link) {
-	c := link.Counts()
-	s.past.add(c)
-	p.lost.Store(int64(s.now()))
-	p.link.Store(nil)
-	p.load.Store(nil)
+	s.past.add(link.Counts())
+	p.Disconnect(s.now())
 	s.cfg.Down(p)
 }
--- a/entry/agents/peer.go
+++ b/entry/agents/peer.go
@@ -43,6 +43,29 @@
 // served is a version of a model.
 type served struct{ model, version string }
 
+// NewPeer returns an agent without a link.
+func NewPeer(inst *plat.Instance) *Peer {
+	p := &Peer{name: inst.Name}
+	p.inst.Store(inst)
+	return p
+}
+
+// Connect puts a link into use; first is the first message that came over it.
+func (p *Peer) Connect(link *wire.Link, first wire.Message) {
+	p.inc.Store(link.Peer().Incarnation)
+	p.serves.Store(nil)
+	p.offered.Store(0)
+	p.hear(first)
+	p.link.Store(link)
+}
+
+// Disconnect notes that the link has ended.
+func (p *Peer) Disconnect(now time.Duration) {
+	p.lost.Store(int64(now))
+	p.link.Store(nil)
+	p.load.Store(nil)
+}
+
 // Name returns the name of the agent's instance.
 func (p *Peer) Name() string { return p.name }
 
--- a/entry/agents/set.go
+++ b/entry/agents/set.go
@@ -202,8 +202,7 @@
 		s.start(ctx, p)
 		return p
 	}
-	p := &Peer{name: inst.Name}
-	p.inst.Store(inst)
+	p := NewPeer(inst)
 	s.start(ctx, p)
 	return p
 }
--- /dev/null
+++ b/entry/measure.go
@@ -0,0 +1,31 @@
+package main
+
+import (
+	"lycheepond/core/spec"
+	"lycheepond/core/wire"
+)
+
+// measure adds the entry's own state to its metrics.
+func (n *node) measure() {
+	n.feed.Measure(n.meter)
+	n.meter.Process()
+	n.meter.GaugeFunc("entry_running", func() int64 { return int64(n.sched.Running()) })
+	n.meter.GaugeFunc("entry_lowest_level", n.lowestLevel)
+	for name, count := range map[string]func(wire.Counts) uint64{
+		"entry_control_in_bytes":  func(c wire.Counts) uint64 { return c.ControlIn },
+		"entry_control_out_bytes": func(c wire.Counts) uint64 { return c.ControlOut },
+		"entry_data_in_bytes":     func(c wire.Counts) uint64 { return c.DataIn },
+		"entry_data_out_bytes":    func(c wire.Counts) uint64 { return c.DataOut },
+	} {
+		n.meter.GaugeFunc(name, func() int64 { return int64(count(n.set.Counts())) })
+	}
+}
+
+// lowestLevel returns the strictest shed level of all pools.
+func (n *node) lowestLevel() int64 {
+	level := spec.Tiers - 1
+	for _, p := range n.set.Pools() {
+		level = min(level, n.sched.Figures(p).Level)
+	}
+	return int64(level)
+}
--- a/entry/node.go
+++ b/entry/node.go
@@ -195,6 +195,7 @@
 		Record: rec, Pools: n.set.Pools, Members: n.set.Pool, Peer: n.set.Peer, Want: n.set.Want, Roster: n.store.Roster,
 		Now: n.now, Wall: func() int64 { return time.Now().UnixMilli() }, Random: mathrand.Float64, Log: n.log,
 	})
+	n.measure()
 	n.planner = orders.New(orders.Config{
 		Record: rec, Models: n.store.Models, Members: n.set.Pool, Now: n.now, Random: mathrand.Float64, Log: n.log,
 	})
--- a/entry/sched/pool_test.go
+++ b/entry/sched/pool_test.go
@@ -1,7 +1,6 @@
 package sched
 
 import (
-	"context"
 	"net"
 	"strconv"
 	"testing"
@@ -20,70 +19,16 @@
 // each with the load that it reported.
 func linked(tb testing.TB, n int, load wire.Load) *agents.Members {
 	tb.Helper()
-	ctx, cancel := context.WithCancel(context.Background())
-	roster := plat.Roster{Version: 1}
-	keys := func() wire.Keys { return wire.OneKey([]byte("k")) }
-	serving := make(chan struct{}, n)
+	m := new(agents.Members)
 	for i := range n {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			tb.Fatal(err)
-		}
 		name := "agent-" + strconv.Itoa(i)
-		roster.Instances = append(roster.Instances, plat.Instance{
-			Name: name, Role: plat.RoleEndpoint, Zone: "z" + strconv.Itoa(i%3), Link: ln.Addr().String(), State: plat.StateLive,
-		})
-		go func() {
-			defer func() { serving <- struct{}{} }()
-			defer ln.Close()
-			conn, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			hello, err := wire.Open(ctx, conn, wire.Hello{Role: wire.RoleAgent, Name: name}, keys())
-			if err != nil {
-				return
-			}
-			l := wire.New(conn, hello, wire.Config{Heartbeat: 10 * time.Second, Beat: func() wire.Message { return &wire.Beat{Load: load} }})
-			l.Run(ctx, func(wire.Message) {})
-		}()
-	}
-	heard := make(chan struct{}, n)
-	start := time.Now()
-	set := agents.New(agents.Config{
-		Self: wire.Hello{Role: wire.RoleEntry, Name: "e"}, Keys: keys, Heartbeat: 10 * time.Second,
-		Beat: func() wire.Message { return new(wire.Beat) }, Now: func() time.Duration { return time.Since(start) },
-		Dial: func(ctx context.Context, addr string) (net.Conn, error) {
-			return new(net.Dialer).DialContext(ctx, "tcp", addr)
-		},
-		Roster: func() plat.Roster { return roster }, Pools: func() []agents.Pool { return []agents.Pool{{Name: "p"}} },
-		Choose: func(all []plat.Instance, _ plat.Roster) []string {
-			var out []string
-			for _, i := range all {
-				out = append(out, i.Name)
-			}
-			return out
-		},
-		Handle: func(_ *agents.Peer, m wire.Message) {
-			if m.Kind() == wire.KindBeat {
-				heard <- struct{}{}
-			}
-		},
-		Up: func(*agents.Peer) {}, Down: func(*agents.Peer) {}, Log: zap.NewNop(),
-	})
-	done := make(chan error, 1)
-	go func() { done <- set.Run(ctx, nil) }()
-	for range n {
-		<-heard
+		p := agents.NewPeer(&plat.Instance{Name: name, Zone: "z" + strconv.Itoa(i%3), State: plat.StateLive})
+		near, far := net.Pipe()
+		tb.Cleanup(func() { near.Close(); far.Close() })
+		p.Connect(wire.New(near, wire.Hello{Name: name, Incarnation: 1}, wire.Config{}), &wire.Beat{Load: load})
+		m.Peers = append(m.Peers, p)
 	}
-	tb.Cleanup(func() {
-		cancel()
-		<-done
-		for range n {
-			<-serving
-		}
-	})
-	return set.Pool("p")
+	return m
 }
 
 func testPool(m *agents.Members) *pool {
