--- a/core/feed/gauge.go
+++ b/core/feed/gauge.go
@@ -7,6 +7,15 @@
 	"lycheepond/core/plat"
 )
 
+// AgeMS returns how long ago the platform last answered in milliseconds, -1 if
+// it never did.
+func (f *Feed) AgeMS() int64 {
+	if c := f.Last(); !c.Answered.IsZero() {
+		return time.Since(c.Answered).Milliseconds()
+	}
+	return -1
+}
+
 // Measure adds the feed's state and the client's calls to a process's metrics.
 func (f *Feed) Measure(set *meter.Set) {
 	set.GaugeFunc("config_version", f.cfg.Store.Version)
@@ -17,12 +26,7 @@
 		}
 		return 0
 	})
-	set.GaugeFunc("platform_answer_age_ms", func() int64 {
-		if c := f.Last(); !c.Answered.IsZero() {
-			return time.Since(c.Answered).Milliseconds()
-		}
-		return -1
-	})
+	set.GaugeFunc("platform_answer_age_ms", f.AgeMS)
 	calls := f.cfg.Platform.Calls()
 	for name, count := range map[string]func(plat.CallCounts) uint64{
 		"get": func(c plat.CallCounts) uint64 { return c.Get }, "list": func(c plat.CallCounts) uint64 { return c.List },
--- a/entry/status.go
+++ b/entry/status.go
@@ -16,6 +16,7 @@
 	Config   int64             `json:"config_version"`
 	Digest   uint64            `json:"config_digest"`
 	Away     bool              `json:"platform_away"`
+	AgeMS    int64             `json:"platform_answer_age_ms"`
 	Rejected []store.Rejection `json:"rejected,omitempty"`
 	Pools    []poolStatus      `json:"pools"`
 	Traffic  wire.Counts       `json:"link_bytes"`
@@ -44,7 +45,7 @@
 	s := status{
 		Name: n.cfg.Name, Zone: n.cfg.Zone, Ready: n.ready.Load(), Leaving: n.leaving.Load(),
 		Running: n.sched.Running(), Config: n.store.Version(), Digest: n.store.Digest(),
-		Away: n.feed.Away(), Rejected: n.store.Rejected(), Pools: []poolStatus{}, Traffic: n.set.Counts(),
+		Away: n.feed.Away(), AgeMS: n.feed.AgeMS(), Rejected: n.store.Rejected(), Pools: []poolStatus{}, Traffic: n.set.Counts(),
 	}
 	for _, p := range n.pools() {
 		s.Pools = append(s.Pools, n.poolStatus(p.Name))
--- a/lychee/admin/admin.go
+++ b/lychee/admin/admin.go
@@ -50,6 +50,7 @@
 	Config   int64             `json:"config_version"`
 	Digest   uint64            `json:"config_digest"`
 	Away     bool              `json:"platform_away"`
+	AgeMS    int64             `json:"platform_answer_age_ms"`
 	Rejected []store.Rejection `json:"rejected,omitempty"`
 	Pools    []Pool            `json:"pools"`
 }
@@ -74,6 +75,7 @@
 	Bound    int    `json:"bound"`
 	Queued   int    `json:"queued"`
 	Slow     bool   `json:"slow"`
+	Version  string `json:"version"`
 }
 
 // Own is what an agent says of itself.
--- a/lychee/fleet_test.go
+++ b/lychee/fleet_test.go
@@ -8,7 +8,6 @@
 	"testing"
 
 	"lycheepond/core/plat"
-	"lycheepond/core/spec"
 	"lycheepond/core/store"
 )
 
@@ -28,18 +27,23 @@
 	return strings.TrimPrefix(server.URL, "http://")
 }
 
-const entryStatus = `{"name":"%s","zone":"ne-a","ready":true,"running":3,"config_version":%d,"config_digest":%d,
+const entryStatus = `{"name":"%s","zone":"ne-a","ready":true,"running":3,"platform_away":%t,"platform_answer_age_ms":1500,"config_version":%d,"config_digest":%d,
 "pools":[{"pool":"roster","in_flight":3,"queued":%d,"shed_level":%d,"agents":[
  {"name":"worker-1","zone":"ne-a","linked":true,"in_flight":2,"bound":4,"queued":1},
- {"name":"worker-2","zone":"ne-b","linked":true,"in_flight":1,"bound":8,"queued":0,"slow":true}]}]}`
+ {"name":"worker-2","zone":"ne-b","linked":true,"in_flight":1,"bound":8,"queued":0,"slow":true,"version":"2026-12-01"}]}]}`
 
 const request = "000000000000000100000000000000a0"
 
 func fleet(t *testing.T) *shell {
 	s := newShell(t)
 	s.platform.write("class", "swap", `{"name":"swap","tier":0}`)
+	s.platform.write("model", "roster", `{"name":"roster","endpoints":{"model":"roster"},"version":"2026-12-02"}`)
 	have := store.New()
-	have.AcceptList(spec.KindClass, plat.Batch{Version: 1, Events: []plat.Event{{Object: s.platform.objects["class/swap"]}}})
+	for _, o := range s.platform.objects {
+		if _, err := have.Accept(plat.Event{Object: o}); err != nil {
+			t.Fatal(err)
+		}
+	}
 	explained := `{"id":"` + request + `","pool":"roster","class":"swap","tier":0,"customer":"metro-league","outcome":"complete",
 "steps":[{"at_ms":0,"what":"offered","agent":"worker-1"},{"at_ms":4,"what":"granted","agent":"worker-1","why":"first claim"}]}`
 	agent := map[string]string{
@@ -49,9 +53,9 @@
 	instance := func(name, role, admin string) {
 		s.platform.instances = append(s.platform.instances, plat.Instance{Name: name, Role: role, Zone: "ne-a", Admin: admin, State: plat.StateLive})
 	}
-	instance("entry-1", plat.RoleEntry, process(t, map[string]string{"GET /status": fmt.Sprintf(entryStatus, "entry-1", 1, have.Digest(), 5, 3)}))
+	instance("entry-1", plat.RoleEntry, process(t, map[string]string{"GET /status": fmt.Sprintf(entryStatus, "entry-1", false, 2, have.Digest(), 5, 3)}))
 	instance("entry-2", plat.RoleEntry, process(t, map[string]string{
-		"GET /status": fmt.Sprintf(entryStatus, "entry-2", 0, 7, 0, 2), "GET /explain/" + request: explained,
+		"GET /status": fmt.Sprintf(entryStatus, "entry-2", true, 1, 7, 0, 2), "GET /explain/" + request: explained,
 	}))
 	instance("worker-1", plat.RoleEndpoint, process(t, agent))
 	instance("worker-2", plat.RoleEndpoint, "")
--- a/lychee/show/show.go
+++ b/lychee/show/show.go
@@ -174,7 +174,7 @@
 		notes = append(notes, "lags")
 	}
 	if e.Away {
-		notes = append(notes, "platform away")
+		notes = append(notes, fmt.Sprintf("platform away, last answer %v ago", time.Duration(e.AgeMS)*time.Millisecond))
 	}
 	for _, r := range e.Rejected {
 		notes = append(notes, fmt.Sprintf("refused %s/%s version %d", r.Kind, r.Name, r.Version))
@@ -205,7 +205,11 @@
 	for _, v := range slices.Sorted(maps.Keys(count)) {
 		parts = append(parts, fmt.Sprintf("%s on %d", v, count[v]))
 	}
-	return ", versions: " + strings.Join(parts, ", ")
+	text := ", versions: " + strings.Join(parts, ", ")
+	if p.Wanted != "" {
+		text += ", wanted " + p.Wanted
+	}
+	return text
 }
 
 func lineNote(l survey.Line) string {
--- a/lychee/survey/pools.go
+++ b/lychee/survey/pools.go
@@ -44,6 +44,9 @@
 
 func (l Line) join(a admin.Agent) Line {
 	l.Name, l.Zone = a.Name, a.Zone
+	if a.Version != "" {
+		l.Version = a.Version
+	}
 	l.InFlight, l.Bound, l.Queued = max(l.InFlight, a.InFlight), max(l.Bound, a.Bound), max(l.Queued, a.Queued)
 	l.Linked, l.Leaving, l.Slow = l.Linked || a.Linked, l.Leaving || a.Leaving, l.Slow || a.Slow
 	return l
--- a/lychee/survey/survey.go
+++ b/lychee/survey/survey.go
@@ -40,6 +40,7 @@
 	// Lags is set when the entry has another configuration than the platform.
 	Lags     bool              `json:"lags"`
 	Away     bool              `json:"platform_away"`
+	AgeMS    int64             `json:"platform_answer_age_ms"`
 	Rejected []store.Rejection `json:"rejected,omitempty"`
 	Error    string            `json:"error,omitempty"`
 }
@@ -55,6 +56,9 @@
 // Pool is one pool of a Report.
 type Pool struct {
 	Name string `json:"name"`
+	// Wanted is the version that the operator wants a model's endpoints to
+	// serve, empty for none.
+	Wanted string `json:"wanted_version,omitempty"`
 	// Level is the lowest tier that every entry still admits.
 	Level    int    `json:"shed_level"`
 	InFlight int    `json:"in_flight"`
@@ -150,15 +154,27 @@
 		}
 	}
 	r.Pools = s.pools(ctx, answers, roster)
+	for i := range r.Pools {
+		if m, ok := modelOf(config, r.Pools[i].Name); ok {
+			r.Pools[i].Wanted = m.Version
+		}
+	}
 	return r, err
 }
 
+func modelOf(config *store.Store, name string) (spec.Model, bool) {
+	if config == nil {
+		return spec.Model{}, false
+	}
+	return config.Model(name)
+}
+
 func (e *Entry) take(a admin.Entry, config *store.Store) {
 	if e.State == StateSilent {
 		return
 	}
 	e.Name, e.Zone, e.Config, e.Running = a.Name, a.Zone, a.Config, a.Running
-	e.Away, e.Rejected = a.Away, a.Rejected
+	e.Away, e.AgeMS, e.Rejected = a.Away, a.AgeMS, a.Rejected
 	e.Lags = config != nil && a.Digest != config.Digest()
 	e.State = StateNotReady
 	if a.Leaving {
