--- a/core/spec/set.go
+++ b/core/spec/set.go
@@ -7,7 +7,8 @@
 )
 
 // CheckSet returns what is wrong between objects: one that stands twice, a
-// customer that names a class that does not exist, and a key of two customers.
+// customer that names a class that does not exist, a key of two customers, and
+// a model and a service of one name, whose pools would be taken for one.
 func CheckSet(items []Item) Problems {
 	var ps Problems
 	classes := make(map[string]bool)
@@ -24,6 +25,14 @@
 		}
 		lines[it.Ref()] = it.Line
 	}
+	for _, it := range items {
+		if _, ok := lines[KindModel+"/"+it.Name]; ok && it.Kind == KindService {
+			ps = append(ps, Problem{
+				Line: it.Line, Object: it.Ref(), Field: "name", Reason: "a model has the same name",
+				Remedy: "give the service or the model another name",
+			})
+		}
+	}
 	holders := make(map[string]string)
 	for _, it := range items {
 		c, ok := it.Object.(Customer)
--- a/core/spec/spec_test.go
+++ b/core/spec/spec_test.go
@@ -96,6 +96,14 @@
 kind: class
 name: swap
 tier: 1
+---
+kind: model
+name: x
+endpoints: {model: x}
+---
+kind: service
+name: x
+endpoints: {service: x}
 `, "HASH", hash)
 	items, ps := Read([]byte(text))
 	if len(ps) > 0 {
@@ -105,7 +113,7 @@
 	for _, p := range CheckSet(items) {
 		got = append(got, p.Object+" "+p.Field)
 	}
-	want := "class/swap ,customer/b keys[0].class,customer/b keys[0].sha256"
+	want := "class/swap ,service/x name,customer/b keys[0].class,customer/b keys[0].sha256"
 	if strings.Join(got, ",") != want {
 		t.Errorf("got %v", got)
 	}
