--- a/core/certs/certs.go
+++ b/core/certs/certs.go
@@ -12,12 +12,13 @@
 	"crypto/tls"
 	"crypto/x509"
 	"errors"
-	"fmt"
 	"net"
 	"os"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/rotisserie/eris"
 )
 
 // ErrNoPeerCertificate reports a peer without a certificate.
@@ -102,7 +103,7 @@
 	for i, path := range []string{f.Cert, f.Key, f.CA} {
 		info, err := os.Stat(path)
 		if err != nil {
-			return out, fmt.Errorf("certs: %w: check tls in the settings", err)
+			return out, eris.Wrap(err, "certs: check tls in the settings")
 		}
 		out[i] = stamp{info.ModTime(), info.Size()}
 	}
@@ -112,15 +113,15 @@
 func (f Files) load(stamps [3]stamp) (*pair, error) {
 	cert, err := tls.LoadX509KeyPair(f.Cert, f.Key)
 	if err != nil {
-		return nil, fmt.Errorf("certs: %w: check tls.cert and tls.key, both PEM and made for each other", err)
+		return nil, eris.Wrap(err, "certs: check tls.cert and tls.key, both PEM and made for each other")
 	}
 	pem, err := os.ReadFile(f.CA)
 	if err != nil {
-		return nil, fmt.Errorf("certs: %w: check tls.ca", err)
+		return nil, eris.Wrap(err, "certs: check tls.ca")
 	}
 	pool := x509.NewCertPool()
 	if !pool.AppendCertsFromPEM(pem) {
-		return nil, fmt.Errorf("certs: %s holds no certificate: write the fleet's certificate authority as PEM", f.CA)
+		return nil, eris.Errorf("certs: %s holds no certificate: write the fleet's certificate authority as PEM", f.CA)
 	}
 	return &pair{cert: &cert, pool: pool, stamps: stamps}, nil
 }
@@ -166,7 +167,7 @@
 		KeyUsages: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth},
 	})
 	if err != nil {
-		return fmt.Errorf("certs: peer's certificate is not the fleet's: %w: have it signed by the authority in tls.ca", err)
+		return eris.Wrap(err, "certs: peer's certificate is not the fleet's, have it signed by the authority in tls.ca")
 	}
 	return nil
 }
--- a/core/conf/load.go
+++ b/core/conf/load.go
@@ -1,10 +1,10 @@
 package conf
 
 import (
-	"fmt"
 	"io"
 	"os"
 
+	"github.com/rotisserie/eris"
 	"gopkg.in/yaml.v3"
 
 	"lycheepond/core/spec"
@@ -24,12 +24,12 @@
 func Load(path string, into any) error {
 	f, err := os.Open(path)
 	if err != nil {
-		return fmt.Errorf("conf: %w: give the settings file with --config", err)
+		return eris.Wrap(err, "conf: give the settings file with --config")
 	}
 	defer f.Close()
 	data, err := io.ReadAll(io.LimitReader(f, maxFile+1))
 	if err != nil {
-		return fmt.Errorf("conf: %w", err)
+		return eris.Wrap(err, "conf: settings file cannot be read")
 	}
 	return Parse(data, os.LookupEnv, into)
 }
@@ -41,7 +41,7 @@
 	}
 	s, ok := into.(settings)
 	if !ok {
-		return fmt.Errorf("conf: cannot read settings into %T: use *Entry or *Agent", into)
+		return eris.Errorf("conf: cannot read settings into %T: use *Entry or *Agent", into)
 	}
 	var doc yaml.Node
 	if err := yaml.Unmarshal(data, &doc); err != nil {
--- a/core/feed/peer.go
+++ b/core/feed/peer.go
@@ -3,10 +3,11 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"net"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"lycheepond/core/plat"
 	"lycheepond/core/ring"
 	"lycheepond/core/store"
@@ -30,12 +31,12 @@
 		defer cancel()
 		conn, err := dial(ctx, address)
 		if err != nil {
-			return plat.Batch{}, fmt.Errorf("feed: peer %s: %w", address, err)
+			return plat.Batch{}, eris.Wrapf(err, "feed: peer %s", address)
 		}
 		peer, err := wire.Open(ctx, conn, self(), keys())
 		if err != nil {
 			conn.Close()
-			return plat.Batch{}, fmt.Errorf("feed: peer %s: %w", address, err)
+			return plat.Batch{}, eris.Wrapf(err, "feed: peer %s", address)
 		}
 		return fetch(ctx, wire.New(conn, peer, wire.Config{}))
 	}
--- a/core/plat/client.go
+++ b/core/plat/client.go
@@ -4,13 +4,14 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"fmt"
 	"io"
 	"net/http"
 	"net/url"
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/rotisserie/eris"
 )
 
 const (
@@ -150,7 +151,7 @@
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, q.method, c.base+q.path, bytes.NewReader(q.body))
 	if err != nil {
-		return fmt.Errorf("plat: %w: check platform.address", err)
+		return eris.Wrap(err, "plat: check platform.address")
 	}
 	if c.token != "" {
 		req.Header.Set("Authorization", "Bearer "+c.token)
@@ -173,7 +174,7 @@
 	}
 	if err := json.NewDecoder(io.LimitReader(resp.Body, maxAnswer)).Decode(into); err != nil {
 		c.calls.failed.Add(1)
-		return q.lost(fmt.Errorf("answer cut short or not JSON: %w", err))
+		return q.lost(eris.Wrap(err, "answer cut short or not JSON"))
 	}
 	return nil
 }
--- a/lychee/admin/admin.go
+++ b/lychee/admin/admin.go
@@ -5,12 +5,13 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"fmt"
 	"io"
 	"net/http"
 	"strings"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"lycheepond/core/store"
 )
 
@@ -147,23 +148,23 @@
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return fmt.Errorf("no answer from %s: %w: check the address and that the process runs", address, err)
+		return eris.Wrapf(err, "no answer from %s, check the address and that the process runs", address)
 	}
 	defer resp.Body.Close()
 	body := io.LimitReader(resp.Body, maxAnswer)
 	switch {
 	case resp.StatusCode == http.StatusUnauthorized:
-		return fmt.Errorf("%s: %w", address, ErrToken)
+		return eris.Wrap(ErrToken, address)
 	case resp.StatusCode == http.StatusNotFound:
-		return fmt.Errorf("%s: %w", address, ErrUnknown)
+		return eris.Wrap(ErrUnknown, address)
 	case resp.StatusCode >= http.StatusMultipleChoices:
 		text, _ := io.ReadAll(io.LimitReader(body, 1<<10))
-		return fmt.Errorf("%s answered %s: %s", address, resp.Status, strings.TrimSpace(string(text)))
+		return eris.Errorf("%s answered %s: %s", address, resp.Status, strings.TrimSpace(string(text)))
 	case into == nil:
 		return nil
 	}
 	if err := json.NewDecoder(body).Decode(into); err != nil {
-		return fmt.Errorf("%s: answer is not a status: %w: check that it is an admin address", address, err)
+		return eris.Wrapf(err, "%s: answer is not a status, check that it is an admin address", address)
 	}
 	return nil
 }
--- a/lychee/apply/plan.go
+++ b/lychee/apply/plan.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 
+	"github.com/rotisserie/eris"
 	"gopkg.in/yaml.v3"
 
 	"lycheepond/core/plat"
@@ -39,7 +40,7 @@
 		return Change{Item: it, Lines: Lines("", Text(it.Kind, it.Object))}, nil
 	}
 	if err != nil {
-		return Change{}, fmt.Errorf("%s: %w", it.Ref(), err)
+		return Change{}, eris.Wrap(err, it.Ref())
 	}
 	return against(it, now)
 }
--- a/lychee/input/input.go
+++ b/lychee/input/input.go
@@ -10,6 +10,7 @@
 	"slices"
 	"strings"
 
+	"github.com/rotisserie/eris"
 	"gopkg.in/yaml.v3"
 
 	"lycheepond/core/conf"
@@ -81,7 +82,7 @@
 	for _, path := range files {
 		data, err := os.ReadFile(path)
 		if err != nil {
-			return nil, fmt.Errorf("%w: check the file's name", err)
+			return nil, eris.Wrap(err, "check the file's name")
 		}
 		c.add(path, data, env)
 	}
@@ -134,7 +135,7 @@
 	for _, path := range paths {
 		info, err := os.Stat(path)
 		if err != nil {
-			return nil, fmt.Errorf("%w: check the file's name", err)
+			return nil, eris.Wrap(err, "check the file's name")
 		}
 		if !info.IsDir() {
 			files = append(files, path)
