--- a/agent/slot/displ.go
+++ b/agent/slot/displ.go
@@ -7,6 +7,10 @@
 	"lycheepond/core/wire"
 )
 
+// displaceAhead is how long before the last moment a run is stopped: the engine
+// has to notice, and the entry to grant. To be measured.
+const displaceAhead = 200 * time.Millisecond
+
 // displace makes room for r, which would be late otherwise, by stopping work
 // of a lower tier that runs, may be run again, and has shown nothing to its
 // caller. The place comes free when the run has ended.
@@ -41,22 +45,15 @@
 	return worst
 }
 
-// wouldBeLate reports whether r misses its target if it waits for the next
-// run to end by itself. A run that outlasts its estimate may end any moment,
-// so it delays the decision only until the time to first byte is all that is
-// left.
+// wouldBeLate reports whether r misses its target unless a place comes free
+// now. It does not ask when a run will end by itself: estimates of that are
+// often wrong, the bound may grow, and another agent holds the offer too, so
+// until the last moment the place may come without any loss. For a request
+// that is late already nothing is stopped: it runs next, and the work would be
+// lost for no target.
 func (o *Owner) wouldBeLate(now time.Duration, r *rec) bool {
-	if r.due == 0 {
-		return false
-	}
-	soonest := time.Duration(-1)
-	for _, v := range o.running {
-		left := max(v.work.Cost-(now-v.started), 0)
-		if soonest < 0 || left < soonest {
-			soonest = left
-		}
-	}
-	return now+max(soonest, 0)+o.firstMean > r.due
+	first := now + o.firstMean
+	return r.due > 0 && first <= r.due && first+displaceAhead > r.due
 }
 
 // halting counts the runs that are being stopped to make room.
--- a/agent/slot/rec.go
+++ b/agent/slot/rec.go
@@ -108,7 +108,9 @@
 		r.due = now + ms(m.FirstMS) - ms(m.WaitedMS)
 	}
 	if m.CompleteMS > 0 {
-		due := now + ms(m.CompleteMS) - ms(m.WaitedMS) - ms(m.CostMS)
+		// The cost is an estimate that may be wrong by ten times; capped, it
+		// makes no request look late that has not waited.
+		due := now + ms(m.CompleteMS) - ms(m.WaitedMS) - min(ms(m.CostMS), ms(m.CompleteMS)/2)
 		if r.due == 0 || due < r.due {
 			r.due = due
 		}
