--- a/core/spec/decode.go
+++ b/core/spec/decode.go
@@ -38,26 +38,46 @@
 // ObjectName returns the service's name.
 func (s Service) ObjectName() string { return s.Name }
 
-// Decode reads and checks the content of an object as the platform holds it.
-// It returns a Class, Customer, Model or Service, nil for the kinds that
-// processes write, and all that is wrong.
-func Decode(kind, name string, data []byte) (Named, Problems) {
+// blank returns a pointer to an empty object of a kind, nil for kinds that
+// operators do not write.
+func blank(kind string) Named {
 	switch kind {
 	case KindClass:
-		return decode[Class](kind, name, data)
+		return new(Class)
 	case KindCustomer:
-		return decode[Customer](kind, name, data)
+		return new(Customer)
 	case KindModel:
-		return decode[Model](kind, name, data)
+		return new(Model)
 	case KindService:
-		return decode[Service](kind, name, data)
+		return new(Service)
 	}
-	return nil, nil
+	return nil
 }
 
-func decode[T Named](kind, name string, data []byte) (Named, Problems) {
-	var o T
-	ps := decodeJSON(data, &o)
+// value returns what a pointer of blank points to.
+func value(o Named) Named {
+	switch o := o.(type) {
+	case *Class:
+		return *o
+	case *Customer:
+		return *o
+	case *Model:
+		return *o
+	case *Service:
+		return *o
+	}
+	return o
+}
+
+// Decode reads and checks the content of an object as the platform holds it.
+// It returns a Class, Customer, Model or Service, nil for the kinds that
+// processes write, and all that is wrong.
+func Decode(kind, name string, data []byte) (Named, Problems) {
+	o := blank(kind)
+	if o == nil {
+		return nil, nil
+	}
+	ps := decodeJSON(data, o)
 	if len(ps) == 0 {
 		ps = o.Check()
 		if o.ObjectName() != name {
@@ -67,7 +87,7 @@
 	for i := range ps {
 		ps[i].Object = kind + "/" + name
 	}
-	return o, ps
+	return value(o), ps
 }
 
 // decodeJSON reads strictly. encoding/json stops at the first problem, so bad
--- a/core/spec/read.go
+++ b/core/spec/read.go
@@ -116,21 +116,9 @@
 }
 
 func readKind(kind string, n *yaml.Node) (Named, Problems) {
-	switch kind {
-	case KindClass:
-		return readAs[Class](n)
-	case KindCustomer:
-		return readAs[Customer](n)
-	case KindModel:
-		return readAs[Model](n)
-	}
-	return readAs[Service](n)
-}
-
-func readAs[T Named](n *yaml.Node) (Named, Problems) {
-	var o T
-	ps := DecodeNode(n, &o)
+	o := blank(kind)
+	ps := DecodeNode(n, o)
 	found := o.Check()
 	found.Locate(n)
-	return o, ps.With(found)
+	return value(o), ps.With(found)
 }
