--- a/lychee/fleet_test.go
+++ b/lychee/fleet_test.go
@@ -72,6 +72,21 @@
 		[]string{"drain", "worker-2", "-a", "op"}, []string{"explain", strings.Repeat("0", 32), "-a", "op"})
 }
 
+func TestStatusDuringOutage(t *testing.T) {
+	// The platform is away and operators want to know whether the entries
+	// still agree. They name the entries, and see which one is behind.
+	s := fleet(t)
+	var args []string
+	for _, i := range s.platform.instances[:2] {
+		args = append(args, "--entry", i.Admin)
+	}
+	s.address = "http://127.0.0.1:1"
+	code, out := s.run(append([]string{"status", "--admin-token", "op"}, args...)...)
+	if code != exitFailed || !strings.Contains(out, "configuration version 2: the newest among the entries") || strings.Count(out, "lags") != 1 {
+		t.Errorf("exit code %d: %s", code, out)
+	}
+}
+
 func TestWrongToken(t *testing.T) {
 	s := fleet(t)
 	code, out := s.run("status", "--admin-token", "guess")
--- a/lychee/show/show.go
+++ b/lychee/show/show.go
@@ -153,7 +153,10 @@
 		return
 	}
 	state := "in force everywhere"
-	if !r.InForce {
+	switch {
+	case r.Away:
+		state = "the newest among the entries that were asked, the platform does not answer"
+	case !r.InForce:
 		state = "NOT in force everywhere"
 	}
 	fmt.Fprintf(w.out, "configuration version %d: %s\n\n", r.Config, state)
--- a/lychee/survey/survey.go
+++ b/lychee/survey/survey.go
@@ -19,7 +19,11 @@
 
 // Report is the state of a fleet.
 type Report struct {
-	// Config is the newest configuration version at the platform.
+	// Away is set when the platform does not answer. Entries are then compared
+	// with the newest among them.
+	Away bool `json:"platform_away"`
+	// Config is the newest configuration version at the platform, or among the
+	// entries while it is away.
 	Config int64 `json:"config_version"`
 	// InForce is set when every entry has exactly the platform's configuration
 	// in force.
@@ -143,12 +147,11 @@
 			r.Entries[i].Error, r.Entries[i].State = err.Error(), StateSilent
 		}
 	})
-	r.InForce = err == nil && len(r.Entries) > 0
-	if config != nil {
-		r.Config = config.Version()
-	}
+	r.InForce, r.Away = err == nil && len(r.Entries) > 0, err != nil
+	want := wanted(config, answers)
+	r.Config = want.version
 	for i := range r.Entries {
-		r.Entries[i].take(answers[i], config)
+		r.Entries[i].take(answers[i], want.digest)
 		if r.Entries[i].Lags || r.Entries[i].State == StateSilent {
 			r.InForce = false
 		}
@@ -169,13 +172,33 @@
 	return config.Model(name)
 }
 
-func (e *Entry) take(a admin.Entry, config *store.Store) {
+// sight is a configuration by its newest version and its digest.
+type sight struct {
+	version int64
+	digest  uint64
+}
+
+// wanted returns what every entry should have in force.
+func wanted(config *store.Store, answers []admin.Entry) sight {
+	if config != nil {
+		return sight{config.Version(), config.Digest()}
+	}
+	var newest sight
+	for _, a := range answers {
+		if a.Config > newest.version {
+			newest = sight{a.Config, a.Digest}
+		}
+	}
+	return newest
+}
+
+func (e *Entry) take(a admin.Entry, digest uint64) {
 	if e.State == StateSilent {
 		return
 	}
 	e.Name, e.Zone, e.Config, e.Running = a.Name, a.Zone, a.Config, a.Running
 	e.Away, e.AgeMS, e.Rejected = a.Away, a.AgeMS, a.Rejected
-	e.Lags = config != nil && a.Digest != config.Digest()
+	e.Lags = a.Digest != digest
 	e.State = StateNotReady
 	if a.Leaving {
 		e.State = StateLeaving
