--- a/entry/caller/accept.go
+++ b/entry/caller/accept.go
@@ -153,6 +153,10 @@
 
 // body reads the whole body of a request.
 func body(w http.ResponseWriter, r *http.Request) ([]byte, *fault.Error) {
+	// A caller that stops sending would hold its request's goroutine for good.
+	rc := http.NewResponseController(w)
+	rc.SetReadDeadline(time.Now().Add(callerPatience))
+	defer rc.SetReadDeadline(time.Time{})
 	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
 	var tooLarge *http.MaxBytesError
 	switch {
--- a/entry/caller/path_test.go
+++ b/entry/caller/path_test.go
@@ -160,6 +160,26 @@
 	}
 }
 
+// Frames overtake each other: the end and a piece come before the head, and a
+// piece comes twice. The caller must get the whole answer, in order.
+func TestFramesThatOvertakeTheHead(t *testing.T) {
+	a := newStub(t, "a", func(_ *stub, l *wire.Link, m wire.Message) {
+		switch m := m.(type) {
+		case *wire.Offer:
+			l.Send(&wire.Claim{ID: m.ID, Load: idle})
+		case *wire.Grant:
+			l.Send(&wire.Chunk{ID: m.ID, Seq: 1, Data: []byte("two")})
+			l.Send(endOf(m.ID, "one ", "two"))
+			l.Send(&wire.Chunk{ID: m.ID, Seq: 1, Data: []byte("two")})
+			l.Send(&wire.Head{ID: m.ID, Status: 200})
+			l.Send(&wire.Chunk{ID: m.ID, Seq: 0, Data: []byte("one ")})
+		}
+	})
+	f := newFront(t, frontOptions{}, a)
+	expect(t, f.post(t, "/v1/completions", completion(true)), 200, "complete", "one two")
+	expect(t, f.post(t, "/v1/completions", completion(false)), 200, "complete", "one two")
+}
+
 // The endpoint's answer is cut short after the caller has seen a part of it.
 // Without the error event the caller would take the part for the whole.
 func TestTruncatedStreamEndsWithError(t *testing.T) {
--- a/entry/caller/stub_test.go
+++ b/entry/caller/stub_test.go
@@ -127,13 +127,19 @@
 
 func sendAnswer(l *wire.Link, id ident.ID, parts ...string) {
 	l.Send(&wire.Head{ID: id, Status: http.StatusOK, Header: []wire.Field{{Name: "Content-Type", Value: "text/event-stream"}}})
-	end := &wire.End{ID: id, Chunks: uint32(len(parts)), Whole: true, Load: idle}
 	for i, p := range parts {
 		l.Send(&wire.Chunk{ID: id, Seq: uint32(i), Data: []byte(p)})
+	}
+	l.Send(endOf(id, parts...))
+}
+
+func endOf(id ident.ID, parts ...string) *wire.End {
+	end := &wire.End{ID: id, Chunks: uint32(len(parts)), Whole: true, Load: idle}
+	for _, p := range parts {
 		end.Bytes += uint64(len(p))
 		end.CRC = crc32.Update(end.CRC, crc32.MakeTable(crc32.Castagnoli), []byte(p))
 	}
-	l.Send(end)
+	return end
 }
 
 // front is an entry's caller side over stubs.
--- a/entry/sched/flight.go
+++ b/entry/sched/flight.go
@@ -59,6 +59,8 @@
 	headed bool
 	status int
 	header []wire.Field
+	// early are pieces that overtook the head, at most maxEarly.
+	early []*event
 	// body holds an answer back until it is whole; full is set once it would
 	// outgrow maxWhole.
 	body []byte
@@ -152,11 +154,15 @@
 	a := once.Agent{Name: e.peer.Name(), Incarnation: e.inc}
 	switch m := e.msg.(type) {
 	case *wire.Chunk:
-		f.chunk(e.peer, m)
+		if f.from(e.peer) && !f.overtook(e) {
+			f.chunk(m)
+		}
 	case *wire.Head:
 		f.head(e.peer, m)
 	case *wire.End:
-		f.end(e.peer, m)
+		if f.from(e.peer) && (!m.Whole || !f.overtook(e)) {
+			f.end(m)
+		}
 	case *wire.Claim:
 		f.claim(e.peer, a, m)
 	case *wire.Return:
@@ -192,19 +198,18 @@
 	f.finish(fault.New(fault.Deadline, "the deadline passed: allow more time with Lychee-Deadline, or ask again when the load is lower"))
 }
 
-// hangUp ends the request after its caller has gone. What may not run twice is
-// left to run to its end, so that a retry under its key finds the answer.
+// hangUp ends the request after its caller has gone.
 func (f *flight) hangUp() {
 	f.withdraw()
-	if f.job.Repeatable {
-		f.cancel(wire.ReasonCallerGone)
-	}
+	f.cancel(wire.ReasonCallerGone)
 	f.finish(fault.New(fault.CallerGone, "the caller hung up"))
 }
 
-// cancel stops the granted attempt at the endpoint, if there is one.
+// cancel stops the granted attempt at the endpoint, if there is one. What may
+// not be repeated is left to run to its end: half a filing would be worse, and
+// a retry under its key finds the answer.
 func (f *flight) cancel(why wire.Reason) {
-	if f.holder != nil && f.once.State() == once.Granted {
+	if f.job.Repeatable && f.holder != nil && f.once.State() == once.Granted {
 		f.holder.Send(&wire.Cancel{ID: f.once.ID(), Reason: why})
 	}
 }
--- a/entry/sched/offer.go
+++ b/entry/sched/offer.go
@@ -202,7 +202,7 @@
 // renew begins another attempt of a request that may have one.
 func (f *flight) renew(why string) {
 	if !f.once.MayRenew() {
-		f.finish(fault.New(fault.UnknownFate, "the answer is lost and the request may have run ("+why+"): find out before asking again").After(time.Second))
+		f.finish(fault.New(fault.UnknownFate, "the answer is lost and the request may have run ("+why+"): find out before asking again"))
 		return
 	}
 	f.pool.tell(note{op: opRetry, f: f})
--- a/entry/sched/relay.go
+++ b/entry/sched/relay.go
@@ -10,6 +10,9 @@
 	"lycheepond/entry/fault"
 )
 
+// maxEarly bounds the pieces that may overtake the head of an answer.
+const maxEarly = 64
+
 // maxWhole bounds an answer that is kept until its end.
 const maxWhole = 16 << 20
 
@@ -31,12 +34,31 @@
 		return
 	}
 	f.headed, f.status, f.header = true, int(m.Status), m.Header
+	early := f.early
+	f.early = nil
+	for _, e := range early {
+		if !f.done {
+			f.react(e)
+		}
+	}
 }
 
-func (f *flight) chunk(p *agents.Peer, m *wire.Chunk) {
-	if !f.from(p) {
-		return
+// overtook keeps a piece of an answer whose head is not here yet, and reports
+// whether it did. Without the head the status of the answer is unknown, so
+// nothing of it can be passed on. What does not fit is asked for again.
+func (f *flight) overtook(e *event) bool {
+	if f.headed {
+		return false
+	}
+	if len(f.early) < maxEarly {
+		c := *e
+		f.early = append(f.early, &c)
 	}
+	f.gap()
+	return true
+}
+
+func (f *flight) chunk(m *wire.Chunk) {
 	switch f.ans.Push(m.Seq, m.Data, f.pass) {
 	case answer.Whole:
 		f.whole()
@@ -87,10 +109,7 @@
 	f.sink.Head(f.status, f.header)
 }
 
-func (f *flight) end(p *agents.Peer, m *wire.End) {
-	if !f.from(p) {
-		return
-	}
+func (f *flight) end(m *wire.End) {
 	switch f.ans.Finish(m) {
 	case answer.Whole:
 		f.whole()
@@ -103,10 +122,6 @@
 
 // whole ends the request with its complete answer.
 func (f *flight) whole() {
-	if !f.headed {
-		f.broken()
-		return
-	}
 	f.once.End()
 	f.give()
 	if len(f.body) > 0 {
@@ -196,7 +211,7 @@
 // fresh forgets the answer of an attempt that came to nothing.
 func (f *flight) fresh() {
 	f.ans = answer.Answer{}
-	f.headed, f.status, f.header, f.body = false, 0, nil, f.body[:0]
+	f.headed, f.status, f.header, f.early, f.body = false, 0, nil, nil, f.body[:0]
 	f.holder, f.asks, f.last = nil, 0, 0
 	f.res.First, f.res.Between = 0, 0
 	f.held.clear()
--- a/entry/sched/sched.go
+++ b/entry/sched/sched.go
@@ -137,7 +137,8 @@
 		return
 	}
 	for _, pool := range s.pools {
-		go pool.tell(note{op: opForget, agent: a.Name})
+		// A full ring costs some prefix reuse, to wait would cost the link.
+		_ = pool.notes.Offer(note{op: opForget, agent: a.Name})
 	}
 }
 
