--- a/entry/caller/stub_test.go
+++ b/entry/caller/stub_test.go
@@ -83,11 +83,10 @@
 		conn.Close()
 		return
 	}
-	l := wire.New(conn, peer, wire.Config{})
+	l := wire.New(conn, peer, wire.Config{Beat: func() wire.Message { return &wire.Beat{Load: s.load} }})
 	s.mu.Lock()
 	s.link = l
 	s.mu.Unlock()
-	l.Send(&wire.Beat{Load: s.load})
 	l.Run(ctx, func(m wire.Message) { s.handle(l, m) })
 }
 
