--- a/entry/keys/keeper.go
+++ b/entry/keys/keeper.go
@@ -21,9 +21,10 @@
 )
 
 const (
-	// DefaultTouch is how often a table is confirmed. Four confirmations fit
-	// into the default lease, so that two failed ones cost no lease.
-	DefaultTouch = 5 * time.Second
+	// DefaultTouch is how often a table is confirmed. Each confirmation costs
+	// a write and goes to every watch, so it is as rare as leaves an agent
+	// half of the default lease; one that fails is repeated at once.
+	DefaultTouch = 8 * time.Second
 	// lookEvery is how often owners are checked.
 	lookEvery = 250 * time.Millisecond
 	// settle is how long the first table waits for all agents to be linked.
