queue, bound, shed: short work of lower tiers reaches the places left for it

Long is now judged beside work of the same and higher tiers, and Next looks at 32 items of each tier. Each tier's own drain is measured too, since work that memory holds back gets less than the others leave; free places count as room only while the tier's work is not stuck.

place: a saved prefill counts for the batch that stands still too, and an offer waits longer before others get it.

--- a/core/bound/bound.go
+++ b/core/bound/bound.go
@@ -1,6 +1,10 @@
 package bound
 
-import "time"
+import (
+	"time"
+
+	"lycheepond/core/spec"
+)
 
 // Config says within which limits the bound is sought.
 type Config struct {
@@ -13,7 +17,7 @@
 const (
 	DefaultMin = 1
 	DefaultMax = 256
-	coldStart  = 4
+	coldStart  = 6
 )
 
 // Sample is what one request showed, when it had its first byte, while it ran
@@ -78,7 +82,8 @@
 	find   search
 	pace   pace
 	memory memory
-	long   lengths
+	// long tells long work by tier.
+	long [spec.Tiers]lengths
 }
 
 // New returns a bound at its cold start.
@@ -125,9 +130,16 @@
 	b.memory.report(now, r)
 }
 
-// Long reports whether w is so long beside the usual work that it counts
-// against the places for long work. It is called once, when w is dispatched.
-func (b *Bound) Long(w Work) bool { return b.long.learn(w.Cost) }
+// Long reports whether w is so long beside the work of its and higher tiers
+// that it counts against the places for long work. It is called once, when w is
+// dispatched.
+func (b *Bound) Long(w Work) bool {
+	tier := min(w.Tier, spec.Tiers-1)
+	for t := tier; t < spec.Tiers; t++ {
+		b.long[t].learn(w.Cost)
+	}
+	return b.long[tier].isLong(w.Cost)
+}
 
 // Fit tells whether next may be dispatched now.
 func (b *Bound) Fit(now time.Duration, r Running, next Work) Answer {
@@ -136,7 +148,8 @@
 	if r.Count >= limit {
 		return NoPlace
 	}
-	if b.long.isLong(next.Cost) && r.LongCount >= limit-b.long.reserve(limit, next.Tier) {
+	long := &b.long[min(next.Tier, spec.Tiers-1)]
+	if long.isLong(next.Cost) && r.LongCount >= limit-long.reserve(limit, next.Tier) {
 		return LongFull
 	}
 	if r.Count > 0 && !b.memory.room(r.Tokens+next.Tokens) {
--- a/core/bound/bound_test.go
+++ b/core/bound/bound_test.go
@@ -136,12 +136,29 @@
 	if r.Count != 6 || b.Fit(0, r, long) != LongFull || b.Fit(0, r, short) != Yes {
 		t.Fatalf("%d long jobs, then %d for long and %d for short", r.Count, b.Fit(0, r, long), b.Fit(0, r, short))
 	}
+	b.Long(Work{Tier: 0, Cost: 50 * time.Second})
 	long.Tier = 0
 	if b.Fit(0, r, long) != Yes {
 		t.Fatal("the highest tier waits for a place kept for lower work")
 	}
 }
 
+// Tags of a low tier are short beside the work of a higher one. No place may be
+// kept for them against it.
+func TestNoPlacesAreKeptForLowerWork(t *testing.T) {
+	b := New(Config{Min: 8, Max: 8})
+	higher := Work{Tier: 1, Cost: 10 * time.Second}
+	for range 20 {
+		b.Long(Work{Tier: 2, Cost: 100 * time.Millisecond})
+		if b.Long(higher) {
+			t.Fatal("work is long beside work of a lower tier")
+		}
+	}
+	if got := b.Fit(0, Running{Count: 7, LongCount: 7}, higher); got != Yes {
+		t.Fatalf("Fit = %d", got)
+	}
+}
+
 // Whatever is seen, the bound stays within its limits and an empty endpoint
 // takes work.
 func TestInvariants(t *testing.T) {
--- a/core/bound/long.go
+++ b/core/bound/long.go
@@ -22,7 +22,9 @@
 	rare = 0.1
 )
 
-// lengths tells long work from short.
+// lengths tells long work from short, as seen by one tier: only work of that
+// and higher tiers counts, because places are not kept for lower work against
+// higher.
 type lengths struct {
 	// short is the length of the shortest work seen of late, zero before any.
 	short time.Duration
@@ -34,10 +36,10 @@
 	return l.short > 0 && cost > longRatio*l.short
 }
 
-// learn takes in one piece of work and reports whether it is long.
-func (l *lengths) learn(cost time.Duration) bool {
+// learn takes in one piece of work.
+func (l *lengths) learn(cost time.Duration) {
 	if cost <= 0 {
-		return false
+		return
 	}
 	switch {
 	case l.short == 0:
@@ -48,9 +50,7 @@
 	default:
 		l.short = min(cost, time.Duration(float64(l.short)*shortFade))
 	}
-	long := l.isLong(cost)
-	l.shorts += (share(!long) - l.shorts) * shortWeight
-	return long
+	l.shorts += (share(!l.isLong(cost)) - l.shorts) * shortWeight
 }
 
 // reserve is how many of limit places long work leaves free. Work of the
--- a/core/bound/memory.go
+++ b/core/bound/memory.go
@@ -7,12 +7,14 @@
 	// leastFill and mostFill bound it. It may exceed one, because requests are
 	// at different points of their answers and seldom need all they will need
 	// at the same time.
-	startFill, leastFill, mostFill = 0.8, 0.5, 1.5
+	startFill, leastFill, mostFill = 0.7, 0.5, 1.5
 	// tight is the used part of the memory above which the plan is cut, and
 	// loose that below which it grows while it holds work back.
 	tight, loose = 0.95, 0.85
 	fillCut      = 0.9
 	fillGrowth   = 0.003
+	// startSize is the memory of a token in the usual blocks of 16.
+	startSize = 1.0 / 16
 	// sizeRise is the part of the way that the size of a token follows a larger
 	// one, and sizeFade how fast a larger one is forgotten, with each report.
 	sizeRise, sizeFade = 0.5, 0.995
@@ -32,8 +34,8 @@
 type memory struct {
 	total int64
 	// size is the memory that one estimated token takes, in units of the
-	// report: about the largest seen of late. Until known is set by the first
-	// useful report memory holds nothing back: the bound is small by then.
+	// report: about the largest seen of late, or startSize until known is set
+	// by the first useful report.
 	size  float64
 	known bool
 	fill  float64
@@ -49,7 +51,7 @@
 	tokens int64
 }
 
-func newMemory() memory { return memory{fill: startFill} }
+func newMemory() memory { return memory{size: startSize, fill: startFill} }
 
 // note remembers the tokens in flight.
 func (m *memory) note(now time.Duration, tokens int64) {
@@ -81,7 +83,7 @@
 		return
 	}
 	if r.KVTotal != m.total {
-		m.total, m.size, m.known, m.fill = r.KVTotal, 0, false, startFill
+		m.total, m.size, m.known, m.fill = r.KVTotal, startSize, false, startFill
 	}
 	m.learn(m.at(now-r.Age), r.KVUsed)
 	used := float64(r.KVUsed) / float64(r.KVTotal)
@@ -112,7 +114,7 @@
 
 // room reports whether so many tokens may be in flight.
 func (m *memory) room(tokens int64) bool {
-	if !m.known || float64(tokens)*m.size <= m.fill*float64(m.total) {
+	if m.total == 0 || float64(tokens)*m.size <= m.fill*float64(m.total) {
 		return true
 	}
 	m.blocked = true
--- a/core/bound/pace.go
+++ b/core/bound/pace.go
@@ -9,8 +9,9 @@
 	// slowRatio is how many times its usual an endpoint takes that is slow, and
 	// fairRatio that of one that is no longer.
 	slowRatio, fairRatio = 4, 2
-	// recentWeight is the weight of a sample in the recent ratio.
-	recentWeight = 1.0 / 3
+	// recentWeight is the weight of a sample in the recent ratio: one sample of
+	// an endpoint at an eighth of its pace is enough to find it slow.
+	recentWeight = 0.45
 	// usualFor is how long the usual pace remembers, and doubt the weight of a
 	// sample that would make it slow: little enough not to take slowness for
 	// usual at once, and enough to take an endpoint as it is that stays so.
--- a/core/place/cache.go
+++ b/core/place/cache.go
@@ -76,7 +76,7 @@
 		}
 		c.expire(now, h)
 		if h.n > 0 {
-			return h, length(i)
+			return h, shared(i, len(prefix))
 		}
 	}
 	return nil, 0
@@ -147,6 +147,16 @@
 // length returns the tokens of the i-th prefix of a fingerprint.
 func length(i int) int { return (firstBlock << i) / bytesPerToken }
 
+// shared returns the tokens that a prompt with n prefixes is taken to have in
+// common with another whose longest common prefix is the i-th: halfway to the
+// next one, unless it is the last.
+func shared(i, n int) int {
+	if i == n-1 {
+		return length(i)
+	}
+	return length(i) * 3 / 2
+}
+
 // Sent records that a prompt with this prefix was granted to the agent, which
 // has it in its cache from then on. It returns how many of the prompt's tokens
 // the agent was believed to have before, for Cached.
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -10,9 +10,10 @@
 // all and does not herd. To them come the agents that have the prompt's prefix
 // in their cache, as far as the entry's own grants tell: cache events come late
 // and with gaps, while what was sent is known at once. An agent with the prefix
-// is worth the prefill that it saves, and is offered the request alone as long
-// as that is more than its queue costs; beside it a second agent would claim
-// first and compute the prefix again. When the queue there costs more, the
+// is worth the prefill that it saves, to the request and to those in the same
+// batch, and is offered the request alone as long as that is more than its queue
+// costs; beside it a second agent would claim first and compute the prefix
+// again. When the queue there costs more, the
 // request goes elsewhere, and a prefix in demand spreads to a few agents.
 //
 // Slow and leaving agents get nothing, except that one pick in thirty-two also
@@ -41,6 +42,10 @@
 	crowding = 8
 	// probeEvery is the number of picks of which one offers to a slow agent.
 	probeEvery = 32
+	// stalled is the divisor of the others' time in the batch that a prefill
+	// takes: they do not stand still all of the time, because an engine mixes a
+	// part of a prompt with the tokens of the others.
+	stalled = 8
 	// leastSaving is the prefill that must be saved for an agent to be offered
 	// a request alone.
 	leastSaving = 5 * time.Millisecond
@@ -145,10 +150,18 @@
 			return
 		}
 	}
-	saving := time.Duration(min(held, req.PromptTokens)) * p.cfg.Prefill
+	saving := p.saving(req.PromptTokens, held, &agents[i])
 	p.found = append(p.found, candidate{index: i, cost: p.loss(req, &agents[i]) - saving, saving: saving})
 }
 
+// saving is what a prompt of which held tokens are cached at a is worth there:
+// the prefill that it saves, and a part of that for every request in the batch,
+// all of which stand still meanwhile.
+func (p *Placer) saving(prompt, held int, a *Agent) time.Duration {
+	prefill := time.Duration(min(held, prompt)) * p.cfg.Prefill
+	return prefill + prefill*time.Duration(min(a.InFlight, a.Bound))/stalled
+}
+
 // loss is the time that req would lose at a: the queue, a share of a full
 // batch, and the way to another zone.
 func (p *Placer) loss(req *Request, a *Agent) time.Duration {
--- a/core/place/wider.go
+++ b/core/place/wider.go
@@ -14,6 +14,8 @@
 	// mostAgents is how many agents hold an offer at most. Each further one
 	// costs a message and gains less.
 	mostAgents = 6
+	// fullBatch is the number of requests in a full batch.
+	fullBatch = 16
 	// hurry is the part of the time left to the target that an offer waits at
 	// most.
 	hurry = 4
@@ -27,14 +29,18 @@
 	Offered, Due time.Duration
 	// Agents is how many agents hold the offer now.
 	Agents int
+	// PromptTokens and Prefix are those of its Request.
+	PromptTokens int
+	Prefix       []uint64
 }
 
-// patient reports whether w should go on waiting for the agents that it has.
-func (w *Waiting) patient(now time.Duration) bool {
+// patient reports whether w should go on waiting for the agents that it has;
+// worth is what the prefix that one of them may have saves.
+func (w *Waiting) patient(now, worth time.Duration) bool {
 	if w.Agents >= mostAgents {
 		return true
 	}
-	patience := firstPatience << max(w.Agents-1, 0)
+	patience := firstPatience<<max(w.Agents-1, 0) + worth
 	if w.Agents == 0 {
 		patience = 0
 	}
@@ -51,7 +57,7 @@
 func (p *Placer) Wider(now time.Duration, waiting []Waiting, out []int) []int {
 	first := len(out)
 	for i := range waiting {
-		if !waiting[i].patient(now) {
+		if !waiting[i].patient(now, p.worth(now, &waiting[i])) {
 			out = append(out, i)
 		}
 	}
@@ -62,6 +68,17 @@
 	return out
 }
 
+// worth is what an agent with the prompt's prefix saves in a full batch. Offers
+// to others before that has been waited for would spread every prefix over the
+// fleet, until no cache holds any.
+func (p *Placer) worth(now time.Duration, w *Waiting) time.Duration {
+	h, tokens := p.cache.longest(now, w.Prefix)
+	if h == nil {
+		return 0
+	}
+	return fullBatch / stalled * time.Duration(min(tokens, w.PromptTokens)) * p.cfg.Prefill
+}
+
 // never orders requests without a target last.
 func never(due time.Duration) time.Duration {
 	if due == 0 {
--- a/core/queue/next.go
+++ b/core/queue/next.go
@@ -23,12 +23,13 @@
 const (
 	// maxPassed is how many items may run before one that answered PassFew.
 	maxPassed = 16
-	// maxTried bounds how many items Next looks at.
+	// maxTried bounds how many items of a tier Next looks at.
 	maxTried = 32
 )
 
 // Next takes the first item, in the order of Pop, that fits. It gives up when
-// an item must not be passed, and after looking at maxTried items.
+// an item must not be passed, and goes on to the next tier after looking at
+// maxTried items of one.
 func (q *Queue) Next(now time.Duration, fit func(Item) Fit) (Item, bool) {
 	q.tried = q.tried[:0]
 	found := q.search(now, fit)
@@ -49,7 +50,7 @@
 func (q *Queue) search(now time.Duration, fit func(Item) Fit) *node {
 	for i := range q.tiers {
 		t := &q.tiers[i]
-		for t.count > 0 {
+		for tried := 0; t.count > 0 && tried < maxTried; tried++ {
 			n := t.head(now)
 			switch fit(n.Item) {
 			case Fits:
@@ -61,9 +62,6 @@
 					return nil
 				}
 			}
-			if len(q.tried) == maxTried {
-				return nil
-			}
 			t.detach(n)
 			q.tried = append(q.tried, n)
 		}
--- a/core/queue/queue_test.go
+++ b/core/queue/queue_test.go
@@ -193,6 +193,25 @@
 	}
 }
 
+// More long work of a high tier waits for its places than Next looks at. Short
+// work of a lower tier must still get the places that are left.
+func TestNextReachesLowerTiers(t *testing.T) {
+	q := New(Config{})
+	for n := range 3 * maxTried {
+		fill(t, q, item(n, 1, "a", 100*second, 0))
+	}
+	fill(t, q, item(1000, 2, "b", second, 0))
+	it, ok := q.Next(0, func(it Item) Fit {
+		if it.Cost > second {
+			return Pass
+		}
+		return Fits
+	})
+	if !ok || it.Tier != 2 || q.Len() != 3*maxTried {
+		t.Fatalf("took %+v, %d left", it, q.Len())
+	}
+}
+
 // Whatever happens, nothing is lost or doubled, a pop takes the highest tier
 // that waits, and the sums agree with the items.
 func TestInvariants(t *testing.T) {
--- a/core/shed/drain.go
+++ b/core/shed/drain.go
@@ -13,6 +13,12 @@
 	// grace is how long work must have been waiting for the pool to count as
 	// saturated: less is the way to an agent and back.
 	grace = 50 * time.Millisecond
+	// patience is how many times the usual time between two starts may pass
+	// before the rate counts as lower.
+	patience = 2
+	// stuckAfter is how long work must have been waiting for free places to be
+	// of no use to it.
+	stuckAfter = 250 * time.Millisecond
 	// stale is how long ago the pool was last saturated for its rate to count
 	// for little, because the endpoints may have been changed since.
 	stale = time.Minute
@@ -34,6 +40,8 @@
 	since, last time.Duration
 	waiting     bool
 	saturated   time.Duration
+	// started is when work was last started.
+	started time.Duration
 }
 
 // pass lets time pass until now; waiting tells whether work was waiting since
@@ -75,6 +83,7 @@
 
 // start records that work was started.
 func (d *drain) start(now time.Duration, work float64) {
+	d.started = now
 	if !d.waiting || now-d.since < grace {
 		return
 	}
@@ -96,3 +105,24 @@
 	}
 	return work / busy
 }
+
+// present is rate, less when nothing was started for longer than that rate
+// lets expect: work that is starved by higher tiers must be found so before the
+// rate has faded.
+func (d *drain) present(now time.Duration) float64 {
+	rate := d.rate(View{})
+	gap := (now - max(d.started, d.since)).Seconds()
+	if gap <= 0 || d.starts == 0 {
+		return rate
+	}
+	return min(rate, patience*d.work/d.starts/gap)
+}
+
+// sure reports whether the rate rests on more than a few starts or on a long
+// wait.
+func (d *drain) sure() bool {
+	return d.starts >= goodStarts/4 || d.busy >= leastWindow.Seconds()
+}
+
+// stuck reports whether work has been waiting for long.
+func (d *drain) stuck(now time.Duration) bool { return d.waiting && now-d.since > stuckAfter }
--- a/core/shed/shed.go
+++ b/core/shed/shed.go
@@ -146,27 +146,36 @@
 	return p
 }
 
+// pass lets the measured rates pass the time until now.
+func (p *Pool) pass(now time.Duration) {
+	p.drain.pass(now, p.waiting > 0)
+	for i := range p.tiers {
+		p.tiers[i].drain.pass(now, len(p.tiers[i].accounts) > 0)
+	}
+}
+
 func clamp(t uint8) uint8 { return min(t, lowest) }
 
 // Arrived records that admitted work waits.
 func (p *Pool) Arrived(now time.Duration, tier uint8, customer string, work time.Duration) {
-	p.drain.pass(now, p.waiting > 0)
+	p.pass(now)
 	p.waiting++
 	p.tiers[clamp(tier)].add(now, customer, work.Seconds())
 }
 
 // Started records that waiting work was granted.
 func (p *Pool) Started(now time.Duration, tier uint8, customer string, work time.Duration) {
-	p.drain.pass(now, p.waiting > 0)
-	if p.tiers[clamp(tier)].remove(customer, work.Seconds()) {
+	p.pass(now)
+	if t := &p.tiers[clamp(tier)]; t.remove(customer, work.Seconds()) {
 		p.waiting--
 		p.drain.start(now, work.Seconds())
+		t.drain.start(now, work.Seconds())
 	}
 }
 
 // Left records that waiting work was withdrawn or refused after all.
 func (p *Pool) Left(now time.Duration, tier uint8, customer string, work time.Duration) {
-	p.drain.pass(now, p.waiting > 0)
+	p.pass(now)
 	if p.tiers[clamp(tier)].remove(customer, work.Seconds()) {
 		p.waiting--
 	}
@@ -182,11 +191,11 @@
 // backlog; Arrived does.
 func (p *Pool) Decide(now time.Duration, a Ask, v View) Verdict {
 	a.Tier = clamp(a.Tier)
-	p.drain.pass(now, p.waiting > 0)
+	p.pass(now)
 	p.level.see(a.Tier, v)
 	p.level.idle = p.waiting == 0 && v.Free > 0
 	wait, limit := p.wait(now, a, v), p.limit(a)
-	late := wait > limit && p.waiting >= v.Free
+	late := wait > limit && !p.hasPlace(now, a.Tier, v)
 	if late {
 		p.level.fall(now, a.Tier)
 	}
@@ -200,6 +209,13 @@
 	return p.refusal(now, a, v, wait-limit, excluded)
 }
 
+// hasPlace reports whether a place is free for work of a tier. Places that are
+// free while work of the tier has been waiting for some time are of no use to
+// it: what it lacks is memory, or a place for long work.
+func (p *Pool) hasPlace(now time.Duration, tier uint8, v View) bool {
+	return p.waiting < v.Free && !p.tiers[tier].drain.stuck(now)
+}
+
 // limit is the longest wait that a request may be admitted to.
 func (p *Pool) limit(a Ask) time.Duration {
 	target := a.Target
@@ -223,8 +239,15 @@
 		work += p.tiers[t].work
 		left -= p.tiers[t].arriving(now)
 	}
-	work += p.tiers[a.Tier].ahead(a.Customer, a.Work.Seconds())
-	return seconds(work / max(left, rate*leastLeft))
+	t := &p.tiers[a.Tier]
+	ahead := t.ahead(a.Customer, a.Work.Seconds())
+	wait := (work + ahead) / max(left, rate*leastLeft)
+	if t.drain.sure() {
+		// The tier may get less than what the others leave, as long work does
+		// that memory holds back while short work of other tiers passes it.
+		wait = max(wait, ahead/max(t.drain.present(now), rate*leastLeft))
+	}
+	return seconds(wait)
 }
 
 // refusal makes the verdict on a request that is refused. Those refused before
--- a/core/shed/tier.go
+++ b/core/shed/tier.go
@@ -46,6 +46,8 @@
 	}
 	// margin is the part of a target that the predicted wait may take.
 	margin float64
+	// drain measures what of this tier is started while it waits.
+	drain drain
 	// rate is the admitted work that arrives, in seconds a second, decayed
 	// since seen; it began to be measured at begun.
 	rate        float64
--- a/entry/sched/pick.go
+++ b/entry/sched/pick.go
@@ -56,6 +56,7 @@
 		}
 		p.wide = append(p.wide, place.Waiting{
 			Tier: f.job.Class.Tier, Offered: st.offered, Due: due(f.job), Agents: f.held.len(),
+			PromptTokens: f.est.PromptTokens, Prefix: f.trace.prefix,
 		})
 		p.wideF = append(p.wideF, f)
 	}
