agent: orders follow a change of the endpoint's line, not of the object's version

An assignment is confirmed by writes that change its version only. Each would have been taken for an order and made the engine load the same weights again.

--- a/agent/slot/lease.go
+++ b/agent/slot/lease.go
@@ -74,7 +74,7 @@
 		}
 		o.askAbout(now, pool)
 	}
-	if model, a := o.newest(); a != nil && a.version > o.orders.done {
+	if model, a := o.newest(); o.due(now, model, a) {
 		every = min(every, orderAsk)
 		o.askAbout(now, wire.AssignPrefix+model)
 	}
--- a/agent/slot/order.go
+++ b/agent/slot/order.go
@@ -19,8 +19,12 @@
 	// assignLease is how long a confirmation of an assignment lets this agent
 	// give orders that follow from it.
 	assignLease = 5 * time.Second
-	// orderAgain is how long a failed order rests.
-	orderAgain = time.Second
+	// orderAgain is how long a failed order rests, and orderRepeat when one
+	// that was taken is given again because the endpoint still serves
+	// something else. Loading weights takes a while; an endpoint that was
+	// restarted meanwhile has forgotten the order.
+	orderAgain  = time.Second
+	orderRepeat = time.Minute
 	// orderMargin is what must be left of the lease for an order to be given.
 	orderMargin = time.Second
 )
@@ -38,14 +42,23 @@
 	until time.Duration
 }
 
+// order is what an endpoint was told.
+type order struct {
+	model string
+	line  spec.Assignment
+}
+
 // orders is what the owner knows of assignments and orders.
 type orders struct {
 	seen map[string]*assigned
 	// given is the newest fence of an order that was ever sent; none older is
 	// sent after it, whatever the endpoint makes of fences.
 	given int64
-	// done is the newest fence that the endpoint accepted.
-	done int64
+	// done is the newest fence that the endpoint accepted, and taken the line
+	// that came with it, at the time takenAt.
+	done    int64
+	taken   order
+	takenAt time.Duration
 	// busy is set while an order is under way.
 	busy bool
 	next time.Duration
@@ -66,15 +79,12 @@
 		o.orders.seen = make(map[string]*assigned)
 	}
 	old := o.orders.seen[m.Name]
-	if old != nil && m.Version <= old.version {
+	if old != nil && (m.Version <= old.version || a.Epoch == old.epoch) {
+		// Writes that only confirm an assignment change nothing here.
 		return
 	}
 	line, mine := a.Endpoints[o.cfg.Self.Name]
-	next := &assigned{version: m.Version, epoch: a.Epoch, line: line, mine: mine}
-	if old != nil && old.epoch == a.Epoch {
-		next.until = old.until
-	}
-	o.orders.seen[m.Name] = next
+	o.orders.seen[m.Name] = &assigned{version: m.Version, epoch: a.Epoch, line: line, mine: mine}
 	o.askNext = 0
 }
 
@@ -91,19 +101,23 @@
 
 // tickOrders gives the newest order for this endpoint if it is due.
 func (o *Owner) tickOrders(now time.Duration) {
-	if o.orders.busy || now < o.orders.next || o.cfg.Order == nil {
-		return
-	}
 	model, a := o.newest()
-	if a == nil || a.version <= o.orders.done || a.version < o.orders.given || now+orderMargin > a.until {
-		return
+	if o.due(now, model, a) && now+orderMargin <= a.until {
+		o.order(now, model, a)
 	}
-	if a.line.Version == o.orders.version && a.line.Adapter == "" && a.line.Role == "" && o.orders.given == 0 {
-		// The endpoint serves what it is to serve.
-		o.orders.done = a.version
-		return
+}
+
+// due reports whether an order is to be given as soon as its assignment is
+// confirmed.
+func (o *Owner) due(now time.Duration, model string, a *assigned) bool {
+	if a == nil || o.orders.busy || now < o.orders.next || a.version < o.orders.given {
+		return false
+	}
+	serves := o.orders.model == model && o.orders.version == a.line.Version
+	if o.orders.taken == (order{model, a.line}) {
+		return !serves && now-o.orders.takenAt > orderRepeat
 	}
-	o.order(now, model, a)
+	return !serves || a.line.Adapter != "" || a.line.Role != ""
 }
 
 // newest returns the assignment of this endpoint with the highest version.
@@ -146,6 +160,8 @@
 	o.orders.busy = false
 	if e.err == nil || errors.Is(e.err, engine.ErrFenced) {
 		o.orders.done = max(o.orders.done, e.o.Fence)
+		o.orders.takenAt = now
+		o.orders.taken = order{e.o.Model, spec.Assignment{Version: e.o.Version, Adapter: e.o.Adapter, Role: e.o.Role}}
 	} else {
 		o.orders.next = now + orderAgain
 	}
--- a/agent/slot/order_test.go
+++ b/agent/slot/order_test.go
@@ -79,16 +79,38 @@
 	if b.o.orders.busy {
 		t.Fatal("an order was given although a newer assignment exists")
 	}
-	p.assign(12, 3, "v2")
+	p.assign(12, 3, "v4")
 	p.confirm(3, 0)
 	if o := b.ordered(got); o.Fence != 12 {
 		t.Fatalf("order %+v", o)
 	}
-	// News that a watch repeats changes nothing.
+	// A restarted engine has forgotten the order, and it is given again.
+	b.o.orders.model, b.o.orders.version = "roster", "v4"
+	p.drain()
+	b.after(orderRepeat + time.Millisecond)
+	none[*wire.LeaseAsk](p)
+	if b.o.orders.busy {
+		t.Fatal("an order was given to an endpoint that serves what it should")
+	}
+	b.o.orders.version = "v1"
+	p.confirm(3, 0)
+	if o := b.ordered(got); o.Fence != 12 {
+		t.Fatalf("order %+v", o)
+	}
+	// News that only confirms, or that a watch repeats, changes nothing.
+	p.drain()
+	p.assign(13, 3, "v3")
 	p.assign(11, 2, "v3")
-	p.confirm(2, 0)
 	b.after(time.Second)
+	none[*wire.LeaseAsk](p)
 	if b.o.orders.busy || len(got) > 0 || b.o.orders.seen["roster"].version != 12 {
-		t.Fatal("older news counted")
+		t.Fatal("old news counted")
+	}
+}
+
+// drain forgets what has been sent so far.
+func (p *peer) drain() {
+	for len(p.got) > 0 {
+		<-p.got
 	}
 }
