--- a/entry/caller/bench_test.go
+++ b/entry/caller/bench_test.go
@@ -26,18 +26,23 @@
 // owners and net/http to callers that read as fast as they can. Its figure
 // counts the processor time of the stub and the callers too, so the entry
 // alone does more.
-func BenchmarkRelay(b *testing.B) {
-	const streams = 32
+func BenchmarkRelay(b *testing.B) { relay(b, 32, 0) }
+
+// BenchmarkRelayPaced streams at the pace of engines, a token of each of 1000
+// streams every 30 ms, so that hardly two tokens of a stream can share a write.
+func BenchmarkRelayPaced(b *testing.B) { relay(b, 1000, 30*time.Millisecond) }
+
+func relay(b *testing.B, streams int, pace time.Duration) {
 	each := uint32(b.N/streams + 1)
 	a := newStub(b, "a", func(_ *stub, l *wire.Link, m wire.Message) {
 		switch m := m.(type) {
 		case *wire.Offer:
 			l.Send(&wire.Claim{ID: m.ID, Load: idle})
 		case *wire.Grant:
-			go stream(l, m, each)
+			go stream(l, m, each, pace)
 		}
 	})
-	a.load.Bound = streams
+	a.load.Bound = uint16(streams)
 	f := newFront(b, frontOptions{}, a)
 	b.ReportAllocs()
 	b.ResetTimer()
@@ -57,14 +62,15 @@
 	}
 	wg.Wait()
 	b.StopTimer()
-	b.ReportMetric(float64(each)*streams/(cpu()-before).Seconds(), "tokens/cpu-s")
+	b.ReportMetric(float64(each)*float64(streams)/(cpu()-before).Seconds(), "tokens/cpu-s")
 }
 
-func stream(l *wire.Link, m *wire.Grant, n uint32) {
+func stream(l *wire.Link, m *wire.Grant, n uint32, pace time.Duration) {
 	ctx := context.Background()
 	l.SendWait(ctx, &wire.Head{ID: m.ID, Status: 200})
 	end := &wire.End{ID: m.ID, Chunks: n, Whole: true, Load: idle}
 	for i := range n {
+		time.Sleep(pace)
 		l.SendWait(ctx, &wire.Chunk{ID: m.ID, Seq: i, Data: token})
 		end.Bytes += uint64(len(token))
 		end.CRC = crc32.Update(end.CRC, crc32.MakeTable(crc32.Castagnoli), token)
