--- a/trial/exper/scene.go
+++ b/trial/exper/scene.go
@@ -106,7 +106,7 @@
 func engine() engin.Config {
 	c := engin.Default()
 	c.DecodeTPS, c.PrefillTPS, c.BatchSlope = 100, 10000, 0.05
-	c.Slots, c.KVBlocks, c.BlockTokens = 16, 640, 16
+	c.Slots, c.KVBlocks, c.BlockTokens = 16, 1024, 16
 	return c
 }
 
--- a/trial/exper/work.go
+++ b/trial/exper/work.go
@@ -80,9 +80,9 @@
 // plain is the short instruction with which each customer's prompts begin.
 var plain = prefixes{count: 1, tokens: 48}
 
-// hot is long instructions: all of them take 1200 blocks, nearly twice the memory
-// of one engine and less than half of the fleet's.
-var hot = prefixes{count: 4, tokens: 960}
+// hot is long instructions: all of them take 1500 blocks, half as much again as
+// one engine has and a third of the fleet's.
+var hot = prefixes{count: 5, tokens: 960}
 
 func bearer(name string) string { return "measure-" + name }
 
