--- a/entry/sched/admit.go
+++ b/entry/sched/admit.go
@@ -8,22 +8,23 @@
 	"lycheepond/entry/fault"
 )
 
-// refuse returns why a request can't be taken, or nil.
-func (p *pool) refuse(now time.Duration, f *flight) *fault.Error {
+// refuse returns why a request can't be taken, or the predicted wait of one
+// that can.
+func (p *pool) refuse(now time.Duration, f *flight) (time.Duration, *fault.Error) {
 	j := f.job
 	tier := j.Class.Tier
 	lower := p.lowerServed(tier)
 	if e := p.unreachable(now, f, lower); e != nil {
-		return e
+		return 0, e
 	}
 	view := p.view()
 	view.LowerServed = lower
 	v := p.shed.Decide(now, shed.Ask{Tier: tier, Customer: j.Customer, Work: f.est.Work, Target: target(f, now)}, view)
 	if v.Admit {
-		return nil
+		return v.Wait, nil
 	}
 	e := fault.New(fault.Overloaded, "the pool "+p.name+" has no room for class "+j.Class.Name+" now ("+v.Why.String()+"): ask again after the time in Retry-After")
-	return e.After(max(v.RetryAfter, time.Millisecond))
+	return 0, e.After(max(v.RetryAfter, time.Millisecond))
 }
 
 // unreachable refuses when no agent of the pool can be offered anything.
--- a/entry/sched/offer.go
+++ b/entry/sched/offer.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"strconv"
 	"time"
 
 	"lycheepond/core/once"
@@ -26,10 +27,13 @@
 	f.pool.tell(note{op: op, f: f})
 	c := <-f.reply
 	if c.fault != nil {
-		f.step("refused", "", string(c.fault.Kind()))
+		f.step("refused", "", c.fault.Error())
 		f.finish(c.fault)
 		return
 	}
+	if first {
+		f.step("admitted", "", "predicted wait "+c.wait.Round(time.Millisecond).String())
+	}
 	if f.job.Key != nil {
 		f.placeHome()
 		return
@@ -94,7 +98,16 @@
 	}
 	f.wait = waitNothing
 	f.held.add(p)
-	f.step("offered", p.Name(), "")
+	f.step("offered", p.Name(), loadText(p))
+}
+
+// loadText is what the agent's load says, for the record of the decision.
+func loadText(p *agents.Peer) string {
+	l, ok := p.Load()
+	if !ok {
+		return ""
+	}
+	return strconv.Itoa(int(l.InFlight)) + " of " + strconv.Itoa(int(l.Bound)) + " in flight, " + strconv.Itoa(int(l.Queued)) + " queued"
 }
 
 // widen offers the request to one more agent that the pool proposes.
--- a/entry/sched/pool.go
+++ b/entry/sched/pool.go
@@ -59,6 +59,8 @@
 type choice struct {
 	fault *fault.Error
 	peers []*agents.Peer
+	// wait is the predicted wait of an admitted request.
+	wait time.Duration
 }
 
 // standing is a request in the pool's books.
@@ -155,7 +157,8 @@
 	j := f.job
 	est := p.cost.Estimate(j.Class.Name, j.Customer, len(j.Prompt), j.MaxTokens)
 	f.est = est
-	if e := p.refuse(now, f); e != nil {
+	wait, e := p.refuse(now, f)
+	if e != nil {
 		return choice{fault: e}
 	}
 	p.budget.Earn(1)
@@ -163,7 +166,7 @@
 	p.waiting[j.Class.Tier]++
 	p.shed.Arrived(now, j.Class.Tier, j.Customer, est.Work)
 	p.show()
-	return choice{peers: p.pick(now, f, firstOffers)}
+	return choice{peers: p.pick(now, f, firstOffers), wait: wait}
 }
 
 // again places a request whose offers all came back or were lost. Whether it
@@ -187,11 +190,12 @@
 func (p *pool) readmit(now time.Duration, f *flight) *fault.Error {
 	st := p.live[f]
 	if st == nil || st.granted {
-		return p.refuse(now, f)
+		_, e := p.refuse(now, f)
+		return e
 	}
 	j := f.job
 	p.shed.Left(now, j.Class.Tier, j.Customer, f.est.Work)
-	e := p.refuse(now, f)
+	_, e := p.refuse(now, f)
 	if e != nil {
 		st.out = true
 		return e
