feed: peers hand over the instance list too

Cause: an entry started during an outage of the platform took the objects from its peers but had no instance list, so it was ready and refused every caller with no_endpoint. Seen with a third entry started by hand while the platform's stand-in was down. Excluded: dialling agents from the settings, which would name instances there.

--- a/core/feed/peer.go
+++ b/core/feed/peer.go
@@ -120,6 +120,9 @@
 	// Complete is read first: what is accepted meanwhile is newer than it.
 	complete := s.Complete()
 	all := s.All()
+	if ev, ok := rosterEvent(s); ok {
+		all = append(all, ev)
+	}
 	for _, ev := range all {
 		if err := link.SendWait(ctx, News(ev)); err != nil {
 			return err
@@ -167,6 +170,7 @@
 			errs = append(errs, a.err)
 			continue
 		}
+		takeRoster(f.cfg.Store, &a.batch)
 		n, refused := f.cfg.Store.AcceptList(plat.AnyKind, a.batch)
 		f.report(n, refused)
 		changed += n
--- /dev/null
+++ b/core/feed/roster_test.go
@@ -0,0 +1,34 @@
+package feed
+
+import (
+	"testing"
+
+	"lycheepond/core/plat"
+	"lycheepond/core/store"
+)
+
+// The platform goes away and an entry is replaced. It takes the configuration
+// from a peer; without the instance list it would have no agent to dial and
+// would refuse every caller until the platform is back.
+func TestRosterComesFromPeers(t *testing.T) {
+	have, got := store.New(), store.New()
+	have.AcceptRoster(plat.Roster{Version: 5, Instances: []plat.Instance{{Name: "a", Link: "127.0.0.1:1"}}})
+	ev, ok := rosterEvent(have)
+	if !ok {
+		t.Fatal("no instance list to send")
+	}
+	b := plat.Batch{Events: []plat.Event{class("first", 1), ev}}
+	takeRoster(got, &b)
+	if r := got.Roster(); r.Version != 5 || len(r.Instances) != 1 {
+		t.Errorf("got %+v", r)
+	}
+	if len(b.Events) != 1 {
+		t.Errorf("%d objects left of 1", len(b.Events))
+	}
+	got.AcceptRoster(plat.Roster{Version: 9})
+	b.Events = []plat.Event{ev}
+	takeRoster(got, &b)
+	if v := got.Roster().Version; v != 9 {
+		t.Errorf("an older instance list came into force: version %d", v)
+	}
+}
