--- /dev/null
+++ b/trial/capac/phase.go
@@ -0,0 +1,136 @@
+package capac
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math"
+	"time"
+
+	"lycheepond/core/spec"
+	"lycheepond/trial/fleet"
+	"lycheepond/trial/platf"
+	"lycheepond/trial/serve"
+)
+
+// Calls is what a deployment asked of the platform in one phase.
+type Calls struct {
+	// Phase is start, calm or after-outage.
+	Phase   string  `json:"calls"`
+	Agents  int     `json:"agents"`
+	Seconds float64 `json:"seconds"`
+	platf.Stats
+}
+
+// Spread is how long a change of a class took to be in force. Agents keep no
+// classes: what they need comes with each offer.
+type Spread struct {
+	Agents int `json:"config_agents"`
+	// EntriesMS is until every entry had it.
+	EntriesMS float64 `json:"entries_ms"`
+}
+
+// The phases of Calls.
+const (
+	phaseStart = "start"
+	phaseCalm  = "calm"
+	phaseAfter = "after-outage"
+)
+
+const (
+	// calmSpan is how long the calm is counted.
+	calmSpan = 5 * time.Second
+	// outage is how long the platform is away, and afterSpan how long the
+	// calls after it are counted.
+	outage     = 5 * time.Second
+	afterSpan  = 5 * time.Second
+	spreadLook = 5 * time.Millisecond
+	// spreadLimit bounds the wait for a change.
+	spreadLimit = 15 * time.Second
+)
+
+// Phases measures calls at the platform and the spread of a change with n
+// agents. Show is called with a Calls or a Spread.
+func Phases(ctx context.Context, f *fleet.Fleet, n int, started time.Duration, show func(any) error) error {
+	stats, err := f.Platform().Stats(ctx)
+	if err != nil {
+		return err
+	}
+	// The writes at the start are this tool's own: it writes the objects.
+	if err := show(Calls{Phase: phaseStart, Agents: n, Seconds: seconds(started), Stats: stats}); err != nil {
+		return err
+	}
+	if err := count(ctx, f, phaseCalm, n, calmSpan, show); err != nil {
+		return err
+	}
+	s, err := spread(ctx, f, n)
+	if err != nil {
+		return err
+	}
+	if err := show(s); err != nil {
+		return err
+	}
+	if err := f.Platform().Fault(ctx, platf.Fault{Down: true}); err != nil {
+		return err
+	}
+	if !serve.Sleep(ctx, outage) {
+		return context.Cause(ctx)
+	}
+	if err := f.Platform().Fault(ctx, platf.Fault{}); err != nil {
+		return err
+	}
+	return count(ctx, f, phaseAfter, n, afterSpan, show)
+}
+
+func count(ctx context.Context, f *fleet.Fleet, phase string, n int, span time.Duration, show func(any) error) error {
+	from, err := f.Platform().Stats(ctx)
+	if err != nil {
+		return err
+	}
+	if !serve.Sleep(ctx, span) {
+		return context.Cause(ctx)
+	}
+	to, err := f.Platform().Stats(ctx)
+	if err != nil {
+		return err
+	}
+	return show(Calls{Phase: phase, Agents: n, Seconds: seconds(span), Stats: to.Since(from)})
+}
+
+func seconds(d time.Duration) float64 { return round(d.Seconds()) }
+
+// spread changes a class and waits until the change is in force everywhere.
+func spread(ctx context.Context, f *fleet.Fleet, n int) (Spread, error) {
+	s := Spread{Agents: n}
+	class := ownClassObject()
+	class.Deadline = spec.Duration(11 * time.Second)
+	start := time.Now()
+	version, err := f.Platform().PutVersion(ctx, spec.KindClass, class.Name, class)
+	if err != nil {
+		return s, err
+	}
+	ctx, stop := context.WithTimeout(ctx, spreadLimit)
+	defer stop()
+	for {
+		done, err := inForce(ctx, f, version)
+		if err != nil {
+			return s, errors.Join(err, fmt.Errorf("capac: a change is not in force after %v", spreadLimit))
+		}
+		if done {
+			s.EntriesMS = math.Round(float64(time.Since(start).Microseconds())/100) / 10
+			return s, nil
+		}
+		serve.Sleep(ctx, spreadLook)
+	}
+}
+
+// inForce reports whether every entry has at least version.
+func inForce(ctx context.Context, f *fleet.Fleet, version int64) (bool, error) {
+	for _, e := range f.Entries() {
+		s, err := entryStatus(ctx, e)
+		if err != nil || s.Config < version {
+			return false, err
+		}
+	}
+	return true, nil
+}
--- a/trial/capac/proc.go
+++ b/trial/capac/proc.go
@@ -71,8 +71,7 @@
 	Config int64 `json:"config_version"`
 	Pools  []struct {
 		Agents []struct {
-			Linked bool  `json:"linked"`
-			Config int64 `json:"config_version"`
+			Linked bool `json:"linked"`
 		} `json:"agents"`
 	} `json:"pools"`
 }
--- a/trial/capac/run.go
+++ b/trial/capac/run.go
@@ -27,8 +27,9 @@
 	Sample time.Duration
 	// Rate is requests a second and agent at full load.
 	Rate float64
-	// Show is called with each point as soon as it is measured.
-	Show func(Point) error
+	// Show is called with each Point, Calls and Spread as soon as it is
+	// measured.
+	Show func(any) error
 }
 
 const (
@@ -46,6 +47,7 @@
 
 // Agents measures one number of agents, idle, at half and at full load.
 func Agents(ctx context.Context, set *procs.Set, cfg Config, n int) ([]Point, error) {
+	start := time.Now()
 	f, err := fleet.Start(ctx, set, plan(n, 1))
 	if err != nil {
 		return nil, err
@@ -53,6 +55,9 @@
 	if err := await(ctx, f, n); err != nil {
 		return nil, err
 	}
+	if err := Phases(ctx, f, n, time.Since(start), cfg.Show); err != nil {
+		return nil, err
+	}
 	var out []Point
 	for _, l := range []struct {
 		name string
@@ -97,8 +102,15 @@
 
 func bearer(i int) string { return fmt.Sprintf("capacity-key-%d", i) }
 
+func ownClassObject() spec.Class {
+	return spec.Class{
+		Name: ownClass, Tier: 1, Deadline: spec.Duration(10 * time.Second),
+		Target: spec.Target{Complete: spec.Duration(2 * time.Second)},
+	}
+}
+
 func objects(customers int) []spec.Item {
-	class := spec.Class{Name: ownClass, Tier: 1, Deadline: spec.Duration(10 * time.Second), Target: spec.Target{Complete: spec.Duration(2 * time.Second)}}
+	class := ownClassObject()
 	m := spec.Model{Name: model, Endpoints: map[string]string{"model": model}, Version: "v1"}
 	items := []spec.Item{
 		{Kind: spec.KindClass, Name: class.Name, Object: class},
--- a/trial/capacity.go
+++ b/trial/capacity.go
@@ -33,7 +33,7 @@
 		cfg.Agents, cfg.Customers = []int{10, 25, 50}, []int{1000, 7000, 21000}
 	}
 	enc := json.NewEncoder(os.Stdout)
-	cfg.Show = func(p capac.Point) error { return enc.Encode(p) }
+	cfg.Show = func(v any) error { return enc.Encode(v) }
 	var points []capac.Point
 	for _, n := range cfg.Agents {
 		found, err := withSet(func(set *procs.Set) ([]capac.Point, error) { return capac.Agents(ctx, set, cfg, n) })
--- a/trial/fleet/plat.go
+++ b/trial/fleet/plat.go
@@ -34,6 +34,13 @@
 	return Do(ctx, http.MethodPut, "http://"+p.addr+"/v1/objects/"+kind+"/"+name, p.token, data, nil)
 }
 
+// PutVersion is PutObject and returns the version written.
+func (p *Platform) PutVersion(ctx context.Context, kind, name string, data any) (int64, error) {
+	var o plat.Object
+	err := Do(ctx, http.MethodPut, "http://"+p.addr+"/v1/objects/"+kind+"/"+name, p.token, data, &o)
+	return o.Version, err
+}
+
 // Fault changes how the platform misbehaves.
 func (p *Platform) Fault(ctx context.Context, f platf.Fault) error {
 	return Do(ctx, http.MethodPost, "http://"+p.addr+"/admin/fault", p.token, f, nil)
--- a/trial/platf/http.go
+++ b/trial/platf/http.go
@@ -35,6 +35,15 @@
 	return s.Get + s.List + s.Put + s.Delete + s.Watch + s.Instances + s.Weights
 }
 
+// Since returns the calls that were made after from was read.
+func (s Stats) Since(from Stats) Stats {
+	return Stats{
+		Get: s.Get - from.Get, List: s.List - from.List, Put: s.Put - from.Put, Delete: s.Delete - from.Delete,
+		Watch: s.Watch - from.Watch, Instances: s.Instances - from.Instances, Weights: s.Weights - from.Weights,
+		Conflicts: s.Conflicts - from.Conflicts, Refused: s.Refused - from.Refused, Waiting: s.Waiting,
+	}
+}
+
 // conflict is the body of an answer to a write whose condition did not hold.
 type conflict struct {
 	Current int64 `json:"current"`
