--- a/core/bound/bound.go
+++ b/core/bound/bound.go
@@ -83,7 +83,8 @@
 	pace   pace
 	memory memory
 	// long tells long work by tier.
-	long [spec.Tiers]lengths
+	long  [spec.Tiers]lengths
+	short places
 }
 
 // New returns a bound at its cold start.
@@ -144,12 +145,13 @@
 // Fit tells whether next may be dispatched now.
 func (b *Bound) Fit(now time.Duration, r Running, next Work) Answer {
 	b.memory.note(now, r.Tokens)
+	b.short.observe(now, r.Count-r.LongCount)
 	limit := b.Limit()
 	if r.Count >= limit {
 		return NoPlace
 	}
 	long := &b.long[min(next.Tier, spec.Tiers-1)]
-	if long.isLong(next.Cost) && r.LongCount >= limit-long.reserve(limit, next.Tier) {
+	if long.isLong(next.Cost) && r.LongCount >= limit-long.reserve(limit, next.Tier, b.short.taken) {
 		return LongFull
 	}
 	if r.Count > 0 && !b.memory.room(r.Tokens+next.Tokens) {
--- a/core/bound/bound_test.go
+++ b/core/bound/bound_test.go
@@ -136,6 +136,17 @@
 	if r.Count != 6 || b.Fit(0, r, long) != LongFull || b.Fit(0, r, short) != Yes {
 		t.Fatalf("%d long jobs, then %d for long and %d for short", r.Count, b.Fit(0, r, long), b.Fit(0, r, short))
 	}
+	low := long
+	low.Tier = 3
+	if b.Fit(0, Running{Count: 4, LongCount: 4}, low) != LongFull || b.Fit(0, Running{Count: 3, LongCount: 3}, low) != Yes {
+		t.Fatal("long work of the lowest tier may not take half of the places, or more")
+	}
+	for now := range time.Minute / time.Second {
+		b.Fit(now*time.Second, Running{Count: 3, LongCount: 3}, short)
+	}
+	if b.Fit(time.Minute, Running{Count: 6, LongCount: 6}, low) != Yes {
+		t.Fatal("places stay empty that short work has not used for a minute")
+	}
 	b.Long(Work{Tier: 0, Cost: 50 * time.Second})
 	long.Tier = 0
 	if b.Fit(0, r, long) != Yes {
--- a/core/place/cache.go
+++ b/core/place/cache.go
@@ -10,7 +10,7 @@
 	// DefaultMaxPrefixes is the default of Config.MaxPrefixes.
 	DefaultMaxPrefixes = 16384
 	// maxHolders is how many agents are remembered for a prefix.
-	maxHolders = 4
+	maxHolders = 8
 	// holdsFor is how long an agent is taken to keep a prefix that it was not
 	// sent again.
 	holdsFor = 10 * time.Minute
@@ -47,6 +47,15 @@
 	prefixes *recent.Table[uint64, holders]
 	agents   []known
 	byName   map[string]int32
+	// names holds the hash of the name of the agent at each index of the
+	// caller's slice, as it was last seen.
+	names []named
+}
+
+// named is an agent's name and its hash.
+type named struct {
+	name string
+	hash uint64
 }
 
 func newCache(limit int) cache {
@@ -108,6 +117,49 @@
 	return -1
 }
 
+// homes returns the indexes of the two agents that rank highest for a prefix
+// by rendezvous hashing, -1 for none. Entries do not tell each other where they
+// sent a prefix; this way they send it to the same agents all the same.
+func (c *cache) homes(prefix uint64, agents []Agent) (first, second int) {
+	first, second = -1, -1
+	var best, next uint64
+	for i := range agents {
+		if !agents[i].usable() {
+			continue
+		}
+		switch rank := mix(prefix ^ c.nameHash(i, agents[i].Name)); {
+		case first < 0 || rank > best:
+			second, next = first, best
+			first, best = i, rank
+		case second < 0 || rank > next:
+			second, next = i, rank
+		}
+	}
+	return first, second
+}
+
+func (c *cache) nameHash(i int, name string) uint64 {
+	for len(c.names) <= i {
+		c.names = append(c.names, named{})
+	}
+	if n := &c.names[i]; n.name == name {
+		return n.hash
+	}
+	h := uint64(fnvOffset)
+	for k := range len(name) {
+		h = (h ^ uint64(name[k])) * fnvPrime
+	}
+	c.names[i] = named{name, mix(h)}
+	return c.names[i].hash
+}
+
+// mix spreads the bits of a hash.
+func mix(z uint64) uint64 {
+	z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9
+	z = (z ^ (z >> 27)) * 0x94d049bb133111eb
+	return z ^ (z >> 31)
+}
+
 // put records that an agent has every prefix of prefix and returns the length
 // in tokens of the longest that it was believed to have before.
 func (c *cache) put(now time.Duration, name string, prefix []uint64) (believed int) {
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -13,7 +13,8 @@
 // is worth the prefill that it saves, to the request and to those in the same
 // batch, and is offered the request alone as long as that is more than its queue
 // costs; beside it a second agent would claim first and compute the prefix
-// again. When the queue there costs more, the
+// again. A prefix that this entry has not sent yet goes where rendezvous hashing
+// puts it, so that all entries send it to the same one or two. When the queue there costs more, the
 // request goes elsewhere, and a prefix in demand spreads to a few agents.
 //
 // Slow and leaving agents get nothing, except that one pick in thirty-two also
@@ -46,6 +47,15 @@
 	// takes: they do not stand still all of the time, because an engine mixes a
 	// part of a prompt with the tokens of the others.
 	stalled = 8
+	// evicts is how many prefills a miss costs in a full cache: its own, and
+	// later that of the prefix that it evicts.
+	evicts = 2
+	// homeLevel is the prefix of the fingerprint that chooses a prompt's homes.
+	homeLevel = 2
+	// knownHome and newHome are the parts, as divisors, of a prefix that a home
+	// is taken to have when this entry did not send it there: of one that it
+	// has sent elsewhere, and of one that it never saw.
+	knownHome, newHome = 2, 4
 	// leastSaving is the prefill that must be saved for an agent to be offered
 	// a request alone.
 	leastSaving = 5 * time.Millisecond
@@ -123,7 +133,7 @@
 		return out
 	}
 	p.found = p.found[:0]
-	p.addHolders(now, &req, agents)
+	p.addHomes(&req, agents, p.addHolders(now, &req, agents))
 	r := random(rnd)
 	p.addDrawn(&req, agents, max(n, 2), &r)
 	if len(p.found) == 0 {
@@ -155,10 +165,10 @@
 }
 
 // saving is what a prompt of which held tokens are cached at a is worth there:
-// the prefill that it saves, and a part of that for every request in the batch,
-// all of which stand still meanwhile.
+// the prefill that it saves, that of what it would evict elsewhere, and a part
+// of both for every request in the batch, all of which stand still meanwhile.
 func (p *Placer) saving(prompt, held int, a *Agent) time.Duration {
-	prefill := time.Duration(min(held, prompt)) * p.cfg.Prefill
+	prefill := evicts * time.Duration(min(held, prompt)) * p.cfg.Prefill
 	return prefill + prefill*time.Duration(min(a.InFlight, a.Bound))/stalled
 }
 
@@ -169,9 +179,8 @@
 	busy := a.InFlight + a.Queued
 	d := req.Work / crowding * time.Duration(min(busy, bound)) / time.Duration(bound)
 	if busy >= bound {
-		// Offers that the agent has yet to hear of, or that others hold too,
-		// count half of the request's own length each.
-		queued := max(a.QueuedCost, time.Duration(a.Queued)*req.Work/2)
+		// Offers that the agent has yet to hear of count as long as this one.
+		queued := max(a.QueuedCost, time.Duration(a.Queued)*req.Work)
 		d += (queued + req.Work) / time.Duration(bound)
 	}
 	if a.Zone != p.cfg.Zone {
@@ -180,11 +189,12 @@
 	return d
 }
 
-// addHolders adds the agents that have the longest known prefix of the prompt.
-func (p *Placer) addHolders(now time.Duration, req *Request, agents []Agent) {
+// addHolders adds the agents that have the longest known prefix of the prompt
+// and returns its length in tokens.
+func (p *Placer) addHolders(now time.Duration, req *Request, agents []Agent) int {
 	h, tokens := p.cache.longest(now, req.Prefix)
 	if h == nil {
-		return
+		return 0
 	}
 	for i := range h.agents[:h.n] {
 		at := p.cache.locate(h.agents[i], agents)
@@ -192,6 +202,24 @@
 			p.add(req, agents, at, int(float64(tokens)*p.cache.agents[h.agents[i].agent].trust))
 		}
 	}
+	return tokens
+}
+
+// addHomes adds the agents that the other entries send the prompt's beginning
+// to, of which known tokens were sent by this one before.
+func (p *Placer) addHomes(req *Request, agents []Agent, known int) {
+	if len(req.Prefix) == 0 {
+		return
+	}
+	level := min(homeLevel, len(req.Prefix)-1)
+	held := max(known/knownHome, length(level)/newHome)
+	first, second := p.cache.homes(req.Prefix[level], agents)
+	if first >= 0 {
+		p.add(req, agents, first, held)
+	}
+	if second >= 0 {
+		p.add(req, agents, second, held/knownHome)
+	}
 }
 
 // addDrawn adds n agents of the own zone and one of another, as far as there
@@ -279,8 +307,5 @@
 // below returns a number from 0 to n-1.
 func (r *random) below(n int) int {
 	*r += 0x9e3779b97f4a7c15
-	z := uint64(*r)
-	z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9
-	z = (z ^ (z >> 27)) * 0x94d049bb133111eb
-	return int((z ^ (z >> 31)) % uint64(n))
+	return int(mix(uint64(*r)) % uint64(n))
 }
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -104,7 +104,7 @@
 				t.Fatalf("picked %v", out)
 			}
 			p.Forget(agents[7].Name)
-			if out := p.Pick(time.Second, req, agents, 2, 42, nil); len(out) != 2 {
+			if out := p.Pick(time.Second, req, agents, 2, 42, nil); out[0] == 7 {
 				t.Fatalf("picked %v after the agent restarted", out)
 			}
 		})
@@ -122,7 +122,7 @@
 	for range 20 {
 		p.Cached(agents[7].Name, p.Sent(0, agents[7].Name, req.Prefix), 0)
 	}
-	if out := p.Pick(0, req, agents, 2, 1, nil); len(out) != 2 {
+	if out := p.Pick(0, req, agents, 2, 1, nil); out[0] == 7 {
 		t.Fatalf("picked %v", out)
 	}
 	for range 20 {
@@ -133,6 +133,25 @@
 	}
 }
 
+// Two entries do not tell each other where they sent a prompt. If each chose on
+// its own, every prefix would be computed once for each entry.
+func TestEntriesAgreeOnNewPrefixes(t *testing.T) {
+	agents := fleet(20, "z1")
+	used := map[int]bool{}
+	for n := range 40 {
+		req := Request{Tier: 1, PromptTokens: 1000, Work: time.Second, Prefix: Fingerprint(append([]byte(fmt.Sprint(n)), make([]byte, 4000)...))}
+		a := New(Config{Zone: "z1"}).Pick(0, req, agents, 2, 1, nil)
+		b := New(Config{Zone: "z2"}).Pick(0, req, agents, 2, 2, nil)
+		if a[0] != b[0] {
+			t.Fatalf("prompt %d: %v and %v", n, a, b)
+		}
+		used[a[0]] = true
+	}
+	if len(used) < 12 {
+		t.Fatalf("40 prefixes went to %d of 20 agents", len(used))
+	}
+}
+
 func TestWider(t *testing.T) {
 	const s = time.Second
 	waiting := []Waiting{
--- a/core/place/wider.go
+++ b/core/place/wider.go
@@ -76,7 +76,7 @@
 	if h == nil {
 		return 0
 	}
-	return fullBatch / stalled * time.Duration(min(tokens, w.PromptTokens)) * p.cfg.Prefill
+	return evicts * fullBatch / stalled * time.Duration(min(tokens, w.PromptTokens)) * p.cfg.Prefill
 }
 
 // never orders requests without a target last.
