--- a/core/bound/long.go
+++ b/core/bound/long.go
@@ -74,7 +74,7 @@
 		return 1
 	}
 	most := math.Ceil(float64(limit) * reserveParts[min(tier, spec.Tiers-1)])
-	return int(max(min(most, math.Ceil(taken*shortRoom)+1), 1))
+	return int(max(min(most, math.Round(taken*shortRoom)+1), 1))
 }
 
 // places averages the places that short work takes, from startTaken on.
