--- a/agent/node.go
+++ b/agent/node.go
@@ -25,10 +25,15 @@
 	"lycheepond/core/conf"
 	"lycheepond/core/logs"
 	"lycheepond/core/meter"
+	"lycheepond/core/queue"
 	"lycheepond/core/spec"
 	"lycheepond/core/wire"
 )
 
+// maxQueued is how many offers may wait. At about 1 KB each they take 2 MB of the
+// 32 MB that a node may spend.
+const maxQueued = 2048
+
 // ready is the line on standard output once the agent listens.
 type ready struct {
 	Ready  string `json:"ready"`
@@ -68,10 +73,11 @@
 	}
 	begun := time.Now()
 	sc := slot.Config{
-		Self: spec.HomeOwner{Name: cfg.Name, Incarnation: incarnation},
-		Now:  func() time.Duration { return time.Since(begun) },
-		Wall: func() int64 { return time.Now().UnixMilli() },
-		Log:  n.log, Stats: slot.NewStats(n.set), Grace: cfg.Grace.Std(),
+		Self:  spec.HomeOwner{Name: cfg.Name, Incarnation: incarnation},
+		Now:   func() time.Duration { return time.Since(begun) },
+		Wall:  func() int64 { return time.Now().UnixMilli() },
+		Queue: queue.Config{Max: maxQueued},
+		Log:   n.log, Stats: slot.NewStats(n.set), Grace: cfg.Grace.Std(),
 	}
 	n.endpoint(&sc)
 	n.owner = slot.New(sc)
--- a/agent/slot/claim.go
+++ b/agent/slot/claim.go
@@ -82,8 +82,8 @@
 	if tier == onlyRunning || o.claims+len(o.ready) == 0 {
 		return sum, 0
 	}
-	for _, r := range o.waiting {
-		if (r.state == claimed || r.state == ready) && int(r.offer.Tier) <= tier {
+	for _, r := range o.held {
+		if r.state != parked && int(r.offer.Tier) <= tier {
 			add(&sum, r)
 			held++
 		}
@@ -106,7 +106,7 @@
 	if o.claims == 0 {
 		return
 	}
-	for _, r := range o.waiting {
+	for _, r := range o.held {
 		if r.state == claimed && now-r.changed > claimTimeout {
 			logs.Warn(o.log, logs.EventRequestReturned, logs.Request(r.id), zap.Stringer("reason", wire.ReasonNeverGranted), zap.String("peer", r.sess.name))
 			o.bury(now, r, wire.ReasonNeverGranted)
--- a/agent/slot/load.go
+++ b/agent/slot/load.go
@@ -40,12 +40,8 @@
 		}
 		l.Running |= 1 << tier
 	}
-	if o.claims+len(o.ready) > 0 {
-		for _, r := range o.waiting {
-			if r.state == claimed || r.state == ready {
-				l.Waiting |= 1 << r.offer.Tier
-			}
-		}
+	for _, r := range o.held {
+		l.Waiting |= 1 << r.offer.Tier
 	}
 	l.Level = o.reportedLevel(now)
 	l.Leaving = o.leaving
--- a/agent/slot/model_test.go
+++ b/agent/slot/model_test.go
@@ -171,8 +171,8 @@
 	if claims != o.claims {
 		m.b.t.Fatalf("seed %d: %d claims counted, %d found", seed, o.claims, claims)
 	}
-	if n := o.queue.Len(); n > len(o.waiting) {
-		m.b.t.Fatalf("seed %d: %d queued, %d waiting", seed, n, len(o.waiting))
+	if n := o.queue.Len(); n+len(o.held) != len(o.waiting) {
+		m.b.t.Fatalf("seed %d: %d queued, %d held, %d waiting", seed, n, len(o.held), len(o.waiting))
 	}
 	if len(o.running) > testBound {
 		m.b.t.Fatalf("seed %d: %d running", seed, len(o.running))
--- a/agent/slot/offer.go
+++ b/agent/slot/offer.go
@@ -74,10 +74,8 @@
 func (o *Owner) enqueue(now time.Duration, r *rec) {
 	evicted, did, err := o.queue.Push(now, r.item())
 	if err != nil {
-		delete(o.recs, r.id)
-		delete(o.waiting, r.id)
+		o.forget(now, r)
 		o.sendReturn(r, wire.ReasonFull)
-		o.firstLost(now, r)
 		return
 	}
 	o.setState(now, r, queued)
@@ -199,8 +197,8 @@
 			o.sendReturn(r, wire.ReasonDeadline)
 		}
 	}
-	for _, r := range o.waiting {
-		if r.expired(now) && (r.state == parked || r.state == ready) {
+	for _, r := range o.held {
+		if r.expired(now) && r.state != claimed {
 			o.giveBack(now, r, wire.ReasonDeadline)
 		}
 	}
--- a/agent/slot/owner.go
+++ b/agent/slot/owner.go
@@ -105,6 +105,9 @@
 	recs map[ident.ID]*rec
 	// waiting holds the records in the states queued, parked, claimed and ready.
 	waiting map[ident.ID]*rec
+	// held holds those of waiting that are not in the queue: parked, claimed
+	// and ready.
+	held map[ident.ID]*rec
 	// running holds the records in the state running.
 	running map[ident.ID]*rec
 	claims  int
@@ -144,7 +147,7 @@
 	o := &Owner{
 		cfg: cfg, log: cfg.Log, events: ring.New[event](ringSize),
 		queue: queue.New(cfg.Queue), bound: bound.New(cfg.Bound),
-		recs: make(map[ident.ID]*rec), waiting: make(map[ident.ID]*rec), running: make(map[ident.ID]*rec),
+		recs: make(map[ident.ID]*rec), waiting: make(map[ident.ID]*rec), held: make(map[ident.ID]*rec), running: make(map[ident.ID]*rec),
 		sessions: make(map[uint64]*session), keys: make(map[string]*keyRec),
 		homes: make(map[string]*homes.Holder), asks: make(map[uint32]ask),
 	}
--- a/agent/slot/rec.go
+++ b/agent/slot/rec.go
@@ -135,13 +135,16 @@
 	case running:
 		delete(o.running, r.id)
 	}
+	delete(o.held, r.id)
 	r.state, r.changed = to, now
 	switch to {
-	case queued, parked, ready:
+	case queued:
 		o.waiting[r.id] = r
-	case claimed:
-		o.waiting[r.id] = r
-		o.claims++
+	case parked, claimed, ready:
+		o.waiting[r.id], o.held[r.id] = r, r
+		if to == claimed {
+			o.claims++
+		}
 	case running:
 		delete(o.waiting, r.id)
 		o.running[r.id] = r
@@ -161,6 +164,7 @@
 	o.uncharge(r)
 	r.state, r.changed = dead, now
 	delete(o.waiting, r.id)
+	delete(o.held, r.id)
 	delete(o.recs, r.id)
 	o.firstLost(now, r)
 }
