entry: tests of bad requests and limits; links are chosen anew only on change

Cause: each confirmation of a table of keys had the entry choose its links again, which at the target's size is a choice among 12,000 agents every few seconds. Excluded: a longer time between confirmations, which leases need. After: only a new instance list or another digest of the configuration has the links chosen again.

--- a/entry/agents/set.go
+++ b/entry/agents/set.go
@@ -32,6 +32,8 @@
 	// Roster returns the instance list, Pools what is to be served.
 	Roster func() plat.Roster
 	Pools  func() []Pool
+	// Digest tells when Pools may have changed.
+	Digest func() uint64
 	// Choose returns the names of the agents of one pool, given as pool, that
 	// this entry links to.
 	Choose func(pool []plat.Instance, all plat.Roster) []string
@@ -49,8 +51,12 @@
 	log *zap.Logger
 	// view is replaced as a whole by refresh.
 	view atomic.Pointer[view]
-	past counts
-	wg   sync.WaitGroup
+	// roster is the version of the instance list and config the digest of the
+	// configuration that view was made from.
+	roster int64
+	config uint64
+	past   counts
+	wg     sync.WaitGroup
 	// wanted names agents to link to whether chosen or not.
 	mu     sync.Mutex
 	wanted map[string]bool
@@ -111,7 +117,12 @@
 			s.wg.Wait()
 			return ctx.Err()
 		case <-changed:
-			s.refresh(ctx)
+			// Confirmations of the keys' tables report a change every few
+			// seconds; to choose among 12,000 agents each time would not fit
+			// the budget of processor time.
+			if s.cfg.Roster().Version != s.roster || s.cfg.Digest() != s.config {
+				s.refresh(ctx)
+			}
 		case <-s.asked:
 			s.refresh(ctx)
 		}
@@ -143,7 +154,9 @@
 // refresh is called by Run only.
 func (s *Set) refresh(ctx context.Context) {
 	old := s.view.Load()
+	s.config = s.cfg.Digest()
 	roster := s.cfg.Roster()
+	s.roster = roster.Version
 	pools := s.cfg.Pools()
 	next := &view{peers: make(map[string]*Peer), pools: make(map[string]*Members)}
 	for _, pool := range pools {
--- /dev/null
+++ b/entry/caller/accept_test.go
@@ -0,0 +1,104 @@
+package caller
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"lycheepond/core/spec"
+	"lycheepond/entry/fault"
+)
+
+// A caller sends something that can't be served. It must hear what is wrong
+// and what to do, with the outcome not-run, and the entry must go on.
+func TestBadRequestsNameTheRemedy(t *testing.T) {
+	a := newStub(t, "a", serveWhole("fine"))
+	f := newFront(t, frontOptions{}, a)
+	ok := completion(false)
+	for _, c := range []struct {
+		name, path, body string
+		header           []string
+		status           int
+		kind             fault.Kind
+	}{
+		{"no JSON", "/v1/completions", `{"model":`, nil, 400, fault.BadRequest},
+		{"wrong type", "/v1/completions", `{"model":7,"prompt":"x"}`, nil, 400, fault.BadRequest},
+		{"no prompt", "/v1/completions", `{"model":"roster"}`, nil, 400, fault.BadRequest},
+		{"prompt for chat", "/v1/chat/completions", ok, nil, 400, fault.BadRequest},
+		{"negative limit", "/v1/completions", `{"model":"roster","prompt":"x","max_tokens":-1}`, nil, 400, fault.BadRequest},
+		{"unknown model", "/v1/completions", `{"model":"slate","prompt":"x"}`, nil, 404, fault.UnknownModel},
+		{"unknown service", "/services/docket/x", "", nil, 404, fault.UnknownName},
+		{"unknown path", "/v2/completions", ok, nil, 404, fault.NotFound},
+		{"unknown class", "/v1/completions", ok, []string{headerClass, "urgent"}, 400, fault.UnknownClass},
+		{"unknown key", "/v1/completions", ok, []string{"Authorization", "Bearer guess"}, 401, fault.BadKey},
+		{"basic auth", "/v1/completions", ok, []string{"Authorization", "Basic c2VjcmV0"}, 401, fault.BadKey},
+		{"bad deadline", "/v1/completions", ok, []string{headerDeadline, "soon"}, 400, fault.BadRequest},
+		{"negative deadline", "/v1/completions", ok, []string{headerDeadline, "-1s"}, 400, fault.BadRequest},
+		{"bad mark", "/v1/completions", ok, []string{headerNonIdempotent, "maybe"}, 400, fault.BadRequest},
+		{"both marks", "/v1/completions", ok, []string{headerNonIdempotent, "true", headerRepeatable, "true"}, 400, fault.BadRequest},
+		{"long key", "/services/app/x", "", []string{headerKey, strings.Repeat("k", maxKey+1)}, 400, fault.BadRequest},
+		{"too large", "/services/app/x", strings.Repeat("x", maxBody+1), nil, 413, fault.TooLarge},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			res := f.post(t, c.path, c.body, c.header...)
+			var got faultJSON
+			if err := json.Unmarshal([]byte(text(t, res)), &got); err != nil {
+				t.Fatal(err)
+			}
+			if res.StatusCode != c.status || got.Error.Type != c.kind || got.Error.Outcome != "not-run" ||
+				res.Header.Get(headerOutcome) != "not-run" || got.Error.RequestID == "" || !strings.Contains(got.Error.Message, ":") {
+				t.Errorf("status %d, %+v", res.StatusCode, got.Error)
+			}
+		})
+	}
+	expect(t, f.post(t, "/v1/completions", ok), http.StatusOK, "complete", "fine")
+}
+
+// The time in a UUIDv7 decides whether a key may be older than a lost record.
+// Read wrongly, an old key would count as new and run again.
+func TestKeyMadeAt(t *testing.T) {
+	for key, want := range map[string]int64{
+		"01a238da-9213-7abc-8def-0123456789ab": 0x01a238da9213,
+		"01a238da-9213-4abc-8def-0123456789ab": 0,
+		"01a238da92137abc8def0123456789abcdef": 0,
+		"zza238da-9213-7abc-8def-0123456789ab": 0,
+		"":                                     0,
+	} {
+		if got := madeAt(key); got != want {
+			t.Errorf("%q: %d, want %d", key, got, want)
+		}
+	}
+}
+
+// A customer sends far more than its limit. It hears when to come back, and
+// one that keeps to the rate is never refused.
+func TestLimits(t *testing.T) {
+	l := newLimits()
+	lim := spec.Limits{RequestsPerSecond: 2, Concurrent: 3}
+	at := func(now time.Duration) (func(), *fault.Error) { return l.enter("league", lim, now) }
+	for i := range 2 {
+		if _, e := at(0); e != nil {
+			t.Fatalf("request %d of the burst: %v", i, e)
+		}
+	}
+	_, e := at(0)
+	if e == nil || e.Status() != http.StatusTooManyRequests || e.RetryAfter() != 500*time.Millisecond {
+		t.Fatalf("third request: %v", e)
+	}
+	leave, e := at(500 * time.Millisecond)
+	if e != nil {
+		t.Fatalf("after Retry-After: %v", e)
+	}
+	if _, e := at(time.Minute); e == nil {
+		t.Fatal("a fourth request at once was let in")
+	}
+	leave()
+	if _, e := at(2 * time.Minute); e != nil {
+		t.Errorf("after one has left: %v", e)
+	}
+	if _, e := l.enter("other", spec.Limits{}, 0); e != nil || len(l.known) != 1 {
+		t.Errorf("a customer without limits: %v, %d known", e, len(l.known))
+	}
+}
--- a/entry/caller/stub_test.go
+++ b/entry/caller/stub_test.go
@@ -171,7 +171,8 @@
 		Dial: func(ctx context.Context, addr string) (net.Conn, error) {
 			return new(net.Dialer).DialContext(ctx, "tcp", addr)
 		},
-		Pools: func() []agents.Pool { return []agents.Pool{{Name: stubPool}, {Name: "app"}} },
+		Digest: st.Digest,
+		Pools:  func() []agents.Pool { return []agents.Pool{{Name: stubPool}, {Name: "app"}} },
 		Choose: func(pool []plat.Instance, _ plat.Roster) []string {
 			var out []string
 			for _, i := range pool {
--- a/entry/node.go
+++ b/entry/node.go
@@ -56,8 +56,8 @@
 	tally   *tally.Tally
 	// live holds the fleet's keys, which are replaced without a restart.
 	live *conf.Live
-	// noted is the configuration version that was last logged.
-	noted   atomic.Int64
+	// noted is the digest of the configuration that was last logged.
+	noted   atomic.Uint64
 	leaving atomic.Bool
 	ready   atomic.Bool
 }
@@ -185,7 +185,7 @@
 	})
 	n.set = agents.New(agents.Config{
 		Self: n.self, Keys: n.live.Keys, Heartbeat: n.cfg.Heartbeat.Std(), Beat: n.beat,
-		Dial: n.dial, Roster: n.store.Roster, Pools: n.pools, Choose: n.choose,
+		Dial: n.dial, Roster: n.store.Roster, Pools: n.pools, Digest: n.store.Digest, Choose: n.choose,
 		Handle: n.handle, Up: n.up, Down: n.sched.Down, Now: n.now, Log: n.log,
 	})
 	rec := record.Config{
--- a/entry/view.go
+++ b/entry/view.go
@@ -77,7 +77,7 @@
 	switch note.Kind {
 	case feed.NoteChanged:
 		// Confirmations of homes and assignments change no configuration.
-		if n.noted.Swap(note.Version) == note.Version {
+		if d := n.store.Digest(); n.noted.Swap(d) == d {
 			return
 		}
 		logs.Info(n.log, logs.EventConfigChanged, zap.Int("changed", note.Changed), zap.Int64("version", note.Version))
