--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PKGS := $(addprefix ./,$(addsuffix /...,$(MODULES)))
 SCENARIO ?=
 
-.PHONY: build test lint fmt demo smoke measure capacity bench clean
+.PHONY: build test lint fmt demo smoke measure capacity path bench clean
 
 build:
 	go build -o bin/ ./entry ./agent ./lychee ./trial
@@ -31,6 +31,9 @@
 capacity: build
 	@bin/trial capacity
 
+path: build
+	@bin/trial path
+
 bench:
 	go test -run '^$$' -bench . -benchmem $(PKGS)
 
--- a/trial/capac/run.go
+++ b/trial/capac/run.go
@@ -43,6 +43,8 @@
 	fewAgents = 10
 	model     = "roster"
 	ownClass  = "tag"
+	// freeClass has no target, so that a flood of it waits and is not refused.
+	freeClass = "batch"
 )
 
 // Agents measures one number of agents, idle, at half and at full load.
@@ -114,6 +116,7 @@
 	m := spec.Model{Name: model, Endpoints: map[string]string{"model": model}, Version: "v1"}
 	items := []spec.Item{
 		{Kind: spec.KindClass, Name: class.Name, Object: class},
+		{Kind: spec.KindClass, Name: freeClass, Object: spec.Class{Name: freeClass, Tier: 1}},
 		{Kind: spec.KindModel, Name: m.Name, Object: m},
 	}
 	for i := range customers {
--- a/trial/capacity.go
+++ b/trial/capacity.go
@@ -28,6 +28,17 @@
 	return command{sub: sub, run: func(ctx context.Context) error { return capacity(ctx, cfg) }}
 }
 
+func pathCommand() command {
+	sub := newSub("path", "print what entry and agent add to a stream, and how many tokens they relay")
+	return command{sub: sub, run: func(ctx context.Context) error {
+		enc := json.NewEncoder(os.Stdout)
+		_, err := withSet(func(set *procs.Set) ([]capac.Point, error) {
+			return nil, capac.Path(ctx, set, func(v any) error { return enc.Encode(v) })
+		})
+		return err
+	}}
+}
+
 func capacity(ctx context.Context, cfg capac.Config) error {
 	if len(cfg.Agents) == 0 && len(cfg.Customers) == 0 {
 		cfg.Agents, cfg.Customers = []int{10, 25, 50}, []int{1000, 7000, 21000}
