--- a/entry/node.go
+++ b/entry/node.go
@@ -92,33 +92,46 @@
 // run serves until ctx ends, then stops in order.
 func (n *node) run(ctx context.Context) error {
 	work, end := context.WithCancel(context.Background())
-	defer end()
 	logs.Info(n.log, logs.EventStarting)
 	if err := n.secure(); err != nil {
+		end()
 		return err
 	}
 	n.build(work)
-	ended := make(chan error, 8)
-	n.begin(work, ended)
+	p := newParts()
+	n.begin(work, p)
+	err := n.serve(ctx, p)
+	end()
+	p.wait()
+	n.sched.Wait()
+	return err
+}
+
+// serve answers callers until ctx or a part ends.
+func (n *node) serve(ctx context.Context, p *parts) error {
 	ln, err := net.Listen("tcp", n.cfg.Listen)
 	if err != nil {
 		return err
 	}
-	server := n.server()
+	defer ln.Close()
 	select {
 	case <-n.feed.Ready():
 	case <-ctx.Done():
 		return nil
-	case err := <-ended:
+	case err := <-p.ended:
+		p.running--
 		return err
 	}
+	server := n.server()
 	n.ready.Store(true)
-	go func() { ended <- server.Serve(ln) }()
+	p.start(func() error { return server.Serve(ln) })
 	n.announce(ln.Addr().String())
 	select {
 	case <-ctx.Done():
 		return n.stop(server)
-	case err := <-ended:
+	case err := <-p.ended:
+		p.running--
+		server.Close()
 		return err
 	}
 }
@@ -201,23 +214,23 @@
 	})
 }
 
-func (n *node) begin(ctx context.Context, ended chan<- error) {
+func (n *node) begin(ctx context.Context, p *parts) {
 	changed, _ := n.store.Subscribe()
-	go func() { ended <- n.feed.Run(ctx) }()
-	go func() { ended <- n.set.Run(ctx, changed) }()
-	go func() { ended <- n.live.Follow(ctx, n.noteKeys) }()
-	go func() { ended <- n.keeper.Run(ctx) }()
-	go func() { ended <- n.planner.Run(ctx) }()
+	p.start(func() error { return n.feed.Run(ctx) })
+	p.start(func() error { return n.set.Run(ctx, changed) })
+	p.start(func() error { return n.live.Follow(ctx, n.noteKeys) })
+	p.start(func() error { return n.keeper.Run(ctx) })
+	p.start(func() error { return n.planner.Run(ctx) })
 	port := peers.New(peers.Config{
 		Listen: n.cfg.Link, Self: n.self, Keys: n.live.Keys, Heartbeat: n.cfg.Heartbeat.Std(),
 		Beat: n.beat, Store: n.store, Accept: n.certs.Accept, Log: n.log,
 	})
-	go func() { ended <- port.Run(ctx) }()
+	p.start(func() error { return port.Run(ctx) })
 	operators := admin.New(admin.Config{
 		Listen: n.cfg.Admin.Listen, Token: string(n.cfg.Admin.Token), Metrics: n.meter,
 		Status: n.status, Explain: n.sched.Trail().Explain, Log: n.log,
 	})
-	go func() { ended <- operators.Run(ctx) }()
+	p.start(func() error { return operators.Run(ctx) })
 }
 
 // handle takes a message of an agent; it is called by the link's reader.
--- a/entry/sched/sched.go
+++ b/entry/sched/sched.go
@@ -47,6 +47,9 @@
 	trail   *Trail
 	running atomic.Int64
 
+	// owners counts the goroutines of pools.
+	owners sync.WaitGroup
+
 	mu    sync.Mutex
 	pools map[string]*pool
 	// seen holds the last incarnation of each agent.
@@ -65,6 +68,10 @@
 // Trail returns the record of recent decisions.
 func (s *Sched) Trail() *Trail { return s.trail }
 
+// Wait returns when the owners of all pools have ended, after the context given
+// to New. No request may be served any more then.
+func (s *Sched) Wait() { s.owners.Wait() }
+
 // Running returns how many requests are being served.
 func (s *Sched) Running() int { return int(s.running.Load()) }
 
@@ -158,7 +165,11 @@
 	if !ok {
 		p = newPool(name, s.cfg)
 		s.pools[name] = p
-		go p.run(s.ctx)
+		s.owners.Add(1)
+		go func() {
+			defer s.owners.Done()
+			p.run(s.ctx)
+		}()
 	}
 	return p
 }
