--- a/agent/slot/attach.go
+++ b/agent/slot/attach.go
@@ -150,7 +150,7 @@
 			continue
 		}
 		for _, r := range o.running {
-			if r.sess == s && r.key == nil && r.offer != nil && r.offer.Repeatable {
+			if r.sess == s && r.key == nil && r.offer != nil && r.offer.Cancellable {
 				o.halt(r, wire.ReasonCallerGone)
 			}
 		}
--- a/core/wire/message.go
+++ b/core/wire/message.go
@@ -109,8 +109,12 @@
 	CompleteMS uint32
 	// DeadlineMS is the time left until the caller gives up.
 	DeadlineMS uint32
-	// Repeatable is set when the request may be cancelled and run again.
+	// Repeatable is set when the request may be cancelled at any time and run
+	// again. Only the caller can say so.
 	Repeatable bool
+	// Cancellable is set when the request may be cancelled once nobody waits
+	// for its answer any more.
+	Cancellable bool
 	// Key is the hash of customer and idempotency key, empty without one. Only
 	// the key's home agent is offered a keyed request.
 	Key []byte
--- a/entry/caller/accept.go
+++ b/entry/caller/accept.go
@@ -104,7 +104,7 @@
 	if mark && redo {
 		return fault.New(fault.BadRequest, "both "+headerNonIdempotent+" and "+headerRepeatable+" are set: send one of them")
 	}
-	j.Repeatable, j.Redo = safe && !mark, safe && redo
+	j.Cancellable, j.Repeatable = safe && !mark, safe && redo
 	keys := r.Header.Values(headerKey)
 	if len(keys) == 0 {
 		return nil
@@ -114,7 +114,7 @@
 		return fault.New(fault.BadRequest, "bad "+headerKey+": send one key of 1 to 255 bytes, such as a UUIDv7")
 	}
 	sum := sha256.Sum256([]byte(j.Customer + "\x00" + key))
-	j.Key, j.KeyMade, j.Repeatable, j.Redo = sum[:], madeAt(key), false, false
+	j.Key, j.KeyMade, j.Cancellable, j.Repeatable = sum[:], madeAt(key), false, false
 	return nil
 }
 
--- a/entry/sched/flight.go
+++ b/entry/sched/flight.go
@@ -84,7 +84,7 @@
 func newFlight(s *Sched, j *Job, sink *Sink) *flight {
 	return &flight{
 		s: s, job: j, sink: sink, pool: s.pool(j.Pool), mail: newMailbox(),
-		once: once.New(j.ID, j.Redo), reply: make(chan choice, 1),
+		once: once.New(j.ID, j.Repeatable), reply: make(chan choice, 1),
 		trace: s.trail.open(j),
 	}
 }
@@ -196,7 +196,7 @@
 // left to run to its end, so that a retry under its key finds the answer.
 func (f *flight) hangUp() {
 	f.withdraw()
-	if f.job.Repeatable {
+	if f.job.Cancellable {
 		f.cancel(wire.ReasonCallerGone)
 	}
 	f.finish(fault.New(fault.CallerGone, "the caller hung up"))
--- a/entry/sched/job.go
+++ b/entry/sched/job.go
@@ -34,12 +34,13 @@
 	MaxTokens int
 	// Prompt is what Body holds of a prompt; the prefix hashes are made of it.
 	Prompt []byte
-	// Repeatable is set when the request may be cancelled while it runs.
+	// Cancellable is set when the request may be cancelled while it runs, once
+	// its caller has gone.
+	Cancellable bool
+	// Repeatable is set when the caller said that the request may be dispatched
+	// more than once. It implies Cancellable. Every other request is dispatched
+	// at most once, whatever its kind: a doubled status lookup can cost a fee.
 	Repeatable bool
-	// Redo is set when the caller said that the request may be dispatched more
-	// than once. It implies Repeatable. Every other request is dispatched at
-	// most once, whatever its kind: a doubled status lookup can cost a fee.
-	Redo bool
 	// Key is the hash of customer and idempotency key, nil without one, and
 	// KeyMade when the key was made, zero if it does not tell.
 	Key     []byte
--- a/entry/sched/offer.go
+++ b/entry/sched/offer.go
@@ -116,7 +116,7 @@
 		CostMS: millis(f.est.Work), Prefix: f.trace.prefix, WaitedMS: millis(waited),
 		FirstMS: millis(t.FirstToken.Std()), BetweenMS: millis(t.BetweenTokens.Std()),
 		CompleteMS: millis(t.Complete.Std()), DeadlineMS: millis(j.Deadline - waited),
-		Repeatable: j.Repeatable, Key: j.Key, KeyMade: j.KeyMade, Digest: j.Digest, Epoch: epoch,
+		Repeatable: j.Repeatable, Cancellable: j.Cancellable, Key: j.Key, KeyMade: j.KeyMade, Digest: j.Digest, Epoch: epoch,
 	}
 }
 
--- a/entry/sched/relay.go
+++ b/entry/sched/relay.go
@@ -155,7 +155,7 @@
 
 // patience is how long a lost holder is waited for.
 func (f *flight) patience() time.Duration {
-	if f.job.Redo && !f.once.Given() {
+	if f.job.Repeatable && !f.once.Given() {
 		return repeatWait
 	}
 	return attachWait
