--- a/agent/slot/displ.go
+++ b/agent/slot/displ.go
@@ -7,39 +7,25 @@
 	"lycheepond/core/wire"
 )
 
-// displace makes room for r at the cost of work of a lower tier and reports
-// whether a place came free at once. In this order: what was granted and has
-// not started, what was claimed, and, when r would be late otherwise, what
-// runs, may be run again, and has shown nothing to its caller.
-func (o *Owner) displace(now time.Duration, r *rec) bool {
-	if o.bound.Fit(now, o.committed(true), r.work) == bound.LongFull {
+// displaceAhead is how long before the last moment a run is stopped: the engine
+// has to notice, and the entry to grant. To be measured.
+const displaceAhead = 200 * time.Millisecond
+
+// displace makes room for r, which would be late otherwise, by stopping work
+// of a lower tier that runs, may be run again, and has shown nothing to its
+// caller. The place comes free when the run has ended.
+func (o *Owner) displace(now time.Duration, r *rec) {
+	sum, _ := o.committed(int(r.offer.Tier))
+	if o.bound.Fit(now, sum, r.work) == bound.LongFull {
 		// Short work of a lower tier holds places that r would not get.
-		return false
-	}
-	if v := o.waitingVictim(r); v != nil {
-		o.giveBack(now, v, wire.ReasonDisplaced)
-		return true
+		return
 	}
 	if !o.wouldBeLate(now, r) || o.halting() >= o.waitingAbove(r.offer.Tier) {
-		return false
+		return
 	}
 	if v := o.runningVictim(r); v != nil {
 		o.halt(v, wire.ReasonDisplaced)
 	}
-	return false
-}
-
-func (o *Owner) waitingVictim(r *rec) *rec {
-	var worst *rec
-	for _, v := range o.waiting {
-		if (v.state != ready && v.state != claimed) || v.offer.Tier <= r.offer.Tier {
-			continue
-		}
-		if worst == nil || v.offer.Tier > worst.offer.Tier || (v.offer.Tier == worst.offer.Tier && v.state > worst.state) {
-			worst = v
-		}
-	}
-	return worst
 }
 
 // runningVictim chooses the lowest tier and in it what began last, which has
@@ -59,22 +45,15 @@
 	return worst
 }
 
-// wouldBeLate reports whether r misses its target if it waits for the next
-// run to end by itself. A run that outlasts its estimate may end any moment,
-// so it delays the decision only until the time to first byte is all that is
-// left.
+// wouldBeLate reports whether r misses its target unless a place comes free
+// now. It does not ask when a run will end by itself: estimates of that are
+// often wrong, the bound may grow, and another agent holds the offer too, so
+// until the last moment the place may come without any loss. For a request
+// that is late already nothing is stopped: it runs next, and the work would be
+// lost for no target.
 func (o *Owner) wouldBeLate(now time.Duration, r *rec) bool {
-	if r.due == 0 {
-		return false
-	}
-	soonest := time.Duration(-1)
-	for _, v := range o.running {
-		left := max(v.work.Cost-(now-v.started), 0)
-		if soonest < 0 || left < soonest {
-			soonest = left
-		}
-	}
-	return now+max(soonest, 0)+o.firstMean > r.due
+	first := now + o.firstMean
+	return r.due > 0 && first <= r.due && first+displaceAhead > r.due
 }
 
 // halting counts the runs that are being stopped to make room.
--- a/agent/slot/rec.go
+++ b/agent/slot/rec.go
@@ -108,7 +108,9 @@
 		r.due = now + ms(m.FirstMS) - ms(m.WaitedMS)
 	}
 	if m.CompleteMS > 0 {
-		due := now + ms(m.CompleteMS) - ms(m.WaitedMS) - ms(m.CostMS)
+		// The cost is an estimate that may be wrong by ten times; capped, it
+		// makes no request look late that has not waited.
+		due := now + ms(m.CompleteMS) - ms(m.WaitedMS) - min(ms(m.CostMS), ms(m.CompleteMS)/2)
 		if r.due == 0 || due < r.due {
 			r.due = due
 		}
@@ -133,13 +135,16 @@
 	case running:
 		delete(o.running, r.id)
 	}
+	delete(o.held, r.id)
 	r.state, r.changed = to, now
 	switch to {
-	case queued, parked, ready:
+	case queued:
 		o.waiting[r.id] = r
-	case claimed:
-		o.waiting[r.id] = r
-		o.claims++
+	case parked, claimed, ready:
+		o.waiting[r.id], o.held[r.id] = r, r
+		if to == claimed {
+			o.claims++
+		}
 	case running:
 		delete(o.waiting, r.id)
 		o.running[r.id] = r
@@ -159,6 +164,7 @@
 	o.uncharge(r)
 	r.state, r.changed = dead, now
 	delete(o.waiting, r.id)
+	delete(o.held, r.id)
 	delete(o.recs, r.id)
 	o.firstLost(now, r)
 }
--- a/core/bound/pace.go
+++ b/core/bound/pace.go
@@ -9,8 +9,9 @@
 	// slowRatio is how many times its usual an endpoint takes that is slow, and
 	// fairRatio that of one that is no longer.
 	slowRatio, fairRatio = 4, 2
-	// recentWeight is the weight of a sample in the recent ratio.
-	recentWeight = 1.0 / 3
+	// recentWeight is the weight of a sample in the recent ratio: one sample of
+	// an endpoint at an eighth of its pace is enough to find it slow.
+	recentWeight = 0.45
 	// usualFor is how long the usual pace remembers, and doubt the weight of a
 	// sample that would make it slow: little enough not to take slowness for
 	// usual at once, and enough to take an endpoint as it is that stays so.
@@ -148,6 +149,15 @@
 	return min(load, company/guilt)
 }
 
+// headway returns the load by which the bound may grow, which is more than
+// load for a first token: a queue inside the endpoint shows there first, long
+// before a report of it comes or a target is missed. It slows growth, and does
+// not hold it up.
+func (p *pace) headway(m Sample, load float64) float64 {
+	first := p.firstLoad(m)
+	return max(load, min(first*caution, roomy-0.01))
+}
+
 func (p *pace) betweenLoad(m Sample) float64 {
 	if m.Between == 0 {
 		return 0
--- a/entry/sched/flight.go
+++ b/entry/sched/flight.go
@@ -59,14 +59,17 @@
 	headed bool
 	status int
 	header []wire.Field
+	// early are pieces that overtook the head, at most maxEarly.
+	early []*event
 	// body holds an answer back until it is whole; full is set once it would
 	// outgrow maxWhole.
 	body []byte
 	full bool
 	// shed is set when an agent sent the last offer back because of a level.
 	shed bool
-	// wait says what the timer stands for.
+	// wait says what the timer stands for and until when it runs.
 	wait  waitFor
+	until time.Duration
 	timer *time.Timer
 	// asks counts the pieces asked for again in this attempt and retries how
 	// often the request was placed again.
@@ -91,25 +94,20 @@
 
 func (f *flight) now() time.Duration { return f.s.cfg.Now() }
 
-// run owns the flight until it has ended.
+// run owns the flight until it has ended. Everything that it reacts to comes
+// through the mailbox, timers and the caller's hang-up too: to wait on four
+// channels for each token costs more than the token.
 func (f *flight) run(ctx context.Context) Result {
-	f.timer = time.NewTimer(time.Hour)
+	post := func(kind eventKind) func() { return func() { f.mail.put(event{kind: kind}) } }
+	defer context.AfterFunc(ctx, post(eventGone))()
+	f.timer = time.AfterFunc(f.job.Deadline, post(eventWake))
 	defer f.timer.Stop()
-	deadline := time.NewTimer(f.job.Accepted + f.job.Deadline - f.now())
-	defer deadline.Stop()
+	defer time.AfterFunc(f.job.Accepted+f.job.Deadline-f.now(), post(eventDeadline)).Stop()
 	f.place(true)
 	var spare []event
 	for !f.done {
-		select {
-		case <-f.mail.ready:
-			spare = f.drain(spare)
-		case <-ctx.Done():
-			f.hangUp()
-		case <-deadline.C:
-			f.expire()
-		case <-f.timer.C:
-			f.wake()
-		}
+		<-f.mail.ready
+		spare = f.drain(spare)
 	}
 	f.pool.tell(note{op: opEnd, f: f, res: &f.res})
 	f.trace.close(f)
@@ -148,15 +146,28 @@
 	case eventWider:
 		f.widen(e.peer)
 		return
+	case eventWake:
+		f.wake()
+		return
+	case eventDeadline:
+		f.expire()
+		return
+	case eventGone:
+		f.hangUp()
+		return
 	}
 	a := once.Agent{Name: e.peer.Name(), Incarnation: e.inc}
 	switch m := e.msg.(type) {
 	case *wire.Chunk:
-		f.chunk(e.peer, m)
+		if f.from(e.peer) && !f.overtook(e) {
+			f.chunk(m)
+		}
 	case *wire.Head:
 		f.head(e.peer, m)
 	case *wire.End:
-		f.end(e.peer, m)
+		if f.from(e.peer) && (!m.Whole || !f.overtook(e)) {
+			f.end(m)
+		}
 	case *wire.Claim:
 		f.claim(e.peer, a, m)
 	case *wire.Return:
@@ -168,11 +179,15 @@
 
 // sleep sets the flight's only timer.
 func (f *flight) sleep(why waitFor, d time.Duration) {
-	f.wait = why
+	f.wait, f.until = why, f.now()+d
 	f.timer.Reset(d)
 }
 
 func (f *flight) wake() {
+	if f.now() < f.until {
+		// The timer was set anew after it had gone off.
+		return
+	}
 	why := f.wait
 	f.wait = waitNothing
 	switch why {
@@ -192,19 +207,18 @@
 	f.finish(fault.New(fault.Deadline, "the deadline passed: allow more time with Lychee-Deadline, or ask again when the load is lower"))
 }
 
-// hangUp ends the request after its caller has gone. What may not run twice is
-// left to run to its end, so that a retry under its key finds the answer.
+// hangUp ends the request after its caller has gone.
 func (f *flight) hangUp() {
 	f.withdraw()
-	if f.job.Cancellable {
-		f.cancel(wire.ReasonCallerGone)
-	}
+	f.cancel(wire.ReasonCallerGone)
 	f.finish(fault.New(fault.CallerGone, "the caller hung up"))
 }
 
-// cancel stops the granted attempt at the endpoint, if there is one.
+// cancel stops the granted attempt at the endpoint, if there is one. What may
+// not be cancelled is left to run to its end: half a filing would be worse, and
+// a retry under its key finds the answer.
 func (f *flight) cancel(why wire.Reason) {
-	if f.holder != nil && f.once.State() == once.Granted {
+	if f.job.Cancellable && f.holder != nil && f.once.State() == once.Granted {
 		f.holder.Send(&wire.Cancel{ID: f.once.ID(), Reason: why})
 	}
 }
--- a/lychee/show/show.go
+++ b/lychee/show/show.go
@@ -153,7 +153,10 @@
 		return
 	}
 	state := "in force everywhere"
-	if !r.InForce {
+	switch {
+	case r.Away:
+		state = "the newest among the entries that were asked, the platform does not answer"
+	case !r.InForce:
 		state = "NOT in force everywhere"
 	}
 	fmt.Fprintf(w.out, "configuration version %d: %s\n\n", r.Config, state)
@@ -174,7 +177,7 @@
 		notes = append(notes, "lags")
 	}
 	if e.Away {
-		notes = append(notes, "platform away")
+		notes = append(notes, fmt.Sprintf("platform away, last answer %v ago", time.Duration(e.AgeMS)*time.Millisecond))
 	}
 	for _, r := range e.Rejected {
 		notes = append(notes, fmt.Sprintf("refused %s/%s version %d", r.Kind, r.Name, r.Version))
@@ -205,7 +208,11 @@
 	for _, v := range slices.Sorted(maps.Keys(count)) {
 		parts = append(parts, fmt.Sprintf("%s on %d", v, count[v]))
 	}
-	return ", versions: " + strings.Join(parts, ", ")
+	text := ", versions: " + strings.Join(parts, ", ")
+	if p.Wanted != "" {
+		text += ", wanted " + p.Wanted
+	}
+	return text
 }
 
 func lineNote(l survey.Line) string {
