--- a/agent/slot/keys_test.go
+++ b/agent/slot/keys_test.go
@@ -53,7 +53,7 @@
 
 func keyed(n uint64, key string, epoch int64) *wire.Offer {
 	m := offerOf(n)
-	m.Key, m.Epoch, m.Digest, m.Repeatable = []byte(key), epoch, 1, false
+	m.Key, m.Epoch, m.Digest, m.Repeatable, m.Cancellable = []byte(key), epoch, 1, false, false
 	return m
 }
 
