trial: hot customer and calm run differ in nothing but the surplus; figures of each customer by tier

The surplus began at the first request, onto engines whose bounds were just found; others' arrivals differed between the two runs because an empty phase drew random numbers. It now begins after 2 s, and a test compares the others' requests.

--- a/trial/exper/exper_test.go
+++ b/trial/exper/exper_test.go
@@ -1,6 +1,7 @@
 package exper
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -58,3 +59,27 @@
 		t.Errorf("%d inversions, want 1", n)
 	}
 }
+
+// The hot customer's surplus is judged by what it takes from the others. If
+// their own requests differed between the two runs, the comparison would show
+// chance.
+func TestCalmIsTheSameForOthers(t *testing.T) {
+	for _, sc := range Scenarios() {
+		if !sc.HasCalm() {
+			continue
+		}
+		others := func(phases []phase) (at []time.Duration) {
+			for _, j := range generate(sc.seed, sc.shapes, phases, sc.prefix) {
+				if j.Customer != hotCustomer {
+					at = append(at, j.At)
+				}
+			}
+			return at
+		}
+		capacity := Capacity(sc.shapes)
+		a, b := others(sc.phases(capacity)), others(sc.calm(capacity))
+		if !slices.Equal(a, b) {
+			t.Errorf("%s: others send %d requests with the surplus and %d without, or at other times", sc.Name, len(a), len(b))
+		}
+	}
+}
--- a/trial/exper/plot.go
+++ b/trial/exper/plot.go
@@ -30,6 +30,8 @@
 	p.Title.Text = o.Scenario + ", " + o.Policy
 	p.X.Label.Text = "second"
 	p.Y.Label.Text = "requests a second"
+	p.Y.Min = 0
+	p.Legend.Top = true
 	for tier := range spec.Tiers {
 		good, offered := o.series(uint8(tier))
 		if err := addLine(p, fmt.Sprintf("tier %d", tier), tier, good, false); err != nil {
--- a/trial/exper/run.go
+++ b/trial/exper/run.go
@@ -68,7 +68,7 @@
 	capacity, policy := Capacity(sc.shapes), opt.Policy
 	phases := sc.phases(capacity)
 	if opt.Calm {
-		phases = even(hotLoad)(capacity)
+		phases = sc.calm(capacity)
 	}
 	jobs := generate(sc.seed, sc.shapes, phases, sc.prefix)
 	out := Outcome{Scenario: sc.Name, Policy: policy, Capacity: capacity, shapes: sc.shapes, lead: sc.lead}
--- a/trial/exper/scene.go
+++ b/trial/exper/scene.go
@@ -18,12 +18,13 @@
 	events []event
 	// lead is how long requests arrive before they count.
 	lead time.Duration
-	// quiet names a customer without whose surplus the run is repeated.
-	quiet string
+	// calm is phases without the surplus of the hot customer, for a run to
+	// compare with; nil for none.
+	calm func(capacity float64) []phase
 }
 
 // HasCalm reports whether the scenario is also run without its surplus.
-func (s Scenario) HasCalm() bool { return s.quiet != "" }
+func (s Scenario) HasCalm() bool { return s.calm != nil }
 
 // event is something that happens to the deployment during a run.
 type event struct {
@@ -49,6 +50,7 @@
 	hotCustomer  = "ocean-state"
 	lowerTier    = 2
 	eventAt      = 3 * time.Second
+	hotAt        = 2 * time.Second
 	burstEnd     = 6 * time.Second
 	churnSpacing = 1500 * time.Millisecond
 	// overLead is how long an overload builds up before it counts.
@@ -76,14 +78,18 @@
 	}
 }
 
+func isHot(_ shape, c customer) bool { return c.name == hotCustomer }
+
 // Scenarios returns every experiment in the order in which they run.
 func Scenarios() []Scenario {
 	return []Scenario{
 		{Name: "steady", seed: 1, shapes: mixed, prefix: plain, phases: even(steadyLoad)},
 		{Name: "burst", seed: 2, shapes: mixed, prefix: plain, phases: raised(burstLoad, burstFactor, eventAt, burstEnd,
 			func(s shape, _ customer) bool { return s.class.Tier >= lowerTier })},
-		{Name: "hotcustomer", seed: 3, shapes: mixed, prefix: plain, quiet: hotCustomer, phases: raised(hotLoad, hotFactor, 0, span,
-			func(_ shape, c customer) bool { return c.name == hotCustomer })},
+		{
+			Name: "hotcustomer", seed: 3, shapes: mixed, prefix: plain,
+			phases: raised(hotLoad, hotFactor, hotAt, span, isHot), calm: raised(hotLoad, 1, hotAt, span, isHot),
+		},
 		{Name: "hotprefix", seed: 4, shapes: mixed, prefix: hot, phases: even(steadyLoad)},
 		{Name: "slowendpoint", seed: 5, shapes: mixed, prefix: plain, phases: even(slowLoad), events: []event{{eventAt, slowDown}}},
 		{Name: "longshort", seed: 6, shapes: longShort, prefix: plain, phases: even(longLoad)},
--- a/trial/exper/sum.go
+++ b/trial/exper/sum.go
@@ -136,6 +136,18 @@
 	Name    string `json:"name"`
 	Offered int    `json:"offered"`
 	Within  int    `json:"within_target"`
+	// OfferedBy and WithinBy are the same by tier.
+	OfferedBy [spec.Tiers]int `json:"offered_by_tier"`
+	WithinBy  [spec.Tiers]int `json:"within_by_tier"`
+}
+
+func (c *CustomerNote) count(r load.Result) {
+	c.Offered++
+	c.OfferedBy[r.Job.Class.Tier]++
+	if r.Within() {
+		c.Within++
+		c.WithinBy[r.Job.Class.Tier]++
+	}
 }
 
 // Note returns the figures beside the lines.
@@ -149,10 +161,7 @@
 			if r.Job.Customer != c.name {
 				continue
 			}
-			cn.Offered++
-			if r.Within() {
-				cn.Within++
-			}
+			cn.count(r)
 			if r.Outcome == load.Refused {
 				refusals = append(refusals, r.Total)
 			}
--- a/trial/exper/work.go
+++ b/trial/exper/work.go
@@ -120,7 +120,9 @@
 func arrivals(rnd *rand.Rand, s shape, c customer, ph phase, p prefixes, first int) []load.Job {
 	rate := ph.rate(s, c)
 	var jobs []load.Job
-	for at := ph.from; rate > 0; {
+	// An empty phase draws no number, so that a customer whose rate does not
+	// change sends the same with and without the surplus of another.
+	for at := ph.from; rate > 0 && ph.from < ph.to; {
 		at += time.Duration(rnd.ExpFloat64() / rate * float64(time.Second))
 		if at >= ph.to {
 			break
