--- a/core/place/place.go
+++ b/core/place/place.go
@@ -179,8 +179,9 @@
 	busy := a.InFlight + a.Queued
 	d := req.Work / crowding * time.Duration(min(busy, bound)) / time.Duration(bound)
 	if busy >= bound {
-		// Offers that the agent has yet to hear of count as long as this one.
-		queued := max(a.QueuedCost, time.Duration(a.Queued)*req.Work)
+		// Offers that the agent has yet to hear of count half as long as this
+		// one, since others hold them too.
+		queued := max(a.QueuedCost, time.Duration(a.Queued)*req.Work/2)
 		d += (queued + req.Work) / time.Duration(bound)
 	}
 	if a.Zone != p.cfg.Zone {
