--- a/agent/slot/bench_test.go
+++ b/agent/slot/bench_test.go
@@ -208,7 +208,7 @@
 }
 
 func offerOf(n uint64) *wire.Offer {
-	return &wire.Offer{ID: ident.Make(entryInc, n), Pool: pool, Customer: "metro", Class: "swap", DeadlineMS: 60000, Repeatable: true}
+	return &wire.Offer{ID: ident.Make(entryInc, n), Pool: pool, Customer: "metro", Class: "swap", DeadlineMS: 60000, Repeatable: true, Cancellable: true}
 }
 
 func grantOf(m *wire.Offer) *wire.Grant {
--- a/entry/sched/flight.go
+++ b/entry/sched/flight.go
@@ -87,7 +87,7 @@
 func newFlight(s *Sched, j *Job, sink *Sink) *flight {
 	return &flight{
 		s: s, job: j, sink: sink, pool: s.pool(j.Pool), mail: newMailbox(),
-		once: once.New(j.ID, j.Redo), reply: make(chan choice, 1),
+		once: once.New(j.ID, j.Repeatable), reply: make(chan choice, 1),
 		trace: s.trail.open(j),
 	}
 }
@@ -215,10 +215,10 @@
 }
 
 // cancel stops the granted attempt at the endpoint, if there is one. What may
-// not be repeated is left to run to its end: half a filing would be worse, and
+// not be cancelled is left to run to its end: half a filing would be worse, and
 // a retry under its key finds the answer.
 func (f *flight) cancel(why wire.Reason) {
-	if f.job.Repeatable && f.holder != nil && f.once.State() == once.Granted {
+	if f.job.Cancellable && f.holder != nil && f.once.State() == once.Granted {
 		f.holder.Send(&wire.Cancel{ID: f.once.ID(), Reason: why})
 	}
 }
