--- a/agent/probe/probe.go
+++ b/agent/probe/probe.go
@@ -14,7 +14,7 @@
 // well under a hundredth of a core.
 const (
 	Every   = 500 * time.Millisecond
-	timeout = 2 * time.Second
+	timeout = time.Second
 )
 
 // Run asks the endpoint at base until ctx ends and hands each report to take.
--- a/agent/slot/claim.go
+++ b/agent/slot/claim.go
@@ -185,7 +185,7 @@
 			o.giveBack(now, r, reason)
 			continue
 		}
-		if sum, _ := o.committed(onlyRunning); !o.bound.Room(now, sum, r.work) {
+		if sum, _ := o.committed(onlyRunning); o.stalled || !o.bound.Room(now, sum, r.work) {
 			i++
 			continue
 		}
--- a/agent/slot/run.go
+++ b/agent/slot/run.go
@@ -34,6 +34,7 @@
 func (o *Owner) launch(now time.Duration, r *rec, f func(ctx context.Context, sink call.Sink) call.Result) {
 	o.setState(now, r, running)
 	r.started = now
+	o.cfg.Stats.started(r.offer, now-r.arrived)
 	r.progress = call.NewProgress()
 	sink := call.Sink{Head: r.log.SetHead, Chunk: r.log.Append}
 	ctx, stop := context.WithCancel(o.ctx)
@@ -69,7 +70,8 @@
 	r.log.Close(wire.End{Whole: res.Whole, Reason: reason, Usage: res.Usage})
 	o.cfg.Stats.ended(r.offer, res, took)
 	o.keyEnded(now, r)
-	r.offer = nil
+	// The record is kept for long, so it lets go of what only the run needed.
+	r.offer, r.progress, r.stop, r.guard = nil, nil, nil, nil
 }
 
 // notRun gives a request back that the endpoint certainly did not see.
--- a/agent/slot/stats.go
+++ b/agent/slot/stats.go
@@ -27,7 +27,7 @@
 	classes     map[string]classStats
 }
 
-type classStats struct{ first, total metrics.Histogram }
+type classStats struct{ queued, first, total metrics.Histogram }
 
 // NewStats returns metrics that are kept in set.
 func NewStats(set *meter.Set) *Stats {
@@ -48,6 +48,13 @@
 	c.Inc(1)
 }
 
+// started notes how long a request has waited here.
+func (s *Stats) started(o *wire.Offer, waited time.Duration) {
+	if o != nil {
+		meter.Milliseconds(s.class(o.Class).queued, waited)
+	}
+}
+
 func (s *Stats) ended(o *wire.Offer, res call.Result, took time.Duration) {
 	if res.Whole {
 		s.complete.Inc(1)
@@ -77,8 +84,9 @@
 		}
 	}
 	c := classStats{
-		first: s.set.Histogram("agent_first_ms", meter.Class(name)),
-		total: s.set.Histogram("agent_total_ms", meter.Class(name)),
+		queued: s.set.Histogram("agent_queued_ms", meter.Class(name)),
+		first:  s.set.Histogram("agent_first_ms", meter.Class(name)),
+		total:  s.set.Histogram("agent_total_ms", meter.Class(name)),
 	}
 	s.classes[name] = c
 	return c
--- a/agent/slot/tier_test.go
+++ b/agent/slot/tier_test.go
@@ -223,11 +223,20 @@
 func TestStalledEndpointClaimsNothing(t *testing.T) {
 	b := newBench(t, testBound)
 	p := b.link(entryInc)
+	p.send(tiered(2, 0))
+	next[*wire.Claim](p)
 	for range missedReports {
 		b.do(report{err: errLease})
 	}
 	p.send(tiered(1, 0))
 	none[*wire.Claim](p)
+	// What was claimed just before is granted now. It goes back unstarted.
+	p.send(grantOf(tiered(2, 0)))
+	b.idle()
+	b.after(readyPatience + time.Millisecond)
+	if r := next[*wire.Return](p); r.ID != tiered(2, 0).ID || r.Reason != wire.ReasonDisplaced {
+		t.Fatalf("return %+v", r)
+	}
 	if !b.o.Load().Slow {
 		t.Fatal("the load does not tell")
 	}
--- a/core/wire/link.go
+++ b/core/wire/link.go
@@ -107,9 +107,8 @@
 }
 
 // SendWait queues m and waits for room until ctx or the link ends. It is for
-// the pieces of answers, whose producer may be held back. Messages may arrive
-// before others that were given to SendWait earlier and to Send later, never
-// after those that were given to Send before.
+// the pieces of answers, whose producer may be held back. What Send takes later
+// may overtake m; what it took before m arrives before it.
 func (l *Link) SendWait(ctx context.Context, m Message) error {
 	if l.ctx.Err() != nil {
 		return ErrClosed
