wire: link buffers of 8 KiB; entry: offers without the prompt's hashes

Cause: at 115 links an entry would take 35 MB, of which 64 KiB a link were buffers; and an offer of a long prompt was half hashes that no agent reads.

--- a/core/wire/frame.go
+++ b/core/wire/frame.go
@@ -18,6 +18,10 @@
 
 const headerSize = 5
 
+// linkBuffer is the size of each of a link's two buffers. An entry has 115
+// links and 32 MB at the target's size; larger buffers carry no more tokens.
+const linkBuffer = 8 << 10
+
 // ErrFrameSize reports a frame whose length cannot be right.
 var ErrFrameSize = errors.New("wire: frame length out of range: the peer is not a lycheepond process of this version, or the stream is damaged; the link is closed")
 
@@ -84,7 +88,7 @@
 // NewReader returns a Reader on r.
 func NewReader(r io.Reader) *Reader {
 	src := bytes.NewReader(nil)
-	return &Reader{r: bufio.NewReaderSize(r, 32<<10), src: src, dec: msgpack.NewDecoder(src)}
+	return &Reader{r: bufio.NewReaderSize(r, linkBuffer), src: src, dec: msgpack.NewDecoder(src)}
 }
 
 // Next returns the next message. It returns io.EOF only between two frames and
--- a/core/wire/link.go
+++ b/core/wire/link.go
@@ -211,7 +211,7 @@
 // sent for one period.
 func (l *Link) write(ctx context.Context) error {
 	defer l.stop()
-	w := bufio.NewWriterSize(l.conn, 32<<10)
+	w := bufio.NewWriterSize(l.conn, linkBuffer)
 	tick := time.NewTicker(l.heartbeat)
 	defer tick.Stop()
 	// A link opens with a heartbeat, so that the peer knows at once whether this
--- a/entry/sched/offer.go
+++ b/entry/sched/offer.go
@@ -120,13 +120,15 @@
 	}
 }
 
+// describe returns the offer. The hashes of the prompt stay here: the entry
+// places by them, and they would be half of the offer's bytes.
 func (f *flight) describe(epoch int64) *wire.Offer {
 	j, t := f.job, f.job.Class.Target
 	waited := f.now() - j.Accepted
 	return &wire.Offer{
 		ID: f.once.ID(), Pool: j.Pool, Customer: j.Customer, Class: j.Class.Name, Tier: j.Class.Tier,
 		Model: j.Model, PromptTokens: uint32(f.est.PromptTokens), OutputTokens: uint32(f.est.OutputTokens),
-		CostMS: millis(f.est.Work), Prefix: f.trace.prefix, WaitedMS: millis(waited),
+		CostMS: millis(f.est.Work), WaitedMS: millis(waited),
 		FirstMS: millis(t.FirstToken.Std()), BetweenMS: millis(t.BetweenTokens.Std()),
 		CompleteMS: millis(t.Complete.Std()), DeadlineMS: millis(j.Deadline - waited),
 		Repeatable: j.Repeatable, Cancellable: j.Cancellable, Key: j.Key, KeyMade: j.KeyMade, Digest: j.Digest, Epoch: epoch,
