--- a/core/bound/bound_test.go
+++ b/core/bound/bound_test.go
@@ -85,7 +85,7 @@
 		}
 	}
 	t.Logf("found slow after %v", e.now-from)
-	e.load(b, 20*time.Second, e.bounded(b), next)
+	e.load(b, time.Minute, e.bounded(b), next)
 	if b.Limit() > 1 {
 		t.Fatalf("a slow endpoint gets %d", b.Limit())
 	}
@@ -103,6 +103,56 @@
 	}
 }
 
+// The engine runs twelve and has others waiting inside, where no tier counts.
+// Only its late report shows it; one request that it just met on its way in is
+// no queue, and a report from before the last cut is of no more use.
+func TestQueueInsideCuts(t *testing.T) {
+	const s = time.Second
+	for _, tc := range []struct {
+		name    string
+		reports []Report
+		want    int
+	}{
+		{"a queue", []Report{{Running: 12, Waiting: 4}}, 12},
+		{"one on its way", []Report{{Running: 12, Waiting: 1}}, 40},
+		{"one that stays", []Report{{Running: 12, Waiting: 1}, {Running: 12, Waiting: 1}}, 12},
+		{"from before the cut", []Report{{Running: 12, Waiting: 4}, {Running: 3, Waiting: 4, Age: 5 * s}}, 12},
+		{"no queue", []Report{{Running: 12}, {Running: 12}}, 40},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			b := New(Config{Max: 64})
+			b.find.set(0, 40)
+			for i, r := range tc.reports {
+				b.Report(time.Duration(i+1)*s, r)
+			}
+			if b.Limit() != tc.want {
+				t.Fatalf("bound %d, want %d", b.Limit(), tc.want)
+			}
+		})
+	}
+}
+
+// After a cut the answers of the requests that were too many still come, all
+// late. They must not cut the bound again and again.
+func TestLateAnswersCutOnce(t *testing.T) {
+	b, now := New(Config{}), 10*time.Second
+	late := Sample{First: 3 * time.Second, FirstTarget: time.Second, PromptTokens: 100, InFlight: 20}
+	early := Sample{First: 100 * time.Millisecond, FirstTarget: time.Second, PromptTokens: 100, InFlight: 1}
+	b.Observe(0, early)
+	b.Observe(0, early)
+	b.find.set(0, 40)
+	for b.Limit() == 40 {
+		b.Observe(now, late)
+	}
+	cut := b.Limit()
+	for i := range 20 {
+		b.Observe(now+time.Duration(i)*100*time.Millisecond, late)
+	}
+	if b.Limit() != cut {
+		t.Fatalf("bound %d after %d", b.Limit(), cut)
+	}
+}
+
 // A frozen engine gives no byte and ends no request, so nothing is sampled.
 func TestSilenceIsSlow(t *testing.T) {
 	e, b := middling(), New(Config{})
--- a/core/cost/cost_test.go
+++ b/core/cost/cost_test.go
@@ -91,6 +91,21 @@
 	}
 }
 
+// One answer is ten thousand times as long as all others, or its report is
+// wrong. The next estimate must hardly move.
+func TestOutlier(t *testing.T) {
+	m := New(Config{})
+	for range 50 {
+		m.Learn("c", "a", 400, Usage{Prompt: 100, Output: 10, Work: engine(100, 10)})
+	}
+	before := m.Estimate("c", "a", 400, 0)
+	m.Learn("c", "a", 400, Usage{Prompt: 100, Output: 100000, Work: engine(100, 100000)})
+	after := m.Estimate("c", "a", 400, 0)
+	if f := after.Work.Seconds() / before.Work.Seconds(); f > 2 {
+		t.Fatalf("one answer changed the estimate by %.1f", f)
+	}
+}
+
 func TestPlainService(t *testing.T) {
 	m := New(Config{})
 	for range 100 {
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -41,6 +41,12 @@
 		want  func(got []int) bool
 	}{
 		{"own zone first", func([]Agent) {}, func(g []int) bool { return g[2]+g[3] == 0 && g[0] > 300 && g[1] > 300 }},
+		{"own zone while hardly busier", func(a []Agent) {
+			for i := range a {
+				a[i].Bound = 100
+			}
+			a[0].InFlight, a[1].InFlight = 3, 3
+		}, func(g []int) bool { return g[2]+g[3] == 0 }},
 		{"other zone when one's own is full", func(a []Agent) { full(&a[0]); full(&a[1]) }, func(g []int) bool { return g[0]+g[1] == 0 }},
 		{"other zone when one's own is lost", func(a []Agent) { a[0].Leaving, a[1].Leaving = true, true }, func(g []int) bool { return g[2]+g[3] == 1000 }},
 		{"less loaded", func(a []Agent) { a[0].InFlight = 6 }, func(g []int) bool { return g[1] == 1000 }},
@@ -158,7 +164,7 @@
 		{Tier: 2, Offered: 0, Agents: 1},
 		{Tier: 1, Offered: 0, Agents: 1, Due: 30 * s},
 		{Tier: 1, Offered: 0, Agents: 2, Due: 9 * s},
-		{Tier: 0, Offered: 0, Agents: mostAgents},
+		{Tier: 0, Offered: -time.Minute, Agents: mostAgents},
 		{Tier: 0, Offered: 950 * time.Millisecond, Agents: 1},
 		{Tier: 3, Offered: s, Agents: 0},
 	}
--- a/core/queue/tier.go
+++ b/core/queue/tier.go
@@ -17,8 +17,6 @@
 	// heavy holds the flows with items by waiting cost, the largest first.
 	heavy heap[*flow]
 	count int
-	// turn counts pops, to give tardy flows their share among equals.
-	turn  int
 	spare *[]*flow
 }
 
@@ -122,7 +120,6 @@
 	t.virtual += charge(n.Cost) / time.Duration(t.competing())
 	f.start += charge(n.Cost)
 	f.turn++
-	t.turn++
 	t.detach(n)
 	t.virtual = max(t.virtual, t.least())
 	t.prune()
@@ -146,8 +143,8 @@
 }
 
 // head returns the item to run next; the tier must not be empty. Among
-// customers with equal starts those whose work is all late come last, but one
-// pop in lateShare is theirs.
+// customers with equal starts those whose work is all late come last. They are
+// not starved: the virtual time of newcomers passes their start.
 func (t *tier) head(now time.Duration) *node {
 	for t.heaps[timely].len() > 0 {
 		f := t.heaps[timely].top()
@@ -164,7 +161,7 @@
 		return late.top().head()
 	}
 	a, b := first.top(), late.top()
-	if b.start < a.start || (b.start == a.start && t.turn%lateShare == lateShare-1) {
+	if b.start < a.start {
 		return b.head()
 	}
 	return a.head()
--- a/core/retry/retry_test.go
+++ b/core/retry/retry_test.go
@@ -28,6 +28,7 @@
 
 func TestOneLostEndpointIsCovered(t *testing.T) {
 	b := New(Config{})
+	b.Earn(1000000)
 	for i := range DefaultBurst {
 		if !b.Spend() {
 			t.Fatalf("retry %d refused", i)
--- a/core/shed/level.go
+++ b/core/shed/level.go
@@ -73,13 +73,6 @@
 	}
 }
 
-// refused is called when work of tier is refused, which is true only while
-// nothing lower is served: from now on nothing lower is admitted.
-func (l *level) refused(tier uint8) {
-	l.want = min(l.want, tier)
-	l.own = min(l.own, tier)
-}
-
 // rise lets one more tier in after a calm hold.
 func (l *level) rise(now time.Duration) {
 	if l.holds(now) > 0 {
--- a/core/shed/shed.go
+++ b/core/shed/shed.go
@@ -120,7 +120,8 @@
 	// better than that, and a target shorter than the work itself would
 	// otherwise shed every lower tier for nothing.
 	leastWait = 100 * time.Millisecond
-	// leastRetry and mostRetry bound Retry-After.
+	// leastRetry and mostRetry bound Retry-After. Half of mostRetry bounds the
+	// wait that it rests on, and the other half the spread.
 	leastRetry = 100 * time.Millisecond
 	mostRetry  = 30 * time.Second
 )
@@ -203,9 +204,6 @@
 	if v.lower(a.Tier) || (!late && !excluded) {
 		return Verdict{Admit: true, Wait: wait}
 	}
-	if late {
-		p.level.refused(a.Tier)
-	}
 	return p.refusal(now, a, v, wait-limit, excluded)
 }
 
@@ -252,16 +250,19 @@
 
 // refusal makes the verdict on a request that is refused. Those refused before
 // it will come back too; it is told to come behind them, or all of them would
-// return at the same moment.
+// return at the same moment. When more was refused than the pool can run within
+// the spread, the times begin anew and are still spread evenly.
 func (p *Pool) refusal(now time.Duration, a Ask, v View, over time.Duration, excluded bool) Verdict {
 	why, after := Late, max(over, 0)
 	if excluded {
 		why, after = Level, max(over, p.level.holds(now))
 	}
+	after = min(after, mostRetry/2)
 	if rate := p.drain.rate(v); rate > 0 {
-		after += seconds(p.tiers[a.Tier].turnAway(now, a.Work.Seconds(), rate) / rate)
+		turn := seconds(p.tiers[a.Tier].turnAway(now, a.Work.Seconds(), rate) / rate)
+		after += turn % (mostRetry / 2)
 	}
-	return Verdict{RetryAfter: min(max(after, leastRetry), mostRetry), Why: why, Wait: over}
+	return Verdict{RetryAfter: max(after, leastRetry), Why: why, Wait: over}
 }
 
 // Level returns the lowest tier, the largest number, that this entry still
--- a/core/shed/shed_test.go
+++ b/core/shed/shed_test.go
@@ -147,16 +147,18 @@
 func TestRetryAfterSpreads(t *testing.T) {
 	m := newModel(12, 1)
 	m.run(20*second, mixed(12, 2, second, 3*second))
-	p, last := m.entries[0], time.Duration(0)
+	p, told := m.entries[0], map[time.Duration]bool{}
+	first, last := mostRetry, time.Duration(0)
 	for i := range 50 {
 		v := p.Decide(m.now, Ask{Tier: 3, Customer: fmt.Sprint(i), Work: second, Target: 3 * second}, View{})
-		if v.Admit || v.RetryAfter < last || v.RetryAfter > mostRetry {
-			t.Fatalf("verdict %d: %+v after %v", i, v, last)
+		if v.Admit || v.RetryAfter < leastRetry || v.RetryAfter > mostRetry {
+			t.Fatalf("verdict %d: %+v", i, v)
 		}
-		last = v.RetryAfter
+		told[v.RetryAfter] = true
+		first, last = min(first, v.RetryAfter), max(last, v.RetryAfter)
 	}
-	if last < 4*second {
-		t.Fatalf("50 seconds of work for 12 places were told to return within %v", last)
+	if last-first < 4*second || len(told) < 50 {
+		t.Fatalf("50 seconds of work for 12 places were told %d times within %v", len(told), last-first)
 	}
 }
 
@@ -170,6 +172,25 @@
 	}
 }
 
+// For an hour little arrives and all of it starts at once. That says nothing of
+// what the pool can do: if it counted as its rate, the first burst after a quiet
+// night would be refused.
+func TestQuietHoursAreNoRate(t *testing.T) {
+	p := New(Config{})
+	now := time.Duration(0)
+	for range 3600 {
+		now += second
+		p.Arrived(now, 1, "a", second)
+		p.Started(now+time.Millisecond, 1, "a", second)
+	}
+	for i := range 100 {
+		if v := p.Decide(now, Ask{Tier: 1, Customer: "a", Work: second, Target: 20 * second}, View{Places: 50}); !v.Admit {
+			t.Fatalf("request %d of a burst for 50 places: %+v", i, v)
+		}
+		p.Arrived(now, 1, "a", second)
+	}
+}
+
 func TestLevel(t *testing.T) {
 	l := newLevel(2 * second)
 	now := time.Duration(0)
--- a/core/shed/tier.go
+++ b/core/shed/tier.go
@@ -174,7 +174,7 @@
 	t.away = max(t.away-(now-t.awayAt).Seconds()*rate, 0)
 	t.awayAt = now
 	before := t.away
-	t.away = min(t.away+work, rate*mostRetry.Seconds())
+	t.away += work
 	return before
 }
 
--- a/core/subset/subset_test.go
+++ b/core/subset/subset_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -38,6 +39,15 @@
 		n := len(Agents(e, entries, agents, Config{}))
 		low, high, sum = min(low, n), max(high, n), sum+n
 	}
+	other := 0
+	for _, name := range Agents(entries[0], entries, agents, Config{}) {
+		if !strings.HasPrefix(name, "agent-0-") {
+			other++
+		}
+	}
+	if other != DefaultSpill {
+		t.Errorf("%d agents of other zones", other)
+	}
 	fewest, most := 1<<30, 0
 	for _, got := range links(entries, agents, Config{}) {
 		fewest, most = min(fewest, len(got)), max(most, len(got))
