--- /dev/null
+++ b/core/boot/boot.go
@@ -0,0 +1,95 @@
+// Package boot is the command line that the long-running programs share:
+// a settings file, its check, the version, and a planned stop by signal.
+package boot
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/integrii/flaggy"
+
+	"lycheepond/core/conf"
+)
+
+// Exit codes.
+const (
+	exitGood     = 0
+	exitFailed   = 1
+	exitSettings = 2
+)
+
+// Program is a program that runs until it is told to stop.
+type Program[T any] struct {
+	// Name and About open the help text.
+	Name, About string
+	// Release is what the version subcommand prints.
+	Release string
+	// Run runs the program with checked settings until ctx ends.
+	Run func(ctx context.Context, cfg *T, path string) error
+}
+
+type command struct {
+	path           string
+	check, version bool
+}
+
+// Main reads the command line, runs the program and returns its exit code.
+func (p Program[T]) Main() int {
+	cmd, err := p.parse()
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "%s: %v\n", p.Name, err)
+		return exitSettings
+	}
+	if cmd.version {
+		fmt.Println(p.Name, p.Release)
+		return exitGood
+	}
+	if cmd.path == "" {
+		fmt.Fprintf(os.Stderr, "%s: no settings file: give --config FILE\n", p.Name)
+		return exitSettings
+	}
+	cfg := new(T)
+	if err := conf.Load(cmd.path, cfg); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitSettings
+	}
+	if cmd.check {
+		fmt.Println("settings good")
+		return exitGood
+	}
+	return p.run(cfg, cmd.path)
+}
+
+func (p Program[T]) parse() (command, error) {
+	var cmd command
+	f := flaggy.NewParser(p.Name)
+	f.Description = p.About
+	f.AdditionalHelpAppend = "Exit codes: 0 stopped as planned or settings good, 1 failed, 2 settings wrong."
+	f.Version = p.Release
+	f.ShowHelpOnUnexpected = true
+	f.String(&cmd.path, "c", "config", "settings file (YAML)")
+	check := flaggy.NewSubcommand("check")
+	check.Description = "check the settings without starting"
+	check.String(&cmd.path, "c", "config", "settings file (YAML)")
+	version := flaggy.NewSubcommand("version")
+	version.Description = "print the version"
+	f.AttachSubcommand(check, 1)
+	f.AttachSubcommand(version, 1)
+	err := f.Parse()
+	cmd.check, cmd.version = check.Used, version.Used
+	return cmd, err
+}
+
+func (p Program[T]) run(cfg *T, path string) int {
+	// The first signal begins a planned stop, a second one ends the process.
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	context.AfterFunc(ctx, stop)
+	if err := p.Run(ctx, cfg, path); err != nil {
+		fmt.Fprintf(os.Stderr, "%s: %v\n", p.Name, err)
+		return exitFailed
+	}
+	return exitGood
+}
