spec: slots of a table of keys are written by columns

Cause: a confirmation is written every 8 s by each entry for each pool and goes to every watch; with an object for each slot it exceeded a node's 5 KB of control a second with two entries and two pools. Excluded: fewer slots, which would move more keys at once; a separate small object for the epoch, which could not be confirmed together with the table. 1024 slots of four owners: 14337 bytes before, 2085 after; the whole object of the demo's roster pool now takes 2412 bytes.

--- a/core/spec/homes.go
+++ b/core/spec/homes.go
@@ -11,7 +11,7 @@
 	Owners []HomeOwner `json:"owners"`
 	// Slots are the partitions of the key space; their number never changes
 	// while the object exists.
-	Slots []HomeSlot `json:"slots"`
+	Slots HomeSlots `json:"slots"`
 	// Touched is set anew by each write that only confirms the epoch, in Unix
 	// milliseconds of the writer's clock. Nothing is decided by it.
 	Touched int64 `json:"touched"`
