--- a/trial/capac/path.go
+++ b/trial/capac/path.go
@@ -64,8 +64,7 @@
 }
 
 func relayPlan() fleet.Plan {
-	p := plan(relayEngines, 1)
-	p.Entries = 1
+	p := plan(relayEngines, 1, 1)
 	for _, ep := range p.Endpoints {
 		ep.Engine.Slots, ep.Engine.DecodeTPS, ep.Engine.BatchSlope = 128, 100, 0
 	}
--- a/trial/capac/phase.go
+++ b/trial/capac/phase.go
@@ -16,8 +16,10 @@
 // Calls is what a deployment asked of the platform in one phase.
 type Calls struct {
 	// Phase is start, calm or after-outage.
-	Phase   string  `json:"calls"`
-	Agents  int     `json:"agents"`
+	Phase string `json:"calls"`
+	// Measure says what Size counts.
+	Measure string  `json:"measure"`
+	Size    int     `json:"size"`
 	Seconds float64 `json:"seconds"`
 	platf.Stats
 }
@@ -38,8 +40,10 @@
 )
 
 const (
-	// calmSpan is how long the calm is counted.
-	calmSpan = 5 * time.Second
+	// calmAfter is how long a start is left to settle before the calm is
+	// counted, and calmSpan how long it is: two confirmations of the tables.
+	calmAfter = 6 * time.Second
+	calmSpan  = 16 * time.Second
 	// outage is how long the platform is away, and afterSpan how long the
 	// calls after it are counted.
 	outage     = 5 * time.Second
@@ -57,10 +61,14 @@
 		return err
 	}
 	// The writes at the start are this tool's own: it writes the objects.
-	if err := show(Calls{Phase: phaseStart, Agents: n, Seconds: seconds(started), Stats: stats}); err != nil {
+	if err := show(Calls{Phase: phaseStart, Measure: ByAgents, Size: n, Seconds: seconds(started), Stats: stats}); err != nil {
 		return err
 	}
-	if err := count(ctx, f, phaseCalm, n, calmSpan, show); err != nil {
+	if !serve.Sleep(ctx, calmAfter) {
+		return context.Cause(ctx)
+	}
+	p := Point{Measure: ByAgents, Size: n}
+	if err := count(ctx, f, phaseCalm, p, calmSpan, show); err != nil {
 		return err
 	}
 	s, err := spread(ctx, f, n)
@@ -79,10 +87,10 @@
 	if err := f.Platform().Fault(ctx, platf.Fault{}); err != nil {
 		return err
 	}
-	return count(ctx, f, phaseAfter, n, afterSpan, show)
+	return count(ctx, f, phaseAfter, p, afterSpan, show)
 }
 
-func count(ctx context.Context, f *fleet.Fleet, phase string, n int, span time.Duration, show func(any) error) error {
+func count(ctx context.Context, f *fleet.Fleet, phase string, p Point, span time.Duration, show func(any) error) error {
 	from, err := f.Platform().Stats(ctx)
 	if err != nil {
 		return err
@@ -94,7 +102,7 @@
 	if err != nil {
 		return err
 	}
-	return show(Calls{Phase: phase, Agents: n, Seconds: seconds(span), Stats: to.Since(from)})
+	return show(Calls{Phase: phase, Measure: p.Measure, Size: p.Size, Seconds: seconds(span), Stats: to.Since(from)})
 }
 
 func seconds(d time.Duration) float64 { return round(d.Seconds()) }
--- a/trial/capac/point.go
+++ b/trial/capac/point.go
@@ -15,6 +15,7 @@
 
 	ByAgents    = "agents"
 	ByCustomers = "customers"
+	ByEntries   = "entries"
 
 	Idle = "idle"
 	Half = "half"
@@ -34,6 +35,11 @@
 	// ControlBytes and DataBytes are a second, both ways.
 	ControlBytes float64 `json:"control_bytes_s"`
 	DataBytes    float64 `json:"data_bytes_s"`
+	// Links is how many links an agent has, and LinkWireBytes the bytes of one
+	// of them a second, both ways, with the headers of TCP and IP. They are
+	// zero for entries and where ss is missing.
+	Links         float64 `json:"links,omitempty"`
+	LinkWireBytes float64 `json:"link_wire_bytes_s,omitempty"`
 	// PlatformCalls is calls a second of the whole deployment.
 	PlatformCalls float64 `json:"platform_calls_s"`
 	// RequestsPerSecond is what callers sent.
@@ -50,10 +56,14 @@
 			return nil, nil, err
 		}
 	}
+	ports := sockets(ctx)
 	for _, u := range f.Units() {
-		if agents[u.Name], err = agentUsage(ctx, u); err != nil {
+		a, err := agentUsage(ctx, u)
+		if err != nil {
 			return nil, nil, err
 		}
+		a.socket = ports[u.Link]
+		agents[u.Name] = a
 	}
 	return entries, agents, nil
 }
@@ -100,6 +110,14 @@
 		p.ControlBytes += float64(u.control-from[name].control) / took.Seconds() / n
 		p.DataBytes += float64(u.data-from[name].data) / took.Seconds() / n
 	}
+	var wire float64
+	for name, u := range to {
+		p.Links += float64(u.socket.links) / n
+		wire += float64(u.socket.wire-from[name].socket.wire) / took.Seconds() / n
+	}
+	if p.Links > 0 {
+		p.LinkWireBytes = round(wire / p.Links)
+	}
 	p.CPUPercent, p.RSSMB = round(p.CPUPercent), round(p.RSSMB)
 	p.ControlBytes, p.DataBytes = round(p.ControlBytes), round(p.DataBytes)
 }
--- a/trial/capac/proc.go
+++ b/trial/capac/proc.go
@@ -27,6 +27,8 @@
 	rss int64
 	// control and data are the bytes on its links, both ways.
 	control, data uint64
+	// socket is the links of an agent as the kernel counts them.
+	socket socket
 }
 
 var errStat = errors.New("capac: /proc/PID/stat is not as expected: run on Linux")
--- a/trial/capac/run.go
+++ b/trial/capac/run.go
@@ -21,8 +21,8 @@
 
 // Config says what to measure.
 type Config struct {
-	// Agents and Customers are the sizes.
-	Agents, Customers []int
+	// Agents, Customers and Entries are the sizes.
+	Agents, Customers, Entries []int
 	// Sample is how long each point is measured.
 	Sample time.Duration
 	// Rate is requests a second and agent at full load.
@@ -35,7 +35,7 @@
 const (
 	// settle is how long a deployment is left alone before it is measured.
 	settle = 3 * time.Second
-	// entries is how many entries run.
+	// entries is how many entries run while something else is counted.
 	entries = 2
 	// engines is how many stand-ins the agents share.
 	engines = 10
@@ -50,7 +50,7 @@
 // Agents measures one number of agents, idle, at half and at full load.
 func Agents(ctx context.Context, set *procs.Set, cfg Config, n int) ([]Point, error) {
 	start := time.Now()
-	f, err := fleet.Start(ctx, set, plan(n, 1))
+	f, err := fleet.Start(ctx, set, plan(n, 1, entries))
 	if err != nil {
 		return nil, err
 	}
@@ -77,7 +77,7 @@
 
 // Customers measures one number of customers, idle.
 func Customers(ctx context.Context, set *procs.Set, cfg Config, n int) ([]Point, error) {
-	f, err := fleet.Start(ctx, set, plan(fewAgents, n))
+	f, err := fleet.Start(ctx, set, plan(fewAgents, n, entries))
 	if err != nil {
 		return nil, err
 	}
@@ -87,8 +87,29 @@
 	return under(ctx, f, cfg, 0, Point{Measure: ByCustomers, Size: n, Load: Idle})
 }
 
-// plan is n agents that share a few engines, and a number of customers.
-func plan(n, customers int) fleet.Plan {
+// Entries measures one number of entries, idle: what they ask of the platform
+// grows with their number, because each confirms the tables for itself.
+func Entries(ctx context.Context, set *procs.Set, cfg Config, n int) ([]Point, error) {
+	f, err := fleet.Start(ctx, set, plan(fewAgents, 1, n))
+	if err != nil {
+		return nil, err
+	}
+	if err := await(ctx, f, fewAgents); err != nil {
+		return nil, err
+	}
+	if !serve.Sleep(ctx, calmAfter) {
+		return nil, context.Cause(ctx)
+	}
+	p := Point{Measure: ByEntries, Size: n, Load: Idle}
+	if err := count(ctx, f, phaseCalm, p, calmSpan, cfg.Show); err != nil {
+		return nil, err
+	}
+	return under(ctx, f, cfg, 0, p)
+}
+
+// plan is n agents that share a few engines, and a number of customers and of
+// entries.
+func plan(n, customers, entries int) fleet.Plan {
 	p := fleet.Plan{Name: "capacity", Zones: []string{"z1", "z2"}, Entries: entries, Objects: objects(customers)}
 	for i := range n {
 		cfg := engin.Default()
--- a/trial/capac/slope.go
+++ b/trial/capac/slope.go
@@ -25,6 +25,7 @@
 	{"cpu_core_pct", func(p Point) float64 { return p.CPUPercent }},
 	{"rss_mb", func(p Point) float64 { return p.RSSMB }},
 	{"control_bytes_s", func(p Point) float64 { return p.ControlBytes }},
+	{"link_wire_bytes_s", func(p Point) float64 { return p.LinkWireBytes }},
 	{"platform_calls_s", func(p Point) float64 { return p.PlatformCalls }},
 }
 
--- a/trial/capacity.go
+++ b/trial/capacity.go
@@ -22,7 +22,8 @@
 	sub := newSub("capacity", "print what entries and agents spend as agents and customers grow, and the slopes")
 	cfg := capac.Config{Sample: capacitySample, Rate: capacityRate}
 	sub.IntSlice(&cfg.Agents, "a", "agents", "numbers of agents, repeated; 10, 25, 50 by default")
-	sub.IntSlice(&cfg.Customers, "c", "customers", "numbers of customers, repeated; 1000, 7000, 21000 by default")
+	sub.IntSlice(&cfg.Customers, "c", "customers", "numbers of customers, repeated; 1000, 5000, 21000 by default")
+	sub.IntSlice(&cfg.Entries, "e", "entries", "numbers of entries, repeated; 2, 4, 8, 16 by default")
 	sub.Duration(&cfg.Sample, "d", "sample", "how long each point is measured")
 	sub.Float64(&cfg.Rate, "r", "rate", "requests a second and agent at full load")
 	return command{sub: sub, run: func(ctx context.Context) error { return capacity(ctx, cfg) }}
@@ -40,25 +41,31 @@
 }
 
 func capacity(ctx context.Context, cfg capac.Config) error {
-	if len(cfg.Agents) == 0 && len(cfg.Customers) == 0 {
-		cfg.Agents, cfg.Customers = []int{10, 25, 50}, []int{1000, 7000, 21000}
+	if len(cfg.Agents) == 0 && len(cfg.Customers) == 0 && len(cfg.Entries) == 0 {
+		cfg.Agents, cfg.Customers, cfg.Entries = []int{10, 25, 50}, []int{1000, 5000, 21000}, []int{2, 4, 8, 16}
 	}
 	enc := json.NewEncoder(os.Stdout)
 	cfg.Show = func(v any) error { return enc.Encode(v) }
-	var points []capac.Point
-	for _, n := range cfg.Agents {
-		found, err := withSet(func(set *procs.Set) ([]capac.Point, error) { return capac.Agents(ctx, set, cfg, n) })
-		if err != nil {
-			return fmt.Errorf("%d agents: %w", n, err)
-		}
-		points = append(points, found...)
+	if err := capac.Sizes(cfg.Show); err != nil {
+		return err
 	}
-	for _, n := range cfg.Customers {
-		found, err := withSet(func(set *procs.Set) ([]capac.Point, error) { return capac.Customers(ctx, set, cfg, n) })
-		if err != nil {
-			return fmt.Errorf("%d customers: %w", n, err)
+	var points []capac.Point
+	for _, m := range []struct {
+		what  string
+		sizes []int
+		at    func(context.Context, *procs.Set, capac.Config, int) ([]capac.Point, error)
+	}{
+		{capac.ByEntries, cfg.Entries, capac.Entries},
+		{capac.ByCustomers, cfg.Customers, capac.Customers},
+		{capac.ByAgents, cfg.Agents, capac.Agents},
+	} {
+		for _, n := range m.sizes {
+			found, err := withSet(func(set *procs.Set) ([]capac.Point, error) { return m.at(ctx, set, cfg, n) })
+			if err != nil {
+				return fmt.Errorf("%d %s: %w", n, m.what, err)
+			}
+			points = append(points, found...)
 		}
-		points = append(points, found...)
 	}
 	for _, s := range capac.Slopes(points) {
 		if err := enc.Encode(s); err != nil {
