--- a/agent/slot/lease.go
+++ b/agent/slot/lease.go
@@ -46,7 +46,11 @@
 		return
 	}
 	var t spec.Homes
-	if err := json.Unmarshal(m.Data, &t); err != nil {
+	err := json.Unmarshal(m.Data, &t)
+	if err == nil {
+		err = homes.Check(t)
+	}
+	if err != nil {
 		logs.Error(o.log, logs.EventConfigRejected, zap.String("object", m.Object+"/"+m.Name), zap.Int64("version", m.Version), zap.Error(err))
 		return
 	}
--- a/core/homes/holder.go
+++ b/core/homes/holder.go
@@ -42,8 +42,10 @@
 func (h *Holder) Table() spec.Homes { return h.table }
 
 // Learn takes in a table and reports whether it is newer than the one known.
+// One with another number of slots is refused: every key would get another
+// home while the old one may still act for it.
 func (h *Holder) Learn(now time.Duration, t spec.Homes) bool {
-	if t.Epoch <= h.table.Epoch {
+	if n := len(h.table.Slots); t.Epoch <= h.table.Epoch || n > 0 && n != len(t.Slots) {
 		return false
 	}
 	begin := now + Margin(t.Lease.Std())
--- a/core/homes/homes_test.go
+++ b/core/homes/homes_test.go
@@ -150,6 +150,10 @@
 	if h.Owns(until-1, key, 1) != Owned || h.Owns(until, key, 1) != NoLease {
 		t.Fatalf("lease until %v", h.Lease())
 	}
+	resized := spec.Homes{Epoch: 2, Lease: tab.Lease, Owners: tab.Owners, Slots: tab.Slots[1:]}
+	if h.Learn(4*time.Second, resized) {
+		t.Fatal("a table with another number of slots was taken")
+	}
 	h.Confirm(5*time.Second, 0, 2)
 	if h.Lease() != until {
 		t.Fatal("the confirmation of another epoch counted")
@@ -204,3 +208,31 @@
 		}
 	}
 }
+
+// A damaged table, or one of a future version, must not come into force: a
+// lease that overflows would end in the past, and the next owner would begin
+// while the old one still acts.
+func TestCheckRefusesWhatWouldBreakTheRules(t *testing.T) {
+	good, _ := Takeover(spec.Homes{}, owners("a", "b"), wall)
+	if err := Check(good); err != nil {
+		t.Fatal(err)
+	}
+	next, _ := Takeover(good, owners("b"), wall)
+	if err := Check(next); err != nil {
+		t.Fatal(err)
+	}
+	for name, spoil := range map[string]func(*spec.Homes){
+		"no epoch":        func(h *spec.Homes) { h.Epoch = 0 },
+		"endless lease":   func(h *spec.Homes) { h.Lease = 1 << 62 },
+		"no lease":        func(h *spec.Homes) { h.Lease = 0 },
+		"no slots":        func(h *spec.Homes) { h.Slots = nil },
+		"unknown owner":   func(h *spec.Homes) { h.Slots[3].Owner = 2 },
+		"taken in future": func(h *spec.Homes) { h.Slots[3].Took = 2 },
+	} {
+		bad, _ := Takeover(spec.Homes{}, owners("a", "b"), wall)
+		spoil(&bad)
+		if Check(bad) == nil {
+			t.Errorf("%s was accepted", name)
+		}
+	}
+}
