--- a/agent/node_test.go
+++ b/agent/node_test.go
@@ -26,7 +26,7 @@
 	end  chan error
 }
 
-func startAgent(t *testing.T, kind string, h http.HandlerFunc) *running {
+func startAgent(t testing.TB, kind string, h http.HandlerFunc) *running {
 	t.Helper()
 	endpoint := httptest.NewServer(h)
 	t.Cleanup(endpoint.Close)
@@ -56,7 +56,7 @@
 }
 
 // dial opens a link as an entry does and returns what the agent sends.
-func dial(t *testing.T, a *running, key string) (*wire.Link, <-chan wire.Message, error) {
+func dial(t testing.TB, a *running, key string) (*wire.Link, <-chan wire.Message, error) {
 	t.Helper()
 	conn, err := net.Dial("tcp", a.link)
 	if err != nil {
@@ -83,7 +83,7 @@
 	return link, got, nil
 }
 
-func await[M wire.Message](t *testing.T, got <-chan wire.Message) M {
+func await[M wire.Message](t testing.TB, got <-chan wire.Message) M {
 	t.Helper()
 	for m := range got {
 		if want, ok := m.(M); ok {
@@ -95,7 +95,7 @@
 	return none
 }
 
-func send(t *testing.T, l *wire.Link, m wire.Message) {
+func send(t testing.TB, l *wire.Link, m wire.Message) {
 	t.Helper()
 	if err := l.Send(m); err != nil {
 		t.Fatal(err)
