entry, agent: a higher tier is refused only once every agent has confirmed the level

Cause: an entry judged by loads up to a heartbeat old, so work of a lower tier that another entry had just placed was not seen, and an agent that had not yet heard of the level could start some right after the refusal. Excluded: the order of the fall, which goes from the bottom up. Before: confirmed by nobody. After: an agent answers a level with its load at once, and a refusal waits for all of them; until then the request is admitted and runs late.

--- a/agent/slot/attach.go
+++ b/agent/slot/attach.go
@@ -109,11 +109,8 @@
 	s.link = p
 	o.askNext = 0
 	logs.Info(o.log, logs.EventLinkUp, zap.String("peer", p.Name), zap.Uint64("incarnation", p.Incarnation))
-	if o.leaving {
-		o.sayLeaving(p)
-	}
-	if o.orders.version != "" {
-		o.sayServes(p)
+	if o.leaving || o.orders.version != "" {
+		o.say(p)
 	}
 }
 
--- a/agent/slot/leave.go
+++ b/agent/slot/leave.go
@@ -18,20 +18,12 @@
 	o.leaving, o.leaveBy = true, now+o.cfg.Grace
 	logs.Info(o.log, logs.EventLeaving, zap.Int("running", len(o.running)), zap.Int("waiting", len(o.waiting)))
 	o.publish()
-	for _, s := range o.sessions {
-		if s.link != nil {
-			o.sayLeaving(s.link)
-		}
-	}
+	o.sayAll()
 	for _, r := range o.waiting {
 		o.giveBack(now, r, wire.ReasonLeaving)
 	}
 }
 
-func (o *Owner) sayLeaving(p *Peer) {
-	o.send(p, &wire.Beat{Load: *o.load.Load(), Leaving: true})
-}
-
 // tickLeave stops what outlasts the grace time.
 func (o *Owner) tickLeave(now time.Duration) {
 	if !o.leaving || now < o.leaveBy {
--- a/agent/slot/level.go
+++ b/agent/slot/level.go
@@ -26,6 +26,10 @@
 	if after < before {
 		o.shedAbove(now, m.Pool, after)
 	}
+	// An entry refuses a tier only after every agent has confirmed the level
+	// that keeps lower tiers out.
+	o.publish()
+	o.sayAll()
 }
 
 func (o *Owner) levelOf(now time.Duration, pool string) uint8 {
--- a/agent/slot/load.go
+++ b/agent/slot/load.go
@@ -76,14 +76,20 @@
 		return
 	}
 	o.orders.model, o.orders.version = model, version
+	o.sayAll()
+}
+
+// sayAll tells every entry how things stand here, without waiting for the
+// next heartbeat.
+func (o *Owner) sayAll() {
 	for _, s := range o.sessions {
 		if s.link != nil {
-			o.sayServes(s.link)
+			o.say(s.link)
 		}
 	}
 }
 
-func (o *Owner) sayServes(p *Peer) {
+func (o *Owner) say(p *Peer) {
 	o.send(p, &wire.Beat{Load: *o.load.Load(), Leaving: o.leaving, Model: o.orders.model, Version: o.orders.version})
 }
 
--- a/agent/slot/tier_test.go
+++ b/agent/slot/tier_test.go
@@ -38,6 +38,21 @@
 	none[*wire.Return](p)
 }
 
+// One entry lowers the level. Until this agent says so, no entry may refuse a
+// higher tier, and a whole heartbeat of such requests would come in late.
+func TestLevelIsConfirmedAtOnce(t *testing.T) {
+	b := newBench(t, testBound)
+	p, other := b.link(entryInc), b.link(entryInc+1)
+	p.send(&wire.Level{Pool: pool, Level: 1, HoldMS: 5000})
+	for _, e := range []*peer{p, other} {
+		if m := next[*wire.Beat](e); m.Load.Level != 1 {
+			t.Fatalf("level %d confirmed", m.Load.Level)
+		}
+	}
+	p.send(&wire.Level{Pool: pool, Level: 1, HoldMS: 5000})
+	none[*wire.Beat](p)
+}
+
 // The level falls while the grant of a lower tier is on its way.
 func TestLevelReturnsWhatIsClaimed(t *testing.T) {
 	b := newBench(t, testBound)
--- a/entry/sched/admit.go
+++ b/entry/sched/admit.go
@@ -20,7 +20,7 @@
 	view := p.view()
 	view.LowerServed = lower
 	v := p.shed.Decide(now, shed.Ask{Tier: tier, Customer: j.Customer, Work: f.est.Work, Target: target(f, now)}, view)
-	if v.Admit {
+	if v.Admit || !p.confirmed(tier) {
 		return v.Wait, nil
 	}
 	e := fault.New(fault.Overloaded, "the pool "+p.name+" has no room for class "+j.Class.Name+" now ("+v.Why.String()+"): ask again after the time in Retry-After")
@@ -70,6 +70,23 @@
 // every agent the entry can't exclude it, so what is unknown counts as served.
 func (p *pool) lowerServed(tier uint8) bool { return p.served()>>(tier+1) != 0 }
 
+// confirmed reports whether every agent has said that it takes nothing below
+// tier. An agent that has not heard of the level may start lower work for
+// another entry the moment after this one refused a higher tier, and its load
+// as last heard can't exclude that it has done so already.
+func (p *pool) confirmed(tier uint8) bool {
+	m := p.cfg.Pool(p.name)
+	if m == nil || tier >= spec.Tiers-1 {
+		return true
+	}
+	for _, peer := range m.Peers {
+		if l, _ := peer.Load(); l.Level > tier && !peer.Leaving() {
+			return false
+		}
+	}
+	return true
+}
+
 // allTiers has the bit of every tier set.
 const allTiers = 1<<spec.Tiers - 1
 
--- a/entry/sched/pool_test.go
+++ b/entry/sched/pool_test.go
@@ -88,3 +88,23 @@
 		p.pick(time.Second, f, firstOffers)
 	}
 }
+
+// The pool is full and nothing of a lower tier is known to run, but one agent
+// has not yet said that it takes none. Another entry's lower work may start
+// there this very moment; a caller of a higher tier that is refused now would
+// have been shed for it.
+func TestUnconfirmedLevelRefusesNothingHigher(t *testing.T) {
+	m := linked(t, 2, wire.Load{Level: 1})
+	p := testPool(m)
+	for tier, want := range []bool{false, true, true, true} {
+		if got := p.confirmed(uint8(tier)); got != want {
+			t.Errorf("tier %d: confirmed %t", tier, got)
+		}
+	}
+	m.Peers = append(m.Peers, linked(t, 1, wire.Load{Level: spec.Tiers - 1}).Peers...)
+	for tier, want := range []bool{false, false, false, true} {
+		if got := p.confirmed(uint8(tier)); got != want {
+			t.Errorf("tier %d with an agent that has not heard: confirmed %t", tier, got)
+		}
+	}
+}
