entry: the memory of all requests is bounded, the lowest waiting tier gives way first

Cause: nothing bounded the requests that an entry holds; a burst of bodies of 4 MiB ends the process and all answers under way. Excluded: a plain cap, which would refuse a higher tier while lower work waits. After: request_memory (256 MiB) with eviction from the bottom among what was not granted. Also: a damaged table of key homes is not used by entries either.

--- a/core/conf/check.go
+++ b/core/conf/check.go
@@ -17,6 +17,8 @@
 	minHeartbeat = 50 * time.Millisecond
 	maxHeartbeat = time.Minute
 	maxGrace     = time.Hour
+	// minRequestMemory holds one request with the largest body, in MiB.
+	minRequestMemory = 8
 )
 
 // checker collects problems.
@@ -115,6 +117,9 @@
 	for i, p := range e.Peers {
 		c.listen("peers["+strconv.Itoa(i)+"]", p)
 	}
+	if e.RequestMemory < minRequestMemory {
+		c.add("request_memory", fmt.Sprintf("%d MiB is too little for one request", e.RequestMemory), fmt.Sprintf("write %d or more", minRequestMemory))
+	}
 	c.between("heartbeat", e.Heartbeat, minHeartbeat, maxHeartbeat)
 	c.between("grace", e.Grace, 0, maxGrace)
 	return c.problems
--- a/core/conf/conf.go
+++ b/core/conf/conf.go
@@ -14,6 +14,8 @@
 	// DefaultGrace is how long a planned stop waits for running requests. A
 	// season slate or a brief takes minutes.
 	DefaultGrace = 5 * time.Minute
+	// DefaultRequestMemory is in MiB: some 4000 small requests.
+	DefaultRequestMemory = 256
 	// DefaultLevel is the log level.
 	DefaultLevel = "info"
 )
@@ -81,9 +83,11 @@
 	Admin Admin  `yaml:"admin"`
 	// Peers are link addresses of other entries, asked for the configuration
 	// when the platform is away at start.
-	Peers     []string      `yaml:"peers"`
-	Heartbeat spec.Duration `yaml:"heartbeat"`
-	Grace     spec.Duration `yaml:"grace"`
+	Peers []string `yaml:"peers"`
+	// RequestMemory bounds the requests held at once, in MiB.
+	RequestMemory int           `yaml:"request_memory"`
+	Heartbeat     spec.Duration `yaml:"heartbeat"`
+	Grace         spec.Duration `yaml:"grace"`
 }
 
 // Agent are the settings of an agent.
@@ -129,6 +133,9 @@
 func (e *Entry) defaults() {
 	e.Common.defaults()
 	e.Heartbeat, e.Grace = timing(e.Heartbeat, e.Grace)
+	if e.RequestMemory == 0 {
+		e.RequestMemory = DefaultRequestMemory
+	}
 }
 
 func (a *Agent) defaults() {
--- a/entry/keys/keeper.go
+++ b/entry/keys/keeper.go
@@ -144,7 +144,7 @@
 		return
 	}
 	var t spec.Homes
-	if err := json.Unmarshal(o.Data, &t); err != nil {
+	if json.Unmarshal(o.Data, &t) != nil || homes.Check(t) != nil {
 		return
 	}
 	if t.Epoch != b.table.Epoch {
--- a/entry/node.go
+++ b/entry/node.go
@@ -191,6 +191,7 @@
 	n.feed.Measure(n.meter)
 	n.meter.Process()
 	n.sched = sched.New(ctx, sched.Config{
+		Memory:      int64(n.cfg.RequestMemory) << 20,
 		Incarnation: n.self.Incarnation, Zone: n.cfg.Zone, Now: n.now, Log: n.log,
 		Pool:    func(name string) *agents.Members { return n.set.Pool(name) },
 		Entries: n.entries,
--- a/entry/sched/flight.go
+++ b/entry/sched/flight.go
@@ -13,6 +13,8 @@
 )
 
 const (
+	// fullRetry is when to ask again at an entry whose memory is full.
+	fullRetry = time.Second
 	// attachWait is how long an agent that holds a granted request may be away
 	// before the caller hears outcome unknown.
 	attachWait = 10 * time.Second
@@ -137,6 +139,9 @@
 
 func (f *flight) react(e *event) {
 	switch e.kind {
+	case eventEvict:
+		f.evict()
+		return
 	case eventUp:
 		f.linkUp(e.peer)
 		return
@@ -207,6 +212,20 @@
 	f.finish(fault.New(fault.Deadline, "the deadline passed: allow more time with Lychee-Deadline, or ask again when the load is lower"))
 }
 
+// evict gives the request up in favour of a higher tier, unless it was granted
+// meanwhile.
+func (f *flight) evict() {
+	if f.once.State() != once.Offered {
+		return
+	}
+	f.step("evicted", "", "memory of the entry")
+	f.finish(fullEntry())
+}
+
+func fullEntry() *fault.Error {
+	return fault.New(fault.Overloaded, "this entry holds as many requests as its memory allows: ask again, or start more entries").After(fullRetry)
+}
+
 // hangUp ends the request after its caller has gone.
 func (f *flight) hangUp() {
 	f.withdraw()
--- a/entry/sched/mail.go
+++ b/entry/sched/mail.go
@@ -37,6 +37,8 @@
 	eventDeadline
 	// eventGone: the caller hung up.
 	eventGone
+	// eventEvict: the entry's memory is needed for a higher tier.
+	eventEvict
 )
 
 // mailbox joins links and pools to the owner of a request.
--- a/entry/sched/offer.go
+++ b/entry/sched/offer.go
@@ -169,6 +169,7 @@
 		return
 	}
 	f.holder, f.granted, f.headed = p, f.now(), false
+	f.s.room.granted(f)
 	f.step("granted", p.Name(), "")
 	f.withdraw()
 	f.pool.tell(note{op: opGrant, f: f, agent: p.Name()})
@@ -246,6 +247,7 @@
 		f.finish(fault.New(fault.UnknownFate, err.Error()))
 		return false
 	}
+	f.s.room.wait(f)
 	f.held.clear()
 	f.s.table.put(id, f)
 	return true
--- a/entry/sched/sched.go
+++ b/entry/sched/sched.go
@@ -30,7 +30,9 @@
 	// Home finds the agent that keeps a key; it may be nil when no pool takes
 	// keyed requests.
 	Home func(pool string, key []byte) (Home, error)
-	Log  *zap.Logger
+	// Memory bounds the requests held at once, in bytes; zero sets no bound.
+	Memory int64
+	Log    *zap.Logger
 }
 
 // Home is the agent that keeps the record of an idempotency key.
@@ -45,6 +47,7 @@
 	table   *table
 	last    atomic.Uint64
 	trail   *Trail
+	room    *room
 	running atomic.Int64
 
 	// owners counts the goroutines of pools.
@@ -60,7 +63,7 @@
 // New returns a Sched that serves until ctx ends.
 func New(ctx context.Context, cfg Config) *Sched {
 	return &Sched{
-		cfg: cfg, table: newTable(), trail: newTrail(),
+		cfg: cfg, table: newTable(), trail: newTrail(), room: newRoom(cfg.Memory),
 		pools: make(map[string]*pool), seen: make(map[string]uint64), ctx: ctx,
 	}
 }
@@ -180,6 +183,12 @@
 	s.running.Add(1)
 	defer s.running.Add(-1)
 	f := newFlight(s, j, sink)
+	if !s.room.enter(f) {
+		f.finish(fullEntry())
+		return f.res
+	}
+	defer s.room.leave(f)
+	s.room.wait(f)
 	s.table.put(f.once.ID(), f)
 	res := f.run(ctx)
 	s.table.drop(f.once.ID())
