meter: the callers' port names no customers

Cause: /metrics on the callers' port asks for no token and listed every busy customer by name. After: single customers stand on the admin listener only.

--- a/core/meter/meter_test.go
+++ b/core/meter/meter_test.go
@@ -75,3 +75,19 @@
 		top.Observe(names[i%len(names)], int64(i))
 	}
 }
+
+// The callers' port asks for no operator's token. A caller who reads the
+// metrics there must not learn who else calls.
+func TestPublicNamesNoCustomer(t *testing.T) {
+	s := New()
+	s.Histogram("latency_ms", Customer("metro")).Update(4)
+	s.Histogram("latency_ms", Class("swap")).Update(4)
+	for _, target := range []string{"/metrics", "/metrics?format=json"} {
+		w := httptest.NewRecorder()
+		s.Public().ServeHTTP(w, httptest.NewRequest("GET", target, nil))
+		body := w.Body.String()
+		if strings.Contains(body, "metro") || !strings.Contains(body, "swap") {
+			t.Errorf("%s: %s", target, body)
+		}
+	}
+}
--- a/core/meter/write.go
+++ b/core/meter/write.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"slices"
 	"strings"
@@ -54,19 +55,37 @@
 
 // ServeHTTP writes every metric, as JSON when the caller asks for it by
 // ?format=json or the Accept header, else as text.
-func (s *Set) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (s *Set) ServeHTTP(w http.ResponseWriter, r *http.Request) { serve(w, r, s.Read()) }
+
+// Public returns a handler that leaves out the metrics of single customers. It
+// is for ports that ask for no operator's token, where any caller could read
+// who else calls and how much.
+func (s *Set) Public() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { serve(w, r, s.Read().public()) })
+}
+
+var customerLabel = "{" + Customer("").Key + "="
+
+func (r Reading) public() Reading {
+	named := func(name string) bool { return strings.Contains(name, customerLabel) }
+	maps.DeleteFunc(r.Counters, func(name string, _ int64) bool { return named(name) })
+	maps.DeleteFunc(r.Gauges, func(name string, _ int64) bool { return named(name) })
+	maps.DeleteFunc(r.Histograms, func(name string, _ Summary) bool { return named(name) })
+	return r
+}
+
+func serve(w http.ResponseWriter, r *http.Request, reading Reading) {
 	if r.URL.Query().Get("format") == "json" || strings.Contains(r.Header.Get("Accept"), "application/json") {
 		w.Header().Set("Content-Type", "application/json")
-		_ = json.NewEncoder(w).Encode(s.Read())
+		_ = json.NewEncoder(w).Encode(reading)
 		return
 	}
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
-	s.WriteText(w)
+	reading.WriteText(w)
 }
 
 // WriteText writes one line for each value, sorted by name.
-func (s *Set) WriteText(w io.Writer) {
-	r := s.Read()
+func (r Reading) WriteText(w io.Writer) {
 	var lines []string
 	for name, v := range r.Counters {
 		lines = append(lines, fmt.Sprintf("%s %d", name, v))
--- a/entry/node.go
+++ b/entry/node.go
@@ -173,7 +173,7 @@
 func (n *node) server() *http.Server {
 	front := caller.New(caller.Config{
 		Store: n.store, NewID: n.sched.NewID, Serve: n.sched.Serve, Now: n.now,
-		Ready: n.ready.Load, Leaving: n.leaving.Load, Done: n.tally.Done, Metrics: n.meter, Log: n.log,
+		Ready: n.ready.Load, Leaving: n.leaving.Load, Done: n.tally.Done, Metrics: n.meter.Public(), Log: n.log,
 	})
 	return &http.Server{Handler: front, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 }
