--- a/core/conf/check.go
+++ b/core/conf/check.go
@@ -121,6 +121,7 @@
 		c.add("request_memory", fmt.Sprintf("%d MiB is too little for one request", e.RequestMemory), fmt.Sprintf("write %d or more", minRequestMemory))
 	}
 	c.between("heartbeat", e.Heartbeat, minHeartbeat, maxHeartbeat)
+	c.between("idle_heartbeat", e.IdleHeartbeat, minHeartbeat, maxHeartbeat)
 	c.between("grace", e.Grace, 0, maxGrace)
 	return c.problems
 }
@@ -135,6 +136,7 @@
 	}
 	c.admin(a.Admin)
 	c.between("heartbeat", a.Heartbeat, minHeartbeat, maxHeartbeat)
+	c.between("idle_heartbeat", a.IdleHeartbeat, minHeartbeat, maxHeartbeat)
 	c.between("grace", a.Grace, 0, maxGrace)
 	return c.problems
 }
--- a/core/conf/conf.go
+++ b/core/conf/conf.go
@@ -87,6 +87,8 @@
 	// RequestMemory bounds the requests held at once, in MiB.
 	RequestMemory int           `yaml:"request_memory"`
 	Heartbeat     spec.Duration `yaml:"heartbeat"`
+	// IdleHeartbeat is the heartbeat of links without work.
+	IdleHeartbeat spec.Duration `yaml:"idle_heartbeat"`
 	Grace         spec.Duration `yaml:"grace"`
 }
 
@@ -98,7 +100,9 @@
 	Endpoint  Endpoint      `yaml:"endpoint"`
 	Admin     Admin         `yaml:"admin"`
 	Heartbeat spec.Duration `yaml:"heartbeat"`
-	Grace     spec.Duration `yaml:"grace"`
+	// IdleHeartbeat is the heartbeat of links without work.
+	IdleHeartbeat spec.Duration `yaml:"idle_heartbeat"`
+	Grace         spec.Duration `yaml:"grace"`
 }
 
 // Endpoint kinds.
@@ -136,11 +140,13 @@
 	if e.RequestMemory == 0 {
 		e.RequestMemory = DefaultRequestMemory
 	}
+	e.IdleHeartbeat = max(e.IdleHeartbeat, e.Heartbeat)
 }
 
 func (a *Agent) defaults() {
 	a.Common.defaults()
 	a.Heartbeat, a.Grace = timing(a.Heartbeat, a.Grace)
+	a.IdleHeartbeat = max(a.IdleHeartbeat, a.Heartbeat)
 }
 
 func (c *Common) defaults() {
