keys: an entry that comes second confirms the newer table at once

Cause: each entry confirms each pool's table by a conditional write, and paused 300 ms after one that failed. From about 60 entries on, the lease of 20 s would have run out with the platform well. Excluded: backing off, which spares the platform and loses the leases; fewer entries that confirm, because agents ask any of their links. A stale read after a conflict still leads to the pause. TestConflictConfirmsNothing took it for granted that one look makes one try. It now has a rival that is faster at every try and demands what it did before.

--- a/entry/keys/keeper.go
+++ b/entry/keys/keeper.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"sync"
 	"time"
 
@@ -34,7 +35,10 @@
 	// must be without a link, and lostAfter the same for one that it does.
 	goneAfter = 3 * time.Second
 	lostAfter = 30 * time.Second
-	// conflictPause spreads entries that raced one another.
+	// maxTries is how often a table is written in one go while others are
+	// faster.
+	maxTries = 4
+	// conflictPause spreads entries that raced one another in vain.
 	conflictPause = 300 * time.Millisecond
 )
 
@@ -155,36 +159,63 @@
 	k.mu.Unlock()
 }
 
-// step repairs or confirms the table if that is due.
+// step repairs or confirms the table if that is due. When another entry was
+// faster it tries again at once with the table that the other one wrote. With
+// dozens of entries a table changes several times a second, and one that paused
+// first would always come too late: its agents' leases would run out and keyed
+// calls be refused although the platform is well.
 func (k *Keeper) step(ctx context.Context, pool string, b *book) {
+	for range maxTries {
+		if !k.try(ctx, pool, b) {
+			return
+		}
+	}
+}
+
+// try is one try of step. It reports whether another entry was faster and its
+// table is known.
+func (k *Keeper) try(ctx context.Context, pool string, b *book) bool {
 	now := k.cfg.Now()
 	live, ready := k.live(pool, b, now)
 	if !ready {
-		return
+		return false
 	}
 	next, changed := homes.Takeover(b.table, live, k.cfg.Wall())
 	if len(next.Slots) == 0 || (!changed && now < b.next) {
-		return
+		return false
 	}
 	next.Touched = k.cfg.Wall()
-	k.write(ctx, pool, b, next)
+	return k.write(ctx, pool, b, next)
 }
 
 // write puts a table in force under the condition that b holds the present
-// one.
-func (k *Keeper) write(ctx context.Context, pool string, b *book, t spec.Homes) {
+// one. It reports whether b now holds a newer table of another entry.
+func (k *Keeper) write(ctx context.Context, pool string, b *book, t spec.Homes) bool {
 	data, err := json.Marshal(t)
 	if err != nil {
-		return
+		return false
 	}
-	began := k.cfg.Now()
-	if err := b.Write(ctx, data, t.Epoch, b.version); err != nil {
+	began, due, version := k.cfg.Now(), b.next, b.version
+	if err := b.Write(ctx, data, t.Epoch, version); err != nil {
 		b.next = began + time.Duration(float64(conflictPause)*(0.5+k.cfg.Random()))
-		return
+		var conflict *plat.ConflictError
+		if !errors.As(err, &conflict) {
+			return false
+		}
+		k.read(pool, b)
+		k.tell(pool, b)
+		if b.version <= version {
+			// The platform answered from the past. To ask again at once would
+			// hear the same.
+			return false
+		}
+		b.next = min(due, began)
+		return true
 	}
 	b.next = began + time.Duration(float64(k.cfg.Touch)*(0.75+k.cfg.Random()/2))
 	k.read(pool, b)
 	k.tell(pool, b)
+	return false
 }
 
 func (k *Keeper) tell(pool string, b *book) {
--- a/entry/keys/keeper_test.go
+++ b/entry/keys/keeper_test.go
@@ -27,8 +27,13 @@
 	// object is what the platform holds; version zero is none.
 	object plat.Object
 	// slow passes during each write; lose drops the reply to the next one.
-	slow    time.Duration
-	lose    bool
+	slow time.Duration
+	lose bool
+	// rivals is how many writes another entry gets in before ours, and puts
+	// counts ours. past is what a lagging replica answers, if set.
+	rivals  int
+	puts    int
+	past    *plat.Object
 	members agents.Members
 	roster  plat.Roster
 	k       *Keeper
@@ -38,7 +43,7 @@
 	w := &world{t: t, store: store.New()}
 	w.k = New(Config{
 		Record: record.Config{
-			Put: w.put, Get: func(context.Context, string, string) (plat.Object, error) { return w.object, nil },
+			Put: w.put, Get: w.get,
 			Raw: w.store.Raw, Accept: func(e plat.Event) { w.store.Accept(e) }, Now: func() time.Duration { return w.now },
 		},
 		Pools:   func() []string { return []string{pool} },
@@ -52,6 +57,11 @@
 
 func (w *world) put(_ context.Context, kind, name string, data []byte, ifVersion int64) (plat.Object, error) {
 	w.now += w.slow
+	w.puts++
+	if w.rivals > 0 {
+		w.rivals--
+		w.object.Version++
+	}
 	if ifVersion != w.object.Version {
 		return plat.Object{}, plat.NewConflict(kind, name, w.object.Version)
 	}
@@ -63,6 +73,13 @@
 	return w.object, nil
 }
 
+func (w *world) get(context.Context, string, string) (plat.Object, error) {
+	if w.past != nil {
+		return *w.past, nil
+	}
+	return w.object, nil
+}
+
 func (w *world) peer(name string) (*agents.Peer, bool) {
 	for _, p := range w.members.Peers {
 		if p.Name() == name {
@@ -189,8 +206,9 @@
 	}
 }
 
-// Another entry has changed the table and this one has not heard of it. Its
-// confirmation fails and must not count; it then learns of the new epoch.
+// Another entry has changed the table and is faster at every try of this one.
+// A confirmation that fails must not count, however often it is tried; once the
+// other is done the new epoch counts.
 func TestConflictConfirmsNothing(t *testing.T) {
 	w := newWorld(t)
 	w.agent("a", 1)
@@ -200,6 +218,7 @@
 	data, _ := json.Marshal(other)
 	w.object.Version++
 	w.object.Data = data
+	w.rivals = maxTries
 	w.look(2 * DefaultTouch)
 	if ack := w.ack(); ack.Epoch != 1 || ack.AgeMS != uint32(2*DefaultTouch/time.Millisecond) {
 		t.Errorf("ack %+v after a conflict", ack)
@@ -210,6 +229,39 @@
 	}
 }
 
+// Dozens of entries confirm the same table, so it has nearly always changed
+// since this one heard of it. If each of them paused first and then wrote what
+// it knew, most confirmations would fail, the agents' leases run out and keyed
+// calls be refused.
+func TestFasterEntryIsFollowedAtOnce(t *testing.T) {
+	w := newWorld(t)
+	w.agent("a", 1)
+	w.look(0)
+	w.rivals = 2
+	w.look(2 * DefaultTouch)
+	if ack := w.ack(); ack.Epoch != 1 || ack.AgeMS != 0 {
+		t.Errorf("ack %+v although the third try had no rival", ack)
+	}
+}
+
+// The replica that an entry reads after a conflict lags. To write again at once
+// would fail again, and hundreds of entries would do so as fast as they can.
+func TestStaleReadIsNotTriedAgainAtOnce(t *testing.T) {
+	w := newWorld(t)
+	w.agent("a", 1)
+	w.look(0)
+	old := w.object
+	w.past, w.rivals, w.puts = &old, 1, 0
+	w.look(2 * DefaultTouch)
+	if w.puts != 1 {
+		t.Errorf("%d writes", w.puts)
+	}
+	w.look(lookEvery / 2)
+	if w.puts != 1 {
+		t.Errorf("%d writes within the pause", w.puts)
+	}
+}
+
 // The reply to a confirming write is lost after the write took effect. The
 // entry can't know, so it counts nothing and confirms again.
 func TestLostReplyConfirmsNothing(t *testing.T) {
