--- a/trial/engin/engin.go
+++ b/trial/engin/engin.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"lycheepond/trial/serve"
 )
 
 // Engine is the stand-in. One goroutine, Run, owns the batch and the memory.
@@ -81,7 +83,7 @@
 	m.HandleFunc("POST /orders", e.order)
 	m.HandleFunc("GET /record", e.record)
 	m.HandleFunc("GET /stats", e.showStats)
-	m.HandleFunc("POST /admin/fault", e.setFault)
+	m.HandleFunc("POST /admin/fault", serve.Take(e.SetFault))
 	return m
 }
 
--- a/trial/serve/serve.go
+++ b/trial/serve/serve.go
@@ -88,3 +88,15 @@
 		return false
 	}
 }
+
+// Take returns a handler that gives set what the body of a request holds, and
+// answers with it.
+func Take[T any](set func(T)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		var v T
+		if Read(w, r, &v) {
+			set(v)
+			JSON(w, http.StatusOK, v)
+		}
+	}
+}
