--- a/core/wire/frame.go
+++ b/core/wire/frame.go
@@ -18,6 +18,10 @@
 
 const headerSize = 5
 
+// linkBuffer is the size of each of a link's two buffers. An entry has 115
+// links and 32 MB at the target's size; larger buffers carry no more tokens.
+const linkBuffer = 8 << 10
+
 // ErrFrameSize reports a frame whose length cannot be right.
 var ErrFrameSize = errors.New("wire: frame length out of range: the peer is not a lycheepond process of this version, or the stream is damaged; the link is closed")
 
@@ -84,7 +88,17 @@
 // NewReader returns a Reader on r.
 func NewReader(r io.Reader) *Reader {
 	src := bytes.NewReader(nil)
-	return &Reader{r: bufio.NewReaderSize(r, 32<<10), src: src, dec: msgpack.NewDecoder(src)}
+	return &Reader{r: bufio.NewReaderSize(r, linkBuffer), src: src, dec: msgpack.NewDecoder(src)}
+}
+
+// Wait returns when a frame has begun to arrive, without taking it. After an
+// error that passes, as of a deadline, it may be called again.
+func (r *Reader) Wait() error {
+	_, err := r.r.Peek(headerSize)
+	if errors.Is(err, io.EOF) && r.r.Buffered() > 0 {
+		return io.ErrUnexpectedEOF
+	}
+	return err
 }
 
 // Next returns the next message. It returns io.EOF only between two frames and
--- a/entry/node.go
+++ b/entry/node.go
@@ -69,7 +69,10 @@
 		plat: plat.New(plat.Config{Base: cfg.Platform.Address, Token: string(cfg.Platform.Token)}),
 	}
 	n.live = conf.NewLive(path, cfg.Keys(), conf.EntryKeys)
-	n.self = wire.Hello{Role: wire.RoleEntry, Name: cfg.Name, Zone: cfg.Zone, Incarnation: incarnation()}
+	n.self = wire.Hello{
+		Role: wire.RoleEntry, Name: cfg.Name, Zone: cfg.Zone, Incarnation: incarnation(),
+		IdleMS: uint32(cfg.IdleHeartbeat.Std().Milliseconds()),
+	}
 	n.tally = tally.New(n.meter, n.log)
 	return n
 }
@@ -173,7 +176,7 @@
 func (n *node) server() *http.Server {
 	front := caller.New(caller.Config{
 		Store: n.store, NewID: n.sched.NewID, Serve: n.sched.Serve, Now: n.now,
-		Ready: n.ready.Load, Leaving: n.leaving.Load, Done: n.tally.Done, Metrics: n.meter, Log: n.log,
+		Ready: n.ready.Load, Leaving: n.leaving.Load, Done: n.tally.Done, Metrics: n.meter.Public(), Log: n.log,
 	})
 	return &http.Server{Handler: front, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 }
@@ -191,6 +194,7 @@
 	n.feed.Measure(n.meter)
 	n.meter.Process()
 	n.sched = sched.New(ctx, sched.Config{
+		Memory:      int64(n.cfg.RequestMemory) << 20,
 		Incarnation: n.self.Incarnation, Zone: n.cfg.Zone, Now: n.now, Log: n.log,
 		Pool:    func(name string) *agents.Members { return n.set.Pool(name) },
 		Entries: n.entries,
--- a/entry/sched/offer.go
+++ b/entry/sched/offer.go
@@ -120,13 +120,15 @@
 	}
 }
 
+// describe returns the offer. The hashes of the prompt stay here: the entry
+// places by them, and they would be half of the offer's bytes.
 func (f *flight) describe(epoch int64) *wire.Offer {
 	j, t := f.job, f.job.Class.Target
 	waited := f.now() - j.Accepted
 	return &wire.Offer{
 		ID: f.once.ID(), Pool: j.Pool, Customer: j.Customer, Class: j.Class.Name, Tier: j.Class.Tier,
 		Model: j.Model, PromptTokens: uint32(f.est.PromptTokens), OutputTokens: uint32(f.est.OutputTokens),
-		CostMS: millis(f.est.Work), Prefix: f.trace.prefix, WaitedMS: millis(waited),
+		CostMS: millis(f.est.Work), WaitedMS: millis(waited),
 		FirstMS: millis(t.FirstToken.Std()), BetweenMS: millis(t.BetweenTokens.Std()),
 		CompleteMS: millis(t.Complete.Std()), DeadlineMS: millis(j.Deadline - waited),
 		Repeatable: j.Repeatable, Cancellable: j.Cancellable, Key: j.Key, KeyMade: j.KeyMade, Digest: j.Digest, Epoch: epoch,
@@ -167,6 +169,7 @@
 		return
 	}
 	f.holder, f.granted, f.headed = p, f.now(), false
+	f.s.room.granted(f)
 	f.step("granted", p.Name(), "")
 	f.withdraw()
 	f.pool.tell(note{op: opGrant, f: f, agent: p.Name()})
@@ -244,6 +247,7 @@
 		f.finish(fault.New(fault.UnknownFate, err.Error()))
 		return false
 	}
+	f.s.room.wait(f)
 	f.held.clear()
 	f.s.table.put(id, f)
 	return true
