--- a/trial/capac/run.go
+++ b/trial/capac/run.go
@@ -149,13 +149,17 @@
 		{Kind: spec.KindModel, Name: m.Name, Object: m},
 	}
 	for i := range customers {
-		sum := sha256.Sum256([]byte(bearer(i)))
-		c := spec.Customer{Name: fmt.Sprintf("customer-%05d", i), Keys: []spec.Key{{SHA256: hex.EncodeToString(sum[:]), Class: class.Name}}}
+		c := customer(i)
 		items = append(items, spec.Item{Kind: spec.KindCustomer, Name: c.Name, Object: c})
 	}
 	return items
 }
 
+func customer(i int) spec.Customer {
+	sum := sha256.Sum256([]byte(bearer(i)))
+	return spec.Customer{Name: fmt.Sprintf("customer-%05d", i), Keys: []spec.Key{{SHA256: hex.EncodeToString(sum[:]), Class: ownClass}}}
+}
+
 const (
 	awaitLimit = 60 * time.Second
 	awaitLook  = 200 * time.Millisecond
--- a/trial/capac/sizes.go
+++ b/trial/capac/sizes.go
@@ -25,6 +25,27 @@
 type Bytes struct {
 	Of    string `json:"size_of"`
 	Bytes int    `json:"bytes"`
+	// DecodeMS is how long an object takes to decode; zero for messages.
+	DecodeMS float64 `json:"decode_ms,omitempty"`
+}
+
+// decodes is how often an object is decoded to find the mean.
+const decodes = 10
+
+// object shows the size of one object.
+func object[T any](of string, v T, show func(any) error) error {
+	data, err := json.Marshal(v)
+	if err != nil {
+		return err
+	}
+	start := time.Now()
+	for range decodes {
+		if err := json.Unmarshal(data, new(T)); err != nil {
+			return err
+		}
+	}
+	took := time.Since(start) / decodes
+	return show(Bytes{Of: of, Bytes: len(data), DecodeMS: round(float64(took.Nanoseconds()) / 1e6)})
 }
 
 // Reach is how many links the entries keep at the target's size.
@@ -42,18 +63,11 @@
 // Sizes shows what objects, messages and the choice of links come to at the
 // target's size. It starts no process.
 func Sizes(show func(any) error) error {
-	var errs []error
-	for _, o := range []struct {
-		of  string
-		any any
-	}{
-		{"instances, all", roster()},
-		{"homes/MODEL, one pool", table()},
-		{"assign/MODEL, one model", assignment()},
-		{"customer", objects(1)[3].Object},
-	} {
-		data, err := json.Marshal(o.any)
-		errs = append(errs, err, show(Bytes{Of: o.of, Bytes: len(data)}))
+	errs := []error{
+		object("instances, all", roster(), show),
+		object("homes/MODEL, one pool", table(), show),
+		object("assign/MODEL, one model", assignment(), show),
+		object("customer", customer(0), show),
 	}
 	for _, m := range messages() {
 		frame, err := wire.Append(nil, m)
