shed: a tier's own drain rate counts only where it is far off

In hotcustomer with real processes the level fell to 2 with 13 requests waiting for 70 places: the gap of two mean times between two starts, which one in seven random gaps exceeds, counted as a lower rate. Now six times, and the tier's rate at 1.5 times itself.

--- a/core/shed/drain.go
+++ b/core/shed/drain.go
@@ -14,8 +14,8 @@
 	// saturated: less is the way to an agent and back.
 	grace = 50 * time.Millisecond
 	// patience is how many times the usual time between two starts may pass
-	// before the rate counts as lower.
-	patience = 2
+	// before the rate counts as lower. Of random starts one in 400 comes later.
+	patience = 6
 	// stuckAfter is how long work must have been waiting for free places to be
 	// of no use to it.
 	stuckAfter = 250 * time.Millisecond
--- a/core/shed/shed.go
+++ b/core/shed/shed.go
@@ -116,6 +116,10 @@
 const (
 	// noTarget is the wait that is allowed to work without a target.
 	noTarget = time.Minute
+	// doubt is how many times its own measured rate a tier is taken to get at
+	// most. The rate of one tier is noisy, and matters only where it is far
+	// below what the others leave.
+	doubt = 1.5
 	// leastWait is a wait that is never taken for late: predictions are no
 	// better than that, and a target shorter than the work itself would
 	// otherwise shed every lower tier for nothing.
@@ -243,7 +247,7 @@
 	if t.drain.sure() {
 		// The tier may get less than what the others leave, as long work does
 		// that memory holds back while short work of other tiers passes it.
-		wait = max(wait, ahead/max(t.drain.present(now), rate*leastLeft))
+		wait = max(wait, ahead/max(doubt*t.drain.present(now), rate*leastLeft))
 	}
 	return seconds(wait)
 }
