--- a/core/feed/peer.go
+++ b/core/feed/peer.go
@@ -33,12 +33,13 @@
 		if err != nil {
 			return plat.Batch{}, eris.Wrapf(err, "feed: peer %s", address)
 		}
-		peer, err := wire.Open(ctx, conn, self(), keys())
+		own := self()
+		peer, err := wire.Open(ctx, conn, own, keys())
 		if err != nil {
 			conn.Close()
 			return plat.Batch{}, eris.Wrapf(err, "feed: peer %s", address)
 		}
-		return fetch(ctx, wire.New(conn, peer, wire.Config{}))
+		return fetch(ctx, wire.New(conn, peer, wire.Config{Idle: own.Idle()}))
 	}
 }
 
