proof: a watch that repeats old events repeats the oldest last

Cause: with the check of versions taken out of the store, TestConfigurationNeverReverts still passed: the stand-in repeated old events in order, so the newest came last again and the reversion lasted an instant. After: the oldest comes last, and the test watches for two seconds after each change; without the check it now fails (seen).

--- a/trial/platf/platf.go
+++ b/trial/platf/platf.go
@@ -35,7 +35,8 @@
 	LoseReplies int `json:"lose_replies"`
 	// Lag delays the instance list and watches.
 	Lag spec.Duration `json:"lag"`
-	// Replay is how many old events a watch repeats behind the new ones.
+	// Replay is how many old events a watch repeats behind the new ones, the
+	// oldest last.
 	Replay int `json:"replay"`
 	// StaleReads makes reads and watches answer from that long ago.
 	StaleReads spec.Duration `json:"stale_reads"`
--- a/trial/platf/store.go
+++ b/trial/platf/store.go
@@ -116,7 +116,10 @@
 		}
 	}
 	if n := min(p.fault.Replay, len(old)); n > 0 && len(b.Events) > 0 {
-		b.Events = append(b.Events, old[len(old)-n:]...)
+		// The oldest comes last, so that whoever believes the last word reverts.
+		for i := range n {
+			b.Events = append(b.Events, old[len(old)-1-i])
+		}
 	}
 	return b, hidden
 }
--- a/trial/proof/config_test.go
+++ b/trial/proof/config_test.go
@@ -68,6 +68,18 @@
 	}
 }
 
+// stays watches for a while that every entry goes on accepting key n.
+func (r *rig) stays(n int) {
+	r.t.Helper()
+	for until := time.Now().Add(2 * time.Second); time.Now().Before(until); {
+		for e := range r.callers {
+			if !r.accepted(e, n) {
+				r.t.Fatalf("entry %d no longer accepts key %d", e, n)
+			}
+		}
+	}
+}
+
 // lychee runs the operators' command and returns its output and exit code.
 func (r *rig) lychee(args ...string) (string, int) {
 	r.t.Helper()
@@ -101,6 +113,9 @@
 		if !f.Down && f.StaleReads == 0 {
 			r.put(i + 2)
 			r.everywhere(i + 2)
+			// Another object changes, and with it the old events come again.
+			r.must(p.PutObject(r.ctx, spec.KindClass, "other", spec.Class{Name: "other", Tier: uint8(i % 4)}))
+			r.stays(i + 2)
 			continue
 		}
 		newest := 1
@@ -109,14 +124,7 @@
 				newest = n
 			}
 		}
-		until := time.Now().Add(2 * time.Second)
-		for time.Now().Before(until) {
-			for e := range r.callers {
-				if !r.accepted(e, newest) {
-					t.Fatalf("entry %d reverted under %+v", e, f)
-				}
-			}
-		}
+		r.stays(newest)
 		r.must(p.Fault(r.ctx, platf.Fault{}))
 		r.put(i + 2)
 		r.everywhere(i + 2)
