--- a/entry/keys/keeper.go
+++ b/entry/keys/keeper.go
@@ -37,9 +37,12 @@
 	lostAfter = 30 * time.Second
 	// maxTries is how often a table is written in one go while others are
 	// faster.
-	maxTries = 4
-	// conflictPause spreads entries that raced one another in vain.
+	maxTries = 2
+	// conflictPause spreads entries that raced one another in vain. It doubles
+	// with each time in a row, up to 1<<maxDoubled: after a restart of everything
+	// hundreds of entries would else write as fast as the platform refuses them.
 	conflictPause = 300 * time.Millisecond
+	maxDoubled    = 3
 )
 
 // Config is what a Keeper depends on. All functions must be set.
@@ -79,6 +82,8 @@
 	data    []byte
 	// next is when to confirm again.
 	next time.Duration
+	// failed counts the looks in a row in which others were faster.
+	failed int
 	// began is when the pool was first looked at.
 	began time.Duration
 	// absent holds since when an owner has no link.
@@ -170,6 +175,14 @@
 			return
 		}
 	}
+	b.next = k.cfg.Now() + b.pause(k.cfg.Random())
+}
+
+// pause returns how long to wait after tries in vain.
+func (b *book) pause(random float64) time.Duration {
+	d := conflictPause << min(b.failed, maxDoubled)
+	b.failed++
+	return time.Duration(float64(d) * (0.5 + random))
 }
 
 // try is one try of step. It reports whether another entry was faster and its
@@ -197,9 +210,10 @@
 	}
 	began, due, version := k.cfg.Now(), b.next, b.version
 	if err := b.Write(ctx, data, t.Epoch, version); err != nil {
-		b.next = began + time.Duration(float64(conflictPause)*(0.5+k.cfg.Random()))
 		var conflict *plat.ConflictError
 		if !errors.As(err, &conflict) {
+			// No answer, as in an outage, is no sign of rivals.
+			b.next = began + time.Duration(float64(conflictPause)*(0.5+k.cfg.Random()))
 			return false
 		}
 		k.read(pool, b)
@@ -207,11 +221,13 @@
 		if b.version <= version {
 			// The platform answered from the past. To ask again at once would
 			// hear the same.
+			b.next = began + b.pause(k.cfg.Random())
 			return false
 		}
 		b.next = min(due, began)
 		return true
 	}
+	b.failed = 0
 	b.next = began + time.Duration(float64(k.cfg.Touch)*(0.75+k.cfg.Random()/2))
 	k.read(pool, b)
 	k.tell(pool, b)
