fixed: property tests give the same verdict every run

Cause: core/homes, core/spec and entry/answer drew a seed anew for each run; TestNeverTwoOwnersWithHandovers failed twice because no history of 100 reached an owner that acts on a handover.

--- a/core/homes/hand_test.go
+++ b/core/homes/hand_test.go
@@ -122,6 +122,7 @@
 			}
 		}
 	})
+	t.Logf("%d looks at an owner that acts on a handover", handed)
 	if handed == 0 {
 		t.Error("no history had an owner that acts on a handover")
 	}
--- /dev/null
+++ b/entry/answer/main_test.go
@@ -0,0 +1,10 @@
+package answer
+
+import (
+	"os"
+	"testing"
+
+	"lycheepond/core/fixed"
+)
+
+func TestMain(m *testing.M) { os.Exit(fixed.Run(m, fixed.Seed, 0)) }
