report, certs, proof: what stood twice stands once

The status and explain formats stood in entry and in lychee, the reading of links' certificates in entry and agent, the set-up of two proofs word for word. core/report, certs.Logged and catch now serve both.

--- a/agent/node.go
+++ b/agent/node.go
@@ -68,7 +68,8 @@
 		side: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, Proxy: nil}},
 	}
 	n.live = conf.NewLive(path, cfg.Keys(), conf.AgentKeys)
-	if err := n.secure(); err != nil {
+	var err error
+	if n.certs, err = certs.Logged(certs.Files(cfg.TLS), n.log); err != nil {
 		return nil, err
 	}
 	begun := time.Now()
--- a/entry/admin/admin.go
+++ b/entry/admin/admin.go
@@ -14,7 +14,7 @@
 	"go.uber.org/zap"
 
 	"lycheepond/core/ident"
-	"lycheepond/entry/sched"
+	"lycheepond/core/report"
 )
 
 // Config is what a Server depends on.
@@ -23,8 +23,8 @@
 	// Token is demanded of operators; empty demands none.
 	Token   string
 	Metrics http.Handler
-	Status  func() any
-	Explain func(ident.ID) (sched.Explained, bool)
+	Status  func() report.Entry
+	Explain func(ident.ID) (report.Request, bool)
 	Log     *zap.Logger
 }
 
--- a/entry/node.go
+++ b/entry/node.go
@@ -96,14 +96,15 @@
 func (n *node) run(ctx context.Context) error {
 	work, end := context.WithCancel(context.Background())
 	logs.Info(n.log, logs.EventStarting)
-	if err := n.secure(); err != nil {
+	var err error
+	if n.certs, err = certs.Logged(certs.Files(n.cfg.TLS), n.log); err != nil {
 		end()
 		return err
 	}
 	n.build(work)
 	p := newParts()
 	n.begin(work, p)
-	err := n.serve(ctx, p)
+	err = n.serve(ctx, p)
 	end()
 	p.wait()
 	n.sched.Wait()
--- a/entry/sched/sched.go
+++ b/entry/sched/sched.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"lycheepond/core/ident"
+	"lycheepond/core/report"
 	"lycheepond/core/wire"
 	"lycheepond/entry/agents"
 )
@@ -78,18 +79,10 @@
 // Running returns how many requests are being served.
 func (s *Sched) Running() int { return int(s.running.Load()) }
 
-// Figures is what operators see of a pool at one entry.
-type Figures struct {
-	Pool     string `json:"pool"`
-	InFlight int    `json:"in_flight"`
-	Queued   int    `json:"queued"`
-	Level    int    `json:"shed_level"`
-}
-
-// Figures returns the figures of a pool.
-func (s *Sched) Figures(name string) Figures {
+// Figures returns what the entry itself knows of a pool, without its agents.
+func (s *Sched) Figures(name string) report.Pool {
 	p := s.pool(name)
-	return Figures{
+	return report.Pool{
 		Pool: name, InFlight: int(p.inflight.Load()), Queued: int(p.queued.Load()), Level: int(p.shown.Load()),
 	}
 }
--- a/entry/sched/trail.go
+++ b/entry/sched/trail.go
@@ -6,6 +6,7 @@
 
 	"lycheepond/core/ident"
 	"lycheepond/core/place"
+	"lycheepond/core/report"
 )
 
 // trailSize is how many requests can be explained.
@@ -14,34 +15,14 @@
 // maxSteps bounds the record of one request.
 const maxSteps = 64
 
-// Step is one decision about a request.
-type Step struct {
-	AtMS  int64  `json:"at_ms"`
-	What  string `json:"what"`
-	Agent string `json:"agent,omitempty"`
-	Why   string `json:"why,omitempty"`
-}
-
 // Trace is the record of the decisions about one request.
 type Trace struct {
 	mu     sync.Mutex
-	view   Explained
+	view   report.Request
 	begin  time.Duration
 	prefix []uint64
 }
 
-// Explained is a trace as operators see it.
-type Explained struct {
-	ID       string `json:"id"`
-	Pool     string `json:"pool"`
-	Class    string `json:"class"`
-	Tier     uint8  `json:"tier"`
-	Customer string `json:"customer"`
-	Outcome  string `json:"outcome,omitempty"`
-	Fault    string `json:"fault,omitempty"`
-	Steps    []Step `json:"steps"`
-}
-
 // Trail is a bounded record of recent decisions. It is safe for concurrent use.
 type Trail struct {
 	mu sync.Mutex
@@ -56,7 +37,7 @@
 }
 
 func (t *Trail) open(j *Job) *Trace {
-	tr := &Trace{begin: j.Accepted, view: Explained{
+	tr := &Trace{begin: j.Accepted, view: report.Request{
 		ID: j.ID.String(), Pool: j.Pool, Class: j.Class.Name, Tier: j.Class.Tier, Customer: j.Customer,
 	}}
 	if j.Model != "" {
@@ -72,17 +53,17 @@
 }
 
 // Explain returns the record of a request by the ID of any of its attempts.
-func (t *Trail) Explain(id ident.ID) (Explained, bool) {
+func (t *Trail) Explain(id ident.ID) (report.Request, bool) {
 	t.mu.Lock()
 	tr := t.byID[rootOf(id)]
 	t.mu.Unlock()
 	if tr == nil {
-		return Explained{}, false
+		return report.Request{}, false
 	}
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
 	v := tr.view
-	v.Steps = append([]Step(nil), v.Steps...)
+	v.Steps = append([]report.Step(nil), v.Steps...)
 	return v, true
 }
 
@@ -92,7 +73,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if len(t.view.Steps) < maxSteps {
-		t.view.Steps = append(t.view.Steps, Step{AtMS: (f.now() - t.begin).Milliseconds(), What: what, Agent: agent, Why: why})
+		t.view.Steps = append(t.view.Steps, report.Step{AtMS: (f.now() - t.begin).Milliseconds(), What: what, Agent: agent, Why: why})
 	}
 }
 
--- a/lychee/admin/admin.go
+++ b/lychee/admin/admin.go
@@ -12,7 +12,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"lycheepond/core/store"
+	"lycheepond/core/report"
 )
 
 // timeout bounds one question. An entry answers from memory.
@@ -41,44 +41,6 @@
 	return &Client{token: token, http: httpClient}
 }
 
-// Entry is the status of an entry.
-type Entry struct {
-	Name     string            `json:"name"`
-	Zone     string            `json:"zone"`
-	Ready    bool              `json:"ready"`
-	Leaving  bool              `json:"leaving"`
-	Running  int               `json:"running"`
-	Config   int64             `json:"config_version"`
-	Digest   uint64            `json:"config_digest"`
-	Away     bool              `json:"platform_away"`
-	AgeMS    int64             `json:"platform_answer_age_ms"`
-	Rejected []store.Rejection `json:"rejected,omitempty"`
-	Pools    []Pool            `json:"pools"`
-}
-
-// Pool is what an entry says of a pool. InFlight and Queued count the entry's
-// own requests.
-type Pool struct {
-	Pool     string  `json:"pool"`
-	InFlight int     `json:"in_flight"`
-	Queued   int     `json:"queued"`
-	Level    int     `json:"shed_level"`
-	Agents   []Agent `json:"agents"`
-}
-
-// Agent is what an entry says of an agent.
-type Agent struct {
-	Name     string `json:"name"`
-	Zone     string `json:"zone"`
-	Linked   bool   `json:"linked"`
-	Leaving  bool   `json:"leaving"`
-	InFlight int    `json:"in_flight"`
-	Bound    int    `json:"bound"`
-	Queued   int    `json:"queued"`
-	Slow     bool   `json:"slow"`
-	Version  string `json:"version"`
-}
-
 // Own is what an agent says of itself.
 type Own struct {
 	InFlight int    `json:"in_flight"`
@@ -90,29 +52,9 @@
 	Version  string `json:"endpoint_version"`
 }
 
-// Explained is the record of the decisions about one request.
-type Explained struct {
-	ID       string `json:"id"`
-	Pool     string `json:"pool"`
-	Class    string `json:"class"`
-	Tier     uint8  `json:"tier"`
-	Customer string `json:"customer"`
-	Outcome  string `json:"outcome,omitempty"`
-	Fault    string `json:"fault,omitempty"`
-	Steps    []Step `json:"steps"`
-}
-
-// Step is one decision.
-type Step struct {
-	AtMS  int64  `json:"at_ms"`
-	What  string `json:"what"`
-	Agent string `json:"agent,omitempty"`
-	Why   string `json:"why,omitempty"`
-}
-
 // Entry asks an entry for its status.
-func (c *Client) Entry(ctx context.Context, address string) (Entry, error) {
-	var e Entry
+func (c *Client) Entry(ctx context.Context, address string) (report.Entry, error) {
+	var e report.Entry
 	return e, c.ask(ctx, http.MethodGet, address, "/status", &e)
 }
 
@@ -123,8 +65,8 @@
 }
 
 // Explain asks an entry what it decided about a request.
-func (c *Client) Explain(ctx context.Context, address, id string) (Explained, error) {
-	var e Explained
+func (c *Client) Explain(ctx context.Context, address, id string) (report.Request, error) {
+	var e report.Request
 	return e, c.ask(ctx, http.MethodGet, address, "/explain/"+id, &e)
 }
 
--- a/lychee/show/show.go
+++ b/lychee/show/show.go
@@ -12,8 +12,8 @@
 	"time"
 
 	"lycheepond/core/plat"
+	"lycheepond/core/report"
 	"lycheepond/core/spec"
-	"lycheepond/lychee/admin"
 	"lycheepond/lychee/apply"
 	"lycheepond/lychee/input"
 	"lycheepond/lychee/survey"
@@ -236,7 +236,7 @@
 }
 
 // Explained writes the decisions about a request.
-func (w *Writer) Explained(entry string, e admin.Explained) {
+func (w *Writer) Explained(entry string, e report.Request) {
 	if w.value(e) {
 		return
 	}
--- a/lychee/survey/pools.go
+++ b/lychee/survey/pools.go
@@ -6,13 +6,13 @@
 	"slices"
 
 	"lycheepond/core/plat"
-	"lycheepond/lychee/admin"
+	"lycheepond/core/report"
 )
 
 // pools joins what the entries say of each pool with what the agents say of
 // themselves. An entry is linked to some agents only, and its view of them is
 // as old as their last message.
-func (s *Surveyor) pools(ctx context.Context, entries []admin.Entry, roster plat.Roster) []Pool {
+func (s *Surveyor) pools(ctx context.Context, entries []report.Entry, roster plat.Roster) []Pool {
 	byName := make(map[string]*Pool)
 	lines := make(map[string]map[string]Line)
 	for _, e := range entries {
@@ -42,7 +42,7 @@
 	return out
 }
 
-func (l Line) join(a admin.Agent) Line {
+func (l Line) join(a report.Agent) Line {
 	l.Name, l.Zone = a.Name, a.Zone
 	if a.Version != "" {
 		l.Version = a.Version
--- a/lychee/survey/survey.go
+++ b/lychee/survey/survey.go
@@ -9,6 +9,7 @@
 	"sync"
 
 	"lycheepond/core/plat"
+	"lycheepond/core/report"
 	"lycheepond/core/spec"
 	"lycheepond/core/store"
 	"lycheepond/lychee/admin"
@@ -140,7 +141,7 @@
 	}
 	var r Report
 	r.Entries = s.EntryAddresses(roster)
-	answers := make([]admin.Entry, len(r.Entries))
+	answers := make([]report.Entry, len(r.Entries))
 	each(len(r.Entries), func(i int) {
 		var err error
 		if answers[i], err = s.Admin.Entry(ctx, r.Entries[i].Address); err != nil {
@@ -179,7 +180,7 @@
 }
 
 // wanted returns what every entry should have in force.
-func wanted(config *store.Store, answers []admin.Entry) sight {
+func wanted(config *store.Store, answers []report.Entry) sight {
 	if config != nil {
 		return sight{config.Version(), config.Digest()}
 	}
@@ -192,7 +193,7 @@
 	return newest
 }
 
-func (e *Entry) take(a admin.Entry, digest uint64) {
+func (e *Entry) take(a report.Entry, digest uint64) {
 	if e.State == StateSilent {
 		return
 	}
--- a/trial/proof/once_test.go
+++ b/trial/proof/once_test.go
@@ -8,6 +8,7 @@
 	"lycheepond/core/spec"
 	"lycheepond/core/wire"
 	"lycheepond/trial/engin"
+	"lycheepond/trial/fleet"
 	"lycheepond/trial/load"
 	"lycheepond/trial/proxy"
 )
@@ -79,16 +80,34 @@
 	}
 }
 
+// moment is a frame on the way between entries and one agent.
+type moment struct {
+	name string
+	dir  proxy.Direction
+	kind wire.Kind
+}
+
+// catch sends work through both entries until the moment has come at engine-1,
+// with two engines so that the other one can serve.
+func catch(t *testing.T, tag string, at moment) (*rig, *fleet.Unit, *batch) {
+	t.Helper()
+	r := newRig(t, shape{engines: []engin.Config{quick(), quick()}, entries: 2})
+	u := r.fleet.Unit("engine-1")
+	before := r.proxies[u.Name].Seen(at.dir, at.kind)
+	b := new(batch)
+	for i := range 16 {
+		r.send(b, i%2, ask(i%spec.Tiers, fmt.Sprintf("%s-%s-%d", tag, at.name, i), 30, i%3 != 0))
+	}
+	r.must(r.proxies[u.Name].Await(r.ctx, at.dir, at.kind, before+1))
+	return r, u, b
+}
+
 // An agent is killed while offers wait at it and answers stream from it, and is
 // started again. Its callers hear unknown or are served elsewhere; what ran once
 // does not run again.
 func TestAgentKilled(t *testing.T) {
 	t.Parallel()
-	for _, at := range []struct {
-		name string
-		dir  proxy.Direction
-		kind wire.Kind
-	}{
+	for _, at := range []moment{
 		{"offer", proxy.Up, wire.KindOffer},
 		{"claim", proxy.Down, wire.KindClaim},
 		{"grant", proxy.Up, wire.KindGrant},
@@ -96,15 +115,7 @@
 		{"end", proxy.Down, wire.KindEnd},
 	} {
 		t.Run(at.name, func(t *testing.T) {
-			r := newRig(t, shape{engines: []engin.Config{quick(), quick()}, entries: 2})
-			u := r.fleet.Unit("engine-1")
-			p := r.proxies[u.Name]
-			before := p.Seen(at.dir, at.kind)
-			var b batch
-			for i := range 16 {
-				r.send(&b, i%2, ask(i%spec.Tiers, fmt.Sprintf("kill-%s-%d", at.name, i), 30, i%3 != 0))
-			}
-			r.must(p.Await(r.ctx, at.dir, at.kind, before+1))
+			r, u, b := catch(t, "kill", at)
 			r.must(u.Agent.Kill())
 			r.must(r.fleet.RestartAgent(r.ctx, u))
 			seen := r.judge(b.end())
@@ -123,26 +134,14 @@
 // caller was told not-run, and nothing twice.
 func TestAgentPausedAndWakesLate(t *testing.T) {
 	t.Parallel()
-	for _, at := range []struct {
-		name string
-		dir  proxy.Direction
-		kind wire.Kind
-	}{
+	for _, at := range []moment{
 		{"offer", proxy.Up, wire.KindOffer},
 		{"claim", proxy.Down, wire.KindClaim},
 		{"grant", proxy.Up, wire.KindGrant},
 		{"chunk", proxy.Down, wire.KindChunk},
 	} {
 		t.Run(at.name, func(t *testing.T) {
-			r := newRig(t, shape{engines: []engin.Config{quick(), quick()}, entries: 2})
-			u := r.fleet.Unit("engine-1")
-			p := r.proxies[u.Name]
-			before := p.Seen(at.dir, at.kind)
-			var b batch
-			for i := range 16 {
-				r.send(&b, i%2, ask(i%spec.Tiers, fmt.Sprintf("pause-%s-%d", at.name, i), 30, i%3 != 0))
-			}
-			r.must(p.Await(r.ctx, at.dir, at.kind, before+1))
+			r, u, b := catch(t, "pause", at)
 			r.must(u.Agent.Pause())
 			results := b.end()
 			r.must(u.Agent.Resume())
