--- a/core/wire/bound.go
+++ b/core/wire/bound.go
@@ -6,15 +6,11 @@
 	"github.com/vmihailenco/msgpack/v5"
 )
 
-// The decoder allocates a slice from the length that the frame claims. A frame
-// of a few bytes that claims four thousand million elements would end the
-// process for want of memory, so slices of a message check the length first.
-const (
-	// MaxFields is the most headers that a request or an answer may carry.
-	MaxFields = 256
-	// MaxPrefix is the most hashes that an offer may carry.
-	MaxPrefix = 16
-)
+// MaxFields is the most headers that a request or an answer may carry. The
+// decoder allocates a slice from the length that the frame claims. A frame of a
+// few bytes that claims four thousand million elements would end the process
+// for want of memory, so slices of a message check the length first.
+const MaxFields = 256
 
 // Fields are the headers of a request or an answer.
 type Fields []Field
@@ -26,26 +22,6 @@
 	return err
 }
 
-// Prefix holds hashes of growing beginnings of a prompt, shortest first.
-type Prefix []uint64
-
-// DecodeMsgpack reads at most MaxPrefix hashes.
-func (p *Prefix) DecodeMsgpack(d *msgpack.Decoder) error {
-	n, err := boundedLen(d, MaxPrefix)
-	if err != nil {
-		return err
-	}
-	*p = nil
-	for range n {
-		h, err := d.DecodeUint64()
-		if err != nil {
-			return err
-		}
-		*p = append(*p, h)
-	}
-	return nil
-}
-
 func boundedLen(d *msgpack.Decoder, limit int) (int, error) {
 	n, err := d.DecodeArrayLen()
 	if err != nil {
--- a/core/wire/message.go
+++ b/core/wire/message.go
@@ -108,8 +108,6 @@
 	// CostMS estimates the time that the request occupies its place in the
 	// endpoint, in milliseconds.
 	CostMS uint32
-	// Prefix holds hashes of growing beginnings of the prompt, shortest first.
-	Prefix Prefix
 	// WaitedMS is how long the request has waited since it was accepted.
 	WaitedMS uint32
 	// FirstMS is the class's target for the first byte, BetweenMS between two
