What stood twice stands once, and dead code goes

Found on reading the whole change again: the operators' token was checked by the same code in entry and agent (core/bearer now), the wake-or-tick loop stood in keys and orders (record.Loop), the note on reloaded keys in entry and agent (Live.Logged), each admission looked through the pool's agents twice for the tiers served, and four functions of the trial harness had no caller. Behaviour and checks are unchanged.

--- a/agent/admin/admin.go
+++ b/agent/admin/admin.go
@@ -3,13 +3,12 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"crypto/subtle"
 	"encoding/json"
 	"net"
 	"net/http"
-	"strings"
 	"time"
+
+	"lycheepond/core/bearer"
 )
 
 const headerTimeout = 10 * time.Second
@@ -28,14 +27,12 @@
 
 // Server answers operators.
 type Server struct {
-	cfg Config
-	// want is the hash of the token, so that the comparison takes the same
-	// time whatever was sent.
-	want [sha256.Size]byte
+	cfg   Config
+	token *bearer.Token
 }
 
 // New returns a Server that does nothing until Run.
-func New(cfg Config) *Server { return &Server{cfg: cfg, want: sha256.Sum256([]byte(cfg.Token))} }
+func New(cfg Config) *Server { return &Server{cfg: cfg, token: bearer.New(cfg.Token)} }
 
 // Run serves operators on ln until ctx ends.
 func (s *Server) Run(ctx context.Context, ln net.Listener) error {
@@ -84,8 +81,7 @@
 // demand lets only holders of the token through.
 func (s *Server) demand(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		got := sha256.Sum256([]byte(strings.TrimPrefix(r.Header.Get("Authorization"), "Bearer ")))
-		if s.cfg.Token != "" && subtle.ConstantTimeCompare(got[:], s.want[:]) != 1 {
+		if !s.token.Allows(r) {
 			http.Error(w, "operators' token missing or wrong: send Authorization: Bearer TOKEN (admin.token of the settings)", http.StatusUnauthorized)
 			return
 		}
--- a/agent/node.go
+++ b/agent/node.go
@@ -143,7 +143,7 @@
 	}
 	duty(func() error { return n.links.Run(work, ln) })
 	duty(func() error { return probe.Run(work, n.cfg.Endpoint.Address, n.side, n.owner.Report) })
-	duty(func() error { return n.live.Follow(work, n.noteKeys) })
+	duty(func() error { return n.live.Follow(work, n.live.Logged(n.log)) })
 	unhook := context.AfterFunc(ctx, func() { _ = n.owner.Leave(work) })
 	defer unhook()
 	if err := json.NewEncoder(n.out).Encode(ready{n.cfg.Name, ln.Addr().String()}); err != nil {
--- /dev/null
+++ b/core/bearer/bearer_test.go
@@ -0,0 +1,26 @@
+package bearer
+
+import (
+	"net/http/httptest"
+	"testing"
+)
+
+func TestAllows(t *testing.T) {
+	for _, tc := range []struct {
+		name, token, sent string
+		want              bool
+	}{
+		{"right", "secret", "Bearer secret", true},
+		{"wrong", "secret", "Bearer secre", false},
+		{"missing", "secret", "", false},
+		{"none demanded", "", "", true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := httptest.NewRequest("GET", "/status", nil)
+			r.Header.Set("Authorization", tc.sent)
+			if got := New(tc.token).Allows(r); got != tc.want {
+				t.Errorf("Allows = %t", got)
+			}
+		})
+	}
+}
--- a/core/conf/live.go
+++ b/core/conf/live.go
@@ -8,6 +8,9 @@
 	"syscall"
 	"time"
 
+	"go.uber.org/zap"
+
+	"lycheepond/core/logs"
 	"lycheepond/core/wire"
 )
 
@@ -105,3 +108,15 @@
 	l.seen = info.ModTime()
 	return true
 }
+
+// Logged returns a note for Follow that logs what came of reading the settings
+// again.
+func (l *Live) Logged(log *zap.Logger) func(error) {
+	return func(err error) {
+		if err != nil {
+			logs.Error(log, logs.EventSettingsRejected, zap.Error(err))
+			return
+		}
+		logs.Info(log, logs.EventKeysReloaded, zap.Int("accepted", len(l.Keys().Accepted)))
+	}
+}
--- a/entry/admin/admin.go
+++ b/entry/admin/admin.go
@@ -3,16 +3,14 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"crypto/subtle"
 	"encoding/json"
 	"net"
 	"net/http"
-	"strings"
 	"time"
 
 	"go.uber.org/zap"
 
+	"lycheepond/core/bearer"
 	"lycheepond/core/ident"
 	"lycheepond/core/report"
 )
@@ -30,14 +28,12 @@
 
 // Server answers operators.
 type Server struct {
-	cfg Config
-	// want is the hash of the token, so that the comparison takes the same
-	// time whatever was sent.
-	want [sha256.Size]byte
+	cfg   Config
+	token *bearer.Token
 }
 
 // New returns a Server that does nothing until Run.
-func New(cfg Config) *Server { return &Server{cfg: cfg, want: sha256.Sum256([]byte(cfg.Token))} }
+func New(cfg Config) *Server { return &Server{cfg: cfg, token: bearer.New(cfg.Token)} }
 
 // Run serves operators until ctx ends. Without an address it only waits.
 func (s *Server) Run(ctx context.Context) error {
@@ -65,7 +61,7 @@
 	mux.HandleFunc("GET /explain/{id}", s.explain)
 	mux.Handle("GET /metrics", s.cfg.Metrics)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if !s.allowed(r) {
+		if !s.token.Allows(r) {
 			refuse(w, http.StatusUnauthorized, "missing or wrong operator token: send the entry's admin.token as Authorization: Bearer TOKEN")
 			return
 		}
@@ -73,14 +69,6 @@
 	})
 }
 
-func (s *Server) allowed(r *http.Request) bool {
-	if s.cfg.Token == "" {
-		return true
-	}
-	got := sha256.Sum256([]byte(strings.TrimPrefix(r.Header.Get("Authorization"), "Bearer ")))
-	return subtle.ConstantTimeCompare(got[:], s.want[:]) == 1
-}
-
 func (s *Server) status(w http.ResponseWriter, _ *http.Request) { write(w, s.cfg.Status()) }
 
 func (s *Server) explain(w http.ResponseWriter, r *http.Request) {
--- a/entry/keys/keeper.go
+++ b/entry/keys/keeper.go
@@ -70,7 +70,7 @@
 	mu  sync.Mutex
 	// books holds what is known of each pool's table.
 	books map[string]*book
-	wake  chan struct{}
+	loop  *record.Loop
 }
 
 // book is what the keeper knows of one pool's table. Run alone changes it, but
@@ -95,34 +95,21 @@
 	if cfg.Touch <= 0 {
 		cfg.Touch = DefaultTouch
 	}
-	return &Keeper{cfg: cfg, books: make(map[string]*book), wake: make(chan struct{}, 1)}
+	return &Keeper{cfg: cfg, books: make(map[string]*book), loop: record.NewLoop()}
 }
 
 // Wake has the tables looked at now, as after a new link.
-func (k *Keeper) Wake() {
-	select {
-	case k.wake <- struct{}{}:
-	default:
-	}
-}
+func (k *Keeper) Wake() { k.loop.Wake() }
 
 // Run keeps the tables until ctx ends.
-func (k *Keeper) Run(ctx context.Context) error {
-	tick := time.NewTicker(lookEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-tick.C:
-		case <-k.wake:
-		}
-		for _, pool := range k.cfg.Pools() {
-			b := k.book(pool)
-			k.read(pool, b)
-			k.tell(pool, b)
-			k.step(ctx, pool, b)
-		}
+func (k *Keeper) Run(ctx context.Context) error { return k.loop.Run(ctx, lookEvery, k.look) }
+
+func (k *Keeper) look(ctx context.Context) {
+	for _, pool := range k.cfg.Pools() {
+		b := k.book(pool)
+		k.read(pool, b)
+		k.tell(pool, b)
+		k.step(ctx, pool, b)
 	}
 }
 
--- a/entry/node.go
+++ b/entry/node.go
@@ -223,7 +223,7 @@
 	changed, _ := n.store.Subscribe()
 	p.start(func() error { return n.feed.Run(ctx) })
 	p.start(func() error { return n.set.Run(ctx, changed) })
-	p.start(func() error { return n.live.Follow(ctx, n.noteKeys) })
+	p.start(func() error { return n.live.Follow(ctx, n.live.Logged(n.log)) })
 	p.start(func() error { return n.keeper.Run(ctx) })
 	p.start(func() error { return n.planner.Run(ctx) })
 	port := peers.New(peers.Config{
--- a/entry/orders/planner.go
+++ b/entry/orders/planner.go
@@ -45,7 +45,7 @@
 // Planner is safe for concurrent use.
 type Planner struct {
 	cfg  Config
-	wake chan struct{}
+	loop *record.Loop
 	// ordered is when a present line of an assignment was first seen here.
 	ordered map[line]time.Duration
 
@@ -69,32 +69,15 @@
 // New returns a Planner that does nothing until Run.
 func New(cfg Config) *Planner {
 	return &Planner{
-		cfg: cfg, wake: make(chan struct{}, 1), ordered: make(map[line]time.Duration), books: make(map[string]*book),
+		cfg: cfg, loop: record.NewLoop(), ordered: make(map[line]time.Duration), books: make(map[string]*book),
 	}
 }
 
 // Wake has the assignments looked at now, as after a new link.
-func (p *Planner) Wake() {
-	select {
-	case p.wake <- struct{}{}:
-	default:
-	}
-}
+func (p *Planner) Wake() { p.loop.Wake() }
 
 // Run plans until ctx ends.
-func (p *Planner) Run(ctx context.Context) error {
-	tick := time.NewTicker(planEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-tick.C:
-		case <-p.wake:
-		}
-		p.plan(ctx)
-	}
-}
+func (p *Planner) Run(ctx context.Context) error { return p.loop.Run(ctx, planEvery, p.plan) }
 
 // Ack fills in the answer to an agent that asks how fresh the entry's
 // knowledge of a model's assignment is.
--- a/entry/sched/admit.go
+++ b/entry/sched/admit.go
@@ -13,12 +13,11 @@
 func (p *pool) refuse(now time.Duration, f *flight) (time.Duration, *fault.Error) {
 	j := f.job
 	tier := j.Class.Tier
-	lower := p.lowerServed(tier)
-	if e := p.unreachable(now, f, lower); e != nil {
+	view := p.view()
+	view.LowerServed = below(view.Served, tier)
+	if e := p.unreachable(now, f, view.LowerServed); e != nil {
 		return 0, e
 	}
-	view := p.view()
-	view.LowerServed = lower
 	v := p.shed.Decide(now, shed.Ask{Tier: tier, Customer: j.Customer, Work: f.est.Work, Target: target(f, now)}, view)
 	if v.Admit || !p.confirmed(tier) {
 		return v.Wait, nil
@@ -68,7 +67,10 @@
 // running anywhere in the pool, or may be. A request of a higher tier that is
 // refused then would be shed while lower work is served; without links to
 // every agent the entry can't exclude it, so what is unknown counts as served.
-func (p *pool) lowerServed(tier uint8) bool { return p.served()>>(tier+1) != 0 }
+func (p *pool) lowerServed(tier uint8) bool { return below(p.served(), tier) }
+
+// below reports whether a mask of tiers has one that is lower than tier.
+func below(mask, tier uint8) bool { return mask>>(tier+1) != 0 }
 
 // confirmed reports whether every agent has said that it takes nothing below
 // tier. An agent that has not heard of the level may start lower work for
--- a/trial/fleet/fleet.go
+++ b/trial/fleet/fleet.go
@@ -18,7 +18,6 @@
 	set      *procs.Set
 	plan     Plan
 	platform *Platform
-	platProc *procs.Proc
 	units    []*Unit
 	entries  []*Entry
 }
@@ -75,9 +74,6 @@
 // Platform returns the client of the platform's stand-in.
 func (f *Fleet) Platform() *Platform { return f.platform }
 
-// PlatformProc returns the process of the platform's stand-in.
-func (f *Fleet) PlatformProc() *procs.Proc { return f.platProc }
-
 // Units returns the endpoints in the plan's order.
 func (f *Fleet) Units() []*Unit { return f.units }
 
@@ -100,7 +96,7 @@
 		return err
 	}
 	addr, err := p.Ready(ctx)
-	f.platProc, f.platform = p, &Platform{addr: addr, token: f.plan.Token}
+	f.platform = &Platform{addr: addr, token: f.plan.Token}
 	return err
 }
 
--- a/trial/fleet/plat.go
+++ b/trial/fleet/plat.go
@@ -24,11 +24,6 @@
 	return Do(ctx, http.MethodPut, "http://"+p.addr+"/admin/instances/"+in.Name, p.token, in, nil)
 }
 
-// DropInstance removes a line of the instance list.
-func (p *Platform) DropInstance(ctx context.Context, name string) error {
-	return Do(ctx, http.MethodDelete, "http://"+p.addr+"/admin/instances/"+name, p.token, nil, nil)
-}
-
 // PutObject writes an object whatever its version is.
 func (p *Platform) PutObject(ctx context.Context, kind, name string, data any) error {
 	return Do(ctx, http.MethodPut, "http://"+p.addr+"/v1/objects/"+kind+"/"+name, p.token, data, nil)
@@ -57,12 +52,6 @@
 	return Do(ctx, http.MethodPost, "http://"+u.Addr+"/admin/fault", "", fault, nil)
 }
 
-// Stats returns an engine's totals.
-func (u *Unit) Stats(ctx context.Context) (s engin.Stats, err error) {
-	err = Do(ctx, http.MethodGet, "http://"+u.Addr+"/stats", "", nil, &s)
-	return s, err
-}
-
 // Records returns what the endpoint executed. Records of plain services have
 // the fields that they share with those of engines.
 func (u *Unit) Records(ctx context.Context) ([]engin.Record, error) {
--- a/trial/procs/proc.go
+++ b/trial/procs/proc.go
@@ -15,9 +15,6 @@
 // ErrEnded reports a signal to a process that has ended.
 var ErrEnded = errors.New("procs: the process has ended: start it again")
 
-// Name returns the name that the process was started under.
-func (p *Proc) Name() string { return p.name }
-
 // PID returns the process ID.
 func (p *Proc) PID() int { return p.cmd.Process.Pid }
 
