--- /dev/null
+++ b/core/admit/admit.go
@@ -0,0 +1,193 @@
+// Package admit decides for one request, at the entry that accepted it, which
+// endpoint it is sent to or that it is refused, at once in either case.
+//
+// The load it answers is more work than the endpoints can start in time.
+// Engines know no priorities and serve in order of arrival, so whatever is sent
+// to a full one delays all that comes after it. Without admission every queue
+// grows until each answer is late, also those of the highest tier. The decision
+// predicts when the first event would come at each endpoint, from the work that
+// all entries have there, and admits a request only if that is within a share
+// of its target. The share is larger for higher tiers: as queues grow, the
+// lowest tier is refused first and the highest finds room that the others have
+// left.
+//
+// It uses no network, clock or random source.
+package admit
+
+import "time"
+
+// Endpoint is what is known of one endpoint when a request is placed.
+type Endpoint struct {
+	// Near is set for the entry's own availability zone.
+	Near bool
+	// Usable is false for an endpoint that failed lately or is silent.
+	Usable bool
+	// Slots is how many requests it serves at once.
+	Slots int
+	// Requests, Prompt and Output sum up what all entries have sent there and
+	// have no end of: requests, prompt tokens of those without a first event,
+	// and output tokens that are still expected.
+	Requests, Prompt, Output int
+	// Tokens is the memory that those requests are going to take, Memory what
+	// the engine has; zero if unknown.
+	Tokens, Memory int
+	Pace           Pace
+}
+
+// Pace is how fast an endpoint is.
+type Pace struct {
+	// First is the time to the first event of a request without a prompt at an
+	// endpoint that is not full. For a plain service it is the whole answer.
+	First time.Duration
+	// Prompt is the time for each prompt token, Output for each output token.
+	Prompt, Output time.Duration
+}
+
+// Request is what placement needs to know of a request.
+type Request struct {
+	// Rank is the place of the request's tier among those in use, zero the
+	// highest; Ranks is how many there are.
+	Rank, Ranks int
+	// Prompt and Output are tokens; zero for plain services.
+	Prompt, Output int
+	// Target is the time within which the first event is wanted and Left the
+	// time until the answer must be complete, both from now.
+	Target, Left time.Duration
+	// MaxPause is the longest pause between two events, EventTokens how many
+	// tokens an event holds; zero for plain services.
+	MaxPause    time.Duration
+	EventTokens int
+	// Avoid is the index of an endpoint that has failed this request, -1 if
+	// there is none.
+	Avoid int
+}
+
+// Decision is the outcome.
+type Decision struct {
+	// Endpoint is the index of the endpoint to send to; -1 means refused.
+	Endpoint int
+	// First is the predicted time to the first event at the best endpoint.
+	First time.Duration
+	// Retry is, for a refusal, the time until there should be room.
+	Retry time.Duration
+	Why   Why
+}
+
+// Why tells why a request was refused.
+type Why uint8
+
+// The reasons.
+const (
+	Admitted Why = iota
+	// NoEndpoint means that no endpoint is known or usable.
+	NoEndpoint
+	// Full means that the first event would come too late for the tier.
+	Full
+	// TooLong means that the answer would not be complete in the time left.
+	TooLong
+)
+
+var whyNames = [...]string{"admitted", "no endpoint", "full", "too long"}
+
+// String returns the reason as logs spell it.
+func (w Why) String() string { return whyNames[w] }
+
+const (
+	// topShare and shareStep are the shares of the target up to which the
+	// highest tier is admitted and by which each lower one has less. The top
+	// share leaves room for what the prediction misses.
+	topShare  = 0.85
+	shareStep = 0.2
+	// outputWeight is how much a later end counts against an earlier first
+	// event when endpoints are compared: slow endpoints hold their slots longer.
+	outputWeight = 0.1
+	// farCost is added for endpoints in other zones: about the bytes' price, so
+	// that zones matter only between endpoints that are equally good.
+	farCost = 4 * time.Millisecond
+	// shortestRetry is the least time to come back after: several times the
+	// delay with which entries hear of each other.
+	shortestRetry = 200 * time.Millisecond
+	// noEndpointRetry is the time to come back after when nothing is usable: an
+	// endpoint that failed is tried again within this time.
+	noEndpointRetry = 500 * time.Millisecond
+)
+
+// Decide places a request.
+func Decide(r Request, endpoints []Endpoint) Decision {
+	best, bestCost := -1, time.Duration(0)
+	var first time.Duration
+	anyUsable := usable(r, endpoints)
+	for i := range endpoints {
+		e := &endpoints[i]
+		if i == r.Avoid && len(endpoints) > 1 || anyUsable && !e.Usable {
+			continue
+		}
+		f := e.First(r)
+		if cost := f + e.costs(r); best < 0 || cost < bestCost {
+			best, bestCost, first = i, cost, f
+		}
+	}
+	if best < 0 {
+		return Decision{Endpoint: -1, Retry: noEndpointRetry, Why: NoEndpoint}
+	}
+	limit := time.Duration(float64(r.Target) * Share(r.Rank))
+	if first > limit && !endpoints[best].idle() {
+		return Decision{Endpoint: -1, First: first, Retry: max(first-limit, shortestRetry), Why: Full}
+	}
+	if first+time.Duration(r.Output)*endpoints[best].Pace.Output > r.Left {
+		return Decision{Endpoint: -1, First: first, Retry: max(first, shortestRetry), Why: TooLong}
+	}
+	return Decision{Endpoint: best, First: first}
+}
+
+// Share returns the share of the target that the prediction may reach for a
+// request of the given rank.
+func Share(rank int) float64 { return max(topShare-shareStep*float64(rank), shareStep) }
+
+func usable(r Request, endpoints []Endpoint) bool {
+	for i := range endpoints {
+		if i != r.Avoid && endpoints[i].Usable {
+			return true
+		}
+	}
+	return false
+}
+
+// idle reports whether nothing is known to run there: a request that waits for
+// nobody is served however slow the endpoint seems.
+func (e *Endpoint) idle() bool { return e.Requests == 0 }
+
+// First predicts the time to the first event of r.
+func (e *Endpoint) First(r Request) time.Duration {
+	return e.Pace.First + e.slotWait(r) + time.Duration(e.Prompt+r.Prompt)*e.Pace.Prompt
+}
+
+// slotWait predicts how long r waits for a slot: requests end one after the
+// other as their remaining work, spread evenly, is done.
+func (e *Endpoint) slotWait(r Request) time.Duration {
+	slots := max(e.Slots, 1)
+	ahead := e.Requests - slots + 1
+	if ahead <= 0 {
+		return e.memoryWait(r)
+	}
+	each := e.Pace.First + time.Duration(e.Output/e.Requests)*e.Pace.Output
+	return time.Duration(ahead) * each / time.Duration(slots)
+}
+
+// memoryWait predicts how long r waits for memory while there are free slots.
+// An engine that runs out of memory throws away prompts that it has read.
+func (e *Endpoint) memoryWait(r Request) time.Duration {
+	if e.Memory == 0 || e.Requests == 0 || e.Tokens+r.Prompt+r.Output <= e.Memory {
+		return 0
+	}
+	return time.Duration(e.Output/e.Requests) * e.Pace.Output
+}
+
+// costs is what speaks against an endpoint beside the time to the first event.
+func (e *Endpoint) costs(r Request) time.Duration {
+	c := time.Duration(outputWeight * float64(r.Output) * float64(e.Pace.Output))
+	if !e.Near {
+		c += farCost
+	}
+	return c
+}
--- /dev/null
+++ b/core/admit/admit_test.go
@@ -0,0 +1,98 @@
+package admit
+
+import (
+	"testing"
+	"time"
+)
+
+func pace() Pace {
+	return Pace{First: 20 * time.Millisecond, Prompt: 20 * time.Microsecond, Output: 5 * time.Millisecond}
+}
+
+func draft() Request {
+	return Request{Prompt: 6000, Output: 400, Target: time.Second, Left: 15 * time.Second, Ranks: 3, Avoid: -1}
+}
+
+func TestDecidePrefersTheLeastLoaded(t *testing.T) {
+	es := []Endpoint{
+		{Usable: true, Slots: 9, Requests: 9, Output: 1800, Pace: pace()},
+		{Usable: true, Slots: 9, Requests: 2, Output: 400, Pace: pace()},
+		{Slots: 9, Pace: pace()},
+	}
+	if d := Decide(draft(), es); d.Endpoint != 1 {
+		t.Errorf("endpoint %d, want 1: %+v", d.Endpoint, d)
+	}
+}
+
+// Queues grow at every endpoint. If all tiers were admitted to the same depth,
+// the highest would be refused as often as the lowest.
+func TestLowerTiersAreRefusedFirst(t *testing.T) {
+	refused := [3]int{}
+	for depth := range 40 {
+		e := Endpoint{Usable: true, Slots: 9, Requests: 9 + depth, Output: (9 + depth) * 150, Pace: pace()}
+		for rank := range refused {
+			r := Request{Rank: rank, Ranks: 3, Prompt: 600, Output: 200, Target: time.Second, Left: 12 * time.Second, Avoid: -1}
+			if Decide(r, []Endpoint{e}).Endpoint < 0 {
+				refused[rank]++
+			}
+		}
+	}
+	if !(refused[0] < refused[1] && refused[1] < refused[2]) {
+		t.Errorf("refused by rank: %v", refused)
+	}
+	if refused[0] == 0 {
+		t.Error("the highest tier is never refused: queues would grow without bound")
+	}
+}
+
+// A refused caller that comes back at the time it was told must find room if
+// the queue has drained as predicted.
+func TestRetryIsWhenTheQueueHasDrained(t *testing.T) {
+	e := Endpoint{Usable: true, Slots: 9, Requests: 30, Output: 30 * 200, Pace: pace()}
+	d := Decide(draft(), []Endpoint{e})
+	if d.Why != Full || d.Retry < 500*time.Millisecond {
+		t.Fatalf("%+v", d)
+	}
+	each := e.Pace.First + 200*e.Pace.Output
+	e.Requests -= int(d.Retry*9/each) + 1
+	e.Output = e.Requests * 200
+	if d := Decide(draft(), []Endpoint{e}); d.Endpoint < 0 {
+		t.Errorf("refused again: %+v", d)
+	}
+}
+
+// Every endpoint has failed lately. Refusing all work would keep them from ever
+// proving themselves again.
+func TestAllDistrustedIsBetterThanNone(t *testing.T) {
+	if d := Decide(draft(), []Endpoint{{Slots: 9, Pace: pace()}}); d.Endpoint != 0 {
+		t.Errorf("%+v", d)
+	}
+	if d := Decide(draft(), nil); d.Why != NoEndpoint || d.Retry == 0 {
+		t.Errorf("%+v", d)
+	}
+}
+
+func TestAnswerThatCannotEndInTimeIsRefused(t *testing.T) {
+	r := draft()
+	r.Output = 4000
+	if d := Decide(r, []Endpoint{{Usable: true, Slots: 9, Pace: pace()}}); d.Why != TooLong {
+		t.Errorf("%+v", d)
+	}
+}
+
+func TestLearnerFindsThePaceOfEach(t *testing.T) {
+	l := NewLearner()
+	for range 60 {
+		l.First("slow", 6000, 20*time.Millisecond+6000*60*time.Microsecond)
+		l.First("fast", 6000, 20*time.Millisecond+6000*10*time.Microsecond)
+		l.Output("slow", 100, 1400*time.Millisecond)
+		l.Output("fast", 100, 300*time.Millisecond)
+	}
+	slow, fast := l.Pace("slow"), l.Pace("fast")
+	if slow.Prompt < 50*time.Microsecond || fast.Prompt > 15*time.Microsecond {
+		t.Errorf("prompt: slow %v, fast %v", slow.Prompt, fast.Prompt)
+	}
+	if slow.Output < 12*time.Millisecond || fast.Output > 4*time.Millisecond {
+		t.Errorf("output: slow %v, fast %v", slow.Output, fast.Output)
+	}
+}
--- /dev/null
+++ b/core/admit/learn.go
@@ -0,0 +1,92 @@
+package admit
+
+import "time"
+
+// Defaults of a pace, before anything was seen: those of a middling engine, or
+// of a quick service. They matter for the first second only.
+const (
+	firstDefault  = 25 * time.Millisecond
+	promptDefault = 20 * time.Microsecond
+	outputDefault = 5 * time.Millisecond
+)
+
+const (
+	// learnWeight is the weight of one observation of an endpoint: some ten
+	// observations, a few seconds of its usual load.
+	learnWeight = 0.15
+	// poolWeight is the weight of one observation of any endpoint of a pool in
+	// the pace that endpoints start with.
+	poolWeight = 0.05
+	// longPrompt is how many prompt tokens make the time to the first event
+	// tell of the pace of reading; below it the fixed part prevails.
+	longPrompt = 1000
+	// stray bounds how far one observation may lie from what is known: a stall
+	// of the endpoint is no new pace.
+	stray = 4
+)
+
+// Learner learns the paces of the endpoints of one pool. One goroutine owns it.
+type Learner struct {
+	pool  Pace
+	paces map[string]*Pace
+}
+
+// NewLearner returns a learner that has seen nothing.
+func NewLearner() *Learner {
+	return &Learner{
+		pool:  Pace{First: firstDefault, Prompt: promptDefault, Output: outputDefault},
+		paces: make(map[string]*Pace),
+	}
+}
+
+// Pace returns the pace of an endpoint; that of the pool if it was never seen.
+func (l *Learner) Pace(id string) Pace {
+	if p := l.paces[id]; p != nil {
+		return *p
+	}
+	return l.pool
+}
+
+// Forget drops an endpoint.
+func (l *Learner) Forget(id string) { delete(l.paces, id) }
+
+// First takes in the time to the first event of a request that found a free
+// slot and prompt tokens, its own included, to be read.
+func (l *Learner) First(id string, prompt int, took time.Duration) {
+	p := l.own(id)
+	if prompt < longPrompt {
+		rest := took - time.Duration(prompt)*p.Prompt
+		mix(&p.First, rest, learnWeight)
+		mix(&l.pool.First, rest, poolWeight)
+		return
+	}
+	each := (took - p.First) / time.Duration(prompt)
+	mix(&p.Prompt, each, learnWeight)
+	mix(&l.pool.Prompt, each, poolWeight)
+}
+
+// Output takes in the time that tokens after the first event took.
+func (l *Learner) Output(id string, tokens int, took time.Duration) {
+	if tokens <= 0 {
+		return
+	}
+	p := l.own(id)
+	mix(&p.Output, took/time.Duration(tokens), learnWeight)
+	mix(&l.pool.Output, took/time.Duration(tokens), poolWeight)
+}
+
+func (l *Learner) own(id string) *Pace {
+	p := l.paces[id]
+	if p == nil {
+		start := l.pool
+		p = &start
+		l.paces[id] = p
+	}
+	return p
+}
+
+// mix moves an average towards a new value.
+func mix(avg *time.Duration, v time.Duration, weight float64) {
+	v = min(max(v, *avg/stray), *avg*stray)
+	*avg += time.Duration(weight * float64(v-*avg))
+}
--- /dev/null
+++ b/core/conf/direct.go
@@ -0,0 +1,69 @@
+package conf
+
+import (
+	"fmt"
+	"strconv"
+
+	"lycheepond/core/spec"
+)
+
+// Direct are the settings of an entry that calls endpoints itself.
+type Direct struct {
+	Common `yaml:",inline"`
+	// Listen is the address for callers, Ready the one that the balancer asks
+	// and Link the one for other entries.
+	Listen string `yaml:"listen"`
+	Ready  string `yaml:"ready"`
+	Link   string `yaml:"link"`
+	// Metrics is where counters and histograms are served; empty for nowhere.
+	Metrics string `yaml:"metrics"`
+	// Peers are link addresses of entries to begin with.
+	Peers []string `yaml:"peers"`
+	// Memory is what the process may use, in MB.
+	Memory int `yaml:"memory"`
+	// Grace is the time between the signal to stop and the end of the process.
+	Grace   spec.Duration `yaml:"grace"`
+	Repeats Repeats       `yaml:"repeats"`
+}
+
+// Repeats bounds the requests that all entries together may send again: in each
+// window a share of a pool's requests and a number on top.
+type Repeats struct {
+	Ratio float64 `yaml:"ratio"`
+	Slack float64 `yaml:"slack"`
+}
+
+// minMemory is the least memory in MB that an entry runs in.
+const minMemory = 24
+
+func (d *Direct) defaults() {
+	d.Common.defaults()
+	if d.Grace == 0 {
+		d.Grace = spec.Duration(DefaultGrace)
+	}
+}
+
+func (d *Direct) check() spec.Problems {
+	var c checker
+	c.common(&d.Common)
+	c.listen("listen", d.Listen)
+	c.listen("ready", d.Ready)
+	c.listen("link", d.Link)
+	if d.Metrics != "" {
+		c.listen("metrics", d.Metrics)
+	}
+	for i, p := range d.Peers {
+		c.listen("peers["+strconv.Itoa(i)+"]", p)
+	}
+	if d.Memory < minMemory {
+		c.add("memory", fmt.Sprintf("%d MB is too little", d.Memory), fmt.Sprintf("write the process's memory in MB, %d or more", minMemory))
+	}
+	if d.Repeats.Ratio < 0 || d.Repeats.Ratio > 1 {
+		c.add("repeats.ratio", fmt.Sprintf("%v is out of range", d.Repeats.Ratio), "write a share of the requests between 0 and 1")
+	}
+	if d.Repeats.Slack < 0 {
+		c.add("repeats.slack", fmt.Sprintf("%v is out of range", d.Repeats.Slack), "write a number of requests, 0 or more")
+	}
+	c.between("grace", d.Grace, 0, maxGrace)
+	return c.problems
+}
--- /dev/null
+++ b/core/quota/quota_test.go
@@ -0,0 +1,100 @@
+package quota
+
+import (
+	"testing"
+	"time"
+)
+
+// run lets every entry be asked for far more than the limit, and tells totals
+// between those that hear each other every tell.
+func run(entries int, hears func(a, b int) bool, d, tell time.Duration) (total float64) {
+	limit := Limit{Rate: 1000, Burst: 1000}
+	books := make([]*Book, entries)
+	for i := range books {
+		books[i] = New()
+		heard := 0
+		for j := range entries {
+			if hears(i, j) {
+				heard++
+			}
+		}
+		books[i].Reach(heard, entries)
+	}
+	step := 10 * time.Millisecond
+	for now := time.Duration(0); now < d; now += step {
+		for _, b := range books {
+			for range 10 {
+				if _, ok := b.Take(now, "c", limit, 10); ok {
+					total += 10
+				}
+			}
+		}
+		if now%tell != 0 {
+			continue
+		}
+		for i, b := range books {
+			b.Totals(func(c string, n float64) {
+				for j := range books {
+					if i != j && hears(i, j) {
+						books[j].Told(string(rune('a'+i)), c, n)
+					}
+				}
+			})
+		}
+	}
+	return total
+}
+
+// One customer sends fifty times its limit through each of five entries. If
+// entries counted for themselves it would get five limits, and the others'
+// requests would wait behind it.
+func TestHotCustomerGetsOneLimitOverAllEntries(t *testing.T) {
+	got := run(5, func(int, int) bool { return true }, 8*time.Second, 50*time.Millisecond)
+	// The limit over eight seconds is 9000; a tenth more is the tolerance.
+	if got > 9900 || got < 7500 {
+		t.Errorf("%.0f units in 8 s, want about 8500", got)
+	}
+}
+
+// Two entries of five are cut off from the others. Both sides go on serving,
+// and neither may give the whole limit.
+func TestPartedEntriesKeepTheSumWithinTheLimit(t *testing.T) {
+	got := run(5, func(a, b int) bool { return (a < 2) == (b < 2) }, 8*time.Second, 50*time.Millisecond)
+	if got > 9900 || got < 7000 {
+		t.Errorf("%.0f units in 8 s, want about 8500", got)
+	}
+}
+
+func TestTakeTellsWhenToComeBack(t *testing.T) {
+	b := New()
+	limit := Limit{Rate: 100, Burst: 100}
+	b.Take(0, "c", limit, 50)
+	wait, ok := b.Take(0, "c", limit, 20)
+	if ok || wait != 200*time.Millisecond {
+		t.Errorf("%v %v, want to wait 200ms", wait, ok)
+	}
+	if _, ok := b.Take(wait, "c", limit, 20); !ok {
+		t.Error("refused after the time that was told")
+	}
+}
+
+// A request larger than the customer's whole burst would be refused for ever.
+func TestRequestLargerThanTheBurstRunsWhenTheBucketIsFull(t *testing.T) {
+	b := New()
+	limit := Limit{Rate: 100, Burst: 100}
+	if _, ok := b.Take(0, "c", limit, 500); ok {
+		t.Error("admitted before the bucket was full")
+	}
+	if _, ok := b.Take(time.Second, "c", limit, 500); !ok {
+		t.Error("refused by a full bucket")
+	}
+}
+
+func TestNoLimit(t *testing.T) {
+	b := New()
+	for range 1000 {
+		if _, ok := b.Take(0, "c", Limit{}, 1e9); !ok {
+			t.Fatal("refused without a limit")
+		}
+	}
+}
--- /dev/null
+++ b/core/roster/roster_test.go
@@ -0,0 +1,54 @@
+package roster
+
+import (
+	"testing"
+	"time"
+
+	"lycheepond/core/route"
+)
+
+func two() []route.Endpoint { return []route.Endpoint{{ID: "a"}, {ID: "b"}} }
+
+// The platform was down for longer than entries of the list live. At its return
+// it has removed all of them, and the endpoints write themselves in again. For
+// that second every request would be refused.
+func TestEndpointsSurviveTheReturnOfThePlatform(t *testing.T) {
+	var b Book
+	b.List(0, 10, two())
+	b.Away(10 * time.Second)
+	b.Back(20 * time.Second)
+	now := 20*time.Second + 100*time.Millisecond
+	b.Remove(now, 11, "a")
+	b.List(now, 12, nil)
+	if n := len(b.Roster().Endpoints); n != 2 {
+		t.Fatalf("%d endpoints right after the return, want 2", n)
+	}
+	b.Set(13, route.Endpoint{ID: "a"})
+	if !b.Due(now + 3*time.Second) {
+		t.Fatal("the removal that stood was not carried out")
+	}
+	if r := b.Roster(); len(r.Endpoints) != 1 || r.Endpoints[0].ID != "a" || r.Revision != 13 {
+		t.Fatalf("%+v", r)
+	}
+}
+
+// An endpoint that is taken away in calm must get nothing from then on.
+func TestRemovalInCalmHoldsAtOnce(t *testing.T) {
+	var b Book
+	b.List(0, 10, two())
+	b.Remove(time.Second, 11, "a")
+	if n := len(b.Roster().Endpoints); n != 1 {
+		t.Fatalf("%d endpoints, want 1", n)
+	}
+	b.Away(1500 * time.Millisecond)
+	b.Back(2 * time.Second)
+	b.Set(11, route.Endpoint{ID: "c"})
+	b.Remove(2100*time.Millisecond, 11, "c")
+	if n := len(b.Roster().Endpoints); n != 1 {
+		t.Fatalf("%d endpoints after one failed call, want 1", n)
+	}
+	b.Remove(10*time.Second, 12, "b")
+	if n := len(b.Roster().Endpoints); n != 0 {
+		t.Fatalf("%d endpoints long after an outage, want 0", n)
+	}
+}
--- /dev/null
+++ b/core/route/table.go
@@ -0,0 +1,105 @@
+package route
+
+import (
+	"cmp"
+	"hash/fnv"
+	"slices"
+	"strings"
+)
+
+// Table answers questions about one Config. It is immutable.
+type Table struct {
+	cfg Config
+	// hosts holds the routes of a host, longest prefix first.
+	hosts     map[string][]*Route
+	pools     map[string]*Pool
+	customers map[string]*Customer
+}
+
+// NewTable returns the table of a configuration.
+func NewTable(cfg Config) *Table {
+	t := &Table{
+		cfg: cfg, hosts: make(map[string][]*Route),
+		pools: make(map[string]*Pool), customers: make(map[string]*Customer),
+	}
+	for i := range cfg.Routes {
+		r := &cfg.Routes[i]
+		t.hosts[r.Host] = append(t.hosts[r.Host], r)
+	}
+	for _, routes := range t.hosts {
+		slices.SortStableFunc(routes, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	}
+	for i := range cfg.Pools {
+		t.pools[cfg.Pools[i].Name] = &cfg.Pools[i]
+	}
+	for i := range cfg.Customers {
+		for _, k := range cfg.Customers[i].Keys {
+			t.customers[k] = &cfg.Customers[i]
+		}
+	}
+	return t
+}
+
+// Config returns the configuration that the table was made of.
+func (t *Table) Config() Config { return t.cfg }
+
+// Revision returns the revision of the configuration.
+func (t *Table) Revision() int64 { return t.cfg.Revision }
+
+// Find returns the route of a host and path: the one with the longest prefix.
+func (t *Table) Find(host, path string) (*Route, bool) {
+	for _, r := range t.hosts[host] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r, true
+		}
+	}
+	return nil, false
+}
+
+// Pool returns the pool of a name.
+func (t *Table) Pool(name string) (*Pool, bool) {
+	p, ok := t.pools[name]
+	return p, ok
+}
+
+// Keyed reports whether requests need a key at all.
+func (t *Table) Keyed() bool { return len(t.cfg.Customers) > 0 }
+
+// Customer returns the holder of a key.
+func (t *Table) Customer(key string) (*Customer, bool) {
+	c, ok := t.customers[key]
+	return c, ok
+}
+
+// Choose returns the pool that serves the request with the given ID. The same
+// request gets the same pool at every entry.
+func (r *Route) Choose(id string) string {
+	if len(r.Shares) == 1 {
+		return r.Shares[0].Pool
+	}
+	total := 0
+	for _, s := range r.Shares {
+		total += s.Weight
+	}
+	h := fnv.New32a()
+	h.Write([]byte(id))
+	n := int(h.Sum32() % uint32(max(total, 1)))
+	for _, s := range r.Shares {
+		if n < s.Weight {
+			return s.Pool
+		}
+		n -= s.Weight
+	}
+	return r.Shares[0].Pool
+}
+
+// TierOf returns the tier of a request: the customer's goes first.
+func (r *Route) TierOf(c *Customer) int {
+	if c != nil && c.HasTier {
+		return c.Tier
+	}
+	return r.Tier
+}
+
+// Once reports whether a request of the route may run once at most.
+func (r *Route) Once() bool { return !r.Repeatable && !(r.Stream && r.Resumable) }
--- a/core/wire/frame_test.go
+++ b/core/wire/frame_test.go
@@ -26,6 +26,8 @@
 			Records: KeyRecords{{Key: []byte("k"), First: id, Status: 200, Header: Fields{{Name: "A", Value: "b"}}, Body: []byte("x")}},
 		},
 		&HandAck{Pool: "p", Took: 2, Seq: 1},
+		&Tally{Addr: "a", Config: 3, Used: []Used{{Customer: "c", Total: 2.5}}, Held: []Held{{Endpoint: "e", Requests: 1}}},
+		&Snapshot{What: SnapshotConfig, Revision: 3, Body: []byte("x")},
 	}
 }
 
--- a/core/wire/kind.go
+++ b/core/wire/kind.go
@@ -29,6 +29,8 @@
 	KindFetched
 	KindHandover
 	KindHandAck
+	KindTally
+	KindSnapshot
 	kindLimit
 )
 
@@ -40,6 +42,7 @@
 	KindNews: "news", KindLeaseAsk: "lease-ask", KindLeaseAck: "lease-ack",
 	KindFetch: "fetch", KindFetched: "fetched",
 	KindHandover: "handover", KindHandAck: "hand-ack",
+	KindTally: "tally", KindSnapshot: "snapshot",
 }
 
 // String returns the name of the kind as docs/PROTOCOL.md spells it.
@@ -108,6 +111,10 @@
 		return new(Handover)
 	case KindHandAck:
 		return new(HandAck)
+	case KindTally:
+		return new(Tally)
+	case KindSnapshot:
+		return new(Snapshot)
 	}
 	return nil
 }
--- a/core/wire/kinds.go
+++ b/core/wire/kinds.go
@@ -68,3 +68,9 @@
 
 // Kind returns KindHandAck.
 func (*HandAck) Kind() Kind { return KindHandAck }
+
+// Kind returns KindTally.
+func (*Tally) Kind() Kind { return KindTally }
+
+// Kind returns KindSnapshot.
+func (*Snapshot) Kind() Kind { return KindSnapshot }
--- /dev/null
+++ b/core/wire/tally.go
@@ -0,0 +1,60 @@
+package wire
+
+// Tally is what an entry tells the others of its own doings, several times a
+// second. What it tells of customers and endpoints are totals, so that one that
+// comes twice or not at all does no harm.
+type Tally struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	// Addr is where the sender accepts links.
+	Addr string
+	// Config and Roster are the revisions in force at the sender.
+	Config, Roster int64
+	// Leaving is set from the moment that a planned stop begins.
+	Leaving bool
+	// Used holds the customers whose total changed.
+	Used []Used
+	// Held holds the endpoints at which the sender's requests changed.
+	Held []Held
+	// Entries are the other entries that the sender knows.
+	Entries []EntryAddr
+}
+
+// Used is what the sender has admitted of a customer since it started.
+type Used struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	Customer string
+	Total    float64
+}
+
+// Held is what the sender has in flight at an endpoint.
+type Held struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	Endpoint string
+	Requests uint32
+	// Prompt counts prompt tokens of requests without a first event, Output
+	// tokens still expected and Tokens the memory taken.
+	Prompt, Output, Tokens uint32
+}
+
+// EntryAddr names an entry.
+type EntryAddr struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	Name     string
+	Addr     string
+}
+
+// What a Snapshot holds.
+const (
+	SnapshotConfig uint8 = 1 + iota
+	SnapshotRoster
+)
+
+// Snapshot carries a whole version of what the platform keeps, to an entry that
+// may not reach the platform.
+type Snapshot struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	What     uint8
+	Revision int64
+	// Body is the version, encoded as its own package says.
+	Body []byte
+}
--- /dev/null
+++ b/entry/direct/job.go
@@ -0,0 +1,113 @@
+package direct
+
+import (
+	"net/http"
+	"time"
+
+	"lycheepond/core/route"
+)
+
+// Job is one request of a caller.
+type Job struct {
+	// ID names the request; the caller chose it.
+	ID       string
+	Route    *route.Route
+	Pool     *route.Pool
+	Customer *route.Customer
+	// Tier is the rank in force, zero the highest.
+	Tier int
+	// Method, Target, Host, Header and Body are what the endpoint gets; Header
+	// holds nothing that concerns the caller's connection only.
+	Method string
+	Target string
+	Host   string
+	Header http.Header
+	Body   []byte
+	// Accepted is when the request's head had been read and Deadline when the
+	// caller stops waiting.
+	Accepted, Deadline time.Time
+	// Prompt and Output are tokens, as far as the caller tells them.
+	Prompt, Output int
+	// Units is what the request counts against the customer's limit.
+	Units float64
+	// LastEvent is the last event that the caller has seen of the stream.
+	LastEvent string
+}
+
+// End returns when the request must have its final answer: at the caller's
+// deadline or the route's timeout, whichever is first.
+func (j *Job) End() time.Time {
+	end := j.Accepted.Add(j.Route.Timeout)
+	if j.Deadline.Before(end) {
+		return j.Deadline
+	}
+	return end
+}
+
+// Sink takes the answer to a job.
+type Sink struct {
+	// Head writes the status and the headers; length is that of the body, -1
+	// if it is not known.
+	Head func(status int, h http.Header, length int64)
+	// Write writes a part of the body.
+	Write func(p []byte) error
+	// Flush sends what was written.
+	Flush func()
+}
+
+// Outcome is how a job ended.
+type Outcome uint8
+
+// The outcomes.
+const (
+	// Complete means that the endpoint's whole answer was passed on.
+	Complete Outcome = iota
+	// Limited means refused, as the customer has used up its limit.
+	Limited
+	// Refused means refused: it has not run and never will.
+	Refused
+	// Unknown means that it may have run and there is no usable answer.
+	Unknown
+	// Late means that it was at work when its time was up.
+	Late
+	// Broken means that the answer ended early after its head was passed on.
+	Broken
+	// Left means that the caller went away.
+	Left
+)
+
+var outcomeNames = [...]string{"complete", "limited", "refused", "unknown", "late", "broken", "left"}
+
+// String returns the outcome as logs and metrics spell it.
+func (o Outcome) String() string { return outcomeNames[o] }
+
+// Result is the outcome of a job. Unless it is Complete, Broken or Left nothing
+// was written to the Sink.
+type Result struct {
+	Outcome Outcome
+	// Retry is when a refused caller should come back.
+	Retry time.Duration
+	// Why tells the cause in a few words, for logs.
+	Why string
+}
+
+// Order is what the endpoint is told of a request beside the caller's headers.
+type Order struct {
+	Endpoint  string
+	Customer  *route.Customer
+	Left      time.Duration
+	LastEvent string
+}
+
+// Meta is what the head of an endpoint's answer says.
+type Meta struct {
+	// NotRun is set when the endpoint says that it did not run the request.
+	NotRun bool
+	// WrongEndpoint is set when another endpoint has the address now.
+	WrongEndpoint bool
+	// Signed is set when the answer carries the endpoint's signature.
+	Signed bool
+	// HasLoad is set when Running, Waiting and Slots tell the endpoint's load.
+	HasLoad                 bool
+	Running, Waiting, Slots int
+}
--- /dev/null
+++ b/entry/direct/relay.go
@@ -0,0 +1,138 @@
+package direct
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"time"
+
+	"lycheepond/core/trust"
+	"lycheepond/entry/hop"
+)
+
+const (
+	// relayBuffer is what is read at once of a stream.
+	relayBuffer = 8 << 10
+	// maxEvent bounds an event that is held until it is whole.
+	maxEvent = 1 << 20
+	// pauses is how many of the longest pauses that are in time a resumable
+	// stream may be silent before it goes on at another endpoint.
+	pauses = 2.5
+	// shortestSilence bounds the same from below.
+	shortestSilence = time.Second
+)
+
+// relay passes a stream on, whole events only, as they arrive.
+func (t *task) relay(a *hop.Answer, v *visit, cancel context.CancelFunc) verdict {
+	if !t.begun {
+		t.begun = true
+		t.sink.Head(a.Status, a.Header, a.Length)
+		t.sink.Flush()
+	}
+	silence := t.silence(v)
+	if silence > 0 {
+		timer := time.AfterFunc(silence, cancel)
+		defer timer.Stop()
+		return t.pump(a, v, func() { timer.Reset(silence) })
+	}
+	return t.pump(a, v, func() {})
+}
+
+// silence is how long the stream may pause before it is resumed elsewhere; zero
+// if it may not be.
+func (t *task) silence(v *visit) time.Duration {
+	r := t.job.Route
+	if !r.Resumable || t.ran+1 >= r.Attempts || !v.canRepeat() {
+		return 0
+	}
+	return max(time.Duration(pauses*float64(r.MaxPause)), shortestSilence)
+}
+
+func (t *task) pump(a *hop.Answer, v *visit, alive func()) verdict {
+	buf := make([]byte, relayBuffer)
+	var part []byte
+	for {
+		n, err := a.Read(buf)
+		if n > 0 {
+			alive()
+			part = append(part, buf[:n]...)
+			if err == nil && a.Buffered() && len(part) < relayBuffer {
+				continue
+			}
+		}
+		rest, werr := t.forward(part, v, err == io.EOF)
+		part = append(part[:0], rest...)
+		if werr != nil {
+			v.abandon()
+			return done(Left, "caller left")
+		}
+		switch {
+		case err == nil && len(part) <= maxEvent:
+			continue
+		case err == io.EOF:
+			v.end(trust.Good)
+			return done(Complete, v.e.ID)
+		}
+		return t.brokeOff(v, err)
+	}
+}
+
+func (t *task) brokeOff(v *visit, err error) verdict {
+	switch {
+	case t.caller.Err() != nil:
+		v.abandon()
+		return done(Left, "caller left")
+	case t.ctx.Err() != nil:
+		v.abandon()
+		return done(Broken, "time is up")
+	}
+	v.end(trust.Broken)
+	if errors.Is(err, context.Canceled) {
+		return verdict{ran: true, res: Result{Why: "stream fell silent"}}
+	}
+	return verdict{ran: true, res: Result{Why: "stream broke off"}}
+}
+
+// forward writes the whole events of part and returns the rest. The end of a
+// whole stream is written as it is.
+func (t *task) forward(part []byte, v *visit, whole bool) ([]byte, error) {
+	n := len(part)
+	if !whole {
+		n = bytes.LastIndex(part, eventEnd) + len(eventEnd)
+		if n < len(eventEnd) {
+			return part, nil
+		}
+	}
+	if n == 0 {
+		return nil, nil
+	}
+	events := t.seen(part[:n])
+	tokens := events * max(t.job.Pool.EventTokens, 1)
+	t.passed += tokens
+	v.progress(tokens)
+	if err := t.sink.Write(part[:n]); err != nil {
+		return nil, err
+	}
+	t.sink.Flush()
+	return part[n:], nil
+}
+
+var (
+	eventEnd = []byte("\n\n")
+	eventID  = []byte("id:")
+)
+
+// seen counts the events of part and keeps the ID of the last.
+func (t *task) seen(part []byte) int {
+	n := 0
+	for len(part) > 0 {
+		line, rest, _ := bytes.Cut(part, []byte("\n"))
+		part = rest
+		if id, ok := bytes.CutPrefix(line, eventID); ok {
+			t.lastEvent = string(bytes.TrimSpace(id))
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/entry/direct/view.go
@@ -0,0 +1,253 @@
+package direct
+
+import (
+	"slices"
+	"time"
+
+	"lycheepond/core/admit"
+	"lycheepond/core/quota"
+	"lycheepond/core/retry"
+	"lycheepond/core/route"
+	"lycheepond/core/trust"
+	"lycheepond/core/wire"
+)
+
+const (
+	// silentEngine and silentService are how long an endpoint may send nothing
+	// while requests wait there before it is passed over. A busy engine sends
+	// an event every few milliseconds over all its streams; a service answers
+	// in some ten.
+	silentEngine  = 1200 * time.Millisecond
+	silentService = 500 * time.Millisecond
+	// retryRatio and retrySlack are the parts of the operator's bounds on
+	// repeats that the entries use: what they do not know of each other, and
+	// the windows' edges, take the rest.
+	retryRatio = 0.6
+	retrySlack = 0.5
+	// fewEntries is the least number of entries among which the slack is split
+	// while not all of them are known.
+	fewEntries = 4
+)
+
+// view is what the entry knows of endpoints, customers and the other entries'
+// work. Director's mutex guards it.
+type view struct {
+	zone      string
+	table     *route.Table
+	roster    route.Roster
+	endpoints map[string]*endpoint
+	pools     map[string]*pool
+	trust     *trust.Book
+	quota     *quota.Book
+	// peers holds what each peer has in flight, by endpoint.
+	peers map[string]map[string]wire.Held
+	// changedHeld and changedUsed are what the peers have not been told yet.
+	changedHeld map[string]bool
+	changedUsed map[string]bool
+}
+
+// pool is what the entry learns of a pool.
+type pool struct {
+	learner   *admit.Learner
+	budget    *retry.Budget
+	endpoints []*endpoint
+	// tiers are those in use, in order.
+	tiers []int
+	// scratch is the argument of the last decision, kept to spare allocation.
+	scratch []admit.Endpoint
+}
+
+// endpoint is one endpoint with the entry's own requests there.
+type endpoint struct {
+	route.Endpoint
+	own hold
+	// others sums up what peers have there.
+	others hold
+	// heard is when the last byte came from it, since when own work began to
+	// wait there.
+	heard, since time.Time
+}
+
+// hold is work in flight.
+type hold struct{ requests, prompt, output, tokens int }
+
+func (h *hold) add(o hold, sign int) {
+	h.requests += sign * o.requests
+	h.prompt += sign * o.prompt
+	h.output += sign * o.output
+	h.tokens += sign * o.tokens
+}
+
+func newView(zone string) *view {
+	return &view{
+		zone: zone, table: route.NewTable(route.Config{}), endpoints: make(map[string]*endpoint),
+		pools: make(map[string]*pool), trust: trust.New(), quota: quota.New(),
+		peers: make(map[string]map[string]wire.Held), changedHeld: make(map[string]bool), changedUsed: make(map[string]bool),
+	}
+}
+
+// pool returns the state of a pool, made at the first use.
+func (v *view) pool(name string, repeats Repeats, entries int) *pool {
+	p := v.pools[name]
+	if p == nil {
+		p = &pool{learner: admit.NewLearner(), budget: retry.New(retry.Config{
+			Ratio: repeats.Ratio * retryRatio,
+			Burst: max(int(repeats.Slack*retrySlack)/max(entries, fewEntries), 1),
+		})}
+		v.pools[name] = p
+		p.endpoints, p.tiers = v.members(name), v.tiersOf(name)
+	}
+	return p
+}
+
+func (v *view) members(name string) []*endpoint {
+	var out []*endpoint
+	for i := range v.roster.Endpoints {
+		e := v.endpoints[v.roster.Endpoints[i].ID]
+		if e != nil && e.Pool == name && !e.Leaving {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+// setRoster takes in a newer instance list and returns the addresses that no
+// longer belong to the endpoint they belonged to.
+func (v *view) setRoster(r route.Roster) (gone []string) {
+	old := v.endpoints
+	v.roster, v.endpoints = r, make(map[string]*endpoint, len(r.Endpoints))
+	for _, listed := range r.Endpoints {
+		e := old[listed.ID]
+		if e != nil && e.Born == listed.Born && e.Pool == listed.Pool {
+			if e.Addr != listed.Addr {
+				gone = append(gone, e.Addr)
+			}
+			e.Endpoint = listed
+			v.endpoints[listed.ID] = e
+			continue
+		}
+		v.endpoints[listed.ID] = &endpoint{Endpoint: listed}
+	}
+	for id, e := range old {
+		if v.endpoints[id] == e {
+			continue
+		}
+		gone = append(gone, e.Addr)
+		v.trust.Forget(id)
+		if p := v.pools[e.Pool]; p != nil {
+			p.learner.Forget(id)
+		}
+	}
+	for name, p := range v.pools {
+		p.endpoints = v.members(name)
+	}
+	v.countOthers()
+	return gone
+}
+
+// heard takes in a peer's tally.
+func (v *view) heard(peer string, first bool, t *wire.Tally) {
+	if first {
+		v.quota.Forget(peer)
+		delete(v.peers, peer)
+	}
+	for _, u := range t.Used {
+		v.quota.Told(peer, u.Customer, u.Total)
+	}
+	held := v.peers[peer]
+	if held == nil {
+		held = make(map[string]wire.Held)
+		v.peers[peer] = held
+	}
+	for _, h := range t.Held {
+		if h.Requests == 0 {
+			delete(held, h.Endpoint)
+			continue
+		}
+		held[h.Endpoint] = h
+	}
+	v.countOthers()
+}
+
+// lost drops the work of a peer that is silent: if it is dead the endpoints
+// have dropped its requests too.
+func (v *view) lost(peer string) {
+	delete(v.peers, peer)
+	v.countOthers()
+}
+
+func (v *view) countOthers() {
+	for _, e := range v.endpoints {
+		e.others = hold{}
+	}
+	for _, held := range v.peers {
+		for id, h := range held {
+			if e := v.endpoints[id]; e != nil {
+				e.others.add(hold{int(h.Requests), int(h.Prompt), int(h.Output), int(h.Tokens)}, 1)
+			}
+		}
+	}
+}
+
+// describe fills the argument of a decision for the endpoints of a pool.
+func (v *view) describe(p *pool, cfg *route.Pool, now time.Time, since time.Duration) []admit.Endpoint {
+	out := p.scratch[:0]
+	silent := silentService
+	if cfg.Engine {
+		silent = silentEngine
+	}
+	for _, e := range p.endpoints {
+		sum := e.others
+		sum.add(e.own, 1)
+		slots := e.Slots
+		if slots == 0 {
+			slots = cfg.Slots
+		}
+		out = append(out, admit.Endpoint{
+			Near: e.Zone == v.zone, Usable: v.trust.Usable(since, e.ID) && !e.silent(now, silent), Slots: slots,
+			Requests: sum.requests, Prompt: sum.prompt, Output: sum.output,
+			Tokens: sum.tokens, Memory: cfg.KVTokens, Pace: p.learner.Pace(e.ID),
+		})
+	}
+	p.scratch = out
+	return out
+}
+
+// silent reports whether work has waited at the endpoint for longer than limit
+// without a byte from it.
+func (e *endpoint) silent(now time.Time, limit time.Duration) bool {
+	if e.own.requests == 0 {
+		return false
+	}
+	last := e.since
+	if e.heard.After(last) {
+		last = e.heard
+	}
+	return now.Sub(last) > limit
+}
+
+// rank returns the place of a tier among those in use in the pool, zero the
+// highest.
+func (p *pool) rank(tier int) int {
+	n, _ := slices.BinarySearch(p.tiers, tier)
+	return n
+}
+
+// tiersOf returns the tiers of the requests that a pool may get, in order.
+func (v *view) tiersOf(name string) []int {
+	var out []int
+	for _, r := range v.table.Config().Routes {
+		for _, s := range r.Shares {
+			if s.Pool == name {
+				out = append(out, r.Tier)
+			}
+		}
+	}
+	for _, c := range v.table.Config().Customers {
+		if c.HasTier {
+			out = append(out, c.Tier)
+		}
+	}
+	slices.Sort(out)
+	return slices.Compact(out)
+}
--- /dev/null
+++ b/entry/door/door.go
@@ -0,0 +1,320 @@
+// Package door is the entry's HTTP server for plain requests, which it hands to
+// package direct: it reads them, writes answers so that a broken one is seen to
+// be broken, and stops without cutting anybody off.
+package door
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"lycheepond/core/logs"
+	"lycheepond/core/route"
+	"lycheepond/entry/direct"
+)
+
+const (
+	// headerTime is how long a caller may take to send the headers: slower than
+	// any that means to be served.
+	headerTime = 10 * time.Second
+	// bodyTime is the same for the body.
+	bodyTime = 15 * time.Second
+	// maxHeader bounds the headers; operators set lower bounds that callers keep.
+	maxHeader = 64 << 10
+	// defaultBody bounds the body while the operator sets no bound.
+	defaultBody = 4 << 20
+	// defaultIdle is how long a connection may be idle while the operator does
+	// not say.
+	defaultIdle = 75 * time.Second
+	// writeExtra is how long a caller may take to read after its deadline.
+	writeExtra = time.Second
+	// noConfigRetry is when to come back to an entry without configuration.
+	noConfigRetry = 500 * time.Millisecond
+	// notice is how long a balancer that asks each second may take to miss two
+	// answers, with a margin.
+	notice = 2600 * time.Millisecond
+	// lastCall is how much of the grace is kept for closing.
+	lastCall = 700 * time.Millisecond
+)
+
+// Refusal is the answer to a request that is not accepted.
+type Refusal struct {
+	Status int
+	// Retry is when to come back; zero if that would not help.
+	Retry  time.Duration
+	Reason string
+}
+
+// Config is what a Door depends on.
+type Config struct {
+	Listen, Ready string
+	// ReadyPath is what the balancer asks for.
+	ReadyPath string
+	Grace     time.Duration
+	// Accept reads the head of a request into a job without a body.
+	Accept func(r *http.Request, t *route.Table) (*direct.Job, *Refusal)
+	// Table returns the configuration in force.
+	Table func() *route.Table
+	Serve func(ctx context.Context, j *direct.Job, s direct.Sink) direct.Result
+	// Running returns how many jobs have no final answer yet.
+	Running func() int
+	Log     *zap.Logger
+}
+
+// Door serves callers.
+type Door struct {
+	cfg Config
+
+	mu sync.Mutex
+	// idle holds since when connections have no request.
+	idle    map[net.Conn]time.Time
+	leaving bool
+}
+
+// New returns a door that does nothing until Run.
+func New(cfg Config) *Door { return &Door{cfg: cfg, idle: make(map[net.Conn]time.Time)} }
+
+// Run serves until ctx ends, and then stops within the grace: the balancer is
+// told at once, running requests are served to their end.
+func (d *Door) Run(ctx context.Context) error {
+	front, err := net.Listen("tcp", d.cfg.Listen)
+	if err != nil {
+		return err
+	}
+	ready, err := net.Listen("tcp", d.cfg.Ready)
+	if err != nil {
+		front.Close()
+		return err
+	}
+	server := &http.Server{
+		Handler: http.HandlerFunc(d.serve), ReadHeaderTimeout: headerTime, MaxHeaderBytes: maxHeader, ConnState: d.state,
+	}
+	asked := &http.Server{Handler: http.HandlerFunc(d.ready), ReadHeaderTimeout: headerTime, IdleTimeout: defaultIdle}
+	ended := make(chan error, 2)
+	go func() { ended <- server.Serve(front) }()
+	go func() { ended <- asked.Serve(ready) }()
+	defer asked.Close()
+	tick := time.NewTicker(time.Second)
+	defer tick.Stop()
+	for {
+		select {
+		case err := <-ended:
+			server.Close()
+			return err
+		case <-tick.C:
+			d.sweep()
+		case <-ctx.Done():
+			return d.stop(server)
+		}
+	}
+}
+
+// stop ends the server. For a moment it goes on accepting, since the balancer
+// still sends connections here; each answer tells its caller to use another.
+func (d *Door) stop(server *http.Server) error {
+	began := time.Now()
+	d.mu.Lock()
+	d.leaving = true
+	d.mu.Unlock()
+	logs.Info(d.cfg.Log, logs.EventLeaving, zap.Int("running", d.cfg.Running()))
+	end := began.Add(d.cfg.Grace - lastCall)
+	time.Sleep(min(notice, d.cfg.Grace/2))
+	ctx, cancel := context.WithDeadline(context.Background(), end)
+	defer cancel()
+	err := server.Shutdown(ctx)
+	if errors.Is(err, context.DeadlineExceeded) {
+		logs.Warn(d.cfg.Log, logs.EventStopped, zap.Int("interrupted", d.cfg.Running()))
+		return server.Close()
+	}
+	logs.Info(d.cfg.Log, logs.EventStopped)
+	return err
+}
+
+// Leaving reports whether a planned stop has begun.
+func (d *Door) Leaving() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.leaving
+}
+
+// ready answers the balancer: an entry without configuration would refuse all.
+func (d *Door) ready(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != d.cfg.ReadyPath {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	if d.Leaving() || d.cfg.Table().Revision() == 0 {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// state keeps the idle connections.
+func (d *Door) state(c net.Conn, s http.ConnState) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if s == http.StateIdle {
+		d.idle[c] = time.Now()
+		return
+	}
+	delete(d.idle, c)
+}
+
+// sweep closes connections that have been idle for longer than the operator
+// allows. The bound changes while they are idle, which a server's fixed
+// IdleTimeout cannot follow.
+func (d *Door) sweep() {
+	limit := d.cfg.Table().Config().Limits.IdleTime
+	if limit <= 0 {
+		limit = defaultIdle
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for c, since := range d.idle {
+		if time.Since(since) > limit {
+			delete(d.idle, c)
+			c.Close()
+		}
+	}
+}
+
+func (d *Door) serve(w http.ResponseWriter, r *http.Request) {
+	accepted := time.Now()
+	t := d.cfg.Table()
+	if d.Leaving() {
+		w.Header().Set("Connection", "close")
+	}
+	if t.Revision() == 0 {
+		d.refuse(w, r, &Refusal{Status: http.StatusServiceUnavailable, Retry: noConfigRetry, Reason: "no configuration yet"})
+		return
+	}
+	j, no := d.cfg.Accept(r, t)
+	if no != nil {
+		d.refuse(w, r, no)
+		return
+	}
+	j.Accepted = accepted
+	if j.Deadline.IsZero() {
+		j.Deadline = accepted.Add(j.Route.Timeout)
+	}
+	if no := read(w, r, t, j); no != nil {
+		d.refuse(w, r, no)
+		return
+	}
+	d.answer(w, r, j)
+}
+
+// read reads the body of a request.
+func read(w http.ResponseWriter, r *http.Request, t *route.Table, j *direct.Job) *Refusal {
+	limit := t.Config().Limits.BodyBytes
+	if limit <= 0 {
+		limit = defaultBody
+	}
+	rc := http.NewResponseController(w)
+	rc.SetReadDeadline(time.Now().Add(bodyTime))
+	defer rc.SetReadDeadline(time.Time{})
+	var err error
+	j.Body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, int64(limit)))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return &Refusal{Status: http.StatusRequestEntityTooLarge, Reason: "body too large"}
+	case err != nil:
+		return &Refusal{Status: http.StatusBadRequest, Reason: "body not whole"}
+	}
+	return nil
+}
+
+// answer serves a job and writes what came of it.
+func (d *Door) answer(w http.ResponseWriter, r *http.Request, j *direct.Job) {
+	rc := http.NewResponseController(w)
+	rc.SetWriteDeadline(j.End().Add(writeExtra))
+	defer rc.SetWriteDeadline(time.Time{})
+	res := d.cfg.Serve(r.Context(), j, direct.Sink{
+		Head: func(status int, h http.Header, length int64) {
+			copyHeader(w.Header(), h)
+			if length >= 0 {
+				w.Header().Set("Content-Length", strconv.FormatInt(length, 10))
+			}
+			w.WriteHeader(status)
+		},
+		Write: func(p []byte) error {
+			_, err := w.Write(p)
+			return err
+		},
+		Flush: func() { rc.Flush() },
+	})
+	no := &Refusal{Retry: min(res.Retry, max(time.Until(j.Deadline)/3, 0)), Reason: res.Why}
+	switch res.Outcome {
+	case direct.Complete:
+		return
+	case direct.Broken, direct.Left:
+		// Closing the connection without the end of the body is the one way to
+		// tell the caller that what it has is not whole.
+		panic(http.ErrAbortHandler)
+	case direct.Limited:
+		no.Status = http.StatusTooManyRequests
+	case direct.Refused:
+		no.Status = http.StatusServiceUnavailable
+	case direct.Late:
+		no.Status = http.StatusGatewayTimeout
+	default:
+		no.Status = http.StatusBadGateway
+	}
+	d.write(w, no)
+}
+
+func (d *Door) refuse(w http.ResponseWriter, r *http.Request, no *Refusal) {
+	logs.Info(d.cfg.Log, logs.EventRequestRefused, zap.Int("status", no.Status), zap.String("why", no.Reason),
+		zap.String("host", r.Host), zap.Int64("config", d.cfg.Table().Revision()))
+	d.write(w, no)
+}
+
+func (d *Door) write(w http.ResponseWriter, no *Refusal) {
+	if no.Retry > 0 {
+		w.Header().Set("Retry-After", strconv.FormatFloat(no.Retry.Seconds(), 'f', 3, 64))
+	}
+	w.WriteHeader(no.Status)
+}
+
+// hop headers concern one connection only.
+var hop = map[string]bool{
+	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Transfer-Encoding": true,
+	"Te": true, "Trailer": true, "Upgrade": true, "Content-Length": true,
+}
+
+func copyHeader(to, from http.Header) {
+	for name, values := range from {
+		if !hop[name] {
+			to[name] = values
+		}
+	}
+	if from.Get("Content-Type") == "" {
+		// The server would guess one.
+		to["Content-Type"] = nil
+	}
+}
+
+// Forward returns the headers of a request that are passed on: all but those
+// that concern the caller's connection.
+func Forward(h http.Header) http.Header {
+	out := make(http.Header, len(h))
+	for name, values := range h {
+		if !hop[name] {
+			out[name] = values
+		}
+	}
+	for _, named := range h.Values("Connection") {
+		for name := range splitList(named) {
+			out.Del(name)
+		}
+	}
+	out.Del("Expect")
+	return out
+}
--- /dev/null
+++ b/entry/follow/follow.go
@@ -0,0 +1,148 @@
+// Package follow keeps a copy of what the platform lists: it reads a list once
+// and then waits for changes, through outages, lost history and connections
+// that go silent.
+package follow
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"go.uber.org/zap"
+
+	"lycheepond/core/logs"
+)
+
+// ErrHistory reports that the platform no longer has the changes since the
+// revision asked for.
+var ErrHistory = errors.New("follow: the platform has dropped these changes: read the whole list")
+
+const (
+	// callTime bounds a call that does not wait, and waitExtra what a waiting
+	// call may take beyond its wait: the platform's answers may take sixty
+	// times their usual milliseconds.
+	callTime  = 2 * time.Second
+	waitExtra = 1500 * time.Millisecond
+	// firstPause and longestPause bound how often a platform that fails is
+	// asked. Every entry asks, and the first second after its return matters.
+	firstPause   = 100 * time.Millisecond
+	longestPause = 800 * time.Millisecond
+)
+
+// Change is one change of the list.
+type Change[T any] struct {
+	Name    string
+	Removed bool
+	// Item is the zero value if Removed is set.
+	Item T
+	// Revision is the platform's revision of the change.
+	Revision int64
+}
+
+// Config is what a Follower depends on.
+type Config[T any] struct {
+	// Name is what is followed, for logs.
+	Name string
+	// List returns all items and the revision of the list.
+	List func(ctx context.Context) ([]Change[T], int64, error)
+	// Watch returns the changes since a revision, waiting for the first one up
+	// to wait, and the revision to go on from.
+	Watch func(ctx context.Context, since int64, wait time.Duration) ([]Change[T], int64, error)
+	// Wait is how long a call waits for a change. Each call has its price, and a
+	// connection that went silent is found no sooner.
+	Wait time.Duration
+	// Listed takes in a whole list, Changed the changes after it.
+	Listed  func(all []Change[T], revision int64)
+	Changed func(changes []Change[T])
+	// Away and Back tell that the platform stopped or began to answer.
+	Away, Back func()
+	// Random returns a number in [0, 1).
+	Random func() float64
+	Log    *zap.Logger
+}
+
+// Follower follows one list.
+type Follower[T any] struct {
+	cfg Config[T]
+	// failed counts the calls that failed since one went well.
+	failed int
+}
+
+// New returns a follower that does nothing until Run.
+func New[T any](cfg Config[T]) *Follower[T] { return &Follower[T]{cfg: cfg} }
+
+// Run follows the list until ctx ends.
+func (f *Follower[T]) Run(ctx context.Context) error {
+	since, known := int64(0), false
+	for ctx.Err() == nil {
+		var err error
+		if !known {
+			since, err = f.list(ctx)
+			known = err == nil
+		} else {
+			since, err = f.watch(ctx, since)
+		}
+		if err == nil {
+			f.good()
+			continue
+		}
+		if errors.Is(err, ErrHistory) {
+			known = false
+			f.good()
+			continue
+		}
+		f.bad(ctx, err)
+	}
+	return ctx.Err()
+}
+
+func (f *Follower[T]) list(ctx context.Context) (int64, error) {
+	limited, cancel := context.WithTimeout(ctx, callTime)
+	defer cancel()
+	all, revision, err := f.cfg.List(limited)
+	if err != nil {
+		return 0, err
+	}
+	f.good()
+	f.cfg.Listed(all, revision)
+	return revision, nil
+}
+
+func (f *Follower[T]) watch(ctx context.Context, since int64) (int64, error) {
+	limited, cancel := context.WithTimeout(ctx, f.cfg.Wait+waitExtra)
+	defer cancel()
+	changes, revision, err := f.cfg.Watch(limited, since, f.cfg.Wait)
+	if err != nil {
+		return since, err
+	}
+	f.good()
+	if len(changes) > 0 {
+		f.cfg.Changed(changes)
+	}
+	return max(revision, since), nil
+}
+
+func (f *Follower[T]) good() {
+	if f.failed == 0 {
+		return
+	}
+	f.failed = 0
+	logs.Info(f.cfg.Log, logs.EventPlatformBack, zap.String("list", f.cfg.Name))
+	f.cfg.Back()
+}
+
+func (f *Follower[T]) bad(ctx context.Context, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	if f.failed == 0 {
+		logs.Warn(f.cfg.Log, logs.EventPlatformAway, zap.String("list", f.cfg.Name), zap.Error(err))
+		f.cfg.Away()
+	}
+	f.failed++
+	pause := min(firstPause<<min(f.failed-1, 8), longestPause)
+	select {
+	case <-ctx.Done():
+	case <-time.After(time.Duration((0.5 + f.cfg.Random()/2) * float64(pause))):
+	}
+}
--- /dev/null
+++ b/entry/mesh/tell.go
@@ -0,0 +1,146 @@
+package mesh
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"lycheepond/core/logs"
+	"lycheepond/core/wire"
+)
+
+// tell sends tallies until ctx ends. It is the one goroutine that calls
+// cfg.Tally, so that a link that was told everything misses no change after it.
+func (m *Mesh) tell(ctx context.Context) {
+	tick := time.NewTicker(tellEvery)
+	defer tick.Stop()
+	last := time.Now()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		m.expire()
+		m.greet()
+		t := m.cfg.Tally(false)
+		if len(t.Used) == 0 && len(t.Held) == 0 && time.Since(last) < tellAtLeast {
+			continue
+		}
+		last = time.Now()
+		m.send(t, func(d *dial) bool { return !d.fresh })
+		m.passOn()
+	}
+}
+
+// greet tells everything over links that are new.
+func (m *Mesh) greet() {
+	fresh := func(d *dial) bool { return d.fresh }
+	if m.links(fresh) == nil {
+		return
+	}
+	t := m.cfg.Tally(true)
+	t.Entries = m.entries()
+	m.send(t, func(*dial) bool { return true })
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, d := range m.dials {
+		d.fresh = d.fresh && d.link == nil
+	}
+}
+
+func (m *Mesh) entries() []wire.EntryAddr {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []wire.EntryAddr
+	for name, p := range m.peers {
+		if p.addr != "" && p.reached {
+			out = append(out, wire.EntryAddr{Name: name, Addr: p.addr})
+		}
+	}
+	return out
+}
+
+func (m *Mesh) send(t *wire.Tally, to func(*dial) bool) {
+	for _, link := range m.links(to) {
+		// A link that cannot take it closes itself and is dialled again.
+		_ = link.Send(t)
+	}
+}
+
+func (m *Mesh) links(to func(*dial) bool) []*wire.Link {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []*wire.Link
+	for _, d := range m.dials {
+		if d.link != nil && to(d) {
+			out = append(out, d.link)
+		}
+	}
+	return out
+}
+
+// expire notes the peers that fell silent.
+func (m *Mesh) expire() {
+	var lost []string
+	m.mu.Lock()
+	for name, p := range m.peers {
+		if p.reached && time.Since(p.heard) > heardWithin {
+			p.reached = false
+			lost = append(lost, name)
+		}
+	}
+	m.mu.Unlock()
+	for _, name := range lost {
+		m.cfg.Lost(name)
+	}
+}
+
+// parcel is a version to be sent over a link.
+type parcel struct {
+	link *wire.Link
+	what uint8
+}
+
+// passOn sends newer versions to the peers that lag behind.
+func (m *Mesh) passOn() {
+	for _, o := range m.parcels() {
+		s, err := m.cfg.Snapshot(o.what)
+		if err != nil {
+			logs.Error(m.cfg.Log, logs.EventFailed, zap.String("what", "encoding a version for a peer"), zap.Error(err))
+			continue
+		}
+		_ = o.link.Send(s)
+	}
+}
+
+func (m *Mesh) parcels() []parcel {
+	config, roster := m.cfg.Revisions()
+	var out []parcel
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, p := range m.peers {
+		oldConfig, oldRoster := p.config < config, p.roster < roster
+		if !p.reached || !oldConfig && !oldRoster {
+			p.behind = time.Time{}
+			continue
+		}
+		if p.behind.IsZero() {
+			p.behind = time.Now()
+		}
+		d := m.dials[p.addr]
+		if d == nil || d.link == nil || p.config != 0 && time.Since(p.behind) < passOnAfter {
+			continue
+		}
+		// The next one only when the peer has had time to tell that it has it.
+		p.behind = time.Now().Add(tellAtLeast)
+		if oldConfig {
+			out = append(out, parcel{d.link, wire.SnapshotConfig})
+		}
+		if oldRoster {
+			out = append(out, parcel{d.link, wire.SnapshotRoster})
+		}
+	}
+	return out
+}
