follow: calls for changes wait a second and a half, not eight

The store compacts: it forgets waiting calls without a word, so a change made meanwhile was learnt only when the call's own wait was over. Excluded: the peers, none of which knew the newer revision; the decoding, which took it at once later. The wait is 0.3 s times the entries heard, so that the calls of a fleet do not grow with it.

--- a/core/conf/direct.go
+++ b/core/conf/direct.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strconv"
+	"time"
 
 	"lycheepond/core/spec"
 )
@@ -21,6 +22,9 @@
 	Peers []string `yaml:"peers"`
 	// Memory is what the process may use, in MB.
 	Memory int `yaml:"memory"`
+	// Fresh is the time within which a change of the configuration or of the
+	// instance list must be in force.
+	Fresh spec.Duration `yaml:"fresh"`
 	// Grace is the time between the signal to stop and the end of the process.
 	Grace   spec.Duration `yaml:"grace"`
 	Repeats Repeats       `yaml:"repeats"`
@@ -33,6 +37,12 @@
 	Slack float64 `yaml:"slack"`
 }
 
+// Bounds of Fresh: below the first the platform would be asked all the time.
+const (
+	minFresh = 200 * time.Millisecond
+	maxFresh = time.Minute
+)
+
 // minMemory is the least memory in MB that an entry runs in.
 const minMemory = 24
 
@@ -64,6 +74,7 @@
 	if d.Repeats.Slack < 0 {
 		c.add("repeats.slack", fmt.Sprintf("%v is out of range", d.Repeats.Slack), "write a number of requests, 0 or more")
 	}
+	c.between("fresh", d.Fresh, minFresh, maxFresh)
 	c.between("grace", d.Grace, 0, maxGrace)
 	return c.problems
 }
--- a/core/route/table_test.go
+++ b/core/route/table_test.go
@@ -12,8 +12,12 @@
 		{Name: "other", Host: "g", Prefix: "/"},
 	}})
 	for _, tc := range []struct{ host, path, want string }{
-		{"h", "/a/b/c", "long"}, {"h", "/a/c", "short"}, {"h", "/a", ""}, {"h", "/", ""},
-		{"g", "/a/b/c", "other"}, {"x", "/a/b/c", ""},
+		{"h", "/a/b/c", "long"},
+		{"h", "/a/c", "short"},
+		{"h", "/a", ""},
+		{"h", "/", ""},
+		{"g", "/a/b/c", "other"},
+		{"x", "/a/b/c", ""},
 	} {
 		r, ok := table.Find(tc.host, tc.path)
 		if got := name(r); got != tc.want || ok != (tc.want != "") {
--- a/entry/direct/serve.go
+++ b/entry/direct/serve.go
@@ -115,7 +115,9 @@
 	ran bool
 }
 
-func done(o Outcome, why string) verdict { return verdict{done: true, res: Result{Outcome: o, Why: why}} }
+func done(o Outcome, why string) verdict {
+	return verdict{done: true, res: Result{Outcome: o, Why: why}}
+}
 
 // run tries endpoints until the job has its result.
 func (t *task) run(v *visit) Result {
--- a/entry/follow/follow.go
+++ b/entry/follow/follow.go
@@ -48,9 +48,10 @@
 	// Watch returns the changes since a revision, waiting for the first one up
 	// to wait, and the revision to go on from.
 	Watch func(ctx context.Context, since int64, wait time.Duration) ([]Change[T], int64, error)
-	// Wait is how long a call waits for a change. Each call has its price, and a
-	// connection that went silent is found no sooner.
-	Wait time.Duration
+	// Wait returns how long the next call waits for a change. A waiting call may
+	// have been forgotten by the platform without a word; what it should have
+	// told is learnt no sooner than by the next one.
+	Wait func() time.Duration
 	// Listed takes in a whole list, Changed the changes after it.
 	Listed  func(all []Change[T], revision int64)
 	Changed func(changes []Change[T])
@@ -109,9 +110,10 @@
 }
 
 func (f *Follower[T]) watch(ctx context.Context, since int64) (int64, error) {
-	limited, cancel := context.WithTimeout(ctx, f.cfg.Wait+waitExtra)
+	wait := f.cfg.Wait()
+	limited, cancel := context.WithTimeout(ctx, wait+waitExtra)
 	defer cancel()
-	changes, revision, err := f.cfg.Watch(limited, since, f.cfg.Wait)
+	changes, revision, err := f.cfg.Watch(limited, since, wait)
 	if err != nil {
 		return since, err
 	}
--- /dev/null
+++ b/entry/follow/follow_test.go
@@ -0,0 +1,144 @@
+package follow
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+// source is a platform whose waiting calls can go deaf: they return nothing
+// although there are changes.
+type source struct {
+	mu       sync.Mutex
+	revision int64
+	deaf     bool
+	// gone is set when the history was dropped.
+	gone bool
+	// fail is set while the platform is away.
+	fail bool
+}
+
+func (s *source) set(f func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f()
+}
+
+func (s *source) list(context.Context) ([]Change[int], int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.fail {
+		return nil, 0, errors.New("away")
+	}
+	s.gone = false
+	return []Change[int]{{Name: "x", Revision: s.revision}}, s.revision, nil
+}
+
+func (s *source) watch(ctx context.Context, since int64, wait time.Duration) ([]Change[int], int64, error) {
+	end := time.Now().Add(wait)
+	s.mu.Lock()
+	deaf := s.deaf
+	s.mu.Unlock()
+	for {
+		s.mu.Lock()
+		revision, gone, fail := s.revision, s.gone, s.fail
+		s.mu.Unlock()
+		switch {
+		case fail:
+			return nil, 0, errors.New("away")
+		case gone && !deaf:
+			return nil, 0, ErrHistory
+		case revision > since && !deaf:
+			return []Change[int]{{Name: "x", Revision: revision}}, revision, nil
+		case time.Now().After(end):
+			return nil, since, nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil, 0, ctx.Err()
+		case <-time.After(time.Millisecond):
+		}
+	}
+}
+
+// follow runs a follower and returns the revisions it learns.
+func follow(t *testing.T, s *source) <-chan int64 {
+	t.Helper()
+	learnt := make(chan int64, 100)
+	tell := func(all []Change[int]) {
+		for _, c := range all {
+			learnt <- c.Revision
+		}
+	}
+	f := New(Config[int]{
+		Name: "x", List: s.list, Watch: s.watch, Wait: func() time.Duration { return 50 * time.Millisecond },
+		Listed: func(all []Change[int], _ int64) { tell(all) }, Changed: tell, Away: func() {}, Back: func() {},
+		Random: func() float64 { return 0 }, Log: zap.NewNop(),
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- f.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		<-ended
+	})
+	return learnt
+}
+
+func await(t *testing.T, learnt <-chan int64, want int64) {
+	t.Helper()
+	limit := time.After(5 * time.Second)
+	for {
+		select {
+		case got := <-learnt:
+			if got == want {
+				return
+			}
+		case <-limit:
+			t.Fatalf("revision %d was never learnt", want)
+		}
+	}
+}
+
+// The platform forgets a waiting call: it answers nothing although a key was
+// taken away meanwhile, and then drops the history. The old key would go on
+// working for as long as the call waits.
+func TestChangeThatAWaitingCallMissed(t *testing.T) {
+	s := &source{revision: 1}
+	learnt := follow(t, s)
+	await(t, learnt, 1)
+	s.set(func() { s.deaf = true })
+	time.Sleep(60 * time.Millisecond)
+	s.set(func() { s.revision, s.gone = 2, true })
+	time.Sleep(20 * time.Millisecond)
+	s.set(func() { s.deaf = false })
+	await(t, learnt, 2)
+}
+
+// The platform goes away and comes back with a newer revision.
+func TestChangeDuringAnOutage(t *testing.T) {
+	s := &source{revision: 1}
+	learnt := follow(t, s)
+	await(t, learnt, 1)
+	s.set(func() { s.fail = true })
+	time.Sleep(50 * time.Millisecond)
+	s.set(func() { s.revision, s.fail = 2, false })
+	await(t, learnt, 2)
+}
+
+// However many entries there are, the calls of all together must not grow, and
+// an entry alone must look often enough by itself.
+func TestWait(t *testing.T) {
+	for _, tc := range []struct {
+		heard int
+		want  time.Duration
+	}{{1, 1200 * time.Millisecond}, {5, 1500 * time.Millisecond}, {20, 6 * time.Second}, {420, longestWait}} {
+		if got := Wait(tc.heard, 2*time.Second, 0); got != tc.want {
+			t.Errorf("%d entries: %v, want %v", tc.heard, got, tc.want)
+		}
+	}
+}
--- /dev/null
+++ b/entry/follow/wait.go
@@ -0,0 +1,26 @@
+package follow
+
+import "time"
+
+const (
+	// fleetLook is the time between two calls for changes over all entries. Any
+	// of them tells the others, so the rate of calls does not grow with the
+	// fleet, and news is this old at most while the entries reach each other.
+	fleetLook = 300 * time.Millisecond
+	// ownShare is the part of the bound on changes that one entry by itself may
+	// wait: the call's way and a connection to make anew take the rest.
+	ownShare = 0.6
+	// longestWait is the longest that a call waits.
+	longestWait = 8 * time.Second
+	// jitter is the part of a wait that is random, so that the calls of entries
+	// that started together spread out.
+	jitter = 0.3
+)
+
+// Wait returns how long a call for changes waits when heard entries are heard,
+// this one included, and changes must be in force within bound. rnd is a random
+// number in [0, 1).
+func Wait(heard int, bound time.Duration, rnd float64) time.Duration {
+	wait := max(time.Duration(heard)*fleetLook, time.Duration(ownShare*float64(bound)))
+	return time.Duration(float64(min(wait, longestWait)) * (1 - jitter*rnd))
+}
