--- a/entry/direct/direct.go
+++ b/entry/direct/direct.go
@@ -43,8 +43,8 @@
 	Reach func() (heard, known int)
 	// Stamp sets the headers by which the endpoint knows what it is told.
 	Stamp func(r *hop.Request, o Order)
-	// Own reports whether an answer's header belongs to the request of an ID.
-	Own func(id string, h http.Header) bool
+	// Own reports whether an answer's head belongs to the request of an ID.
+	Own func(id string, status int, h http.Header) bool
 	// Read reads the head of an answer.
 	Read    func(a *hop.Answer) Meta
 	Metrics *meter.Set
@@ -116,6 +116,13 @@
 	return true
 }
 
+// Informed reports whether a configuration and an instance list are known.
+func (d *Director) Informed() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.v.table.Revision() > 0 && d.v.roster.Revision > 0
+}
+
 // Leave notes that a planned stop has begun.
 func (d *Director) Leave() {
 	d.mu.Lock()
@@ -235,7 +242,7 @@
 	e := p.endpoints[dec.Endpoint]
 	chosen := all[dec.Endpoint]
 	v := &visit{
-		d: d, pool: p, e: e, sent: now, free: chosen.Requests < chosen.Slots, ahead: chosen.Prompt + req.Prompt,
+		d: d, pool: p, e: e, id: e.ID, addr: e.Addr, alone: len(p.endpoints) < 2, sent: now, free: chosen.Requests < chosen.Slots, ahead: chosen.Prompt + req.Prompt,
 		wait: dec.Wait, rest: dec.First - dec.Wait,
 		basis: Basis{Endpoint: e.ID, Predicted: dec.First, Ahead: chosen.Requests, Prompt: chosen.Prompt + req.Prompt, Heard: heard, Known: known},
 		held:  hold{requests: 1, prompt: req.Prompt, output: req.Output, tokens: req.Prompt + req.Output},
@@ -267,8 +274,13 @@
 type visit struct {
 	d    *Director
 	pool *pool
-	e    *endpoint
-	sent time.Time
+	// e is only touched with d.mu held; id and addr are copies of what it was
+	// when the try was sent.
+	e        *endpoint
+	id, addr string
+	// alone is set if there was no other endpoint to go to.
+	alone bool
+	sent  time.Time
 	// free is set if there was a free slot when the try was sent and ahead is
 	// how many prompt tokens had to be read before its first event.
 	free  bool
--- a/entry/direct/relay.go
+++ b/entry/direct/relay.go
@@ -43,7 +43,7 @@
 // if it may not be.
 func (t *task) silence(v *visit) time.Duration {
 	r := t.job.Route
-	if !r.Resumable || t.ran+1 >= r.Attempts || !v.canRepeat() {
+	if !r.Resumable || t.ran+1 >= r.Attempts || v.alone {
 		return 0
 	}
 	return max(time.Duration(pauses*float64(r.MaxPause)), shortestSilence)
--- a/entry/direct/serve.go
+++ b/entry/direct/serve.go
@@ -161,12 +161,12 @@
 	case !t.d.repeat(v):
 		return nil, "no repeat left in the budget"
 	}
-	next, dec := t.d.place(t.job, v.e.ID, max(t.job.Output-t.passed, 0))
+	next, dec := t.d.place(t.job, v.id, max(t.job.Output-t.passed, 0))
 	if next == nil {
 		return nil, dec.Why.String()
 	}
 	logs.Info(t.d.cfg.Log, logs.EventRequestReturned, zap.String("request_id", t.job.ID), zap.String("why", got.res.Why),
-		zap.String("from", v.e.ID), zap.String("to", next.e.ID))
+		zap.String("from", v.id), zap.String("to", next.id))
 	return next, ""
 }
 
@@ -213,7 +213,7 @@
 // sent to another endpoint; zero if it may not be.
 func (t *task) patience(v *visit) time.Duration {
 	j := t.job
-	if j.Route.Once() || t.ran+1 >= j.Route.Attempts || !v.canRepeat() {
+	if j.Route.Once() || t.ran+1 >= j.Route.Attempts || v.alone {
 		return 0
 	}
 	if j.Route.Stream {
@@ -222,23 +222,20 @@
 	return j.Route.Target
 }
 
-// canRepeat reports whether there was another endpoint to go to.
-func (v *visit) canRepeat() bool { return len(v.pool.endpoints) > 1 }
-
 // send writes the job and returns the answer if it is one that may be passed on.
 func (t *task) send(ctx context.Context, v *visit) (*hop.Answer, verdict) {
 	j := t.job
 	r := &hop.Request{
 		Method: j.Method, Target: j.Target, Host: j.Host, Header: j.Header.Clone(), Body: j.Body,
-		Once: j.Route.Once(), Own: func(h http.Header) bool { return t.d.cfg.Own(j.ID, h) },
+		Once: j.Route.Once(), Own: func(status int, h http.Header) bool { return t.d.cfg.Own(j.ID, status, h) },
 	}
 	last := j.LastEvent
 	if t.lastEvent != "" {
 		last = t.lastEvent
 	}
-	t.d.cfg.Stamp(r, Order{Endpoint: v.e.ID, Customer: j.Customer, Left: time.Until(j.End()), LastEvent: last})
+	t.d.cfg.Stamp(r, Order{Endpoint: v.id, Customer: j.Customer, Left: time.Until(j.End()), LastEvent: last})
 	_, known := t.d.cfg.Reach()
-	a, err := t.d.cfg.Client.Do(ctx, v.e.Addr, v.connLimit(j.Pool, known), r)
+	a, err := t.d.cfg.Client.Do(ctx, v.addr, v.connLimit(j.Pool, known), r)
 	if err != nil {
 		return nil, t.unanswered(v, err)
 	}
--- a/entry/door/door.go
+++ b/entry/door/door.go
@@ -35,8 +35,10 @@
 	defaultIdle = 75 * time.Second
 	// writeExtra is how long a caller may take to read after its deadline.
 	writeExtra = time.Second
-	// noConfigRetry is when to come back to an entry without configuration.
-	noConfigRetry = 500 * time.Millisecond
+	// noConfigRetry is when to come back to an entry without configuration: after
+	// a start it takes some ten milliseconds to read it, longer only while the
+	// platform and all peers are away.
+	noConfigRetry = 150 * time.Millisecond
 	// notice is how long a balancer that asks each second may take to miss two
 	// answers, with a margin.
 	notice = 2600 * time.Millisecond
@@ -62,6 +64,8 @@
 	Accept func(r *http.Request, t *route.Table) (*direct.Job, *Refusal)
 	// Table returns the configuration in force.
 	Table func() *route.Table
+	// Informed reports whether configuration and instance list are known.
+	Informed func() bool
 	Serve func(ctx context.Context, j *direct.Job, s direct.Sink) direct.Result
 	// Running returns how many jobs have no final answer yet.
 	Running func() int
@@ -144,13 +148,14 @@
 	return d.leaving
 }
 
-// ready answers the balancer: an entry without configuration would refuse all.
+// ready answers the balancer. An entry without configuration or instance list
+// would refuse all that it got.
 func (d *Door) ready(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path != d.cfg.ReadyPath {
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	if d.Leaving() || d.cfg.Table().Revision() == 0 {
+	if d.Leaving() || !d.cfg.Informed() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
@@ -190,7 +195,8 @@
 	if d.Leaving() {
 		w.Header().Set("Connection", "close")
 	}
-	if t.Revision() == 0 {
+	if !d.cfg.Informed() {
+		// Nothing is known of routes and keys, so neither may be called unknown.
 		d.refuse(w, r, &Refusal{Status: http.StatusServiceUnavailable, Retry: noConfigRetry, Reason: "no configuration yet"})
 		return
 	}
--- a/entry/hop/conn.go
+++ b/entry/hop/conn.go
@@ -112,7 +112,7 @@
 		if resp.StatusCode < 200 {
 			continue
 		}
-		if r.Own(resp.Header) {
+		if r.Own(resp.StatusCode, resp.Header) {
 			return resp, nil
 		}
 		if _, err := io.Copy(io.Discard, resp.Body); err != nil || resp.Close {
--- a/entry/hop/hop.go
+++ b/entry/hop/hop.go
@@ -57,8 +57,8 @@
 	Body   []byte
 	// Once is set for a request that may run once at most.
 	Once bool
-	// Own reports whether an answer's header belongs to this request.
-	Own func(http.Header) bool
+	// Own reports whether an answer's head belongs to this request.
+	Own func(status int, h http.Header) bool
 }
 
 // Client keeps the connections to the endpoints. It is safe for concurrent use.
--- a/entry/hop/hop_test.go
+++ b/entry/hop/hop_test.go
@@ -38,7 +38,7 @@
 func request(id string) *Request {
 	return &Request{
 		Method: "GET", Target: "/x", Host: "h", Header: http.Header{"Id": {id}},
-		Own: func(h http.Header) bool { return h.Get("Id") == id },
+		Own: func(_ int, h http.Header) bool { return h.Get("Id") == id },
 	}
 }
 
