--- a/Makefile
+++ b/Makefile
@@ -1,12 +1,12 @@
 # Every command that the README names. Programs are built into bin/.
-MODULES := core entry agent lychee trial
+MODULES := core entry agent lychee trial platform
 PKGS := $(addprefix ./,$(addsuffix /...,$(MODULES)))
 SCENARIO ?=
 
 .PHONY: build test lint fmt demo smoke measure capacity path bench clean
 
 build:
-	go build -o bin/ ./entry ./agent ./lychee ./trial
+	go build -o bin/ ./entry ./agent ./lychee ./trial ./platform
 
 test:
 	go vet $(PKGS)
--- a/entry/door/door.go
+++ b/entry/door/door.go
@@ -66,7 +66,7 @@
 	Table func() *route.Table
 	// Informed reports whether configuration and instance list are known.
 	Informed func() bool
-	Serve func(ctx context.Context, j *direct.Job, s direct.Sink) direct.Result
+	Serve    func(ctx context.Context, j *direct.Job, s direct.Sink) direct.Result
 	// Running returns how many jobs have no final answer yet.
 	Running func() int
 	Log     *zap.Logger
