--- a/core/conf/docs_test.go
+++ b/core/conf/docs_test.go
@@ -13,7 +13,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	for _, s := range []reflect.Type{reflect.TypeFor[Entry](), reflect.TypeFor[Agent]()} {
+	for _, s := range []reflect.Type{reflect.TypeFor[Entry](), reflect.TypeFor[Agent](), reflect.TypeFor[Direct]()} {
 		for _, name := range settingNames(s, "") {
 			if !strings.Contains(string(page), "`"+name+"`") {
 				t.Errorf("docs/OPERATIONS.md does not list the setting %s", name)
--- a/core/trust/trust.go
+++ b/core/trust/trust.go
@@ -29,6 +29,11 @@
 	Unreachable
 )
 
+var resultNames = [...]string{"good", "error", "broken", "unreachable"}
+
+// String returns the result as logs spell it.
+func (r Result) String() string { return resultNames[r] }
+
 const (
 	// errorWeight is the weight of one result in the average failure rate: ten
 	// or so results decide, a second or two of an endpoint's usual load.
@@ -87,13 +92,25 @@
 	}
 }
 
-// Ended records the result of a request and reports whether the endpoint has
-// just become unusable.
-func (b *Book) Ended(now time.Duration, id string, r Result) (lost bool) {
+// Change is what a result changed for an endpoint.
+type Change uint8
+
+// The changes.
+const (
+	// Same means that the endpoint is as usable as before.
+	Same Change = iota
+	// Lost means that it has just become unusable, Regained that it is usable
+	// again.
+	Lost
+	Regained
+)
+
+// Ended records the result of a request and reports what it changed.
+func (b *Book) Ended(now time.Duration, id string, r Result) Change {
 	h := b.health[id]
 	if h == nil {
 		if r == Good {
-			return false
+			return Same
 		}
 		h = new(health)
 		b.health[id] = h
@@ -102,7 +119,10 @@
 	h.trying = false
 	if r == Good {
 		h.good()
-		return false
+		if paused {
+			return Regained
+		}
+		return Same
 	}
 	h.rate += errorWeight * (1 - h.rate)
 	if r == Broken {
@@ -111,10 +131,13 @@
 		h.rate += errorWeight * (1 - h.rate)
 	}
 	if r != Unreachable && h.rate < failing && !paused {
-		return false
+		return Same
 	}
 	h.pause(now)
-	return !paused
+	if paused {
+		return Same
+	}
+	return Lost
 }
 
 func (h *health) good() {
--- a/core/trust/trust_test.go
+++ b/core/trust/trust_test.go
@@ -30,7 +30,7 @@
 		if i%7 == 0 {
 			r = Error
 		}
-		if b.Ended(time.Duration(i)*10*time.Millisecond, "e", r) {
+		if b.Ended(time.Duration(i)*10*time.Millisecond, "e", r) == Lost {
 			t.Fatalf("avoided after %d requests", i)
 		}
 	}
--- a/entry/direct/direct.go
+++ b/entry/direct/direct.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap"
 
 	"lycheepond/core/admit"
+	"lycheepond/core/logs"
 	"lycheepond/core/meter"
 	"lycheepond/core/quota"
 	"lycheepond/core/route"
@@ -209,7 +210,8 @@
 	d.v.quota.Return(j.Customer.Name, j.Units)
 }
 
-// place decides where a job goes and counts it there. avoid is the endpoint that
+// place decides where a job goes and counts it there. Refused, it returns a try
+// that holds nothing but what the refusal was based on. avoid is the endpoint that
 // has failed it, empty if there is none.
 func (d *Director) place(j *Job, avoid string, output int) (*visit, admit.Decision) {
 	now := time.Now()
@@ -237,7 +239,7 @@
 	all := d.v.describe(p, j.Pool, now, d.since(now))
 	dec := admit.Decide(req, all)
 	if dec.Endpoint < 0 {
-		return nil, dec
+		return &visit{basis: Basis{Predicted: dec.First, Heard: heard, Known: known}}, dec
 	}
 	e := p.endpoints[dec.Endpoint]
 	chosen := all[dec.Endpoint]
@@ -344,6 +346,16 @@
 		return
 	}
 	v.over = true
+	switch v.settle(r) {
+	case trust.Lost:
+		logs.Warn(v.d.cfg.Log, logs.EventEndpointAway, zap.String("endpoint", v.id), zap.String("result", r.String()))
+	case trust.Regained:
+		logs.Info(v.d.cfg.Log, logs.EventEndpointBack, zap.String("endpoint", v.id))
+	}
+}
+
+// settle takes a result into all that is known of the endpoint.
+func (v *visit) settle(r trust.Result) trust.Change {
 	now := time.Now()
 	v.d.mu.Lock()
 	defer v.d.mu.Unlock()
@@ -353,7 +365,7 @@
 		v.pool.learner.First(v.e.ID, 0, now.Sub(v.sent))
 	}
 	v.release(v.held)
-	v.d.v.trust.Ended(v.d.since(now), v.e.ID, r)
+	return v.d.v.trust.Ended(v.d.since(now), v.e.ID, r)
 }
 
 // abandon ends a try without a verdict on the endpoint.
--- a/entry/direct/serve.go
+++ b/entry/direct/serve.go
@@ -48,9 +48,9 @@
 		return Result{Outcome: Limited, Retry: wait, Why: "customer over its limit"}
 	}
 	v, dec := d.place(j, "", j.Output)
-	if v == nil {
+	if dec.Endpoint < 0 {
 		d.refund(j)
-		return Result{Outcome: Refused, Retry: dec.Retry, Why: dec.Why.String()}
+		return Result{Outcome: Refused, Retry: dec.Retry, Why: dec.Why.String(), Basis: v.basis}
 	}
 	d.earn(v)
 	end, cancel := context.WithDeadline(context.WithoutCancel(ctx), j.End())
@@ -75,10 +75,10 @@
 	d.cfg.Metrics.Counter("requests", meter.Outcome(res.Outcome.String()), meter.Class(j.Route.Name)).Inc(1)
 	meter.Milliseconds(d.cfg.Metrics.Histogram("answer_ms", meter.Class(j.Route.Name)), took)
 	fields := []zap.Field{
-		zap.String("request_id", j.ID), zap.String("route", j.Route.Name), zap.String("outcome", res.Outcome.String()),
+		zap.String("request_id", j.ID), zap.String("route", j.Route.Name), zap.String("outcome", res.Outcome.String()), zap.Int("tier", j.Tier),
 		zap.Duration("took", took), zap.String("why", res.Why), zap.Int64("config", d.Table().Revision()),
 	}
-	if b := res.Basis; b.Endpoint != "" {
+	if b := res.Basis; b.Known > 0 {
 		fields = append(fields, zap.String("endpoint", b.Endpoint), zap.Duration("predicted", b.Predicted), zap.Duration("first", b.First),
 			zap.Int("ahead", b.Ahead), zap.Int("prompt", b.Prompt), zap.Int("heard", b.Heard), zap.Int("known", b.Known))
 	}
@@ -162,7 +162,7 @@
 		return nil, "no repeat left in the budget"
 	}
 	next, dec := t.d.place(t.job, v.id, max(t.job.Output-t.passed, 0))
-	if next == nil {
+	if dec.Endpoint < 0 {
 		return nil, dec.Why.String()
 	}
 	logs.Info(t.d.cfg.Log, logs.EventRequestReturned, zap.String("request_id", t.job.ID), zap.String("why", got.res.Why),
--- a/entry/mesh/mesh.go
+++ b/entry/mesh/mesh.go
@@ -367,9 +367,13 @@
 	if p.incarnation != hello.Incarnation {
 		p.incarnation, first = hello.Incarnation, true
 	}
+	regained := !p.reached
 	p.addr, p.heard, p.reached = t.Addr, time.Now(), true
 	p.config, p.roster = t.Config, t.Roster
 	m.mu.Unlock()
+	if regained {
+		logs.Info(m.cfg.Log, logs.EventPeerHeard, zap.String("peer", hello.Name), zap.Int64("config", t.Config), zap.Int64("roster", t.Roster))
+	}
 	m.reach(ctx, t.Addr)
 	for _, e := range t.Entries {
 		if e.Name != m.cfg.Self.Name {
--- a/entry/mesh/tell.go
+++ b/entry/mesh/tell.go
@@ -93,6 +93,7 @@
 	}
 	m.mu.Unlock()
 	for _, name := range lost {
+		logs.Warn(m.cfg.Log, logs.EventPeerSilent, zap.String("peer", name), zap.Duration("within", heardWithin))
 		m.cfg.Lost(name)
 	}
 }
