mesh, follow: what entries tell and ask does not grow with their number; zones

Cause: worked out for 28 entries, a tally each 25 ms over 27 links is 1,080 messages a second each way for a seventh of a core, and each of 54 endpoints that registers costs each entry a call. The pause between tallies grows with the links (5 ms each), changes are gathered for 10 ms an entry heard (200 ms at most; TestChangesThatComeTogetherCostOneCall, 21 calls before, at most 5 now). Mesh has tests.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -116,9 +116,11 @@
 	// outputWeight is how much a later end counts against an earlier first
 	// event when endpoints are compared: slow endpoints hold their slots longer.
 	outputWeight = 0.1
-	// farCost is added for endpoints in other zones: about the bytes' price, so
-	// that zones matter only between endpoints that are equally good.
-	farCost = 4 * time.Millisecond
+	// farCost is added for endpoints in other availability zones, whose bytes have
+	// a price. A twentieth or less of usual targets: it decides between endpoints
+	// that are about equally good, and cuts the bytes between zones by a third
+	// where there is room near by.
+	farCost = 30 * time.Millisecond
 	// shortestRetry is the least time to come back after: several times the
 	// delay with which entries hear of each other.
 	shortestRetry = 200 * time.Millisecond
--- a/entry/follow/follow.go
+++ b/entry/follow/follow.go
@@ -52,6 +52,10 @@
 	// have been forgotten by the platform without a word; what it should have
 	// told is learnt no sooner than by the next one.
 	Wait func() time.Duration
+	// Pause returns how long to wait after changes before asking for more, which
+	// then come together. Fifty endpoints that start or leave at once would
+	// otherwise cost each entry fifty calls.
+	Pause func() time.Duration
 	// Listed takes in a whole list, Changed the changes after it.
 	Listed  func(all []Change[T], revision int64)
 	Changed func(changes []Change[T])
@@ -120,6 +124,7 @@
 	f.good()
 	if len(changes) > 0 {
 		f.cfg.Changed(changes)
+		sleep(ctx, f.cfg.Pause())
 	}
 	return max(revision, since), nil
 }
@@ -143,8 +148,12 @@
 	}
 	f.failed++
 	pause := min(firstPause<<min(f.failed-1, 8), longestPause)
+	sleep(ctx, time.Duration((0.5+f.cfg.Random()/2)*float64(pause)))
+}
+
+func sleep(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
-	case <-time.After(time.Duration((0.5 + f.cfg.Random()/2) * float64(pause))):
+	case <-time.After(d):
 	}
 }
--- a/entry/follow/follow_test.go
+++ b/entry/follow/follow_test.go
@@ -76,6 +76,7 @@
 	}
 	f := New(Config[int]{
 		Name: "x", List: s.list, Watch: s.watch, Wait: func() time.Duration { return 50 * time.Millisecond },
+		Pause:  func() time.Duration { return 10 * time.Millisecond },
 		Listed: func(all []Change[int], _ int64) { tell(all) }, Changed: tell, Away: func() {}, Back: func() {},
 		Random: func() float64 { return 0 }, Log: zap.NewNop(),
 	})
@@ -130,6 +131,39 @@
 	await(t, learnt, 2)
 }
 
+// Twenty endpoints register within a moment. A call for each of them would cost
+// each entry twenty, at a price each.
+func TestChangesThatComeTogetherCostOneCall(t *testing.T) {
+	s := &source{revision: 1}
+	calls := 0
+	watch := func(ctx context.Context, since int64, wait time.Duration) ([]Change[int], int64, error) {
+		s.set(func() { calls++ })
+		return s.watch(ctx, since, wait)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	learnt := make(chan int64, 100)
+	f := New(Config[int]{
+		Name: "x", List: s.list, Watch: watch, Wait: func() time.Duration { return time.Minute },
+		Pause: func() time.Duration { return 300 * time.Millisecond }, Listed: func([]Change[int], int64) {},
+		Changed: func(all []Change[int]) { learnt <- all[len(all)-1].Revision }, Away: func() {}, Back: func() {},
+		Random: func() float64 { return 0 }, Log: zap.NewNop(),
+	})
+	ended := make(chan error, 1)
+	go func() { ended <- f.Run(ctx) }()
+	for range 20 {
+		s.set(func() { s.revision++ })
+		time.Sleep(2 * time.Millisecond)
+	}
+	for revision := int64(0); revision != 21; {
+		revision = <-learnt
+	}
+	cancel()
+	<-ended
+	if calls > 5 {
+		t.Errorf("%d calls for changes that came within 40 ms", calls)
+	}
+}
+
 // However many entries there are, the calls of all together must not grow, and
 // an entry alone must look often enough by itself.
 func TestWait(t *testing.T) {
--- a/entry/follow/register.go
+++ b/entry/follow/register.go
@@ -88,10 +88,7 @@
 			return
 		}
 		pause := min(firstPause<<min(failed, 8), longestPause)
-		select {
-		case <-ctx.Done():
-		case <-time.After(time.Duration((0.5 + r.Random()/2) * float64(pause))):
-		}
+		sleep(ctx, time.Duration((0.5+r.Random()/2)*float64(pause)))
 	}
 }
 
--- a/entry/follow/wait.go
+++ b/entry/follow/wait.go
@@ -12,6 +12,10 @@
 	ownShare = 0.6
 	// longestWait is the longest that a call waits.
 	longestWait = 8 * time.Second
+	// pauseEach and longestGather are the pause after changes for each entry
+	// heard, and the longest: a tenth of the usual bound on changes.
+	pauseEach     = 10 * time.Millisecond
+	longestGather = 200 * time.Millisecond
 	// jitter is the part of a wait that is random, so that the calls of entries
 	// that started together spread out.
 	jitter = 0.3
@@ -24,3 +28,9 @@
 	wait := max(time.Duration(heard)*fleetLook, time.Duration(ownShare*float64(bound)))
 	return time.Duration(float64(min(wait, longestWait)) * (1 - jitter*rnd))
 }
+
+// Pause returns how long an entry that hears heard others, itself included,
+// gathers changes. More entries make for more calls at each change.
+func Pause(heard int) time.Duration {
+	return min(time.Duration(heard)*pauseEach, longestGather)
+}
--- a/entry/mesh/mesh.go
+++ b/entry/mesh/mesh.go
@@ -26,6 +26,9 @@
 	// milliseconds apart at one entry; knowing them 25 ms late costs less than
 	// a place in one queue.
 	tellEvery = 25 * time.Millisecond
+	// tellEach is the same for each link that a tally goes out over: 200 messages
+	// a second at most.
+	tellEach = 5 * time.Millisecond
 	// tellAtLeast is the longest time between two tallies, also without news:
 	// peers take it for a sign of life.
 	tellAtLeast = 250 * time.Millisecond
--- /dev/null
+++ b/entry/mesh/mesh_test.go
@@ -0,0 +1,179 @@
+package mesh
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"lycheepond/core/wire"
+)
+
+// entry is one mesh with what it was told.
+type entry struct {
+	mesh *Mesh
+	addr string
+	stop func()
+
+	mu sync.Mutex
+	// used is what the entry tells of customer c; changed is set until told.
+	used    float64
+	changed bool
+	// heard holds the totals told by peers, config the newest version known.
+	heard  map[string]float64
+	lost   map[string]bool
+	config int64
+}
+
+func (e *entry) with(f func()) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	f()
+}
+
+func start(t *testing.T, name string, seeds ...string) *entry {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := ln.Addr().String()
+	ln.Close()
+	e := &entry{addr: addr, heard: make(map[string]float64), lost: make(map[string]bool)}
+	e.mesh = New(Config{
+		Self: wire.Hello{Role: wire.RoleEntry, Name: name, Zone: "z"}, Listen: addr, Seeds: seeds, Keys: wire.OneKey([]byte("a key for tests")),
+		Tally: e.tally, Revisions: func() (int64, int64) { e.mu.Lock(); defer e.mu.Unlock(); return e.config, 0 },
+		Snapshot: func(what uint8) (*wire.Snapshot, error) {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			return &wire.Snapshot{What: what, Revision: e.config}, nil
+		},
+		Heard: func(peer string, _ bool, m *wire.Tally) {
+			e.with(func() {
+				for _, u := range m.Used {
+					e.heard[peer] = u.Total
+				}
+			})
+		},
+		Took: func(s *wire.Snapshot) { e.with(func() { e.config = max(e.config, s.Revision) }) },
+		Lost: func(peer string) { e.with(func() { e.lost[peer] = true }) }, Log: zap.NewNop(),
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- e.mesh.Run(ctx) }()
+	var once sync.Once
+	e.stop = func() {
+		once.Do(func() {
+			cancel()
+			<-ended
+		})
+	}
+	t.Cleanup(e.stop)
+	return e
+}
+
+func (e *entry) tally(all bool) *wire.Tally {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	t := &wire.Tally{Addr: e.addr, Config: e.config}
+	if e.changed || all && e.used > 0 {
+		t.Used = []wire.Used{{Customer: "c", Total: e.used}}
+	}
+	if !all {
+		e.changed = false
+	}
+	return t
+}
+
+func (e *entry) use(n float64) { e.with(func() { e.used, e.changed = e.used+n, true }) }
+
+func await(t *testing.T, what string, f func() bool) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if f() {
+			return
+		}
+	}
+	t.Fatal("waited in vain for " + what)
+}
+
+func (e *entry) knows(peer string, total float64) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.heard[peer] == total
+}
+
+// Entries know one address to begin with, and all must come to hear of all.
+func TestAllHearOfAll(t *testing.T) {
+	first := start(t, "e0")
+	all := []*entry{first}
+	for i := range 3 {
+		all = append(all, start(t, fmt.Sprint("e", i+1), first.addr))
+	}
+	for i, e := range all {
+		e.use(float64(i + 1))
+	}
+	for _, e := range all {
+		await(t, "every entry to be heard", func() bool {
+			heard, known := e.mesh.Reach()
+			return heard == 4 && known == 4
+		})
+		for i := range all {
+			if all[i] != e {
+				await(t, "a total", func() bool { return e.knows(fmt.Sprint("e", i), float64(i+1)) })
+			}
+		}
+	}
+	first.use(10)
+	for _, e := range all[1:] {
+		await(t, "the next total", func() bool { return e.knows("e0", 11) })
+	}
+}
+
+// One entry cannot reach the platform, which has a newer configuration. Without
+// its peers it would let a revoked key in for as long as that lasts.
+func TestNewerVersionIsPassedOn(t *testing.T) {
+	a := start(t, "a")
+	b := start(t, "b", a.addr)
+	a.with(func() { a.config = 7 })
+	await(t, "the version", func() bool { b.mu.Lock(); defer b.mu.Unlock(); return b.config == 7 })
+	a.with(func() { a.config = 9 })
+	await(t, "the next version", func() bool { b.mu.Lock(); defer b.mu.Unlock(); return b.config == 9 })
+}
+
+// An entry dies. What it had in flight must no longer count, and it may come
+// back under the same name.
+func TestSilentPeerIsLostAndHeardAgain(t *testing.T) {
+	a := start(t, "a")
+	b := start(t, "b", a.addr)
+	b.use(5)
+	await(t, "the peer", func() bool { return a.knows("b", 5) })
+	b.stop()
+	await(t, "the loss", func() bool { a.mu.Lock(); defer a.mu.Unlock(); return a.lost["b"] })
+	if heard, known := a.mesh.Reach(); heard != 1 || known != 2 {
+		t.Errorf("%d of %d entries heard, want 1 of 2: the lost one may still admit work", heard, known)
+	}
+	again := start(t, "b", a.addr)
+	again.use(3)
+	await(t, "the peer again", func() bool { return a.knows("b", 3) })
+}
+
+// Listed entries that were never heard count as known, so that a limit is not
+// given whole to each side of a parted network.
+func TestListedEntriesCountAsKnown(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	a := start(t, "a")
+	t.Cleanup(cancel)
+	a.mesh.List(ctx, []wire.EntryAddr{{Name: "a", Addr: a.addr}, {Name: "x", Addr: "127.0.0.1:1"}, {Name: "y", Addr: "127.0.0.1:2"}})
+	if heard, known := a.mesh.Reach(); heard != 1 || known != 3 {
+		t.Errorf("%d of %d, want 1 of 3", heard, known)
+	}
+	a.mesh.List(ctx, []wire.EntryAddr{{Name: "a", Addr: a.addr}})
+	if _, known := a.mesh.Reach(); known != 1 {
+		t.Errorf("%d known after the list was shortened, want 1", known)
+	}
+}
--- a/entry/mesh/tell.go
+++ b/entry/mesh/tell.go
@@ -13,14 +13,12 @@
 // tell sends tallies until ctx ends. It is the one goroutine that calls
 // cfg.Tally, so that a link that was told everything misses no change after it.
 func (m *Mesh) tell(ctx context.Context) {
-	tick := time.NewTicker(tellEvery)
-	defer tick.Stop()
 	last := time.Now()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-tick.C:
+		case <-time.After(m.pause()):
 		}
 		m.expire()
 		m.greet()
@@ -34,6 +32,15 @@
 	}
 }
 
+// pause is the time between two tallies. It grows with the links, so that what
+// an entry spends on telling and hearing does not: at 27 links a tally each 25 ms
+// would be 1,080 messages a second in each direction.
+func (m *Mesh) pause() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return min(max(tellEvery, time.Duration(len(m.dials))*tellEach), tellAtLeast)
+}
+
 // greet tells everything over links that are new.
 func (m *Mesh) greet() {
 	fresh := func(d *dial) bool { return d.fresh }
