admit: nothing is refused where more than half of the slots are free

Cause: a prompt that takes longer to read than its target allows was refused at any endpoint that had other work, each time its caller came back. Seen in review of the rule, not in a run. Test seen failing.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -148,7 +148,7 @@
 		return Decision{Endpoint: -1, Retry: noEndpointRetry, Why: NoEndpoint}
 	}
 	wait := endpoints[best].slotWait(r)
-	if over := r.over(first, wait); over > 0 && !endpoints[best].idle() {
+	if over := r.over(first, wait); over > 0 && !endpoints[best].roomy() {
 		return Decision{Endpoint: -1, First: first, Retry: max(over, shortestRetry), Why: Full}
 	}
 	if first+time.Duration(r.Output)*endpoints[best].Pace.Output > r.Left {
@@ -174,9 +174,10 @@
 	return false
 }
 
-// idle reports whether nothing is known to run there: a request that waits for
-// nobody is served however slow the endpoint seems.
-func (e *Endpoint) idle() bool { return e.Requests == 0 }
+// roomy reports whether more than half of the slots are free. A request is not
+// refused there, however slow the endpoint or long the prompt: there is nobody
+// for whom the room would be kept.
+func (e *Endpoint) roomy() bool { return 2*e.Requests < e.Slots || e.Requests == 0 }
 
 // First predicts the time to the first event of r.
 func (e *Endpoint) First(r Request) time.Duration {
--- a/core/admit/admit_test.go
+++ b/core/admit/admit_test.go
@@ -113,3 +113,19 @@
 		t.Errorf("predicts a wait of %v where it was 30ms each time", got)
 	}
 }
+
+// A caller sends a prompt that takes longer to read than its target allows,
+// while most slots of the endpoint are free. Refused, it would be refused each
+// time that it comes back, though nothing stands in its way.
+func TestLongPromptIsServedWhereThereIsRoom(t *testing.T) {
+	r := draft()
+	r.Prompt = 80000
+	e := Endpoint{Usable: true, Slots: 9, Requests: 3, Output: 300, Pace: pace()}
+	if d := Decide(r, []Endpoint{e}); d.Endpoint != 0 {
+		t.Errorf("%+v", d)
+	}
+	e.Requests, e.Output = 9, 900
+	if d := Decide(r, []Endpoint{e}); d.Why != Full {
+		t.Errorf("at a full endpoint: %+v", d)
+	}
+}
