--- a/entry/mesh/mesh.go
+++ b/entry/mesh/mesh.go
@@ -41,6 +41,9 @@
 	// passOnAfter is how long a peer may lag behind before it is sent a newer
 	// version: the platform usually tells it sooner and for nothing.
 	passOnAfter = 150 * time.Millisecond
+	// turnTime is how much later the next entry passes a version on, if the one
+	// before did not: a version's way and the tally that tells of its arrival.
+	turnTime = 2 * tellAtLeast
 	// heartbeat is that of the links; one that went silent is dialled again
 	// after three.
 	heartbeat = 300 * time.Millisecond
--- a/entry/mesh/mesh_test.go
+++ b/entry/mesh/mesh_test.go
@@ -27,6 +27,8 @@
 	heard  map[string]float64
 	lost   map[string]bool
 	config int64
+	// took counts the versions that peers passed on.
+	took int
 }
 
 func (e *entry) with(f func()) {
@@ -59,7 +61,7 @@
 				}
 			})
 		},
-		Took: func(s *wire.Snapshot) { e.with(func() { e.config = max(e.config, s.Revision) }) },
+		Took: func(s *wire.Snapshot) { e.with(func() { e.config, e.took = max(e.config, s.Revision), e.took+1 }) },
 		Lost: func(peer string) { e.with(func() { e.lost[peer] = true }) }, Log: zap.NewNop(),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -145,6 +147,37 @@
 	await(t, "the next version", func() bool { b.mu.Lock(); defer b.mu.Unlock(); return b.config == 9 })
 }
 
+// One of eight entries missed a large configuration. If the seven others all
+// sent it, it would cross the small entry's link seven times, with the callers'
+// requests waiting behind it.
+func TestOneEntryPassesAVersionOn(t *testing.T) {
+	all := []*entry{start(t, "e0")}
+	for i := range 7 {
+		all = append(all, start(t, fmt.Sprint("e", i+1), all[0].addr))
+	}
+	for _, e := range all {
+		e.with(func() { e.config = 3 })
+	}
+	for _, e := range all {
+		await(t, "all entries to be heard at one version", func() bool {
+			heard, _ := e.mesh.Reach()
+			return heard == len(all)
+		})
+	}
+	time.Sleep(2 * tellAtLeast)
+	for _, e := range all[1:] {
+		e.with(func() { e.config = 7 })
+	}
+	behind := all[0]
+	await(t, "the version", func() bool { behind.mu.Lock(); defer behind.mu.Unlock(); return behind.config == 7 })
+	time.Sleep(2 * turnTime)
+	behind.mu.Lock()
+	defer behind.mu.Unlock()
+	if behind.took > 2 {
+		t.Errorf("the version came %d times", behind.took)
+	}
+}
+
 // An entry dies. What it had in flight must no longer count, and it may come
 // back under the same name.
 func TestSilentPeerIsLostAndHeardAgain(t *testing.T) {
--- a/entry/mesh/tell.go
+++ b/entry/mesh/tell.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"hash/fnv"
 	"time"
 
 	"go.uber.org/zap"
@@ -128,7 +129,7 @@
 	var out []parcel
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for _, p := range m.peers {
+	for name, p := range m.peers {
 		oldConfig, oldRoster := p.config < config, p.roster < roster
 		if !p.reached || !oldConfig && !oldRoster {
 			p.behind = time.Time{}
@@ -138,11 +139,11 @@
 			p.behind = time.Now()
 		}
 		d := m.dials[p.addr]
-		if d == nil || d.link == nil || p.config != 0 && time.Since(p.behind) < passOnAfter {
+		if d == nil || d.link == nil || time.Since(p.behind) < m.turn(name, p, config, roster) {
 			continue
 		}
 		// The next one only when the peer has had time to tell that it has it.
-		p.behind = time.Now().Add(tellAtLeast)
+		p.behind = time.Now().Add(turnTime)
 		if oldConfig {
 			out = append(out, parcel{d.link, wire.SnapshotConfig})
 		}
@@ -152,3 +153,30 @@
 	}
 	return out
 }
+
+// turn returns for how long a peer must have lagged behind before this entry
+// passes versions on to it. The entries that have them take turns, in an order
+// of their own for each peer. If all sent at once, a large configuration that a
+// few peers missed would cross each of their links as many times as there are
+// entries, and callers' requests wait behind it. It is called with mu held.
+func (m *Mesh) turn(name string, p *peer, config, roster int64) time.Duration {
+	own, ahead := order(name, m.cfg.Self.Name), 0
+	for other, o := range m.peers {
+		if other != name && o.reached && o.config >= config && o.roster >= roster && order(name, other) < own {
+			ahead++
+		}
+	}
+	wait := time.Duration(ahead) * turnTime
+	if p.config != 0 {
+		wait += passOnAfter
+	}
+	return wait
+}
+
+// order returns the place of an entry among those that pass versions on to a
+// peer.
+func order(peer, entry string) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(peer + "\x00" + entry))
+	return h.Sum64()
+}
