--- a/core/trust/trust.go
+++ b/core/trust/trust.go
@@ -68,6 +68,10 @@
 	trial time.Duration
 	// trying is set while that request has no result.
 	trying bool
+	// unreachable is set if the last failure was that no connection could be
+	// made. Such an endpoint is tried with a connection, not with a request: a
+	// connection to a silent one takes a caller's whole target to fail.
+	unreachable bool
 }
 
 // New returns a book that trusts every endpoint.
@@ -79,7 +83,7 @@
 	if h == nil || h.until == 0 {
 		return true
 	}
-	if now < h.until {
+	if now < h.until || h.unreachable {
 		return false
 	}
 	return !h.trying || now-h.trial > trialTime
@@ -116,7 +120,7 @@
 		b.health[id] = h
 	}
 	paused := h.until != 0
-	h.trying = false
+	h.trying, h.unreachable = false, r == Unreachable
 	if r == Good {
 		h.good()
 		if paused {
@@ -155,5 +159,24 @@
 	h.pauses++
 }
 
+// Due calls f with each endpoint that is to be tried with a connection now, and
+// takes it for being tried.
+func (b *Book) Due(now time.Duration, f func(id string)) {
+	for id, h := range b.health {
+		if h.unreachable && now >= h.until && (!h.trying || now-h.trial > trialTime) {
+			h.trying, h.trial = true, now
+			f(id)
+		}
+	}
+}
+
+// Reached records that a connection to an endpoint could be made: the next
+// request may try it.
+func (b *Book) Reached(now time.Duration, id string) {
+	if h := b.health[id]; h != nil && h.unreachable {
+		h.unreachable, h.trying, h.until = false, false, now
+	}
+}
+
 // Forget drops what is known of an endpoint, as after its restart.
 func (b *Book) Forget(id string) { delete(b.health, id) }
--- a/core/trust/trust_test.go
+++ b/core/trust/trust_test.go
@@ -5,19 +5,23 @@
 	"time"
 )
 
-// An endpoint crashes and the list still names it. Each entry may lose one
-// connection attempt to it, and one more each time it tries it again.
+// An endpoint crashes and the list still names it. One request meets it; from
+// then on it is tried with connections, a few in ten seconds.
 func TestUnreachableEndpointIsAvoidedAtOnce(t *testing.T) {
-	b, sent := New(), 0
+	b, sent, tried := New(), 0, 0
 	for now := time.Duration(0); now < 10*time.Second; now += 10 * time.Millisecond {
+		b.Due(now, func(id string) {
+			tried++
+			b.Ended(now+time.Millisecond, id, Unreachable)
+		})
 		if b.Usable(now, "e") {
 			sent++
 			b.Sent(now, "e")
 			b.Ended(now+time.Millisecond, "e", Unreachable)
 		}
 	}
-	if sent > 7 {
-		t.Errorf("%d of 1000 requests went to an endpoint that was gone", sent)
+	if sent > 1 || tried < 3 || tried > 7 {
+		t.Errorf("%d of 1000 requests and %d connections went to an endpoint that was gone", sent, tried)
 	}
 }
 
@@ -66,8 +70,12 @@
 		b.Ended(time.Duration(i)*time.Millisecond, "e", Unreachable)
 	}
 	now := time.Second + longestPause
+	if b.Usable(now, "e") {
+		t.Fatal("a caller's request is sent before a connection could be made")
+	}
+	b.Due(now, func(id string) { b.Reached(now, id) })
 	if !b.Usable(now, "e") {
-		t.Fatal("not tried again after the longest pause")
+		t.Fatal("not tried again after a connection could be made")
 	}
 	b.Sent(now, "e")
 	if b.Usable(now, "e") {
--- a/entry/direct/relay.go
+++ b/entry/direct/relay.go
@@ -89,9 +89,9 @@
 	}
 	v.end(trust.Broken)
 	if errors.Is(err, context.Canceled) {
-		return verdict{ran: true, res: Result{Why: "stream fell silent"}}
+		return verdict{arrived: true, ran: true, res: Result{Why: "stream fell silent"}}
 	}
-	return verdict{ran: true, res: Result{Why: "stream broke off"}}
+	return verdict{arrived: true, ran: true, res: Result{Why: "stream broke off"}}
 }
 
 // forward writes the whole events of part and returns the rest. The end of a
--- a/entry/direct/serve.go
+++ b/entry/direct/serve.go
@@ -114,9 +114,9 @@
 	// done is set when the job has its result.
 	done bool
 	res  Result
-	// again is set when the job may be sent to another endpoint, and ran when
-	// the endpoint may have run it.
-	ran bool
+	// arrived is set when the endpoint got the job and ran when it may have run
+	// it.
+	arrived, ran bool
 }
 
 func done(o Outcome, why string) verdict {
@@ -158,7 +158,7 @@
 		return nil, "no attempt left"
 	case t.sends >= maxSends:
 		return nil, "sent to enough endpoints"
-	case !t.d.repeat(v):
+	case got.arrived && !t.d.repeat(v):
 		return nil, "no repeat left in the budget"
 	}
 	next, dec := t.d.place(t.job, v.id, max(t.job.Output-t.passed, 0))
@@ -191,22 +191,15 @@
 	defer v.abandon()
 	ctx, cancel := context.WithCancel(t.ctx)
 	defer cancel()
-	patience := t.patience(v)
-	if patience > 0 {
+	if patience := t.patience(v); patience > 0 {
 		timer := time.AfterFunc(patience, cancel)
 		defer timer.Stop()
 		a, got := t.send(ctx, v)
-		if a == nil {
-			return got
-		}
 		timer.Stop()
-		return t.receive(a, v, cancel)
+		return t.receive(a, got, v, cancel)
 	}
 	a, got := t.send(ctx, v)
-	if a == nil {
-		return got
-	}
-	return t.receive(a, v, cancel)
+	return t.receive(a, got, v, cancel)
 }
 
 // patience is how long the head of an answer is waited for before the job is
@@ -246,16 +239,16 @@
 		io.Copy(io.Discard, io.LimitReader(a, maxPlain))
 		a.Close()
 		v.abandon()
-		return nil, verdict{res: Result{Why: "endpoint did not run it"}}
+		return nil, verdict{arrived: true, res: Result{Why: "endpoint did not run it"}}
 	case a.Status < 300 && !m.Signed:
 		a.Close()
 		v.end(trust.Broken)
-		return nil, verdict{ran: true, res: Result{Why: "answer without the endpoint's signature"}}
+		return nil, verdict{arrived: true, ran: true, res: Result{Why: "answer without the endpoint's signature"}}
 	case a.Status >= 500 && t.mayRepeatError():
 		io.Copy(io.Discard, io.LimitReader(a, maxPlain))
 		a.Close()
 		v.end(trust.Error)
-		return nil, verdict{ran: true, res: Result{Why: "endpoint answered with an error"}}
+		return nil, verdict{arrived: true, ran: true, res: Result{Why: "endpoint answered with an error"}}
 	}
 	return a, verdict{}
 }
@@ -283,21 +276,24 @@
 		return done(Left, "caller left")
 	case t.ctx.Err() != nil:
 		v.abandon()
-		return verdict{ran: true, res: Result{Why: "time is up"}}
+		return verdict{arrived: true, ran: true, res: Result{Why: "time is up"}}
 	}
 	v.end(trust.Broken)
-	return verdict{ran: true, res: Result{Why: "no answer: " + err.Error()}}
+	return verdict{arrived: true, ran: true, res: Result{Why: "no answer: " + err.Error()}}
 }
 
-// receive passes an answer on.
-func (t *task) receive(a *hop.Answer, v *visit, cancel context.CancelFunc) verdict {
+// receive passes an answer on; without one it returns what send found.
+func (t *task) receive(a *hop.Answer, got verdict, v *visit, cancel context.CancelFunc) verdict {
+	if a == nil {
+		return got
+	}
 	defer a.Close()
 	if t.job.Route.Stream && a.Status == http.StatusOK {
 		return t.relay(a, v, cancel)
 	}
 	if t.begun {
 		v.end(trust.Broken)
-		return verdict{ran: true, res: Result{Why: "the stream was not resumed"}}
+		return verdict{arrived: true, ran: true, res: Result{Why: "the stream was not resumed"}}
 	}
 	return t.plain(a, v)
 }
@@ -308,10 +304,10 @@
 	body, err := io.ReadAll(io.LimitReader(a, maxPlain))
 	if err != nil || !a.Whole() {
 		if t.ctx.Err() != nil {
-			return verdict{ran: true, res: Result{Why: "time is up"}}
+			return verdict{arrived: true, ran: true, res: Result{Why: "time is up"}}
 		}
 		v.end(trust.Broken)
-		return verdict{ran: true, res: Result{Why: "answer broke off"}}
+		return verdict{arrived: true, ran: true, res: Result{Why: "answer broke off"}}
 	}
 	if a.Status >= 500 {
 		v.end(trust.Error)
@@ -321,7 +317,7 @@
 	if promises(a.Status) {
 		// These statuses promise that nothing ran, and the endpoint has not
 		// said so.
-		return verdict{ran: true, res: Result{Why: "endpoint refused without saying that it did not run"}}
+		return verdict{arrived: true, ran: true, res: Result{Why: "endpoint refused without saying that it did not run"}}
 	}
 	t.sink.Head(a.Status, a.Header, int64(len(body)))
 	if err := t.sink.Write(body); err != nil {
--- /dev/null
+++ b/entry/direct/visit.go
@@ -0,0 +1,192 @@
+package direct
+
+import (
+	"math"
+	"time"
+
+	"go.uber.org/zap"
+
+	"lycheepond/core/admit"
+	"lycheepond/core/logs"
+	"lycheepond/core/route"
+	"lycheepond/core/trust"
+)
+
+// place decides where a job goes and counts it there. Refused, it returns a try
+// that holds nothing but what the refusal was based on. avoid is the endpoint that
+// has failed it, empty if there is none.
+func (d *Director) place(j *Job, avoid string, output int) (*visit, admit.Decision) {
+	now := time.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	heard, known := d.cfg.Reach()
+	p := d.v.pool(j.Pool.Name, d.cfg.Repeats, known)
+	req := admit.Request{
+		Rank: p.rank(j.Tier), Ranks: len(p.tiers), Target: j.Accepted.Add(j.Route.Target).Sub(now), Left: j.End().Sub(now),
+		MaxPause: j.Route.MaxPause, EventTokens: j.Pool.EventTokens, Avoid: -1,
+	}
+	if j.Pool.Engine {
+		req.Prompt, req.Output = j.Prompt, output
+	}
+	for i, e := range p.endpoints {
+		if e.ID == avoid {
+			req.Avoid = i
+		}
+	}
+	if avoid != "" {
+		// What was admitted once is not refused for its second try: its caller
+		// has waited already.
+		req.Target = math.MaxInt64
+	}
+	all := d.v.describe(p, j.Pool, now, d.since(now))
+	dec := admit.Decide(req, all)
+	if dec.Endpoint < 0 {
+		return &visit{basis: Basis{Predicted: dec.First, Heard: heard, Known: known}}, dec
+	}
+	e := p.endpoints[dec.Endpoint]
+	chosen := all[dec.Endpoint]
+	v := &visit{
+		d: d, pool: p, e: e, id: e.ID, addr: e.Addr, alone: len(p.endpoints) < 2, sent: now, free: chosen.Requests < chosen.Slots, ahead: chosen.Prompt + req.Prompt,
+		wait: dec.Wait, rest: dec.First - dec.Wait,
+		basis: Basis{Endpoint: e.ID, Predicted: dec.First, Ahead: chosen.Requests, Prompt: chosen.Prompt + req.Prompt, Heard: heard, Known: known},
+		held:  hold{requests: 1, prompt: req.Prompt, output: req.Output, tokens: req.Prompt + req.Output},
+	}
+	if e.own.requests == 0 {
+		e.since = now
+	}
+	e.own.add(v.held, 1)
+	d.v.changedHeld[e.ID] = true
+	d.v.trust.Sent(d.since(now), e.ID)
+	return v, dec
+}
+
+// repeat takes one repeat from the pool's budget.
+func (d *Director) repeat(v *visit) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return v.pool.budget.Spend()
+}
+
+// earn credits the pool's budget for a first try.
+func (d *Director) earn(v *visit) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	v.pool.budget.Earn(1)
+}
+
+// visit is one try of a job at an endpoint.
+type visit struct {
+	d    *Director
+	pool *pool
+	// e is only touched with d.mu held; id and addr are copies of what it was
+	// when the try was sent.
+	e        *endpoint
+	id, addr string
+	// alone is set if there was no other endpoint to go to.
+	alone bool
+	sent  time.Time
+	// free is set if there was a free slot when the try was sent and ahead is
+	// how many prompt tokens had to be read before its first event.
+	free  bool
+	ahead int
+	// wait is the predicted wait for a slot and rest the rest of the predicted
+	// time to the first event.
+	wait, rest time.Duration
+	basis      Basis
+	// held is what the try still holds there.
+	held hold
+	// first is when the first part of the answer's body came, last when the
+	// latest did; tokens counts the output tokens since the first.
+	first, last time.Time
+	tokens      int
+	over        bool
+}
+
+// head notes that the answer's head has come.
+func (v *visit) head(m Meta) {
+	v.d.mu.Lock()
+	defer v.d.mu.Unlock()
+	v.e.heard = time.Now()
+	if m.HasLoad && m.Slots > 0 && v.e.Slots == 0 {
+		v.e.Slots = m.Slots
+	}
+}
+
+// progress notes that tokens of output have come.
+func (v *visit) progress(tokens int) {
+	now := time.Now()
+	v.d.mu.Lock()
+	defer v.d.mu.Unlock()
+	v.e.heard = now
+	if v.first.IsZero() {
+		v.first = now
+		v.basis.First = now.Sub(v.sent)
+		v.release(hold{prompt: v.held.prompt})
+		if v.free && v.held.tokens > 0 {
+			v.pool.learner.First(v.e.ID, v.ahead, now.Sub(v.sent))
+		} else if v.held.tokens > 0 {
+			v.pool.learner.Waited(v.wait, now.Sub(v.sent)-v.rest)
+		}
+	} else {
+		v.tokens += tokens
+	}
+	v.last = now
+	v.release(hold{output: min(tokens, v.held.output)})
+}
+
+// release takes o out of what the try holds; d.mu is held.
+func (v *visit) release(o hold) {
+	v.held.add(o, -1)
+	v.e.own.add(o, -1)
+	v.d.v.changedHeld[v.e.ID] = true
+}
+
+// end notes how the try ended. It may be called more than once; the first call
+// counts.
+func (v *visit) end(r trust.Result) {
+	if v.over {
+		return
+	}
+	v.over = true
+	switch v.settle(r) {
+	case trust.Lost:
+		logs.Warn(v.d.cfg.Log, logs.EventEndpointAway, zap.String("endpoint", v.id), zap.String("result", r.String()))
+	case trust.Regained:
+		logs.Info(v.d.cfg.Log, logs.EventEndpointBack, zap.String("endpoint", v.id))
+	}
+}
+
+// settle takes a result into all that is known of the endpoint.
+func (v *visit) settle(r trust.Result) trust.Change {
+	now := time.Now()
+	v.d.mu.Lock()
+	defer v.d.mu.Unlock()
+	if v.held.tokens > 0 {
+		v.pool.learner.Output(v.e.ID, v.tokens, v.last.Sub(v.first))
+	} else if v.free && r == trust.Good {
+		v.pool.learner.First(v.e.ID, 0, now.Sub(v.sent))
+	}
+	v.release(v.held)
+	return v.d.v.trust.Ended(v.d.since(now), v.e.ID, r)
+}
+
+// abandon ends a try without a verdict on the endpoint.
+func (v *visit) abandon() {
+	if v.over {
+		return
+	}
+	v.over = true
+	v.d.mu.Lock()
+	defer v.d.mu.Unlock()
+	v.release(v.held)
+}
+
+// connLimit is how many connections this entry may have to the endpoint: its
+// part of what all may have together.
+func (v *visit) connLimit(p *route.Pool, entries int) int {
+	if p.MaxConns <= 0 {
+		return 0
+	}
+	// A fifth is left for entries that are not known yet.
+	return max(p.MaxConns*4/5/max(entries, 1), 1)
+}
--- a/entry/hop/hop.go
+++ b/entry/hop/hop.go
@@ -112,6 +112,17 @@
 	}
 }
 
+// Reach makes a connection to addr and keeps it for the next request.
+func (c *Client) Reach(ctx context.Context, addr string) error {
+	nc, err := c.dialer.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return errors.Join(ErrNotSent, err)
+	}
+	c.reserve(addr, 0)
+	c.keep(newConn(c, addr, nc))
+	return nil
+}
+
 // take returns a kept connection or makes one.
 func (c *Client) take(ctx context.Context, addr string, limit int, once bool) (k *conn, fresh bool, err error) {
 	if k := c.kept(addr, once); k != nil {
