direct: an endpoint's error is passed on when no repeat is left

Test seen failing: 502 from the eleventh request on. Also: lines of refused requests carry their ID.

--- a/entry/direct/serve.go
+++ b/entry/direct/serve.go
@@ -117,6 +117,8 @@
 	// arrived is set when the endpoint got the job and ran when it may have run
 	// it.
 	arrived, ran bool
+	// paid is set when a repeat was taken from the budget already.
+	paid bool
 }
 
 func done(o Outcome, why string) verdict {
@@ -158,7 +160,7 @@
 		return nil, "no attempt left"
 	case t.sends >= maxSends:
 		return nil, "sent to enough endpoints"
-	case got.arrived && !t.d.repeat(v):
+	case got.arrived && !got.paid && !t.d.repeat(v):
 		return nil, "no repeat left in the budget"
 	}
 	next, dec := t.d.place(t.job, v.id, max(t.job.Output-t.passed, 0))
@@ -244,17 +246,18 @@
 		a.Close()
 		v.end(trust.Broken)
 		return nil, verdict{arrived: true, ran: true, res: Result{Why: "answer without the endpoint's signature"}}
-	case a.Status >= 500 && t.mayRepeatError():
+	case a.Status >= 500 && t.mayRepeatError() && t.d.repeat(v):
 		io.Copy(io.Discard, io.LimitReader(a, maxPlain))
 		a.Close()
 		v.end(trust.Error)
-		return nil, verdict{arrived: true, ran: true, res: Result{Why: "endpoint answered with an error"}}
+		return nil, verdict{arrived: true, ran: true, paid: true, res: Result{Why: "endpoint answered with an error"}}
 	}
 	return a, verdict{}
 }
 
 // mayRepeatError reports whether an error of an endpoint is better followed by
-// another try than passed on.
+// another try than passed on. It is asked before the budget: an answer that was
+// thrown away for a repeat that is not to be had would be lost.
 func (t *task) mayRepeatError() bool {
 	j := t.job
 	return !j.Route.Once() && !t.begun && t.ran+1 < j.Route.Attempts && t.sends < maxSends && time.Until(j.End()) > shortLeft
--- a/entry/door/door.go
+++ b/entry/door/door.go
@@ -69,6 +69,8 @@
 	Grace     time.Duration
 	// Memory is how many bytes the bodies of all requests may take at once.
 	Memory int64
+	// ID returns the ID that the caller gave a request.
+	ID func(r *http.Request) string
 	// Accept reads the head of a request into a job without a body.
 	Accept func(r *http.Request, t *route.Table) (*direct.Job, *Refusal)
 	// Table returns the configuration in force.
@@ -299,7 +301,7 @@
 }
 
 func (d *Door) refuse(w http.ResponseWriter, r *http.Request, no *Refusal) {
-	logs.Info(d.cfg.Log, logs.EventRequestRefused, zap.Int("status", no.Status), zap.String("why", no.Reason),
+	logs.Info(d.cfg.Log, logs.EventRequestRefused, zap.String("request_id", d.cfg.ID(r)), zap.Int("status", no.Status), zap.String("why", no.Reason),
 		zap.String("host", r.Host), zap.Int64("config", d.cfg.Table().Revision()))
 	d.write(w, no)
 }
@@ -311,15 +313,15 @@
 	w.WriteHeader(no.Status)
 }
 
-// hop headers concern one connection only.
-var hop = map[string]bool{
+// connectionHeaders concern one connection only.
+var connectionHeaders = map[string]bool{
 	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Transfer-Encoding": true,
 	"Te": true, "Trailer": true, "Upgrade": true, "Content-Length": true,
 }
 
 func copyHeader(to, from http.Header) {
 	for name, values := range from {
-		if !hop[name] {
+		if !connectionHeaders[name] {
 			to[name] = values
 		}
 	}
@@ -334,7 +336,7 @@
 func Forward(h http.Header) http.Header {
 	out := make(http.Header, len(h))
 	for name, values := range h {
-		if !hop[name] {
+		if !connectionHeaders[name] {
 			out[name] = values
 		}
 	}
