--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -50,17 +50,13 @@
 // Request is what placement needs to know of a request.
 type Request struct {
 	// Rank is the place of the request's tier among those in use, zero the
-	// highest; Ranks is how many there are.
-	Rank, Ranks int
+	// highest.
+	Rank int
 	// Prompt and Output are tokens; zero for plain services.
 	Prompt, Output int
 	// Target is the time within which the first event is wanted and Left the
 	// time until the answer must be complete, both from now.
 	Target, Left time.Duration
-	// MaxPause is the longest pause between two events, EventTokens how many
-	// tokens an event holds; zero for plain services.
-	MaxPause    time.Duration
-	EventTokens int
 	// Avoid is the index of an endpoint that has failed this request, -1 if
 	// there is none.
 	Avoid int
--- a/core/conf/load.go
+++ b/core/conf/load.go
@@ -41,7 +41,7 @@
 	}
 	s, ok := into.(settings)
 	if !ok {
-		return eris.Errorf("conf: cannot read settings into %T: use *Entry or *Agent", into)
+		return eris.Errorf("conf: cannot read settings into %T: use *Entry, *Agent or *Direct", into)
 	}
 	var doc yaml.Node
 	if err := yaml.Unmarshal(data, &doc); err != nil {
--- a/entry/direct/visit.go
+++ b/entry/direct/visit.go
@@ -22,8 +22,7 @@
 	heard, known := d.cfg.Reach()
 	p := d.v.pool(j.Pool.Name, d.cfg.Repeats, known)
 	req := admit.Request{
-		Rank: p.rank(j.Tier), Ranks: len(p.tiers), Target: j.Accepted.Add(j.Route.Target).Sub(now), Left: j.End().Sub(now),
-		MaxPause: j.Route.MaxPause, EventTokens: j.Pool.EventTokens, Avoid: -1,
+		Rank: p.rank(j.Tier), Target: j.Accepted.Add(j.Route.Target).Sub(now), Left: j.End().Sub(now), Avoid: -1,
 	}
 	if j.Pool.Engine {
 		req.Prompt, req.Output = j.Prompt, output
@@ -46,7 +45,8 @@
 	e := p.endpoints[dec.Endpoint]
 	chosen := all[dec.Endpoint]
 	v := &visit{
-		d: d, pool: p, e: e, id: e.ID, addr: e.Addr, alone: len(p.endpoints) < 2, sent: now, free: chosen.Requests < chosen.Slots, ahead: chosen.Prompt + req.Prompt,
+		d: d, pool: p, e: e, id: e.ID, addr: e.Addr, alone: len(p.endpoints) < 2, sent: now,
+		free: chosen.Requests < chosen.Slots, ahead: chosen.Prompt + req.Prompt,
 		wait: dec.Wait, rest: dec.First - dec.Wait,
 		basis: Basis{Endpoint: e.ID, Predicted: dec.First, Ahead: chosen.Requests, Prompt: chosen.Prompt + req.Prompt, Heard: heard, Known: known},
 		held:  hold{requests: 1, prompt: req.Prompt, output: req.Output, tokens: req.Prompt + req.Output},
