--- a/trial/procs/proc.go
+++ b/trial/procs/proc.go
@@ -1,13 +1,17 @@
 package procs
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"net/http"
 	"os"
 	"os/exec"
+	"path/filepath"
 	"runtime"
+	"strconv"
+	"strings"
 	"syscall"
 	"time"
 )
@@ -49,8 +53,50 @@
 	return nil
 }
 
-// Pause stops the process until Resume; its connections stay open.
-func (p *Proc) Pause() error { return p.Signal(syscall.SIGSTOP) }
+// Pause stops the process until Resume; its connections stay open. It returns
+// once every thread has stopped: the signal is delivered to each when it next
+// enters the kernel, and on a busy machine a thread may answer one more request
+// before that.
+func (p *Proc) Pause() error {
+	if err := p.Signal(syscall.SIGSTOP); err != nil {
+		return err
+	}
+	for end := time.Now().Add(stopTime); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		stopped, err := allStopped(p.cmd.Process.Pid)
+		if err != nil || stopped {
+			return err
+		}
+	}
+	return ErrNotStopped
+}
+
+// stopTime bounds the wait for all threads to stop; it takes milliseconds.
+const stopTime = 10 * time.Second
+
+// ErrNotStopped reports a process that a signal did not stop.
+var ErrNotStopped = errors.New("procs: the process did not stop: look whether it is being traced")
+
+// allStopped reports whether every thread of a process is stopped.
+func allStopped(pid int) (bool, error) {
+	files, err := filepath.Glob("/proc/" + strconv.Itoa(pid) + "/task/*/stat")
+	if err != nil {
+		return false, err
+	}
+	for _, name := range files {
+		data, err := os.ReadFile(name)
+		if err != nil {
+			// The thread has ended since.
+			continue
+		}
+		// The state follows the name, which stands in parentheses and may hold
+		// any character.
+		_, rest, found := strings.Cut(string(data[bytes.LastIndexByte(data, ')')+1:]), " ")
+		if !found || !strings.HasPrefix(rest, "T") {
+			return false, nil
+		}
+	}
+	return len(files) > 0, nil
+}
 
 // Resume lets a paused process go on.
 func (p *Proc) Resume() error { return p.Signal(syscall.SIGCONT) }
