--- a/entry/follow/follow_test.go
+++ b/entry/follow/follow_test.go
@@ -144,7 +144,7 @@
 	learnt := make(chan int64, 100)
 	f := New(Config[int]{
 		Name: "x", List: s.list, Watch: watch, Wait: func() time.Duration { return time.Minute },
-		Pause: func() time.Duration { return 300 * time.Millisecond }, Listed: func([]Change[int], int64) {},
+		Pause: func() time.Duration { return 2 * time.Second }, Listed: func([]Change[int], int64) {},
 		Changed: func(all []Change[int]) { learnt <- all[len(all)-1].Revision }, Away: func() {}, Back: func() {},
 		Random: func() float64 { return 0 }, Log: zap.NewNop(),
 	})
--- a/entry/mesh/mesh_test.go
+++ b/entry/mesh/mesh_test.go
@@ -27,8 +27,6 @@
 	heard  map[string]float64
 	lost   map[string]bool
 	config int64
-	// took counts the versions that peers passed on.
-	took int
 }
 
 func (e *entry) with(f func()) {
@@ -61,7 +59,7 @@
 				}
 			})
 		},
-		Took: func(s *wire.Snapshot) { e.with(func() { e.config, e.took = max(e.config, s.Revision), e.took+1 }) },
+		Took: func(s *wire.Snapshot) { e.with(func() { e.config = max(e.config, s.Revision) }) },
 		Lost: func(peer string) { e.with(func() { e.lost[peer] = true }) }, Log: zap.NewNop(),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -148,33 +146,41 @@
 }
 
 // One of eight entries missed a large configuration. If the seven others all
-// sent it, it would cross the small entry's link seven times, with the callers'
-// requests waiting behind it.
-func TestOneEntryPassesAVersionOn(t *testing.T) {
-	all := []*entry{start(t, "e0")}
-	for i := range 7 {
-		all = append(all, start(t, fmt.Sprint("e", i+1), all[0].addr))
+// sent it at once, it would cross the small entry's link seven times, with the
+// callers' requests waiting behind it. They must take turns, each with time to
+// hear that the one before has done it.
+func TestEntriesTakeTurnsToPassAVersionOn(t *testing.T) {
+	names := []string{"e1", "e2", "e3", "e4", "e5", "e6", "e7"}
+	turns := make(map[time.Duration]string)
+	for _, self := range names {
+		m := New(Config{Self: wire.Hello{Name: self}})
+		for _, other := range names {
+			if other != self {
+				*m.peer(other) = peer{reached: true, config: 7, roster: 7}
+			}
+		}
+		behind := &peer{reached: true, config: 3, roster: 7}
+		turn := m.turn("e0", behind, 7, 7)
+		if before, taken := turns[turn]; taken {
+			t.Errorf("%s and %s both send after %v", before, self, turn)
+		}
+		turns[turn] = self
 	}
-	for _, e := range all {
-		e.with(func() { e.config = 3 })
+	for n := range names {
+		if _, ok := turns[passOnAfter+time.Duration(n)*turnTime]; !ok {
+			t.Errorf("nobody sends as number %d: %v", n, turns)
+		}
 	}
-	for _, e := range all {
-		await(t, "all entries to be heard at one version", func() bool {
-			heard, _ := e.mesh.Reach()
-			return heard == len(all)
-		})
+	// Those that lag themselves, or are not heard, cannot be waited for.
+	m := New(Config{Self: wire.Hello{Name: "e1"}})
+	for _, other := range names[1:] {
+		*m.peer(other) = peer{reached: other < "e4", config: 5, roster: 7}
 	}
-	time.Sleep(2 * tellAtLeast)
-	for _, e := range all[1:] {
-		e.with(func() { e.config = 7 })
-	}
-	behind := all[0]
-	await(t, "the version", func() bool { behind.mu.Lock(); defer behind.mu.Unlock(); return behind.config == 7 })
-	time.Sleep(2 * turnTime)
-	behind.mu.Lock()
-	defer behind.mu.Unlock()
-	if behind.took > 2 {
-		t.Errorf("the version came %d times", behind.took)
+	if got := m.turn("e0", &peer{reached: true, config: 3, roster: 7}, 7, 7); got != passOnAfter {
+		t.Errorf("the one entry that has the version waits %v", got)
+	}
+	if got := m.turn("e0", &peer{reached: true}, 7, 7); got != 0 {
+		t.Errorf("an entry without any version waits %v for it", got)
 	}
 }
 
