--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -40,6 +40,8 @@
 	// removed holds when the removal of an endpoint is to be believed.
 	removed  map[string]time.Duration
 	revision int64
+	// sure is the revision before the first of the removals that are held back.
+	sure int64
 	// away is set while the platform does not answer, since when stands in
 	// since.
 	away  bool
@@ -104,6 +106,9 @@
 		delete(b.removed, id)
 		return
 	}
+	if len(b.removed) == 0 {
+		b.sure = b.revision
+	}
 	if _, ok := b.removed[id]; !ok {
 		b.removed[id] = b.back + doubt
 	}
@@ -122,9 +127,18 @@
 	return len(b.removed) < n
 }
 
-// Roster returns the list in force, ordered by ID.
+// Doubtful reports whether removals are held back.
+func (b *Book) Doubtful() bool { return len(b.removed) > 0 }
+
+// Roster returns the list in force, ordered by ID. While removals are held back
+// it has the revision from before them: under a newer one it would pass for
+// newer knowledge among entries that have believed the removals, and bring
+// endpoints that have left back into use there.
 func (b *Book) Roster() route.Roster {
 	r := route.Roster{Revision: b.revision}
+	if b.Doubtful() {
+		r.Revision = b.sure
+	}
 	for _, e := range b.endpoints {
 		r.Endpoints = append(r.Endpoints, e)
 	}
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -66,3 +66,25 @@
 		t.Fatalf("%d endpoints, want 1", n)
 	}
 }
+
+// The platform turned this entry away, and served the others, who know that an
+// endpoint has left. When the entry reaches the platform again it holds the
+// removal back. Passed on to the others under the platform's newest revision,
+// its list brought the endpoint back into use there two seconds after it left.
+func TestListWithHeldRemovalsIsNoNewerOne(t *testing.T) {
+	var b Book
+	b.List(0, 30, two())
+	b.Away(2 * time.Second)
+	b.Back(11 * time.Second)
+	b.Set(36, route.Endpoint{ID: "c"})
+	b.Remove(11*time.Second, 37, "a")
+	b.Remove(11*time.Second, 38, "b")
+	if r := b.Roster(); !b.Doubtful() || r.Revision != 36 || len(r.Endpoints) != 3 {
+		t.Fatalf("revision %d with %d endpoints while removals are held back, want 36 with 3", r.Revision, len(r.Endpoints))
+	}
+	b.Set(39, route.Endpoint{ID: "b"})
+	b.Due(14 * time.Second)
+	if r := b.Roster(); b.Doubtful() || r.Revision != 39 || len(r.Endpoints) != 2 {
+		t.Fatalf("revision %d with %d endpoints afterwards, want 39 with 2", r.Revision, len(r.Endpoints))
+	}
+}
