entry: what nothing reads is gone

Two comments told of tries, or of a name that is not made so. Behaviour stays as it is; no test is changed.

--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -21,9 +21,9 @@
 const startShare = 0.5
 
 // shortestWait is the least time that a refused caller is told to wait: the
-// time in which entries hear of each other. Telling callers one after the other
-// later times, each after the one before, was tried: what the limit leaves free
-// meanwhile is lost, 2 to 4 in 100 of what the callers could have had.
+// time in which entries hear of each other. Each caller is told the same: later
+// times for later callers leave free what the limit earns meanwhile, 2 to 4 in
+// 100 of what the callers could have (two calm days, one run each).
 const shortestWait = 30 * time.Millisecond
 
 // Limit is what one customer may use.
@@ -113,8 +113,8 @@
 	}
 }
 
-// Told takes in a peer's total for a customer. A peer that started again under
-// another incarnation counts from zero; incarnation is part of its name here.
+// Told takes in a peer's total for a customer. A peer that started again counts
+// from zero; Forget comes first then.
 func (b *Book) Told(peer, customer string, total float64) {
 	totals := b.peers[peer]
 	if totals == nil {
--- a/core/wire/tally.go
+++ b/core/wire/tally.go
@@ -9,8 +9,6 @@
 	Addr string
 	// Config and Roster are the revisions in force at the sender.
 	Config, Roster int64
-	// Leaving is set from the moment that a planned stop begins.
-	Leaving bool
 	// Used holds the customers whose total changed.
 	Used []Used
 	// Held holds the endpoints at which the sender's requests changed.
--- a/entry/direct/direct.go
+++ b/entry/direct/direct.go
@@ -56,8 +56,6 @@
 
 	mu sync.Mutex
 	v  *view
-	// leaving is set from the moment that a planned stop begins.
-	leaving bool
 	// running counts jobs without a final answer.
 	running int
 }
@@ -121,13 +119,6 @@
 	return d.v.table.Revision() > 0 && d.v.roster.Revision > 0
 }
 
-// Leave notes that a planned stop has begun.
-func (d *Director) Leave() {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.leaving = true
-}
-
 // Running returns how many jobs have no final answer yet.
 func (d *Director) Running() int {
 	d.mu.Lock()
@@ -156,7 +147,7 @@
 	defer d.mu.Unlock()
 	v := d.v
 	v.quota.Reach(heard, known)
-	t := &wire.Tally{Addr: d.cfg.Addr, Config: v.table.Revision(), Roster: v.roster.Revision, Leaving: d.leaving}
+	t := &wire.Tally{Addr: d.cfg.Addr, Config: v.table.Revision(), Roster: v.roster.Revision}
 	v.quota.Totals(func(customer string, total float64) {
 		if all || v.changedUsed[customer] {
 			t.Used = append(t.Used, wire.Used{Customer: customer, Total: total})
--- a/entry/door/door.go
+++ b/entry/door/door.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -341,8 +342,8 @@
 		}
 	}
 	for _, named := range h.Values("Connection") {
-		for name := range splitList(named) {
-			out.Del(name)
+		for name := range strings.SplitSeq(named, ",") {
+			out.Del(strings.TrimSpace(name))
 		}
 	}
 	out.Del("Expect")
--- a/entry/mesh/mesh.go
+++ b/entry/mesh/mesh.go
@@ -113,7 +113,6 @@
 	link *wire.Link
 	// fresh is set until everything was told over the link.
 	fresh bool
-	stop  context.CancelFunc
 }
 
 // New returns a mesh that does nothing until Run.
@@ -237,16 +236,14 @@
 		m.mu.Unlock()
 		return
 	}
-	dialCtx, stop := context.WithCancel(ctx)
-	d := &dial{stop: stop}
+	d := new(dial)
 	m.dials[addr] = d
 	m.mu.Unlock()
 	m.spawn(func() {
-		m.dial(dialCtx, addr, d)
+		m.dial(ctx, addr, d)
 		m.mu.Lock()
 		delete(m.dials, addr)
 		m.mu.Unlock()
-		stop()
 	})
 }
 
