--- a/entry/caller/stub_test.go
+++ b/entry/caller/stub_test.go
@@ -193,9 +193,25 @@
 	}))
 	f.url = server.URL
 	tb.Cleanup(func() { server.Close(); cancel(); <-done; stop() })
+	f.awaitPools(tb, len(stubs))
 	return f
 }
 
+// awaitPools returns once the entry has taken in the instance list. On a busy
+// machine a test's first request would else come before the goroutine that does
+// it has run, and be told that no endpoint serves the pool.
+func (f *front) awaitPools(tb testing.TB, agents int) {
+	tb.Helper()
+	for end := time.Now().Add(time.Minute); agents > 0; time.Sleep(time.Millisecond) {
+		if m := f.set.Pool(stubPool); m != nil && len(m.Peers)+m.Beyond > 0 {
+			return
+		}
+		if time.Now().After(end) {
+			tb.Fatal("the instance list was never taken in")
+		}
+	}
+}
+
 func seed(tb testing.TB, st *store.Store, stubs []*stub) {
 	tb.Helper()
 	objects := []struct {
