quota: what a customer did not use after all is told to the other entries

Cause: an entry charges a request against its customer's limit, may then refuse it for want of room and gives the units back, but only at itself: the totals it tells never fell. While endpoints are full, every refusal took units from the customer at all other entries, who then said 429 for work that nobody did.

Test: TestWorkThatNeverRanIsTakenBackEverywhere, seen failing.

--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -68,7 +68,7 @@
 	// level is at most the burst; it falls below zero when peers used more
 	// than was known here.
 	level float64
-	// used is the total that this entry admitted; it never falls.
+	// used is the total that this entry admitted and that was not returned.
 	used   float64
 	filled time.Duration
 }
@@ -106,15 +106,20 @@
 	return 0, true
 }
 
-// Return gives back what Take admitted for a request that never ran.
+// Return gives back what Take admitted for a request that never ran. The other
+// entries learn of it with the next total: without that a customer whose
+// requests are refused for want of room would be taken for one over its limit
+// at every entry but the one that refused them.
 func (b *Book) Return(customer string, n float64) {
 	if k := b.buckets[customer]; k != nil {
 		k.level = min(k.level+n, k.limit.Burst)
+		k.used -= n
 	}
 }
 
-// Told takes in a peer's total for a customer. A peer that started again counts
-// from zero; Forget comes first then.
+// Told takes in a peer's total for a customer, which falls when the peer gave
+// something back. A peer that started again counts from zero; Forget comes first
+// then.
 func (b *Book) Told(peer, customer string, total float64) {
 	totals := b.peers[peer]
 	if totals == nil {
@@ -122,9 +127,9 @@
 		b.peers[peer] = totals
 	}
 	before, known := totals[customer]
-	totals[customer] = max(before, total)
+	totals[customer] = total
 	k := b.buckets[customer]
-	if k == nil || total <= before {
+	if k == nil {
 		return
 	}
 	if !known && total > k.limit.Burst {
@@ -132,18 +137,16 @@
 		// the burst is the most of it that can still matter.
 		total, before = k.limit.Burst, 0
 	}
-	k.level -= total - before
+	k.level = min(k.level-(total-before), k.limit.Burst)
 }
 
 // Forget drops the totals of a peer that is gone.
 func (b *Book) Forget(peer string) { delete(b.peers, peer) }
 
-// Totals calls f with the total of each customer that used anything here.
+// Totals calls f with the total of each customer that asked for anything here.
 func (b *Book) Totals(f func(customer string, total float64)) {
 	for name, k := range b.buckets {
-		if k.used > 0 {
-			f(name, k.used)
-		}
+		f(name, k.used)
 	}
 }
 
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -66,6 +66,33 @@
 	}
 }
 
+// The endpoints are full, so one entry admits a customer's requests against the
+// limit and then refuses them for want of room. Another entry has heard of them.
+// If it were not told that they never ran, the customer would be refused there
+// for work that nobody did, as long as the overload lasts.
+func TestWorkThatNeverRanIsTakenBackEverywhere(t *testing.T) {
+	limit := Limit{Rate: 100, Burst: 1000}
+	busy, other := New(), New()
+	busy.Reach(2, 2)
+	other.Reach(2, 2)
+	other.Take(0, "c", limit, 1)
+	tell := func() { busy.Totals(func(c string, total float64) { other.Told("busy", c, total) }) }
+	for range 40 {
+		if _, ok := busy.Take(0, "c", limit, 10); !ok {
+			t.Fatal("refused within the limit")
+		}
+		tell()
+		busy.Return("c", 10)
+		tell()
+	}
+	if wait, ok := other.Take(0, "c", limit, 400); !ok {
+		t.Errorf("refused for %v though the customer used next to nothing", wait)
+	}
+	if _, ok := other.Take(0, "c", limit, 400); !ok {
+		t.Error("the unused half of a burst is gone")
+	}
+}
+
 func TestTakeTellsWhenToComeBack(t *testing.T) {
 	b := New()
 	limit := Limit{Rate: 100, Burst: 100}
--- a/entry/direct/direct.go
+++ b/entry/direct/direct.go
@@ -196,6 +196,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.v.quota.Return(j.Customer.Name, j.Units)
+	d.v.changedUsed[j.Customer.Name] = true
 }
 
 // Run does the chores of the director until ctx ends.
