direct: peers are told what changes a decision, not each event

Cause: of what entries send each other most was the output that endpoints still owe, which falls with each event of each stream; 40 times a second every endpoint with a stream was told anew.

Change: an endpoint is told when a request, a prompt, or an eighth of its output has come or gone.

Test: TestPeersAreToldWhatChangesADecision, seen failing.

--- a/entry/direct/direct.go
+++ b/entry/direct/direct.go
@@ -156,6 +156,7 @@
 	for id, e := range v.endpoints {
 		if all && e.own.requests > 0 || v.changedHeld[id] {
 			t.Held = append(t.Held, e.held())
+			e.told = e.own.output
 		}
 	}
 	clear(v.changedHeld)
--- a/entry/direct/view.go
+++ b/entry/direct/view.go
@@ -26,6 +26,11 @@
 	// entries refused for want of budget while a third of the bound was unused.
 	retryRatio = 0.85
 	retrySlack = 0.6
+	// driftPart and driftTokens bound by how much less output an endpoint may owe
+	// than the peers were told: an eighth, and twenty tokens. Each event of each
+	// stream changes it, and is told as soon as it changes a prediction.
+	driftPart   = 8
+	driftTokens = 20
 	// fewEntries is the least number of entries among which the slack is split
 	// while not all of them are known.
 	fewEntries = 4
@@ -65,6 +70,8 @@
 	own hold
 	// others sums up what peers have there.
 	others hold
+	// told is the output of own when the peers were last told of it.
+	told int
 	// heard is when the last byte came from it, since when own work began to
 	// wait there.
 	heard, since time.Time
--- a/entry/direct/view_test.go
+++ b/entry/direct/view_test.go
@@ -131,3 +131,35 @@
 		t.Error("the peer's new use does not count")
 	}
 }
+
+// Each event of each stream lessens what an endpoint owes. Told one by one, that
+// is most of what entries send each other, across availability zones as well,
+// and no decision differs by it.
+func TestPeersAreToldWhatChangesADecision(t *testing.T) {
+	v, p := newPoolView("a")
+	d := &Director{v: v, start: time.Now(), cfg: Config{Reach: func() (int, int) { return 1, 1 }}}
+	e := v.endpoints["a"]
+	stream := &visit{d: d, pool: p, e: e, id: "a", held: hold{requests: 1, prompt: 100, output: 400, tokens: 500}}
+	e.own.add(stream.held, 1)
+	v.changedHeld["a"] = true
+	told := func() int { return len(d.Tally(false).Held) }
+	if told() != 1 {
+		t.Error("a new request was not told")
+	}
+	stream.progress(0)
+	if told() != 1 {
+		t.Error("the end of the prompt was not told")
+	}
+	stream.progress(5)
+	if told() != 0 {
+		t.Error("five tokens of 400 were told")
+	}
+	stream.progress(100)
+	if told() != 1 {
+		t.Error("a quarter of the output was not told")
+	}
+	stream.abandon()
+	if held := d.Tally(false).Held; len(held) != 1 || held[0].Requests != 0 {
+		t.Errorf("the end was not told: %+v", held)
+	}
+}
--- a/entry/direct/visit.go
+++ b/entry/direct/visit.go
@@ -138,7 +138,16 @@
 func (v *visit) release(o hold) {
 	v.held.add(o, -1)
 	v.e.own.add(o, -1)
-	v.d.v.changedHeld[v.e.ID] = true
+	if o.requests != 0 || o.prompt != 0 || v.e.drifted() {
+		v.d.v.changedHeld[v.e.ID] = true
+	}
+}
+
+// drifted reports whether the output that the endpoint owes differs from what
+// the peers were told by more than matters.
+func (e *endpoint) drifted() bool {
+	off := e.told - e.own.output
+	return max(off, -off) > e.told/driftPart+driftTokens
 }
 
 // end notes how the try ended. It may be called more than once; the first call
