mesh: more than eight entries tell each other through a hub in each zone

Cause: each entry told all others. At 29 entries that was most of the bytes between zones, and each heard 27 others seven times a second, counting anew what all have at all endpoints each time. It grows with the square of the fleet.

Excluded: telling less often (older views cost more than the bytes), hubs that pass sums on (what a dead entry had could not be taken back), hubs chosen through the store (nothing to agree on: who is not heard says so and is told directly).

Change: core/relay decides who tells whom; tallies are counted, so that one lost or repeated on a change of hubs is noticed and everything is told again; what peers have in flight is counted by differences. Up to eight entries nothing changes but the counting.

Tests: generated fleets in core/relay; entry/mesh/relay_test.go, each mechanism seen failing when taken out, but for the passing-over of a mute hub, without which the entries hear each other later. Before each link's first tally counted as that of a new process, so a link made anew charged customers again for what had been counted; now the incarnation decides.

--- a/core/logs/event.go
+++ b/core/logs/event.go
@@ -28,6 +28,7 @@
 	EventKeyKnown         Event = "key_known"
 	EventLinkUp           Event = "link_up"
 	EventLinkLost         Event = "link_lost"
+	EventLinkClosed       Event = "link_closed"
 	EventLinkRefused      Event = "link_refused"
 	EventLevelChanged     Event = "level_changed"
 	EventConfigChanged    Event = "config_changed"
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -143,6 +143,13 @@
 // Forget drops the totals of a peer that is gone.
 func (b *Book) Forget(peer string) { delete(b.peers, peer) }
 
+// TotalsOf calls f with the totals that a peer told.
+func (b *Book) TotalsOf(peer string, f func(customer string, total float64)) {
+	for name, total := range b.peers[peer] {
+		f(name, total)
+	}
+}
+
 // Totals calls f with the total of each customer that asked for anything here.
 func (b *Book) Totals(f func(customer string, total float64)) {
 	for name, k := range b.buckets {
--- a/core/wire/kind.go
+++ b/core/wire/kind.go
@@ -31,6 +31,7 @@
 	KindHandAck
 	KindTally
 	KindSnapshot
+	KindRelay
 	kindLimit
 )
 
@@ -42,7 +43,7 @@
 	KindNews: "news", KindLeaseAsk: "lease-ask", KindLeaseAck: "lease-ack",
 	KindFetch: "fetch", KindFetched: "fetched",
 	KindHandover: "handover", KindHandAck: "hand-ack",
-	KindTally: "tally", KindSnapshot: "snapshot",
+	KindTally: "tally", KindSnapshot: "snapshot", KindRelay: "relay",
 }
 
 // String returns the name of the kind as docs/PROTOCOL.md spells it.
@@ -115,6 +116,8 @@
 		return new(Tally)
 	case KindSnapshot:
 		return new(Snapshot)
+	case KindRelay:
+		return new(Relay)
 	}
 	return nil
 }
--- a/core/wire/kinds.go
+++ b/core/wire/kinds.go
@@ -74,3 +74,6 @@
 
 // Kind returns KindSnapshot.
 func (*Snapshot) Kind() Kind { return KindSnapshot }
+
+// Kind returns KindRelay.
+func (*Relay) Kind() Kind { return KindRelay }
--- a/core/wire/tally.go
+++ b/core/wire/tally.go
@@ -1,5 +1,7 @@
 package wire
 
+import "github.com/vmihailenco/msgpack/v5"
+
 // Tally is what an entry tells the others of its own doings, several times a
 // second. What it tells of customers and endpoints are totals, so that one that
 // comes twice or not at all does no harm.
@@ -15,6 +17,51 @@
 	Held []Held
 	// Entries are the other entries that the sender knows.
 	Entries []EntryAddr
+	// Seq counts the sender's tallies. Whole is set for one that holds everything
+	// up to it; any other holds what changed since the one before.
+	Seq   uint64
+	Whole bool
+	// Lacks names entries of which the sender has not heard everything: they
+	// tell it directly.
+	Lacks []string
+}
+
+// Relay passes on what other entries told.
+type Relay struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	Tallies  Tallies
+}
+
+// maxTallies is the most tallies of one Relay: several of each of ten times as
+// many entries as a fleet is planned to have.
+const maxTallies = 1 << 14
+
+// Tallies are those of a Relay.
+type Tallies []Relayed
+
+// DecodeMsgpack reads at most maxTallies tallies.
+func (t *Tallies) DecodeMsgpack(d *msgpack.Decoder) error {
+	list, err := decodeList[Relayed](d, maxTallies)
+	*t = list
+	return err
+}
+
+// Relayed is a tally of another entry.
+type Relayed struct {
+	_msgpack    struct{} `msgpack:",as_array"`
+	Name, Zone  string
+	Incarnation uint64
+	// Body is the tally, encoded once for all that it is passed on to.
+	Body []byte
+}
+
+// Encoded returns the tally as a Relayed carries it.
+func (t *Tally) Encoded() ([]byte, error) { return msgpack.Marshal(t) }
+
+// Decoded returns the tally of a Relayed.
+func (r *Relayed) Decoded() (*Tally, error) {
+	t := new(Tally)
+	return t, msgpack.Unmarshal(r.Body, t)
 }
 
 // Used is what the sender has admitted of a customer since it started.
--- a/entry/direct/direct.go
+++ b/entry/direct/direct.go
@@ -126,11 +126,26 @@
 	return d.running
 }
 
-// Heard takes in a peer's tally; first is set when it holds everything.
-func (d *Director) Heard(peer string, first bool, t *wire.Tally) {
+// Heard takes in a peer's tally; anew is set for the first of a process, which
+// counts from zero.
+func (d *Director) Heard(peer string, anew bool, t *wire.Tally) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.v.heard(peer, first, t)
+	d.v.heard(peer, anew, t)
+}
+
+// Whole returns what a peer told, all of it together.
+func (d *Director) Whole(peer string) *wire.Tally {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	t := new(wire.Tally)
+	for _, h := range d.v.peers[peer] {
+		t.Held = append(t.Held, h)
+	}
+	d.v.quota.TotalsOf(peer, func(customer string, total float64) {
+		t.Used = append(t.Used, wire.Used{Customer: customer, Total: total})
+	})
+	return t
 }
 
 // Lost drops the work of a peer that fell silent.
@@ -156,6 +171,14 @@
 	for id, e := range v.endpoints {
 		if all && e.own.requests > 0 || v.changedHeld[id] {
 			t.Held = append(t.Held, e.held())
+		}
+	}
+	if all {
+		// Those that were told before still have to hear of the changes.
+		return t
+	}
+	for id := range v.changedHeld {
+		if e := v.endpoints[id]; e != nil {
 			e.told = e.own.output
 		}
 	}
--- a/entry/direct/view.go
+++ b/entry/direct/view.go
@@ -155,10 +155,12 @@
 }
 
 // heard takes in a peer's tally.
-func (v *view) heard(peer string, first bool, t *wire.Tally) {
-	if first {
+func (v *view) heard(peer string, anew bool, t *wire.Tally) {
+	if anew {
 		v.quota.Forget(peer)
-		delete(v.peers, peer)
+	}
+	if t.Whole {
+		v.drop(peer)
 	}
 	for _, u := range t.Used {
 		v.quota.Told(peer, u.Customer, u.Total)
@@ -169,31 +171,46 @@
 		v.peers[peer] = held
 	}
 	for _, h := range t.Held {
+		v.count(held[h.Endpoint], -1)
+		v.count(h, 1)
 		if h.Requests == 0 {
 			delete(held, h.Endpoint)
 			continue
 		}
 		held[h.Endpoint] = h
 	}
-	v.countOthers()
+}
+
+// count adds what a peer has at an endpoint to what all peers have there, or
+// takes it away.
+func (v *view) count(h wire.Held, sign int) {
+	if e := v.endpoints[h.Endpoint]; e != nil && h.Requests > 0 {
+		e.others.add(hold{int(h.Requests), int(h.Prompt), int(h.Output), int(h.Tokens)}, sign)
+	}
+}
+
+// drop forgets what a peer has in flight.
+func (v *view) drop(peer string) {
+	for _, h := range v.peers[peer] {
+		v.count(h, -1)
+	}
+	delete(v.peers, peer)
 }
 
 // lost drops the work of a peer that is silent: if it is dead the endpoints
 // have dropped its requests too.
 func (v *view) lost(peer string) {
-	delete(v.peers, peer)
-	v.countOthers()
+	v.drop(peer)
 }
 
+// countOthers counts anew what peers have at the endpoints of a new list.
 func (v *view) countOthers() {
 	for _, e := range v.endpoints {
 		e.others = hold{}
 	}
 	for _, held := range v.peers {
-		for id, h := range held {
-			if e := v.endpoints[id]; e != nil {
-				e.others.add(hold{int(h.Requests), int(h.Prompt), int(h.Output), int(h.Tokens)}, 1)
-			}
+		for _, h := range held {
+			v.count(h, 1)
 		}
 	}
 }
--- /dev/null
+++ b/entry/mesh/accept.go
@@ -0,0 +1,173 @@
+package mesh
+
+import (
+	"context"
+	"errors"
+	"net"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"lycheepond/core/logs"
+	"lycheepond/core/relay"
+	"lycheepond/core/wire"
+)
+
+// maxLinks bounds accepted links.
+const maxLinks = 1024
+
+// accept takes links of other entries until ctx ends.
+func (m *Mesh) accept(ctx context.Context, ln net.Listener) {
+	room := make(chan struct{}, maxLinks)
+	for {
+		conn, err := ln.Accept()
+		if err != nil {
+			if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+				return
+			}
+			// Without descriptors accepting fails at once, again and again.
+			time.Sleep(dialPause)
+			continue
+		}
+		select {
+		case room <- struct{}{}:
+		default:
+			conn.Close()
+			continue
+		}
+		m.spawn(func() {
+			m.listen(ctx, conn)
+			<-room
+		})
+	}
+}
+
+// listen runs one link that another entry dialled.
+func (m *Mesh) listen(ctx context.Context, conn net.Conn) {
+	defer conn.Close()
+	hello, err := wire.Open(ctx, conn, m.cfg.Self, m.cfg.Keys)
+	if err != nil {
+		logs.Warn(m.cfg.Log, logs.EventLinkRefused, zap.String("remote", conn.RemoteAddr().String()), zap.Error(err))
+		return
+	}
+	link := wire.New(conn, hello, wire.Config{Heartbeat: heartbeat})
+	m.linked(hello, true)
+	defer m.linked(hello, false)
+	link.Run(ctx, func(msg wire.Message) {
+		switch t := msg.(type) {
+		case *wire.Tally:
+			m.take(origin{hello.Name, hello.Zone, hello.Incarnation}, relay.Direct, t)
+		case *wire.Relay:
+			from := relay.Between
+			if hello.Zone == m.cfg.Self.Zone {
+				from = relay.Within
+			}
+			for i := range t.Tallies {
+				m.unpack(from, &t.Tallies[i])
+			}
+		case *wire.Snapshot:
+			m.cfg.Took(t)
+		}
+	})
+}
+
+// linked notes that a link of a peer has begun or ended.
+func (m *Mesh) linked(hello wire.Hello, up bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	p := m.peer(hello.Name)
+	now := time.Now()
+	if up {
+		p.links++
+		p.direct = now
+		return
+	}
+	p.links--
+	if p.links == 0 {
+		p.broke = now
+	}
+}
+
+// origin is the process that told a tally.
+type origin struct {
+	name, zone  string
+	incarnation uint64
+}
+
+// unpack takes in a tally that a hub passed on.
+func (m *Mesh) unpack(from relay.Source, r *wire.Relayed) {
+	t, err := r.Decoded()
+	if err != nil {
+		logs.Warn(m.cfg.Log, logs.EventBadFrame, zap.String("peer", r.Name), zap.Error(err))
+		return
+	}
+	m.take(origin{r.Name, r.Zone, r.Incarnation}, from, t)
+}
+
+// take takes in a tally of another entry.
+func (m *Mesh) take(o origin, from relay.Source, t *wire.Tally) {
+	if o.name == m.cfg.Self.Name {
+		return
+	}
+	m.taking.Lock()
+	defer m.taking.Unlock()
+	anew, ok := m.follows(o, from, t)
+	if !ok {
+		return
+	}
+	m.cfg.Heard(Heard{Peer: o.name, Anew: anew, Tally: t})
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if p := m.peer(o.name); !p.gap {
+		p.seq = t.Seq
+	}
+	m.keep(o, from, t)
+}
+
+// follows notes a tally and reports whether it is news, and whether it is the
+// first of its process.
+func (m *Mesh) follows(o origin, from relay.Source, t *wire.Tally) (anew, ok bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	p := m.peer(o.name)
+	now := time.Now()
+	if from == relay.Direct {
+		p.direct = now
+	}
+	anew = p.incarnation != o.incarnation
+	switch {
+	case anew && !t.Whole:
+		// What the process told before is missing, or it is one that has ended.
+		p.gap = true
+		return false, false
+	case !anew && t.Seq <= p.seq && p.reached && !(p.gap && t.Whole):
+		return false, false
+	}
+	p.gap = !t.Whole && (p.gap || t.Seq != p.seq+1)
+	p.incarnation = o.incarnation
+	if !p.reached {
+		logs.Info(m.cfg.Log, logs.EventPeerHeard, zap.String("peer", o.name), zap.Int64("config", t.Config), zap.Int64("roster", t.Roster))
+	}
+	p.addr, p.zone, p.heard, p.reached = t.Addr, o.zone, now, true
+	p.config, p.roster = t.Config, t.Roster
+	if slices.Contains(t.Lacks, m.cfg.Self.Name) {
+		p.lacksUs = now
+	}
+	for _, e := range t.Entries {
+		m.named(e, now)
+	}
+	return anew, true
+}
+
+// named notes that a peer knows of an entry; it is called with mu held.
+func (m *Mesh) named(e wire.EntryAddr, now time.Time) {
+	if e.Name == m.cfg.Self.Name {
+		return
+	}
+	p := m.peer(e.Name)
+	p.named = now
+	if p.addr == "" {
+		p.addr = e.Addr
+	}
+}
--- /dev/null
+++ b/entry/mesh/dial.go
@@ -0,0 +1,205 @@
+package mesh
+
+import (
+	"context"
+	"errors"
+	"net"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"lycheepond/core/logs"
+	"lycheepond/core/relay"
+	"lycheepond/core/wire"
+)
+
+const (
+	// heartbeat is that of the links; one that went silent is dialled again
+	// after three.
+	heartbeat = 300 * time.Millisecond
+	// dialTime and dialPause bound how fast a lost peer is tried.
+	dialTime  = 500 * time.Millisecond
+	dialPause = 300 * time.Millisecond
+	// hubSilent is how long a peer may tell nothing over its own link before it
+	// is no hub any more: it tells each tellAtLeast, and what a zone hears would
+	// wait for it.
+	hubSilent = 450 * time.Millisecond
+	// brokeFor is how long a peer whose link broke is no hub: until it either
+	// counts as silent or has come back.
+	brokeFor = 2 * heardWithin
+	// unlinkAfter is how long a link is kept that nobody needs any more, so that
+	// a peer that comes and goes does not cost a link each time.
+	unlinkAfter = 3 * time.Second
+	// lackFor is how long a peer that said that it does not hear this entry is
+	// told directly: several of its tallies.
+	lackFor = 2 * time.Second
+)
+
+// dial is one address that this entry tells its tallies to.
+type dial struct {
+	link *wire.Link
+	// peer is the name that answered, empty before the first link.
+	peer string
+	// fresh is set until everything was told over the link, which last happened at
+	// whole.
+	fresh bool
+	whole time.Time
+	// needed is when the link was last needed.
+	needed time.Time
+	stop   context.CancelFunc
+}
+
+// replan decides anew who tells whom.
+func (m *Mesh) replan() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	known := 1
+	var usable []relay.Entry
+	for name, p := range m.peers {
+		if !p.known() {
+			continue
+		}
+		known++
+		if p.reached && !p.mute() {
+			usable = append(usable, relay.Entry{Name: name, Zone: p.zone})
+		}
+	}
+	m.known, m.plan = known, relay.New(m.self(), known, usable)
+}
+
+func (m *Mesh) self() relay.Entry {
+	return relay.Entry{Name: m.cfg.Self.Name, Zone: m.cfg.Self.Zone}
+}
+
+// mute reports whether a peer has stopped to tell over its own link: frozen, cut
+// off or dead. The entries that depend on it as a hub must not wait until it
+// counts as silent.
+func (p *peer) mute() bool {
+	if p.links > 0 {
+		return time.Since(p.direct) > hubSilent
+	}
+	return time.Since(p.broke) < brokeFor
+}
+
+// adjust dials the peers that this entry must tell and gives up the links that
+// nobody needs.
+func (m *Mesh) adjust(ctx context.Context) {
+	m.replan()
+	var wanted []string
+	now := time.Now()
+	m.mu.Lock()
+	for name, p := range m.peers {
+		if p.addr != "" && p.maybe() && m.needs(name, p, now) {
+			wanted = append(wanted, p.addr)
+		}
+	}
+	for addr, d := range m.dials {
+		if d.peer == "" || slices.Contains(wanted, addr) {
+			d.needed = now
+		}
+		if now.Sub(d.needed) > unlinkAfter {
+			d.stop()
+		}
+	}
+	m.mu.Unlock()
+	for _, addr := range wanted {
+		m.reach(ctx, addr)
+	}
+}
+
+// needs reports whether this entry must tell a peer itself: by the plan, or
+// because one of the two does not hear the other, so that whatever is wrong with
+// the hubs, two entries that reach each other hear each other. It is called with
+// mu held.
+func (m *Mesh) needs(name string, p *peer, now time.Time) bool {
+	return !p.reached || now.Sub(p.lacksUs) < lackFor || m.plan.Tells(m.self(), relay.Entry{Name: name, Zone: p.zone})
+}
+
+// reach starts to dial an address, if nobody does yet.
+func (m *Mesh) reach(ctx context.Context, addr string) {
+	if addr == "" || addr == m.cfg.Listen {
+		return
+	}
+	m.mu.Lock()
+	if m.dials[addr] != nil {
+		m.mu.Unlock()
+		return
+	}
+	ctx, stop := context.WithCancel(ctx)
+	d := &dial{needed: time.Now(), stop: stop}
+	m.dials[addr] = d
+	m.mu.Unlock()
+	m.spawn(func() {
+		defer stop()
+		m.dial(ctx, addr, d)
+		m.mu.Lock()
+		delete(m.dials, addr)
+		m.mu.Unlock()
+	})
+}
+
+// dial keeps a link to addr until ctx ends or the address belongs to nobody
+// that is known.
+func (m *Mesh) dial(ctx context.Context, addr string, d *dial) {
+	dialer := net.Dialer{Timeout: dialTime}
+	began := time.Now()
+	for ctx.Err() == nil {
+		conn, err := dialer.DialContext(ctx, "tcp", addr)
+		if err == nil {
+			err = m.talk(ctx, conn, addr, d)
+		}
+		if errors.Is(err, errSelf) || !m.wanted(addr, began) {
+			return
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(dialPause):
+		}
+	}
+}
+
+// wanted reports whether an address is worth dialling again.
+func (m *Mesh) wanted(addr string, began time.Time) bool {
+	if time.Since(began) < knownFor || slices.Contains(m.cfg.Seeds, addr) {
+		return true
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, p := range m.peers {
+		if p.addr == addr && p.known() {
+			return true
+		}
+	}
+	return false
+}
+
+var errSelf = errors.New("mesh: the address is this entry's own")
+
+// talk runs one link that this entry dialled.
+func (m *Mesh) talk(ctx context.Context, conn net.Conn, addr string, d *dial) error {
+	defer conn.Close()
+	hello, err := wire.Open(ctx, conn, m.cfg.Self, m.cfg.Keys)
+	if err != nil {
+		return err
+	}
+	if hello.Name == m.cfg.Self.Name {
+		return errSelf
+	}
+	link := wire.New(conn, hello, wire.Config{Heartbeat: heartbeat})
+	m.mu.Lock()
+	m.peer(hello.Name).addr = addr
+	d.link, d.fresh, d.peer = link, true, hello.Name
+	m.mu.Unlock()
+	logs.Info(m.cfg.Log, logs.EventLinkUp, zap.String("peer", hello.Name), zap.String("remote", addr))
+	err = link.Run(ctx, func(wire.Message) {})
+	m.mu.Lock()
+	d.link = nil
+	m.mu.Unlock()
+	if ctx.Err() != nil {
+		logs.Info(m.cfg.Log, logs.EventLinkClosed, zap.String("peer", hello.Name), zap.String("remote", addr))
+		return err
+	}
+	logs.Warn(m.cfg.Log, logs.EventLinkLost, zap.String("peer", hello.Name), zap.String("remote", addr), zap.Error(err))
+	return err
+}
--- a/entry/mesh/mesh_test.go
+++ b/entry/mesh/mesh_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"testing"
@@ -36,6 +37,12 @@
 }
 
 func start(t *testing.T, name string, seeds ...string) *entry {
+	t.Helper()
+	return startIn(t, "z", name, seeds...)
+}
+
+// startIn starts an entry in an availability zone.
+func startIn(t *testing.T, zone, name string, seeds ...string) *entry {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -45,20 +52,25 @@
 	ln.Close()
 	e := &entry{addr: addr, heard: make(map[string]float64), lost: make(map[string]bool)}
 	e.mesh = New(Config{
-		Self: wire.Hello{Role: wire.RoleEntry, Name: name, Zone: "z"}, Listen: addr, Seeds: seeds, Keys: wire.OneKey([]byte("a key for tests")),
+		Self: wire.Hello{Role: wire.RoleEntry, Name: name, Zone: zone, Incarnation: rand.Uint64()}, Listen: addr, Seeds: seeds, Keys: wire.OneKey([]byte("a key for tests")),
 		Tally: e.tally, Revisions: func() (int64, int64) { e.mu.Lock(); defer e.mu.Unlock(); return e.config, 0 },
 		Snapshot: func(what uint8) (*wire.Snapshot, error) {
 			e.mu.Lock()
 			defer e.mu.Unlock()
 			return &wire.Snapshot{What: what, Revision: e.config}, nil
 		},
-		Heard: func(peer string, _ bool, m *wire.Tally) {
+		Heard: func(h Heard) {
 			e.with(func() {
-				for _, u := range m.Used {
-					e.heard[peer] = u.Total
+				for _, u := range h.Tally.Used {
+					e.heard[h.Peer] = u.Total
 				}
 			})
 		},
+		Whole: func(peer string) *wire.Tally {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			return &wire.Tally{Used: []wire.Used{{Customer: "c", Total: e.heard[peer]}}}
+		},
 		Took: func(s *wire.Snapshot) { e.with(func() { e.config = max(e.config, s.Revision) }) },
 		Lost: func(peer string) { e.with(func() { e.lost[peer] = true }) }, Log: zap.NewNop(),
 	})
--- /dev/null
+++ b/entry/mesh/pass.go
@@ -0,0 +1,113 @@
+package mesh
+
+import (
+	"go.uber.org/zap"
+
+	"lycheepond/core/logs"
+	"lycheepond/core/relay"
+	"lycheepond/core/wire"
+)
+
+// maxPassing bounds the tallies that wait to be passed on: a second's of four
+// hundred entries. Whoever misses one asks for everything.
+const maxPassing = 1 << 13
+
+// passing is a tally that a hub passes on.
+type passing struct {
+	origin relay.Entry
+	from   relay.Source
+	tally  wire.Relayed
+}
+
+// keep notes a tally to be passed on, if this entry is a hub. It is called with
+// mu held.
+func (m *Mesh) keep(o origin, from relay.Source, t *wire.Tally) {
+	if !m.plan.Hub() || from == relay.Within || len(m.passing) >= maxPassing {
+		return
+	}
+	r, err := relayed(o, t)
+	if err != nil {
+		logs.Error(m.cfg.Log, logs.EventFailed, zap.String("what", "encoding a tally for others"), zap.Error(err))
+		return
+	}
+	m.passing = append(m.passing, passing{relay.Entry{Name: o.name, Zone: o.zone}, from, r})
+}
+
+func relayed(o origin, t *wire.Tally) (wire.Relayed, error) {
+	body, err := t.Encoded()
+	return wire.Relayed{Name: o.name, Zone: o.zone, Incarnation: o.incarnation, Body: body}, err
+}
+
+// pass sends what has been heard since the last call to those that hear it from
+// this entry.
+func (m *Mesh) pass() {
+	m.mu.Lock()
+	kept, plan := m.passing, m.plan
+	m.passing = nil
+	m.mu.Unlock()
+	if len(kept) == 0 {
+		return
+	}
+	for _, l := range m.links(func(d *dial) bool { return !d.fresh }) {
+		to := m.entry(l.peer)
+		var out wire.Relay
+		for _, p := range kept {
+			if plan.Passes(p.origin, p.from, to) {
+				out.Tallies = append(out.Tallies, p.tally)
+			}
+		}
+		if len(out.Tallies) > 0 {
+			_ = l.link.Send(&out)
+		}
+	}
+}
+
+func (m *Mesh) entry(name string) relay.Entry {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return relay.Entry{Name: name, Zone: m.peer(name).zone}
+}
+
+// passWhole sends all that is known of the entries that a new link's other end
+// hears from this one.
+func (m *Mesh) passWhole(l target) {
+	to := m.entry(l.peer)
+	// No tally is taken in meanwhile, so what is sent is as new as its seq says.
+	m.taking.Lock()
+	defer m.taking.Unlock()
+	var out wire.Relay
+	for _, o := range m.heardFor(to) {
+		t := m.cfg.Whole(o.name)
+		m.mu.Lock()
+		p := m.peer(o.name)
+		t.Addr, t.Config, t.Roster, t.Seq, t.Whole = p.addr, p.config, p.roster, p.seq, true
+		m.mu.Unlock()
+		r, err := relayed(o, t)
+		if err != nil {
+			logs.Error(m.cfg.Log, logs.EventFailed, zap.String("what", "encoding a tally for others"), zap.Error(err))
+			continue
+		}
+		out.Tallies = append(out.Tallies, r)
+	}
+	if len(out.Tallies) > 0 {
+		_ = l.link.Send(&out)
+	}
+}
+
+// heardFor returns the entries whose tallies this one passes on to another and
+// knows whole.
+func (m *Mesh) heardFor(to relay.Entry) []origin {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []origin
+	for name, p := range m.peers {
+		from := relay.Direct
+		if p.zone != m.cfg.Self.Zone {
+			from = relay.Between
+		}
+		if p.reached && !p.gap && m.plan.Passes(relay.Entry{Name: name, Zone: p.zone}, from, to) {
+			out = append(out, origin{name, p.zone, p.incarnation})
+		}
+	}
+	return out
+}
--- a/entry/mesh/tell.go
+++ b/entry/mesh/tell.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"hash/fnv"
 	"time"
 
 	"go.uber.org/zap"
@@ -11,6 +10,28 @@
 	"lycheepond/core/wire"
 )
 
+const (
+	// tellEvery is the shortest time between two tallies. Requests come tens of
+	// milliseconds apart at one entry; knowing them 25 ms late costs less than
+	// a place in one queue.
+	tellEvery = 25 * time.Millisecond
+	// tellEach is the same for each link that a tally goes out over: 200 messages
+	// a second at most.
+	tellEach = 5 * time.Millisecond
+	// tellPerEntry is the same for each known entry, for those that tell a hub
+	// only: all that they tell reaches every entry.
+	tellPerEntry = 2500 * time.Microsecond
+	// tellAtLeast is the longest time between two tallies, also without news:
+	// peers take it for a sign of life.
+	tellAtLeast = 250 * time.Millisecond
+	// wholePause is the least time between two whole tallies to a peer that has
+	// not heard everything: the first one's way, and the next tally's.
+	wholePause = tellAtLeast + 50*time.Millisecond
+	// maxLacks bounds how many unheard entries one tally names. The others are
+	// named once these are heard or forgotten.
+	maxLacks = 32
+)
+
 // tell sends tallies until ctx ends. It is the one goroutine that calls
 // cfg.Tally, so that a link that was told everything misses no change after it.
 func (m *Mesh) tell(ctx context.Context) {
@@ -22,13 +43,13 @@
 		case <-time.After(m.pause()):
 		}
 		m.expire()
+		m.adjust(ctx)
 		m.greet()
-		t := m.cfg.Tally(false)
-		if len(t.Used) == 0 && len(t.Held) == 0 && time.Since(last) < tellAtLeast {
-			continue
+		if t := m.cfg.Tally(false); len(t.Used) > 0 || len(t.Held) > 0 || time.Since(last) >= tellAtLeast {
+			last = time.Now()
+			m.send(t)
 		}
-		last = time.Now()
-		m.send(t, func(d *dial) bool { return !d.fresh })
+		m.pass()
 		m.passOn()
 	}
 }
@@ -39,25 +60,69 @@
 func (m *Mesh) pause() time.Duration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return min(max(tellEvery, time.Duration(len(m.dials))*tellEach), tellAtLeast)
+	wait := max(tellEvery, time.Duration(len(m.dials))*tellEach)
+	if !m.plan.Hub() {
+		wait = max(wait, time.Duration(m.known)*tellPerEntry)
+	}
+	return min(wait, tellAtLeast)
 }
 
-// greet tells everything over links that are new.
+// send tells a tally over all links.
+func (m *Mesh) send(t *wire.Tally) {
+	m.mu.Lock()
+	m.seq++
+	t.Seq, t.Lacks = m.seq, m.lacks()
+	m.mu.Unlock()
+	for _, l := range m.links(func(d *dial) bool { return !d.fresh }) {
+		// A link that cannot take it closes itself and is dialled again.
+		_ = l.link.Send(t)
+	}
+}
+
+// lacks names the entries of which not everything was heard; it is called with
+// mu held.
+func (m *Mesh) lacks() []string {
+	var out []string
+	for name, p := range m.peers {
+		if len(out) < maxLacks && (!p.reached || p.gap) && p.maybe() {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
+// greet tells everything over links that are new, and to peers that miss
+// something. Over the other links the next tally holds what changed.
 func (m *Mesh) greet() {
-	fresh := func(d *dial) bool { return d.fresh }
-	if m.links(fresh) == nil {
+	now := time.Now()
+	fresh := m.links(func(d *dial) bool {
+		if !d.fresh && !m.misses(d) {
+			return false
+		}
+		d.fresh, d.whole = false, now
+		return true
+	})
+	if len(fresh) == 0 {
 		return
 	}
 	t := m.cfg.Tally(true)
-	t.Entries = m.entries()
-	m.send(t, func(*dial) bool { return true })
+	t.Whole, t.Entries = true, m.entries()
 	m.mu.Lock()
-	defer m.mu.Unlock()
-	for _, d := range m.dials {
-		d.fresh = d.fresh && d.link == nil
+	t.Seq, t.Lacks = m.seq, m.lacks()
+	m.mu.Unlock()
+	for _, l := range fresh {
+		_ = l.link.Send(t)
+		m.passWhole(l)
 	}
 }
 
+// misses reports whether the peer at the other end said that it does not hear
+// this entry, after it was last told everything. It is called with mu held.
+func (m *Mesh) misses(d *dial) bool {
+	p := m.peers[d.peer]
+	return p != nil && p.lacksUs.After(d.whole.Add(wholePause))
+}
+
 func (m *Mesh) entries() []wire.EntryAddr {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -70,20 +135,20 @@
 	return out
 }
 
-func (m *Mesh) send(t *wire.Tally, to func(*dial) bool) {
-	for _, link := range m.links(to) {
-		// A link that cannot take it closes itself and is dialled again.
-		_ = link.Send(t)
-	}
+// target is a link to send over and the entry behind it.
+type target struct {
+	link *wire.Link
+	peer string
 }
 
-func (m *Mesh) links(to func(*dial) bool) []*wire.Link {
+// links returns those that are up and that to chooses; to is called with mu held.
+func (m *Mesh) links(to func(*dial) bool) []target {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var out []*wire.Link
+	var out []target
 	for _, d := range m.dials {
 		if d.link != nil && to(d) {
-			out = append(out, d.link)
+			out = append(out, target{d.link, d.peer})
 		}
 	}
 	return out
@@ -95,7 +160,9 @@
 	m.mu.Lock()
 	for name, p := range m.peers {
 		if p.reached && time.Since(p.heard) > heardWithin {
-			p.reached = false
+			// What it had in flight is forgotten, so what it tells next follows on
+			// nothing.
+			p.reached, p.gap, p.seq = false, true, 0
 			lost = append(lost, name)
 		}
 	}
@@ -105,78 +172,3 @@
 		m.cfg.Lost(name)
 	}
 }
-
-// parcel is a version to be sent over a link.
-type parcel struct {
-	link *wire.Link
-	what uint8
-}
-
-// passOn sends newer versions to the peers that lag behind.
-func (m *Mesh) passOn() {
-	for _, o := range m.parcels() {
-		s, err := m.cfg.Snapshot(o.what)
-		if err != nil {
-			logs.Error(m.cfg.Log, logs.EventFailed, zap.String("what", "encoding a version for a peer"), zap.Error(err))
-			continue
-		}
-		_ = o.link.Send(s)
-	}
-}
-
-func (m *Mesh) parcels() []parcel {
-	config, roster := m.cfg.Revisions()
-	var out []parcel
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for name, p := range m.peers {
-		oldConfig, oldRoster := p.config < config, p.roster < roster
-		if !p.reached || !oldConfig && !oldRoster {
-			p.behind = time.Time{}
-			continue
-		}
-		if p.behind.IsZero() {
-			p.behind = time.Now()
-		}
-		d := m.dials[p.addr]
-		if d == nil || d.link == nil || time.Since(p.behind) < m.turn(name, p, config, roster) {
-			continue
-		}
-		// The next one only when the peer has had time to tell that it has it.
-		p.behind = time.Now().Add(turnTime)
-		if oldConfig {
-			out = append(out, parcel{d.link, wire.SnapshotConfig})
-		}
-		if oldRoster {
-			out = append(out, parcel{d.link, wire.SnapshotRoster})
-		}
-	}
-	return out
-}
-
-// turn returns for how long a peer must have lagged behind before this entry
-// passes versions on to it. The entries that have them take turns, in an order
-// of their own for each peer. If all sent at once, a large configuration that a
-// few peers missed would cross each of their links as many times as there are
-// entries, and callers' requests wait behind it. It is called with mu held.
-func (m *Mesh) turn(name string, p *peer, config, roster int64) time.Duration {
-	own, ahead := order(name, m.cfg.Self.Name), 0
-	for other, o := range m.peers {
-		if other != name && o.reached && o.config >= config && o.roster >= roster && order(name, other) < own {
-			ahead++
-		}
-	}
-	wait := time.Duration(ahead) * turnTime
-	if p.config != 0 {
-		wait += passOnAfter
-	}
-	return wait
-}
-
-// order returns the place of an entry among those that pass versions on to a
-// peer.
-func order(peer, entry string) uint64 {
-	h := fnv.New64a()
-	h.Write([]byte(peer + "\x00" + entry))
-	return h.Sum64()
-}
