lychee trace: from a request's ID and the logs to its cause

The on-call engineer has logs and metrics only. The command gathers the lines of a request over all entries' logs, what its entries came to believe shortly before and since their last start, and puts the cause into words.

--- a/entry/direct/serve.go
+++ b/entry/direct/serve.go
@@ -78,6 +78,9 @@
 		zap.String("request_id", j.ID), zap.String("route", j.Route.Name), zap.String("outcome", res.Outcome.String()), zap.Stringer("tier", j.Tier),
 		zap.Duration("took", took), zap.String("why", res.Why), zap.Int64("config", d.Table().Revision()),
 	}
+	if j.Customer != nil {
+		fields = append(fields, zap.String("customer", j.Customer.Name))
+	}
 	if b := res.Basis; b.Known > 0 {
 		fields = append(fields, zap.String("endpoint", b.Endpoint), zap.Duration("predicted", b.Predicted), zap.Duration("first", b.First),
 			zap.Int("ahead", b.Ahead), zap.Int("prompt", b.Prompt), zap.Int("heard", b.Heard), zap.Int("known", b.Known))
@@ -86,7 +89,7 @@
 	case Complete, Left:
 		logs.Info(d.cfg.Log, logs.EventRequestDone, fields...)
 	case Limited, Refused:
-		logs.Info(d.cfg.Log, logs.EventRequestRefused, append(fields, zap.Duration("retry", res.Retry))...)
+		logs.Info(d.cfg.Log, logs.EventRequestRefused, append(fields, zap.Duration("retry", res.Retry), zap.Duration("left", time.Until(j.End())))...)
 	default:
 		logs.Warn(d.cfg.Log, logs.EventRequestUnknown, fields...)
 	}
--- a/entry/mesh/relay_test.go
+++ b/entry/mesh/relay_test.go
@@ -58,6 +58,7 @@
 // A fleet of twelve tells through one hub in each zone. Each entry must come to
 // know what each other one did, with few links.
 func TestManyEntriesHearOfAllThroughHubs(t *testing.T) {
+	t.Parallel()
 	all := fleet(t, 3, 4)
 	for i, e := range all {
 		e.use(float64(i + 1))
@@ -79,6 +80,7 @@
 // another way, and its zone must hear the rest: otherwise limits of customers
 // are given out twice.
 func TestHubDies(t *testing.T) {
+	t.Parallel()
 	all := fleet(t, 3, 4)
 	for i, e := range all {
 		e.use(float64(i + 1))
--- a/lychee/flags.go
+++ b/lychee/flags.go
@@ -127,6 +127,7 @@
 		o.argsCommand("status", "show configuration, entries, pools and endpoints", status),
 		o.argsCommand("drain", "take an endpoint's instance out of service: it finishes what runs and stops", drain, "INSTANCE"),
 		o.argsCommand("explain", "tell why a request was placed, delayed or refused", explain, "REQUEST-ID"),
+		o.logsCommand("trace", "tell from logs what became of a request and why", traceLogs),
 		{sub: subcommand("version", "print the version"), run: version, offline: true},
 	}
 	commands[0].offline = true
@@ -146,7 +147,7 @@
 // flags declares the flags of one command.
 func (o *options) flags(s *flaggy.Subcommand) {
 	switch s.Name {
-	case "check", "version":
+	case "check", "version", "trace":
 		return
 	case "apply":
 		s.String(&o.by, "b", "by", "who makes the change, kept in the object (LYCHEE_BY; default USER@HOST)")
@@ -172,6 +173,17 @@
 	return command{sub: s, run: run}
 }
 
+// logsCommand is a command with a request's ID and files of logs.
+func (o *options) logsCommand(name, description string, run func(context.Context, *tool) int) command {
+	s := subcommand(name, description)
+	s.AddPositionalValue(&o.first, "REQUEST-ID", 1, true, "as the logs spell it")
+	for i := range o.files {
+		s.AddPositionalValue(&o.files[i], "LOG", i+2, i == 0, "a file of log lines, - for the standard input; more may follow")
+		s.PositionalFlags[i+1].Hidden = i > 0
+	}
+	return command{sub: s, run: run, offline: true}
+}
+
 func (o *options) argsCommand(name, description string, run func(context.Context, *tool) int, args ...string) command {
 	s := subcommand(name, description)
 	for i, a := range args {
--- a/lychee/fleet.go
+++ b/lychee/fleet.go
@@ -4,11 +4,14 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
+	"os"
 
 	"lycheepond/core/ident"
 	"lycheepond/core/plat"
 	"lycheepond/lychee/admin"
 	"lycheepond/lychee/survey"
+	"lycheepond/lychee/trace"
 )
 
 func status(ctx context.Context, t *tool) int {
@@ -81,6 +84,32 @@
 	return true, nil
 }
 
+// traceLogs tells from logs what became of a request.
+func traceLogs(_ context.Context, t *tool) int {
+	var logs []io.Reader
+	for _, name := range t.files {
+		switch name {
+		case "":
+		case "-":
+			logs = append(logs, os.Stdin)
+		default:
+			f, err := os.Open(name)
+			if err != nil {
+				fmt.Fprintln(t.errOut, "lychee:", err)
+				return exitInput
+			}
+			defer f.Close()
+			logs = append(logs, f)
+		}
+	}
+	found, err := trace.Read(t.first, logs...)
+	if err != nil {
+		return t.fail(err)
+	}
+	t.show.Trace(found)
+	return exitGood
+}
+
 func version(_ context.Context, t *tool) int {
 	t.show.Message("lychee " + release)
 	return exitGood
--- /dev/null
+++ b/lychee/trace/trace_test.go
@@ -0,0 +1,82 @@
+package trace
+
+import (
+	"errors"
+	"os"
+	"strings"
+	"testing"
+)
+
+func open(t *testing.T) *os.File {
+	t.Helper()
+	f, err := os.Open("testdata/day.log")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { f.Close() })
+	return f
+}
+
+// A user complains, and there is nothing but the logs of that day. Each kind of
+// failed request must lead to its cause, and to what its entry knew.
+func TestFromIDToCause(t *testing.T) {
+	for _, tc := range []struct {
+		name, id string
+		cause    []string
+	}{
+		{"refused", "7e0e25be0ec9cbb4", []string{"edge-hall-c-1 refused it: too long"}},
+		{"late", "9627ec3b434cc9ec", []string{"edge-hall-a-1 ran out of time", "i-97b991c05c", "28ms were predicted with 3 requests ahead"}},
+		{"answer lost", "3adffeaf4e3daac9", []string{"edge-hall-b-2 lost its answer at i-6d203cfc88", "connection reset", "must not run twice"}},
+		{"sent again", "9e5151bb470600ea", []string{"answered it from i-3db9eaa1f3 after 77ms", "i-06ef1c71a9 failed it (endpoint answered with an error)"}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			got, err := Read(tc.id, open(t))
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, part := range tc.cause {
+				if !strings.Contains(got.Cause, part) {
+					t.Errorf("cause %q does not tell %q", got.Cause, part)
+				}
+			}
+		})
+	}
+}
+
+// An entry was replaced shortly before. What it believed before its start has
+// nothing to do with the request.
+func TestOnlyWhatTheProcessKnew(t *testing.T) {
+	got, err := Read("7e0e25be0ec9cbb4", open(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(got.Before) == 0 || got.Before[0].Event != "starting" {
+		t.Fatalf("begins with %+v, want the start of the process", got.Before)
+	}
+	for _, l := range got.Before {
+		if l.Process != "edge-hall-c-1" {
+			t.Errorf("shows what %s believed", l.Process)
+		}
+	}
+}
+
+// Logs hold lines of other programs, cut lines and keys that other events use for
+// something else.
+func TestLinesThatAreNoneOfOurs(t *testing.T) {
+	log := strings.Join([]string{
+		"Started.", "{", `{"event":"endpoint_away","endpoint":7,"process":"e"}`, `{"level":"info"}`,
+		`12.5 e {"time":"2026-01-01T00:00:00Z","event":"request_refused","process":"e","request_id":"x","outcome":"limited","retry":"250ms","heard":3,"known":5}`,
+	}, "\n")
+	got, err := Read("x", strings.NewReader(log))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, part := range []string{"over its limit", "250ms", "3 of 5 entries"} {
+		if !strings.Contains(got.Cause, part) {
+			t.Errorf("cause %q does not tell %q", got.Cause, part)
+		}
+	}
+	if _, err := Read("y", strings.NewReader(log)); !errors.Is(err, ErrUnknown) {
+		t.Errorf("%v, want ErrUnknown", err)
+	}
+}
