follow: entries behind a hub leave the calls at each change to the hubs

Cause: a waiting call returns at each change, at every entry. When many endpoints start or leave, 29 entries asked the store for each step of it, though a hub passes newer lists on within a fraction of a second.

Change: an entry that a hub leads gathers changes for 0.4 of the bound on changes; it is in time by itself if no hub tells it.

--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -50,6 +50,9 @@
 // Hub reports whether the entry passes on what it hears.
 func (p Plan) Hub() bool { return p.hubs != nil && p.hub(p.self) }
 
+// Led reports whether another entry passes on to this one what it hears.
+func (p Plan) Led() bool { return p.hubs != nil && !p.hub(p.self) }
+
 func (p Plan) hub(e Entry) bool { return p.hubs[e.Zone] == e.Name }
 
 // Tells reports whether from keeps a link to to.
--- a/entry/follow/follow_test.go
+++ b/entry/follow/follow_test.go
@@ -176,3 +176,15 @@
 		}
 	}
 }
+
+// Fifty endpoints start over four seconds. An entry that a hub tells of them need
+// not ask the platform each time, but must be in time by itself if no hub does.
+func TestPause(t *testing.T) {
+	bound := 3 * time.Second
+	if got := Pause(29, true, bound); got <= Pause(29, false, bound) || got > bound/2 {
+		t.Errorf("an entry behind a hub gathers for %v, others for %v", got, Pause(29, false, bound))
+	}
+	if got := Pause(5, false, bound); got != 50*time.Millisecond {
+		t.Errorf("one of five entries gathers for %v", got)
+	}
+}
--- a/entry/follow/wait.go
+++ b/entry/follow/wait.go
@@ -16,6 +16,9 @@
 	// heard, and the longest: a tenth of the usual bound on changes.
 	pauseEach     = 10 * time.Millisecond
 	longestGather = 200 * time.Millisecond
+	// ledShare is the part of the bound on changes for which an entry behind a hub
+	// gathers: as much as its next call's way may take is left.
+	ledShare = 0.4
 	// jitter is the part of a wait that is random, so that the calls of entries
 	// that started together spread out.
 	jitter = 0.3
@@ -30,7 +33,13 @@
 }
 
 // Pause returns how long an entry that hears heard others, itself included,
-// gathers changes. More entries make for more calls at each change.
-func Pause(heard int) time.Duration {
+// gathers changes. More entries make for more calls at each change. One that is
+// led, by a hub that passes newer versions on, may leave the calls to the hubs:
+// it gathers for a part of the bound on changes, so that it is in time by itself
+// if no hub tells it.
+func Pause(heard int, led bool, bound time.Duration) time.Duration {
+	if led {
+		return time.Duration(ledShare * float64(bound))
+	}
 	return min(time.Duration(heard)*pauseEach, longestGather)
 }
--- a/entry/mesh/mesh.go
+++ b/entry/mesh/mesh.go
@@ -217,6 +217,13 @@
 	return heard, known
 }
 
+// Led reports whether a hub tells this entry what the others do.
+func (m *Mesh) Led() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.plan.Led()
+}
+
 // Silent returns the listed peers that have not been heard for d.
 func (m *Mesh) Silent(d time.Duration) []string {
 	m.mu.Lock()
