soak: links between entries through proxies, and fleets of ten entries with hubs

The soak had three entries that tell each other all themselves, so hubs were never in it, and the links between entries had no faults. Every other seed now has ten entries in three zones; links are delayed, reset, silenced both ways or one way; after the faults every entry must hear all others again. For that an entry may advertise another link address than the one it listens on (`advertise`), which port mappings need as well.

--- a/core/conf/direct.go
+++ b/core/conf/direct.go
@@ -16,6 +16,9 @@
 	Listen string `yaml:"listen"`
 	Ready  string `yaml:"ready"`
 	Link   string `yaml:"link"`
+	// Advertise is where other entries reach Link, if not at Link itself: behind
+	// a port mapping or a proxy.
+	Advertise string `yaml:"advertise"`
 	// Metrics is where counters and histograms are served; empty for nowhere.
 	Metrics string `yaml:"metrics"`
 	// Peers are link addresses of entries to begin with.
@@ -54,6 +57,14 @@
 // minMemory is the least memory in MB that an entry runs in.
 const minMemory = 24
 
+// LinkAddr is the address that other entries dial.
+func (d *Direct) LinkAddr() string {
+	if d.Advertise != "" {
+		return d.Advertise
+	}
+	return d.Link
+}
+
 func (d *Direct) defaults() {
 	d.Common.defaults()
 	if d.Grace == 0 {
@@ -67,6 +78,9 @@
 	c.listen("listen", d.Listen)
 	c.listen("ready", d.Ready)
 	c.listen("link", d.Link)
+	if d.Advertise != "" {
+		c.listen("advertise", d.Advertise)
+	}
 	if d.Metrics != "" {
 		c.listen("metrics", d.Metrics)
 	}
