door: the operator's bound on headers is enforced; which headers are passed on is known once

The bound was read from the configuration and ignored: 17 KB of headers reached an endpoint where 16 KB are allowed. Now 431, counted by names and values alone, so that no measure of a request within the bound refuses it. TestHeadersAreBounded was seen failing.

The headers of one connection were listed in entry/door and entry/caller; both use entry/heads now, and the product's own callers also leave out the headers that a caller names under Connection. The operator's time for headers stays unenforced: callers have ten seconds.

--- a/entry/caller/accept.go
+++ b/entry/caller/accept.go
@@ -14,6 +14,7 @@
 	"lycheepond/core/spec"
 	"lycheepond/core/wire"
 	"lycheepond/entry/fault"
+	"lycheepond/entry/heads"
 	"lycheepond/entry/sched"
 )
 
@@ -168,18 +169,17 @@
 	return data, nil
 }
 
-// dropped are headers that concern one hop or the system itself only.
+// dropped are headers that concern the system itself only, beside those of one
+// connection.
 var dropped = map[string]bool{
-	"Authorization": true, "Connection": true, "Keep-Alive": true, "Proxy-Authorization": true,
-	"Proxy-Connection": true, "Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
-	"Content-Length": true, "Host": true, "X-Request-Id": true, "Expect": true, "Accept-Encoding": true,
+	"Authorization": true, "Proxy-Authorization": true, "Host": true, "X-Request-Id": true, "Expect": true, "Accept-Encoding": true,
 	headerClass: true, headerNonIdempotent: true, headerRepeatable: true, headerDeadline: true, headerID: true, headerOutcome: true,
 }
 
 // fields returns the headers to pass on.
 func fields(h http.Header) []wire.Field {
 	out := make([]wire.Field, 0, len(h))
-	for name, values := range h {
+	for name, values := range heads.Forward(h) {
 		if dropped[name] {
 			continue
 		}
--- a/entry/caller/reply.go
+++ b/entry/caller/reply.go
@@ -9,6 +9,7 @@
 	"lycheepond/core/ident"
 	"lycheepond/core/wire"
 	"lycheepond/entry/fault"
+	"lycheepond/entry/heads"
 	"lycheepond/entry/sched"
 )
 
@@ -43,7 +44,7 @@
 	h := r.w.Header()
 	for _, f := range header {
 		name := http.CanonicalHeaderKey(f.Name)
-		if !dropped[name] {
+		if !dropped[name] && !heads.PerHop(name) {
 			h.Add(name, f.Value)
 		}
 	}
--- a/entry/door/door.go
+++ b/entry/door/door.go
@@ -10,7 +10,6 @@
 	"net"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -20,6 +19,7 @@
 	"lycheepond/core/logs"
 	"lycheepond/core/route"
 	"lycheepond/entry/direct"
+	"lycheepond/entry/heads"
 )
 
 const (
@@ -215,6 +215,10 @@
 		d.refuse(w, r, &Refusal{Status: http.StatusServiceUnavailable, Retry: noConfigRetry, Reason: "no configuration yet"})
 		return
 	}
+	if limit := t.Config().Limits.HeaderBytes; limit > 0 && heads.Size(r.Header) > limit {
+		d.refuse(w, r, &Refusal{Status: http.StatusRequestHeaderFieldsTooLarge, Reason: "headers too large"})
+		return
+	}
 	j, no := d.cfg.Accept(r, t)
 	if no != nil {
 		d.refuse(w, r, no)
@@ -314,15 +318,9 @@
 	w.WriteHeader(no.Status)
 }
 
-// connectionHeaders concern one connection only.
-var connectionHeaders = map[string]bool{
-	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Transfer-Encoding": true,
-	"Te": true, "Trailer": true, "Upgrade": true, "Content-Length": true,
-}
-
 func copyHeader(to, from http.Header) {
 	for name, values := range from {
-		if !connectionHeaders[name] {
+		if !heads.PerHop(name) {
 			to[name] = values
 		}
 	}
@@ -331,21 +329,3 @@
 		to["Content-Type"] = nil
 	}
 }
-
-// Forward returns the headers of a request that are passed on: all but those
-// that concern the caller's connection.
-func Forward(h http.Header) http.Header {
-	out := make(http.Header, len(h))
-	for name, values := range h {
-		if !connectionHeaders[name] {
-			out[name] = values
-		}
-	}
-	for _, named := range h.Values("Connection") {
-		for name := range strings.SplitSeq(named, ",") {
-			out.Del(strings.TrimSpace(name))
-		}
-	}
-	out.Del("Expect")
-	return out
-}
