--- a/entry/door/body.go
+++ b/entry/door/body.go
@@ -3,7 +3,25 @@
 import (
 	"errors"
 	"io"
+	"net/http"
 	"sync/atomic"
+	"time"
+
+	"lycheepond/core/route"
+	"lycheepond/entry/direct"
+)
+
+const (
+	// bodyTime is how long a caller may take to send the body.
+	bodyTime = 15 * time.Second
+	// defaultBody bounds the body while the operator sets no bound.
+	defaultBody = 4 << 20
+	// smallBody is the size up to which a body is read whatever is held: it
+	// costs no more than the request's head.
+	smallBody = 16 << 10
+	// memoryRetry is when to come back to an entry that holds too many bodies:
+	// most are sent on within some ten milliseconds.
+	memoryRetry = 200 * time.Millisecond
 )
 
 // errMemory reports that the bodies of all requests take too much memory.
@@ -35,3 +53,31 @@
 
 // release takes the body out of the count.
 func (m *meteredBody) release() { m.held.Add(-m.own) }
+
+func bodyLimit(t *route.Table) int64 {
+	if limit := t.Config().Limits.BodyBytes; limit > 0 {
+		return int64(limit)
+	}
+	return defaultBody
+}
+
+// read reads the body of a request.
+func read(w http.ResponseWriter, r *http.Request, t *route.Table, j *direct.Job) *Refusal {
+	rc := http.NewResponseController(w)
+	rc.SetReadDeadline(time.Now().Add(bodyTime))
+	defer rc.SetReadDeadline(time.Time{})
+	var err error
+	j.Body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, bodyLimit(t)))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.Is(err, errMemory):
+		// The rest of the body is still to come on the connection.
+		w.Header().Set("Connection", "close")
+		return &Refusal{Status: http.StatusServiceUnavailable, Retry: memoryRetry, Reason: "no memory for the body"}
+	case errors.As(err, &tooLarge):
+		return &Refusal{Status: http.StatusRequestEntityTooLarge, Reason: "body too large"}
+	case err != nil:
+		return &Refusal{Status: http.StatusBadRequest, Reason: "body not whole"}
+	}
+	return nil
+}
--- a/entry/door/door.go
+++ b/entry/door/door.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -26,12 +25,8 @@
 	// headerTime is how long a caller may take to send the headers: slower than
 	// any that means to be served.
 	headerTime = 10 * time.Second
-	// bodyTime is the same for the body.
-	bodyTime = 15 * time.Second
 	// maxHeader bounds the headers; operators set lower bounds that callers keep.
 	maxHeader = 64 << 10
-	// defaultBody bounds the body while the operator sets no bound.
-	defaultBody = 4 << 20
 	// defaultIdle is how long a connection may be idle while the operator does
 	// not say.
 	defaultIdle = 75 * time.Second
@@ -41,12 +36,6 @@
 	// a start it takes some ten milliseconds to read it, longer only while the
 	// platform and all peers are away.
 	noConfigRetry = 150 * time.Millisecond
-	// smallBody is the size up to which a body is read whatever is held: it
-	// costs no more than the request's head.
-	smallBody = 16 << 10
-	// memoryRetry is when to come back to an entry that holds too many bodies:
-	// most are sent on within some ten milliseconds.
-	memoryRetry = 200 * time.Millisecond
 	// notice is how long a balancer that asks each second may take to miss two
 	// answers, with a margin.
 	notice = 2600 * time.Millisecond
@@ -238,34 +227,6 @@
 	d.answer(w, r, j)
 }
 
-func bodyLimit(t *route.Table) int64 {
-	if limit := t.Config().Limits.BodyBytes; limit > 0 {
-		return int64(limit)
-	}
-	return defaultBody
-}
-
-// read reads the body of a request.
-func read(w http.ResponseWriter, r *http.Request, t *route.Table, j *direct.Job) *Refusal {
-	rc := http.NewResponseController(w)
-	rc.SetReadDeadline(time.Now().Add(bodyTime))
-	defer rc.SetReadDeadline(time.Time{})
-	var err error
-	j.Body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, bodyLimit(t)))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.Is(err, errMemory):
-		// The rest of the body is still to come on the connection.
-		w.Header().Set("Connection", "close")
-		return &Refusal{Status: http.StatusServiceUnavailable, Retry: memoryRetry, Reason: "no memory for the body"}
-	case errors.As(err, &tooLarge):
-		return &Refusal{Status: http.StatusRequestEntityTooLarge, Reason: "body too large"}
-	case err != nil:
-		return &Refusal{Status: http.StatusBadRequest, Reason: "body not whole"}
-	}
-	return nil
-}
-
 // answer serves a job and writes what came of it.
 func (d *Door) answer(w http.ResponseWriter, r *http.Request, j *direct.Job) {
 	rc := http.NewResponseController(w)
