direct: histograms by customer, and of the first event by class

The entries' metrics told classes apart but not customers, so a customer that was refused again and again did not show. What they cost was not measured.

--- a/entry/direct/direct.go
+++ b/entry/direct/direct.go
@@ -53,6 +53,9 @@
 type Director struct {
 	cfg   Config
 	start time.Time
+	// answered holds by customer how long answers took, refused the times to
+	// come back that were told.
+	answered, refused *meter.Top
 
 	mu sync.Mutex
 	v  *view
@@ -62,7 +65,10 @@
 
 // New returns a director without configuration.
 func New(cfg Config) *Director {
-	return &Director{cfg: cfg, start: time.Now(), v: newView(cfg.Zone)}
+	return &Director{
+		cfg: cfg, start: time.Now(), v: newView(cfg.Zone),
+		answered: cfg.Metrics.Top("customer_answer_ms"), refused: cfg.Metrics.Top("customer_retry_ms"),
+	}
 }
 
 // Table returns the configuration in force; its revision is zero before the
--- a/entry/direct/serve.go
+++ b/entry/direct/serve.go
@@ -55,8 +55,7 @@
 // note writes what became of a job to log and metrics.
 func (d *Director) note(j *Job, res Result) {
 	took := time.Since(j.Accepted)
-	d.cfg.Metrics.Counter("requests", meter.Outcome(res.Outcome.String()), meter.Class(j.Route.Name)).Inc(1)
-	meter.Milliseconds(d.cfg.Metrics.Histogram("answer_ms", meter.Class(j.Route.Name)), took)
+	d.measure(j, res, took)
 	fields := []zap.Field{
 		zap.String("request_id", j.ID), zap.String("route", j.Route.Name), zap.String("outcome", res.Outcome.String()), zap.Stringer("tier", j.Tier),
 		zap.Duration("took", took), zap.String("why", res.Why), zap.Int64("config", d.Table().Revision()),
@@ -77,3 +76,22 @@
 		logs.Warn(d.cfg.Log, logs.EventRequestUnknown, fields...)
 	}
 }
+
+// measure counts what became of a job.
+func (d *Director) measure(j *Job, res Result, took time.Duration) {
+	m, class := d.cfg.Metrics, meter.Class(j.Route.Name)
+	m.Counter("requests", meter.Outcome(res.Outcome.String()), class).Inc(1)
+	meter.Milliseconds(m.Histogram("answer_ms", class), took)
+	if first := res.Basis.First; first > 0 {
+		meter.Milliseconds(m.Histogram("first_ms", class), first)
+	}
+	if j.Customer == nil {
+		return
+	}
+	switch res.Outcome {
+	case Limited, Refused:
+		d.refused.Observe(j.Customer.Name, res.Retry.Milliseconds())
+	default:
+		d.answered.Observe(j.Customer.Name, took.Milliseconds())
+	}
+}
