OPERATIONS: from an ID to its cause with lychee trace, and what lines lacked for it

A refusal for want of room now tells the predicted wait for a slot and the target, which decided it.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -151,7 +151,7 @@
 	}
 	wait := endpoints[best].slotWait(r)
 	if over := r.over(first, wait); over > 0 && !endpoints[best].roomy() {
-		return Decision{Endpoint: -1, First: first, Retry: max(over, shortestRetry), Why: Full}
+		return Decision{Endpoint: -1, First: first, Wait: wait, Retry: max(over, shortestRetry), Why: Full}
 	}
 	if first+scale(time.Duration(r.Output)*endpoints[best].Pace.Output, surePart) > r.Left {
 		return Decision{Endpoint: -1, First: first, Retry: max(first, shortestRetry), Why: TooLong}
--- a/entry/direct/job.go
+++ b/entry/direct/job.go
@@ -97,8 +97,9 @@
 type Basis struct {
 	Endpoint string
 	// Predicted and First are the predicted and the real time to the first part
-	// of the answer's body, from sending.
-	Predicted, First time.Duration
+	// of the answer's body, from sending, and Wait is the part of the predicted
+	// one that is the wait for a slot.
+	Predicted, First, Wait time.Duration
 	// Ahead is how many requests of all entries the endpoint had then, Prompt
 	// how many prompt tokens it had to read, this request's included.
 	Ahead, Prompt int
--- a/entry/direct/serve.go
+++ b/entry/direct/serve.go
@@ -67,7 +67,7 @@
 		fields = append(fields, zap.String("customer", j.Customer.Name))
 	}
 	if b := res.Basis; b.Known > 0 {
-		fields = append(fields, zap.String("endpoint", b.Endpoint), zap.Duration("predicted", b.Predicted), zap.Duration("first", b.First),
+		fields = append(fields, zap.String("endpoint", b.Endpoint), zap.Duration("predicted", b.Predicted), zap.Duration("wait", b.Wait), zap.Duration("first", b.First), zap.Duration("target", j.Route.Target),
 			zap.Int("ahead", b.Ahead), zap.Int("prompt", b.Prompt), zap.Int("heard", b.Heard), zap.Int("known", b.Known))
 	}
 	switch res.Outcome {
--- a/entry/direct/visit.go
+++ b/entry/direct/visit.go
@@ -40,7 +40,7 @@
 	all := d.v.describe(p, j.Pool, now, d.since(now))
 	dec := admit.Decide(req, all)
 	if dec.Endpoint < 0 {
-		return &visit{basis: Basis{Predicted: dec.First, Heard: heard, Known: known}}, dec
+		return &visit{basis: Basis{Predicted: dec.First, Wait: dec.Wait, Heard: heard, Known: known}}, dec
 	}
 	e := p.endpoints[dec.Endpoint]
 	chosen := all[dec.Endpoint]
@@ -48,7 +48,7 @@
 		d: d, pool: p, e: e, id: e.ID, addr: e.Addr, alone: len(p.endpoints) < 2, sent: now,
 		free: chosen.Requests < chosen.Slots, ahead: chosen.Prompt + req.Prompt,
 		wait: dec.Wait, rest: dec.First - dec.Wait,
-		basis: Basis{Endpoint: e.ID, Predicted: dec.First, Ahead: chosen.Requests, Prompt: chosen.Prompt + req.Prompt, Heard: heard, Known: known},
+		basis: Basis{Endpoint: e.ID, Predicted: dec.First, Wait: dec.Wait, Ahead: chosen.Requests, Prompt: chosen.Prompt + req.Prompt, Heard: heard, Known: known},
 		held:  hold{requests: 1, prompt: req.Prompt, output: req.Output, tokens: req.Prompt + req.Output},
 	}
 	if e.own.requests == 0 {
--- a/lychee/trace/trace.go
+++ b/lychee/trace/trace.go
@@ -41,11 +41,16 @@
 	Known    int      `json:"known"`
 	Ahead    int      `json:"ahead"`
 	Prompt   int      `json:"prompt"`
+	Output   int      `json:"output"`
 	// Predicted and First are the predicted and the actual time to the first
 	// event, Took that to the end.
 	Predicted Duration `json:"predicted"`
 	First     Duration `json:"first"`
 	Took      Duration `json:"took"`
+	// Wait is the part of Predicted that is the wait for a slot, Target what was
+	// wanted.
+	Wait   Duration `json:"wait"`
+	Target Duration `json:"target"`
 	// Left is how long the caller would have waited for the whole answer.
 	Left Duration `json:"left"`
 }
@@ -172,12 +177,12 @@
 	case end.Outcome == "limited":
 		fmt.Fprintf(&b, "refused it: the customer was over its limit, over all entries together, and was told to come back after %v", end.Retry)
 	case end.Outcome == "refused" && end.Why == "full":
-		fmt.Fprintf(&b, "refused it: the first event was predicted after %v at the best endpoint, too late for its tier; the caller was told to come back after %v", end.Predicted, end.Retry)
+		fmt.Fprintf(&b, "refused it: the first event was predicted after %v at the best endpoint, %v of it waiting for a slot, where %v are wanted: more than its tier may wait; the caller was told to come back after %v", end.Predicted, end.Wait, end.Target, end.Retry)
 	case end.Outcome == "refused" && end.Why == "too long" && end.Left > 0:
 		fmt.Fprintf(&b, "refused it: the first event was predicted after %v, and the answer would not have been complete in the %v that the caller had left", end.Predicted, end.Left)
 	case end.Event == "request_refused":
 		fmt.Fprintf(&b, "refused it: %s", end.Why)
-	case end.Outcome == "late":
+	case end.Outcome == "late" || strings.HasPrefix(end.Why, "time is up"):
 		fmt.Fprintf(&b, "ran out of time with it at %s: %s", name(end.Endpoint), slow(end))
 	case end.Event == "request_unknown":
 		fmt.Fprintf(&b, "lost its answer at %s: %s", name(end.Endpoint), end.Why)
@@ -221,5 +226,5 @@
 	case l.First > 2*l.Predicted:
 		return fmt.Sprintf("the first event took %v where %v were predicted with %d requests ahead: the endpoint had become slow or silent", l.First, l.Predicted, l.Ahead)
 	}
-	return fmt.Sprintf("the first event took %v, %v were predicted with %d requests ahead, and the rest was the answer's length", l.First, l.Predicted, l.Ahead)
+	return fmt.Sprintf("the first event took %v, %v were predicted with %d requests ahead, and the rest was the answer's length of %d tokens", l.First, l.Predicted, l.Ahead, l.Output)
 }
