--- a/lychee/input/input.go
+++ b/lychee/input/input.go
@@ -122,6 +122,9 @@
 	if first["endpoint"] != nil {
 		return new(conf.Agent)
 	}
+	if first["ready"] != nil {
+		return new(conf.Direct)
+	}
 	for _, field := range []string{"listen", "link", "fleet_key", "fleet_keys", "platform"} {
 		if first[field] != nil {
 			return new(conf.Entry)
