--- a/entry/mesh/relay_test.go
+++ b/entry/mesh/relay_test.go
@@ -55,20 +55,34 @@
 	}
 }
 
-// A fleet of twelve tells through one hub in each zone. Each entry must come to
-// know what each other one did, with few links.
-func TestManyEntriesHearOfAllThroughHubs(t *testing.T) {
-	t.Parallel()
-	all := fleet(t, 3, 4)
+// settled starts a fleet in which every entry has told a total of its number, all
+// know those of all, and none keeps more links than most.
+func settled(t *testing.T, zones, each, most int) []*entry {
+	t.Helper()
+	all := fleet(t, zones, each)
 	for i, e := range all {
 		e.use(float64(i + 1))
 	}
 	awaitTotals(t, "the first total", all, func(i int) float64 { return float64(i + 1) })
-	awaitAll(t, "few links", all, func(e *entry) bool { return e.links() <= 5 })
+	awaitAll(t, "few links", all, func(e *entry) bool { return e.links() <= most })
+	return all
+}
+
+// awaitNext lets all entries of a settled fleet tell more.
+func awaitNext(t *testing.T, all []*entry) {
+	t.Helper()
 	for _, e := range all {
 		e.use(100)
 	}
 	awaitTotals(t, "the next total", all, func(i int) float64 { return float64(i + 101) })
+}
+
+// A fleet of twelve tells through one hub in each zone. Each entry must come to
+// know what each other one did, with few links.
+func TestManyEntriesHearOfAllThroughHubs(t *testing.T) {
+	t.Parallel()
+	all := settled(t, 3, 4, 5)
+	awaitNext(t, all)
 	for _, e := range all {
 		if heard, known := e.mesh.Reach(); heard != 12 || known != 12 {
 			t.Errorf("%s hears %d of %d", e.name(), heard, known)
@@ -80,16 +94,8 @@
 // tell through the hubs of two groups, and each still hears all.
 func TestZoneOfSeveralGroups(t *testing.T) {
 	t.Parallel()
-	all := fleet(t, 1, 20)
-	for i, e := range all {
-		e.use(float64(i + 1))
-	}
-	awaitTotals(t, "the first total", all, func(i int) float64 { return float64(i + 1) })
-	awaitAll(t, "few links", all, func(e *entry) bool { return e.links() < 19 })
-	for _, e := range all {
-		e.use(100)
-	}
-	awaitTotals(t, "the next total", all, func(i int) float64 { return float64(i + 101) })
+	all := settled(t, 1, 20, 18)
+	awaitNext(t, all)
 }
 
 // The hub of a zone dies. What its zone did since must reach everybody by
@@ -97,12 +103,7 @@
 // are given out twice.
 func TestHubDies(t *testing.T) {
 	t.Parallel()
-	all := fleet(t, 3, 4)
-	for i, e := range all {
-		e.use(float64(i + 1))
-	}
-	awaitTotals(t, "the first total", all, func(i int) float64 { return float64(i + 1) })
-	awaitAll(t, "few links", all, func(e *entry) bool { return e.links() <= 5 })
+	all := settled(t, 3, 4, 5)
 	all[4].stop()
 	rest := append(append([]*entry(nil), all[:4]...), all[5:]...)
 	began := time.Now()
--- a/entry/mesh/version.go
+++ b/entry/mesh/version.go
@@ -36,6 +36,11 @@
 	// that the peer has not read yet.
 	strangers     = 2
 	strangerTurns = 4
+	// startSpread and startStep spread those that pass versions on to a peer that
+	// has just started: of 32 that are linked to it some four send within a
+	// second, the others find that it has what they have.
+	startSpread = 16
+	startStep   = 500 * time.Millisecond
 )
 
 func (m *Mesh) turnTime() time.Duration { return turnTimes * m.alive() }
@@ -142,7 +147,12 @@
 			ahead++
 		}
 	}
-	if !m.plan.Tells(m.self(), to) {
+	stranger := !m.plan.Tells(m.self(), to)
+	if stranger && (p.config == 0 || p.roster == 0) {
+		// It serves nobody before it has both, and may not know its hub yet.
+		return startExtra + time.Duration(own%startSpread)*startStep
+	}
+	if stranger {
 		ahead += strangers + int(own%strangerTurns)
 	}
 	wait := time.Duration(ahead) * m.turnTime()
--- a/entry/mesh/version_test.go
+++ b/entry/mesh/version_test.go
@@ -37,7 +37,7 @@
 	entry := func(i int) relay.Entry {
 		return relay.Entry{Name: fmt.Sprintf("e%02d", i), Zone: fmt.Sprint("z", i%4)}
 	}
-	early := 0
+	early, first, soon := 0, 0, 0
 	for i := range 20 {
 		if i == 19 {
 			continue
@@ -50,12 +50,22 @@
 		}
 		m.replan()
 		late := m.peer(entry(19).Name)
-		late.config, late.roster = 0, 0
+		late.config, late.roster = 3, 3
 		if m.turn(entry(19).Name, late, 7, 7) < m.turnTime() {
 			early++
 		}
+		late.config, late.roster = 0, 0
+		switch wait := m.turn(entry(19).Name, late, 7, 7); {
+		case wait < startExtra:
+			first++
+		case wait < time.Second:
+			soon++
+		}
 	}
 	if early != 1 {
-		t.Errorf("%d entries send at once, want one", early)
+		t.Errorf("%d entries send to one that lags behind at once, want one", early)
+	}
+	if first != 1 || soon == 0 || soon > 6 {
+		t.Errorf("%d entries send to one that has just started at once and %d within a second, want one and a few", first, soon)
 	}
 }
