--- a/entry/direct/job.go
+++ b/entry/direct/job.go
@@ -123,7 +123,7 @@
 	WrongEndpoint bool
 	// Signed is set when the answer carries the endpoint's signature.
 	Signed bool
-	// HasLoad is set when Running, Waiting and Slots tell the endpoint's load.
-	HasLoad                 bool
-	Running, Waiting, Slots int
+	// Slots is how many requests the endpoint serves at once; zero if it does not
+	// say.
+	Slots int
 }
--- a/entry/direct/visit.go
+++ b/entry/direct/visit.go
@@ -107,7 +107,7 @@
 	v.d.mu.Lock()
 	defer v.d.mu.Unlock()
 	v.e.heard = time.Now()
-	if m.HasLoad && m.Slots > 0 && v.e.Slots == 0 {
+	if m.Slots > 0 && v.e.Slots == 0 {
 		v.e.Slots = m.Slots
 	}
 }
