follow: the pages of a list are bounded one by one

Cause: a whole list had to come within two seconds, however many pages it has. One that takes longer could never be read, and each try begins anew.

Kept for the case that TestLongListIsReadToItsEnd shows, seen failing.

--- a/entry/follow/follow.go
+++ b/entry/follow/follow.go
@@ -18,17 +18,22 @@
 var ErrHistory = errors.New("follow: the platform has dropped these changes: read the whole list")
 
 const (
-	// callTime bounds a call that does not wait, and waitExtra what a waiting
-	// call may take beyond its wait: the platform's answers may take sixty
-	// times their usual milliseconds.
-	callTime  = 2 * time.Second
+	// waitExtra is what a waiting call may take beyond its wait: the platform's
+	// answers may take sixty times their usual milliseconds.
 	waitExtra = 1500 * time.Millisecond
+	// listTime bounds the calls for a whole list together: the pages of three
+	// thousand items, asked for by three hundred entries at once.
+	listTime = 5 * CallTime
 	// firstPause and longestPause bound how often a platform that fails is
 	// asked. Every entry asks, and the first second after its return matters.
 	firstPause   = 100 * time.Millisecond
 	longestPause = 800 * time.Millisecond
 )
 
+// CallTime bounds one call to the platform that does not wait: some hundred times
+// what it usually takes.
+const CallTime = 2 * time.Second
+
 // Change is one change of the list.
 type Change[T any] struct {
 	Name    string
@@ -43,7 +48,8 @@
 type Config[T any] struct {
 	// Name is what is followed, for logs.
 	Name string
-	// List returns all items and the revision of the list.
+	// List returns all items and the revision of the list. It bounds each call
+	// that it takes by CallTime.
 	List func(ctx context.Context) ([]Change[T], int64, error)
 	// Watch returns the changes since a revision, waiting for the first one up
 	// to wait, and the revision to go on from.
@@ -102,7 +108,7 @@
 }
 
 func (f *Follower[T]) list(ctx context.Context) (int64, error) {
-	limited, cancel := context.WithTimeout(ctx, callTime)
+	limited, cancel := context.WithTimeout(ctx, listTime)
 	defer cancel()
 	all, revision, err := f.cfg.List(limited)
 	if err != nil {
--- a/entry/follow/follow_test.go
+++ b/entry/follow/follow_test.go
@@ -188,3 +188,25 @@
 		t.Errorf("one of five entries gathers for %v", got)
 	}
 }
+
+// A list of three thousand items is read page by page from a platform that three
+// hundred entries ask at once, after all of them were killed. If the whole list
+// had to come within the time of one call, none would ever have it.
+func TestLongListIsReadToItsEnd(t *testing.T) {
+	f := New(Config[int]{
+		List: func(ctx context.Context) ([]Change[int], int64, error) {
+			for range 25 {
+				select {
+				case <-ctx.Done():
+					return nil, 0, ctx.Err()
+				case <-time.After(CallTime / 20):
+				}
+			}
+			return nil, 7, nil
+		},
+		Listed: func([]Change[int], int64) {}, Log: zap.NewNop(),
+	})
+	if revision, err := f.list(context.Background()); revision != 7 || err != nil {
+		t.Errorf("revision %d, %v", revision, err)
+	}
+}
--- a/entry/follow/register.go
+++ b/entry/follow/register.go
@@ -78,7 +78,7 @@
 // write writes the line, until it is there.
 func (r *Registration) write(ctx context.Context) {
 	for failed := 0; ctx.Err() == nil; failed++ {
-		limited, cancel := context.WithTimeout(ctx, callTime)
+		limited, cancel := context.WithTimeout(ctx, CallTime)
 		err := r.Create(limited)
 		if errors.Is(err, ErrExists) {
 			err = r.Replace(limited)
@@ -94,7 +94,7 @@
 
 func (r *Registration) purge(ctx context.Context) {
 	for _, name := range r.Silent(purgeAfter) {
-		limited, cancel := context.WithTimeout(ctx, callTime)
+		limited, cancel := context.WithTimeout(ctx, CallTime)
 		err := r.Remove(limited, name)
 		cancel()
 		logs.Info(r.Log, logs.EventEntryForgotten, zap.String("peer", name), zap.Error(err))
