mesh: a tally that a hub passes on is not encoded anew; two comments without ground

A hub decoded each tally that came from another hub, took it in and encoded it again, though the bytes that came are those that go on. They are passed on now. What a plan needs to know of a peer is put together in one place. What it saves was not measured.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -100,9 +100,10 @@
 	// lowest tier in use may be predicted to wait for a slot; the tiers between
 	// them lie at even steps. A wait delays all that come behind as well,
 	// whatever their tier, and once every slot is taken a longer queue adds
-	// nothing to what an engine does. Measured on two fleets over five days of
-	// trouble with three seeds each: a top share of 0.4 to 0.5 serves best, 0.3
-	// and 0.7 some hundredths less; a least one of 0.1 and 0.2 are alike.
+	// nothing to what an engine does. Measured on two fleets with three seeds each:
+	// over ten days of overload a top share of 0.4 to 0.5 serves best, 0.3 and 0.7
+	// some hundredths less; over five days of trouble a least one of 0.1 and 0.2 are
+	// alike.
 	topWait  = 0.4
 	lastWait = 0.2
 	// firstShare is the share of the target that the whole prediction may reach.
@@ -110,10 +111,9 @@
 	// count as waiting.
 	firstShare = 1.0
 	// surePart is the part of the predicted time for an answer's output that it
-	// takes in any case. The pace is that of endpoints at their usual load, and
-	// many answers are shorter than told: of eleven requests that were refused
-	// because the whole prediction exceeded the time left, nine were served in time
-	// when they were sent.
+	// takes in any case. The pace is that of endpoints at their usual load: of
+	// eleven requests that were refused because the whole prediction exceeded the
+	// time left, nine were served in time when they were sent.
 	surePart = 0.5
 	// outputWeight is how much a later end counts against an earlier first
 	// event when endpoints are compared: slow endpoints hold their slots longer.
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -23,9 +23,10 @@
 	// few is up to how many entries all tell all: 56 links, and each entry hears
 	// the others without a detour.
 	few = 8
-	// groupSize is how many entries of a zone have one hub at most, on average.
-	// The hub of 16 sends all that a fleet tells 15 times: at 300 entries some
-	// 600 KB/s, which the smallest entries' links of 10 Mbit/s still carry.
+	// groupSize is how many entries of a zone have one hub at most, on average. A
+	// hub sends all that a fleet tells to each entry of its group; without groups
+	// that of a hundred entries would send it ninety-nine times, of sixteen fifteen
+	// times.
 	groupSize = 16
 )
 
--- a/entry/mesh/accept.go
+++ b/entry/mesh/accept.go
@@ -57,7 +57,7 @@
 	link.Run(ctx, func(msg wire.Message) {
 		switch t := msg.(type) {
 		case *wire.Tally:
-			m.take(origin{hello.Name, hello.Zone, hello.Incarnation}, relay.Direct, t)
+			m.take(origin{hello.Name, hello.Zone, hello.Incarnation}, relay.Direct, t, nil)
 		case *wire.Relay:
 			from := m.touched(hello)
 			for i := range t.Tallies {
@@ -69,6 +69,9 @@
 	})
 }
 
+// entry returns what a plan needs to know of a peer.
+func (p *peer) entry(name string) relay.Entry { return relay.Entry{Name: name, Zone: p.zone} }
+
 // linked notes that a link of a peer has begun or ended.
 func (m *Mesh) linked(hello wire.Hello, up bool) {
 	m.mu.Lock()
@@ -111,11 +114,12 @@
 		logs.Warn(m.cfg.Log, logs.EventBadFrame, zap.String("peer", r.Name), zap.Error(err))
 		return
 	}
-	m.take(origin{r.Name, r.Zone, r.Incarnation}, from, t)
+	m.take(origin{r.Name, r.Zone, r.Incarnation}, from, t, r.Body)
 }
 
-// take takes in a tally of another entry.
-func (m *Mesh) take(o origin, from relay.Source, t *wire.Tally) {
+// take takes in a tally of another entry; body is the tally as it came by way of
+// a hub, nil if it came directly.
+func (m *Mesh) take(o origin, from relay.Source, t *wire.Tally, body []byte) {
 	if o.name == m.cfg.Self.Name {
 		return
 	}
@@ -131,7 +135,7 @@
 	if p := m.peer(o.name); !p.gap {
 		p.seq = t.Seq
 	}
-	m.keep(o, from, t)
+	m.keep(o, from, t, body)
 }
 
 // follows notes a tally and reports whether it is news, and whether it is the
--- a/entry/mesh/dial.go
+++ b/entry/mesh/dial.go
@@ -70,7 +70,7 @@
 		}
 		known++
 		if p.reached {
-			heard = append(heard, relay.Entry{Name: name, Zone: p.zone})
+			heard = append(heard, p.entry(name))
 		}
 	}
 	m.known = known
@@ -122,7 +122,7 @@
 		if p.addr == "" || !p.maybe() {
 			continue
 		}
-		if p.reached && m.plan.Tells(m.self(), relay.Entry{Name: name, Zone: p.zone}) {
+		if p.reached && m.plan.Tells(m.self(), p.entry(name)) {
 			out = append(out, p.addr)
 		} else if !p.reached || now.Sub(p.lacksUs) < lackFor {
 			seek = append(seek, p.addr)
--- a/entry/mesh/pass.go
+++ b/entry/mesh/pass.go
@@ -8,8 +8,8 @@
 	"lycheepond/core/wire"
 )
 
-// maxPassing bounds the tallies that wait to be passed on: a second's of four
-// hundred entries. Whoever misses one asks for everything.
+// maxPassing bounds the tallies that wait to be passed on: some twenty of each of
+// four hundred entries. Whoever misses one asks for everything.
 const maxPassing = 1 << 13
 
 // passing is a tally that a hub passes on.
@@ -21,21 +21,30 @@
 
 // keep notes a tally to be passed on, if this entry is a hub. It is called with
 // mu held.
-func (m *Mesh) keep(o origin, from relay.Source, t *wire.Tally) {
+func (m *Mesh) keep(o origin, from relay.Source, t *wire.Tally, body []byte) {
 	if !m.plan.Hub() || from == relay.Within || len(m.passing) >= maxPassing {
 		return
 	}
-	r, err := relayed(o, t)
+	if body == nil {
+		body = m.encoded(t)
+	}
+	if body != nil {
+		m.passing = append(m.passing, passing{relay.Entry{Name: o.name, Zone: o.zone}, from, o.relayed(body)})
+	}
+}
+
+// encoded returns a tally as it is passed on, nil if it cannot be.
+func (m *Mesh) encoded(t *wire.Tally) []byte {
+	body, err := t.Encoded()
 	if err != nil {
 		logs.Error(m.cfg.Log, logs.EventFailed, zap.String("what", "encoding a tally for others"), zap.Error(err))
-		return
+		return nil
 	}
-	m.passing = append(m.passing, passing{relay.Entry{Name: o.name, Zone: o.zone}, from, r})
+	return body
 }
 
-func relayed(o origin, t *wire.Tally) (wire.Relayed, error) {
-	body, err := t.Encoded()
-	return wire.Relayed{Name: o.name, Zone: o.zone, Incarnation: o.incarnation, Body: body}, err
+func (o origin) relayed(body []byte) wire.Relayed {
+	return wire.Relayed{Name: o.name, Zone: o.zone, Incarnation: o.incarnation, Body: body}
 }
 
 // pass sends what has been heard since the last call to those that hear it from
@@ -69,7 +78,7 @@
 // other end of a link. A process that is told a change of an entry that it does
 // not know could do nothing with it. It is called with mu held.
 func (m *Mesh) follower(d *dial) bool {
-	leads := m.plan.Hub() && !d.fresh && m.plan.Tells(m.self(), relay.Entry{Name: d.peer, Zone: m.peer(d.peer).zone})
+	leads := m.plan.Hub() && !d.fresh && m.plan.Tells(m.self(), m.peer(d.peer).entry(d.peer))
 	begins := leads && !d.passed
 	d.passed = leads
 	return begins
@@ -78,7 +87,7 @@
 func (m *Mesh) entry(name string) relay.Entry {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return relay.Entry{Name: name, Zone: m.peer(name).zone}
+	return m.peer(name).entry(name)
 }
 
 // passWhole sends all that is known of the entries that a new link's other end
@@ -95,12 +104,9 @@
 		p := m.peer(o.name)
 		t.Addr, t.Config, t.Roster, t.Seq, t.Whole = p.addr, p.config, p.roster, p.seq, true
 		m.mu.Unlock()
-		r, err := relayed(o, t)
-		if err != nil {
-			logs.Error(m.cfg.Log, logs.EventFailed, zap.String("what", "encoding a tally for others"), zap.Error(err))
-			continue
+		if body := m.encoded(t); body != nil {
+			out.Tallies = append(out.Tallies, o.relayed(body))
 		}
-		out.Tallies = append(out.Tallies, r)
 	}
 	if len(out.Tallies) > 0 {
 		_ = l.link.Send(&out)
@@ -115,10 +121,10 @@
 	var out []origin
 	for name, p := range m.peers {
 		from := relay.Direct
-		if !m.plan.Near(relay.Entry{Name: name, Zone: p.zone}) {
+		if !m.plan.Near(p.entry(name)) {
 			from = relay.Between
 		}
-		if p.reached && !p.gap && m.plan.Passes(relay.Entry{Name: name, Zone: p.zone}, from, to) {
+		if p.reached && !p.gap && m.plan.Passes(p.entry(name), from, to) {
 			out = append(out, origin{name, p.zone, p.incarnation})
 		}
 	}
--- a/entry/mesh/version.go
+++ b/entry/mesh/version.go
@@ -7,7 +7,6 @@
 	"go.uber.org/zap"
 
 	"lycheepond/core/logs"
-	"lycheepond/core/relay"
 	"lycheepond/core/wire"
 )
 
@@ -139,11 +138,11 @@
 // many times as there are entries, and callers' requests wait behind it. It is
 // called with mu held.
 func (m *Mesh) turn(name string, p *peer, config, roster int64) time.Duration {
-	to := relay.Entry{Name: name, Zone: p.zone}
+	to := p.entry(name)
 	own, ahead := order(name, m.cfg.Self.Name), 0
 	for other, o := range m.peers {
 		has := o.reached && o.config >= config && o.roster >= roster
-		if other != name && has && m.plan.Tells(relay.Entry{Name: other, Zone: o.zone}, to) && order(name, other) < own {
+		if other != name && has && m.plan.Tells(o.entry(other), to) && order(name, other) < own {
 			ahead++
 		}
 	}
