--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -33,7 +33,8 @@
 	// the engine has; zero if unknown.
 	Tokens, Memory int
 	Pace           Pace
-	// Apart is a number from 0 to 1 that differs between entries.
+	// Apart is a number from 0 to 1 that differs between entries: the smaller, the
+	// more this one prefers the endpoint.
 	Apart float64
 	// Yield is set if free slots there are left to requests that wait at other
 	// entries.
@@ -133,9 +134,8 @@
 	// where there is room near by.
 	farCost = 30 * time.Millisecond
 	// spread is the most that is added for endpoints which other entries prefer, once
-	// half of the slots there are taken.
-	// Entries hear of the same free slot at the same time; without a preference of
-	// its own each would send there. In the same model with 30 entries, 4.4 in 100
+	// half of the slots there are taken. Entries hear of the same free slot at the
+	// same time; without a preference of its own each would send there. In the same model with 30 entries, 4.4 in 100
 	// of the highest tier and 4.0 of the next are late without it, 3.8 and 2.6 with
 	// it. With 250 ms less are late in the model, where all engines are alike, and
 	// more where some are slow, as they then get as much as the quick ones.
@@ -225,6 +225,19 @@
 	return scale(r.Target, topWait-(topWait-lastWait)*float64(r.Rank)/float64(max(r.Ranks-1, 1)))
 }
 
+// Free counts the slots that look free. Those of endpoints that failed lately do
+// not: nobody that waits can have them, and taken for room they would let lower
+// tiers pass those that wait.
+func Free(endpoints []Endpoint) int {
+	n := 0
+	for i := range endpoints {
+		if e := &endpoints[i]; e.Usable {
+			n += max(e.Slots-e.Requests, 0)
+		}
+	}
+	return n
+}
+
 // turn returns how long it takes until the next slot is free.
 func turn(endpoints []Endpoint) time.Duration {
 	rate := 0.0
--- a/core/admit/admit_test.go
+++ b/core/admit/admit_test.go
@@ -160,3 +160,12 @@
 		t.Errorf("%+v", d)
 	}
 }
+
+// An engine is gone and the instance list still names it. Its slots must not be
+// taken for room that those in line leave to lower tiers.
+func TestFreeSlotsOfFailedEndpointsDoNotCount(t *testing.T) {
+	es := []Endpoint{{Usable: true, Slots: 7, Requests: 5}, {Slots: 7}, {Usable: true, Slots: 7, Requests: 9}}
+	if got := Free(es); got != 2 {
+		t.Errorf("%d slots look free, want 2", got)
+	}
+}
--- a/entry/direct/view.go
+++ b/entry/direct/view.go
@@ -251,15 +251,6 @@
 	return e.Slots
 }
 
-// free counts the slots of a pool that look free.
-func (p *pool) free(cfg *route.Pool) int {
-	n := 0
-	for _, e := range p.endpoints {
-		n += max(e.slots(cfg)-e.own.requests-e.others.requests, 0)
-	}
-	return n
-}
-
 // silent reports whether work has waited at the endpoint for longer than limit
 // without a byte from it.
 func (e *endpoint) silent(now time.Time, limit time.Duration) bool {
--- a/entry/direct/wait.go
+++ b/entry/direct/wait.go
@@ -28,7 +28,7 @@
 	in := tierIn{j.Pool.Name, j.Tier}
 	at := await.Place{Tier: j.Tier, Due: d.since(j.due())}
 	ahead := p.line.Ahead(at)
-	c := d.v.waits.crowd(in, d.v.waits.own[in]+1, p.free(j.Pool))
+	c := d.crowd(in, 1, p, j)
 	v, dec := d.place(j, trial{output: j.Output, behind: ahead > 0 || c.Blocked(), part: c.Part()})
 	if dec.Why != admit.Full {
 		return v, dec
@@ -53,6 +53,14 @@
 	return v, dec
 }
 
+// crowd returns what competes with a job for free slots; joining is one if the job
+// is not in the line yet. d.mu is held.
+func (d *Director) crowd(in tierIn, joining int, p *pool, j *Job) await.Crowd {
+	now := time.Now()
+	free := admit.Free(d.v.describe(p, j.Pool, now, d.since(now)))
+	return d.v.waits.crowd(in, d.v.waits.own[in]+joining, free)
+}
+
 // stand returns when the job has left the line, its patience is over or its
 // caller has left.
 func (w *waiter) stand(ctx context.Context, patience time.Duration) {
@@ -71,7 +79,7 @@
 	p.line.Offer(func(w *await.Wait[*waiter]) (sent, more bool) {
 		j := w.Value.job
 		in := tierIn{j.Pool.Name, j.Tier}
-		c := d.v.waits.crowd(in, d.v.waits.own[in], p.free(j.Pool))
+		c := d.crowd(in, 0, p, j)
 		v, dec := d.place(j, trial{output: j.Output, behind: c.Blocked(), part: c.Part()})
 		if dec.Endpoint < 0 {
 			// One that waits for its prompt's sake keeps no other from a slot.
--- a/lychee/trace/trace.go
+++ b/lychee/trace/trace.go
@@ -53,6 +53,8 @@
 	Target Duration `json:"target"`
 	// Left is how long the caller would have waited for the whole answer.
 	Left Duration `json:"left"`
+	// Stood is how long the request stood in line at the entry.
+	Stood Duration `json:"stood"`
 }
 
 // Duration is written as Go spells durations.
@@ -177,7 +179,13 @@
 	case end.Outcome == "limited":
 		fmt.Fprintf(&b, "refused it: the customer was over its limit, over all entries together, and was told to come back after %v", end.Retry)
 	case end.Outcome == "refused" && end.Why == "full":
-		fmt.Fprintf(&b, "refused it: the first event was predicted after %v at the best endpoint, %v of it waiting for a slot, where %v are wanted: more than its tier may wait; the caller was told to come back after %v", end.Predicted, end.Wait, end.Target, end.Retry)
+		fmt.Fprintf(&b, "refused it: the first event was predicted after %v at the best endpoint, %v of it waiting for a slot, where %v are wanted: more than its tier may wait", end.Predicted, end.Wait, end.Target)
+		if end.Stood > 0 {
+			fmt.Fprintf(&b, "; it stood in line for %v without finding a slot", end.Stood)
+		}
+		fmt.Fprintf(&b, "; the caller was told to come back after %v", end.Retry)
+	case end.Outcome == "refused" && end.Why == "late":
+		fmt.Fprintf(&b, "refused it: the first event was predicted after %v at the best endpoint that had room, where %v are wanted; the caller was told to come back after %v", end.Predicted, end.Target, end.Retry)
 	case end.Outcome == "refused" && end.Why == "too long" && end.Left > 0:
 		fmt.Fprintf(&b, "refused it: the first event was predicted after %v, and the answer would not have been complete in the %v that the caller had left", end.Predicted, end.Left)
 	case end.Event == "request_refused":
--- a/lychee/trace/trace_test.go
+++ b/lychee/trace/trace_test.go
@@ -80,3 +80,28 @@
 		t.Errorf("%v, want ErrUnknown", err)
 	}
 }
+
+// A caller asks why it was turned away. "No slot" and "no time left to read the
+// prompt" have different remedies, and one that stood in line waited for longer
+// than the line's time alone tells.
+func TestWhyThereWasNoRoom(t *testing.T) {
+	for _, tt := range []struct {
+		why   string
+		parts []string
+	}{
+		{"full", []string{"90ms of it waiting for a slot", "stood in line for 40ms", "come back after 100ms"}},
+		{"late", []string{"predicted after 430ms", "that had room", "400ms are wanted"}},
+	} {
+		line := `{"time":"2026-01-01T00:00:00Z","event":"request_refused","process":"e","request_id":"x","outcome":"refused","why":"` + tt.why +
+			`","predicted":"430ms","wait":"90ms","target":"400ms","stood":"40ms","retry":"100ms","heard":4,"known":4}`
+		got, err := Read("x", strings.NewReader(line))
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, part := range tt.parts {
+			if !strings.Contains(got.Cause, part) {
+				t.Errorf("cause %q does not tell %q", got.Cause, part)
+			}
+		}
+	}
+}
