--- a/core/await/await.go
+++ b/core/await/await.go
@@ -23,7 +23,7 @@
 // Line holds the requests of one pool that wait at one entry. The zero value is
 // empty.
 type Line[T any] struct {
-	// waits is sorted as Place.compare says.
+	// waits is sorted as Place.Compare says.
 	waits []*Wait[T]
 	seq   uint64
 }
--- a/core/await/share.go
+++ b/core/await/share.go
@@ -54,19 +54,19 @@
 // anew in each round. The entry takes a slot that is free there if the lot is
 // below its part: on average one entry does.
 func Lot(entry, endpoint string, now time.Duration) float64 {
-	h := fnv.New64a()
-	h.Write([]byte(entry))
-	h.Write([]byte(endpoint))
-	h.Write(binary.LittleEndian.AppendUint64(nil, uint64(now/Round)))
-	return fraction(h.Sum64())
+	return draw(entry, endpoint, binary.LittleEndian.AppendUint64(nil, uint64(now/Round)))
 }
 
 // Apart returns a number from 0 to 1 that is the same each time for an entry and
 // an endpoint.
-func Apart(entry, endpoint string) float64 {
+func Apart(entry, endpoint string) float64 { return draw(entry, endpoint, nil) }
+
+// draw returns a number from 0 to 1 for an entry, an endpoint and a round.
+func draw(entry, endpoint string, round []byte) float64 {
 	h := fnv.New64a()
 	h.Write([]byte(entry))
 	h.Write([]byte(endpoint))
+	h.Write(round)
 	return fraction(h.Sum64())
 }
 
--- a/entry/direct/waits.go
+++ b/entry/direct/waits.go
@@ -29,12 +29,17 @@
 	}
 }
 
+// add adds n to a count and leaves out what is zero.
+func add(counts map[tierIn]int, t tierIn, n int) {
+	counts[t] += n
+	if counts[t] == 0 {
+		delete(counts, t)
+	}
+}
+
 // count notes that n more of the entry's own requests wait.
 func (s *waits) count(t tierIn, n int) {
-	s.own[t] += n
-	if s.own[t] == 0 {
-		delete(s.own, t)
-	}
+	add(s.own, t, n)
 	s.changed[t] = true
 }
 
@@ -50,24 +55,15 @@
 	}
 	for _, w := range told {
 		t := tierIn{w.Pool, route.Tier{Customer: w.Customer, Route: w.Route}}
-		s.others[t] += int(w.Requests) - known[t]
-		known[t] = int(w.Requests)
-		if s.others[t] == 0 {
-			delete(s.others, t)
-		}
-		if w.Requests == 0 {
-			delete(known, t)
-		}
+		add(s.others, t, int(w.Requests)-known[t])
+		add(known, t, int(w.Requests)-known[t])
 	}
 }
 
 // drop forgets what a peer told.
 func (s *waits) drop(peer string) {
 	for t, n := range s.peers[peer] {
-		s.others[t] -= n
-		if s.others[t] == 0 {
-			delete(s.others, t)
-		}
+		add(s.others, t, -n)
 	}
 	delete(s.peers, peer)
 }
