direct: logs and metrics tell an entry that ended an answer from an endpoint that broke off

An entry that gave a slow answer up wrote the same words as for an endpoint that broke off: a cancelled read fails with a timeout, so "stream fell silent" could never be logged, and a caller's connection that the entry closed was logged as "caller left". An answer that could not be written before its deadline left no trace; a plain one counted as complete, as the result of the flush was dropped.

Each end by the entry's own hand has a cause, which hop hands back and which is told in `why` ("endpoint silent for 1s", "no head of the answer for 50ms"); request_returned and request_unknown say how long nothing had come and under which bound; the counter tries_given_up tells head, silence, time, caller and cut. No timer or bound is changed.

--- a/entry/direct/job.go
+++ b/entry/direct/job.go
@@ -55,7 +55,7 @@
 	// Write writes a part of the body.
 	Write func(p []byte) error
 	// Flush sends what was written.
-	Flush func()
+	Flush func() error
 }
 
 // Outcome is how a job ended.
@@ -77,15 +77,17 @@
 	Broken
 	// Left means that the caller went away.
 	Left
+	// Cut means that the entry itself ended the caller's connection.
+	Cut
 )
 
-var outcomeNames = [...]string{"complete", "limited", "refused", "unknown", "late", "broken", "left"}
+var outcomeNames = [...]string{"complete", "limited", "refused", "unknown", "late", "broken", "left", "cut"}
 
 // String returns the outcome as logs and metrics spell it.
 func (o Outcome) String() string { return outcomeNames[o] }
 
-// Result is the outcome of a job. Unless it is Complete, Broken or Left nothing
-// was written to the Sink.
+// Result is the outcome of a job. Unless it is Complete, Broken, Left or
+// Cut nothing was written to the Sink.
 type Result struct {
 	Outcome Outcome
 	// Retry is when a refused caller should come back.
@@ -110,6 +112,10 @@
 	Heard, Known int
 	// Stood is how long it stood in line at this entry.
 	Stood time.Duration
+	// Silent is how long the last byte of the answer was waited for, or had been
+	// when the try ended. Bound is the longest wait before the entry may give the
+	// try up, zero if it may not.
+	Silent, Bound time.Duration
 }
 
 // Order is what the endpoint is told of a request beside the caller's headers.
--- a/entry/direct/relay.go
+++ b/entry/direct/relay.go
@@ -3,7 +3,7 @@
 import (
 	"bytes"
 	"context"
-	"errors"
+	"fmt"
 	"io"
 	"time"
 
@@ -24,7 +24,7 @@
 )
 
 // relay passes a stream on, whole events only, as they arrive.
-func (t *task) relay(a *hop.Answer, v *visit, cancel context.CancelFunc) verdict {
+func (t *task) relay(a *hop.Answer, v *visit, cancel context.CancelCauseFunc) verdict {
 	if !t.begun {
 		t.begun = true
 		t.sink.Head(a.Status, a.Header, a.Length)
@@ -32,11 +32,11 @@
 	}
 	silence := t.silence(v)
 	if silence > 0 {
-		timer := time.AfterFunc(silence, cancel)
+		timer := time.AfterFunc(silence, func() { cancel(&lateError{bound: silence}) })
 		defer timer.Stop()
-		return t.pump(a, v, func() { timer.Reset(silence) })
+		return t.pump(a, v, silence, func() { timer.Reset(silence) })
 	}
-	return t.pump(a, v, func() {})
+	return t.pump(a, v, 0, func() {})
 }
 
 // silence is how long the stream may pause before it is resumed elsewhere; zero
@@ -49,11 +49,13 @@
 	return max(time.Duration(pauses*float64(r.MaxPause)), shortestSilence)
 }
 
-func (t *task) pump(a *hop.Answer, v *visit, alive func()) verdict {
+func (t *task) pump(a *hop.Answer, v *visit, bound time.Duration, alive func()) verdict {
 	buf := make([]byte, relayBuffer)
 	var part []byte
 	for {
+		began := time.Now()
 		n, err := a.Read(buf)
+		v.basis.Silent, v.basis.Bound = time.Since(began), bound
 		if n > 0 {
 			alive()
 			part = append(part, buf[:n]...)
@@ -65,7 +67,7 @@
 		part = append(part[:0], rest...)
 		if werr != nil {
 			v.abandon()
-			return done(Left, "caller left")
+			return t.untaken(werr)
 		}
 		switch {
 		case err == nil && len(part) <= maxEvent:
@@ -82,16 +84,17 @@
 	switch {
 	case t.caller.Err() != nil:
 		v.abandon()
-		return done(Left, "caller left")
+		return verdict{done: true, res: gone(t.caller)}
 	case t.ctx.Err() != nil:
 		v.abandon()
 		return done(Broken, "time is up")
 	}
 	v.end(trust.Broken)
-	if errors.Is(err, context.Canceled) {
-		return verdict{arrived: true, ran: true, res: Result{Why: "stream fell silent"}}
+	why := broken("stream broke off", err)
+	if err == nil {
+		why = fmt.Sprintf("event longer than %d bytes", maxEvent)
 	}
-	return verdict{arrived: true, ran: true, res: Result{Why: "stream broke off"}}
+	return verdict{arrived: true, ran: true, res: Result{Why: why}}
 }
 
 // forward writes the whole events of part and returns the rest. The end of a
@@ -114,8 +117,7 @@
 	if err := t.sink.Write(part[:n]); err != nil {
 		return nil, err
 	}
-	t.sink.Flush()
-	return part[n:], nil
+	return part[n:], t.sink.Flush()
 }
 
 var (
--- a/entry/direct/send.go
+++ b/entry/direct/send.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -73,17 +74,17 @@
 		return verdict{res: Result{Why: "endpoint accepts no connection"}}
 	case t.caller.Err() != nil && t.ctx.Err() != nil:
 		v.abandon()
-		return done(Left, "caller left")
+		return verdict{done: true, res: gone(t.caller)}
 	case t.ctx.Err() != nil:
 		v.abandon()
 		return verdict{arrived: true, ran: true, res: Result{Why: "time is up"}}
 	}
 	v.end(trust.Broken)
-	return verdict{arrived: true, ran: true, res: Result{Why: "no answer: " + err.Error()}}
+	return verdict{arrived: true, ran: true, res: Result{Why: broken("no answer", err)}}
 }
 
 // receive passes an answer on; without one it returns what send found.
-func (t *task) receive(a *hop.Answer, got verdict, v *visit, cancel context.CancelFunc) verdict {
+func (t *task) receive(a *hop.Answer, got verdict, v *visit, cancel context.CancelCauseFunc) verdict {
 	if a == nil {
 		return got
 	}
@@ -101,13 +102,15 @@
 // plain passes an answer on once it is whole, so that a broken one can still be
 // made good or told as what it is.
 func (t *task) plain(a *hop.Answer, v *visit) verdict {
+	began := time.Now()
 	body, err := io.ReadAll(io.LimitReader(a, maxPlain))
+	v.basis.Silent, v.basis.Bound = time.Since(began), 0
 	if err != nil || !a.Whole() {
 		if t.ctx.Err() != nil {
 			return verdict{arrived: true, ran: true, res: Result{Why: "time is up"}}
 		}
 		v.end(trust.Broken)
-		return verdict{arrived: true, ran: true, res: Result{Why: "answer broke off"}}
+		return verdict{arrived: true, ran: true, res: Result{Why: brokenPlain(err)}}
 	}
 	if a.Status >= 500 {
 		v.end(trust.Error)
@@ -120,13 +123,20 @@
 		return verdict{arrived: true, ran: true, res: Result{Why: "endpoint refused without saying that it did not run"}}
 	}
 	t.sink.Head(a.Status, a.Header, int64(len(body)))
-	if err := t.sink.Write(body); err != nil {
-		return done(Left, "caller left")
+	if err := errors.Join(t.sink.Write(body), t.sink.Flush()); err != nil {
+		return t.untaken(err)
 	}
-	t.sink.Flush()
 	return done(Complete, "")
 }
 
+// brokenPlain says why an answer that is held until it is whole is not.
+func brokenPlain(err error) string {
+	if err == nil {
+		return fmt.Sprintf("answer longer than %d bytes", maxPlain)
+	}
+	return broken("answer broke off", err)
+}
+
 // promises reports whether a status tells callers that a request has not run.
 func promises(status int) bool {
 	switch status {
--- a/entry/direct/serve.go
+++ b/entry/direct/serve.go
@@ -36,22 +36,26 @@
 			v.abandon()
 		}
 		d.refund(j)
-		return Result{Outcome: Left, Why: "caller left", Basis: v.basis}
+		res := gone(ctx)
+		res.Basis = v.basis
+		return res
 	}
 	if dec.Endpoint < 0 {
 		d.refund(j)
 		return Result{Outcome: Refused, Retry: dec.Retry, Why: dec.Why.String(), Basis: v.basis}
 	}
 	d.earn(v)
-	end, cancel := context.WithDeadline(context.WithoutCancel(ctx), j.End())
+	end, cancel := context.WithDeadlineCause(context.WithoutCancel(ctx), j.End(), errTimeUp)
 	defer cancel()
+	work, stop := context.WithCancelCause(end)
+	defer stop(nil)
 	if !j.Route.Once() || j.Route.Stream {
 		// Nobody waits for the answer once the caller has left, so the endpoint
 		// is freed. A request that must not be repeated runs to its end: cut
 		// off halfway, neither side could tell what it did.
-		defer context.AfterFunc(ctx, cancel)()
+		defer context.AfterFunc(ctx, func() { stop(context.Cause(ctx)) })()
 	}
-	t := &task{d: d, job: j, sink: s, caller: ctx, ctx: end}
+	t := &task{d: d, job: j, sink: s, caller: ctx, ctx: work}
 	res := t.run(v)
 	if res.Outcome == Refused {
 		d.refund(j)
@@ -83,7 +87,7 @@
 	case Limited, Refused:
 		logs.Info(d.cfg.Log, logs.EventRequestRefused, append(fields, zap.Duration("retry", res.Retry), zap.Duration("left", time.Until(j.End())))...)
 	default:
-		logs.Warn(d.cfg.Log, logs.EventRequestUnknown, fields...)
+		logs.Warn(d.cfg.Log, logs.EventRequestUnknown, append(fields, zap.Duration("silent", res.Basis.Silent), zap.Duration("bound", res.Basis.Bound))...)
 	}
 }
 
--- a/entry/direct/task.go
+++ b/entry/direct/task.go
@@ -7,6 +7,8 @@
 	"go.uber.org/zap"
 
 	"lycheepond/core/logs"
+	"lycheepond/core/meter"
+	"lycheepond/entry/hop"
 )
 
 const (
@@ -78,7 +80,7 @@
 func (t *task) next(v *visit, got verdict) (*visit, string) {
 	switch {
 	case t.caller.Err() != nil:
-		return nil, "caller left"
+		return nil, gone(t.caller).Why
 	case time.Until(t.job.End()) < shortLeft:
 		return nil, "no time left"
 	case got.ran && t.job.Route.Once():
@@ -95,7 +97,7 @@
 		return nil, dec.Why.String()
 	}
 	logs.Info(t.d.cfg.Log, logs.EventRequestReturned, zap.String("request_id", t.job.ID), zap.String("why", got.res.Why),
-		zap.String("from", v.id), zap.String("to", next.id))
+		zap.String("from", v.id), zap.String("to", next.id), zap.Duration("silent", v.basis.Silent), zap.Duration("bound", v.basis.Bound))
 	return next, ""
 }
 
@@ -104,7 +106,7 @@
 	why = got.res.Why + "; " + why
 	switch {
 	case t.caller.Err() != nil:
-		return Result{Outcome: Left, Why: why}
+		return Result{Outcome: gone(t.caller).Outcome, Why: why}
 	case t.begun:
 		return Result{Outcome: Broken, Why: why}
 	case t.ran > 0 && t.ctx.Err() != nil:
@@ -118,17 +120,27 @@
 // try sends the job to one endpoint.
 func (t *task) try(v *visit) verdict {
 	defer v.abandon()
-	ctx, cancel := context.WithCancel(t.ctx)
-	defer cancel()
-	if patience := t.patience(v); patience > 0 {
-		timer := time.AfterFunc(patience, cancel)
-		defer timer.Stop()
-		a, got := t.send(ctx, v)
-		timer.Stop()
-		return t.receive(a, got, v, cancel)
+	ctx, cancel := context.WithCancelCause(t.ctx)
+	defer cancel(nil)
+	bound := t.patience(v)
+	began := time.Now()
+	a, got := t.await(ctx, cancel, v, bound)
+	v.basis.Silent, v.basis.Bound = time.Since(began), bound
+	got = t.receive(a, got, v, cancel)
+	if cause := context.Cause(ctx); cause != nil && !(got.done && got.res.Outcome == Complete) {
+		t.d.cfg.Metrics.Counter("tries_given_up", meter.Label{Key: "why", Value: kindOf(cause)}).Inc(1)
 	}
-	a, got := t.send(ctx, v)
-	return t.receive(a, got, v, cancel)
+	return got
+}
+
+// await sends the job and waits for the head of the answer.
+func (t *task) await(ctx context.Context, cancel context.CancelCauseFunc, v *visit, bound time.Duration) (*hop.Answer, verdict) {
+	if bound <= 0 {
+		return t.send(ctx, v)
+	}
+	timer := time.AfterFunc(bound, func() { cancel(&lateError{head: true, bound: bound}) })
+	defer timer.Stop()
+	return t.send(ctx, v)
 }
 
 // patience is how long the head of an answer is waited for before the job is
--- a/entry/door/door.go
+++ b/entry/door/door.go
@@ -244,13 +244,13 @@
 			_, err := w.Write(p)
 			return err
 		},
-		Flush: func() { rc.Flush() },
+		Flush: rc.Flush,
 	})
 	no := &Refusal{Retry: min(res.Retry, max(time.Until(j.Deadline)/3, 0)), Reason: res.Why}
 	switch res.Outcome {
 	case direct.Complete:
 		return
-	case direct.Broken, direct.Left:
+	case direct.Broken, direct.Left, direct.Cut:
 		// Closing the connection without the end of the body is the one way to
 		// tell the caller that what it has is not whole.
 		panic(http.ErrAbortHandler)
--- a/entry/hop/conn.go
+++ b/entry/hop/conn.go
@@ -78,9 +78,9 @@
 	if n, err := k.net.Write(head); err != nil {
 		unhook()
 		if n == 0 {
-			return nil, errors.Join(ErrNotSent, err)
+			return nil, errors.Join(ErrNotSent, ended(ctx, err))
 		}
-		return nil, errors.Join(ErrUnknown, err)
+		return nil, errors.Join(ErrUnknown, ended(ctx, err))
 	}
 	var written chan error
 	if !inline {
@@ -93,14 +93,26 @@
 	resp, err := k.answer(r)
 	if err != nil {
 		unhook()
-		return nil, errors.Join(ErrUnknown, err)
+		return nil, errors.Join(ErrUnknown, ended(ctx, err))
 	}
 	return &Answer{
 		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength,
 		conn: k, body: resp.Body, last: resp.Close, written: written, unhook: unhook,
+		ended: func(err error) error { return ended(ctx, err) },
 	}, nil
 }
 
+// ended returns the cause of ctx if its end made an exchange fail with err, and
+// else err. Cancelled reads and dials fail as late ones do; taken as they are,
+// they could not be told from an endpoint that failed.
+func ended(ctx context.Context, err error) error {
+	var late net.Error
+	if ctx.Err() != nil && errors.As(err, &late) && (late.Timeout() || errors.Is(err, context.Canceled)) {
+		return context.Cause(ctx)
+	}
+	return err
+}
+
 // answer reads heads until one belongs to r. An endpoint may send a second
 // answer to an earlier request, early or late, where that to r is expected.
 func (k *conn) answer(r *Request) (*http.Response, error) {
@@ -152,15 +164,19 @@
 	// answer came.
 	written chan error
 	unhook  func() bool
+	// ended returns what an error of the connection means.
+	ended func(error) error
 }
 
-// Read reads the body. It returns io.EOF only at the proper end of a whole body.
+// Read reads the body. It returns io.EOF only at the proper end of a whole body,
+// and the cause of the request's context if that has ended.
 func (a *Answer) Read(p []byte) (int, error) {
 	n, err := a.body.Read(p)
 	if err == io.EOF {
 		a.whole = true
+		return n, err
 	}
-	return n, err
+	return n, a.ended(err)
 }
 
 // Buffered reports whether more of the body has arrived, so that a reader that
--- a/entry/hop/hop.go
+++ b/entry/hop/hop.go
@@ -95,7 +95,8 @@
 
 // Do sends a request to addr and returns when the head of its answer is there.
 // limit is how many connections this entry may have there; zero means no limit.
-// When ctx ends the connection is closed, which tells the endpoint to stop.
+// When ctx ends the connection is closed, which tells the endpoint to stop, and
+// the error holds its cause.
 func (c *Client) Do(ctx context.Context, addr string, limit int, r *Request) (*Answer, error) {
 	for {
 		k, fresh, err := c.take(ctx, addr, limit, r.Once)
@@ -141,7 +142,7 @@
 	nc, err := c.dialer.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		c.release(addr)
-		return nil, false, errors.Join(ErrNotSent, err)
+		return nil, false, errors.Join(ErrNotSent, ended(ctx, err))
 	}
 	return newConn(c, addr, nc), true, nil
 }
--- a/entry/hop/hop_test.go
+++ b/entry/hop/hop_test.go
@@ -194,3 +194,29 @@
 		t.Fatal("the endpoint still has its connection")
 	}
 }
+
+// A cancelled exchange fails as one that came too late does. Without the cause
+// in its error, an entry that gave up could not be told from an endpoint that
+// failed, neither before the head of the answer nor after it.
+func TestCancelledExchangeTellsTheCause(t *testing.T) {
+	given := errors.New("given up")
+	for _, headCame := range []bool{false, true} {
+		addr := endpoint(t, func(_ int, c net.Conn, r *bufio.Reader) {
+			http.ReadRequest(r)
+			if headCame {
+				io.WriteString(c, "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 9\r\n\r\nhalf")
+			}
+			r.ReadByte()
+		})
+		ctx, cancel := context.WithCancelCause(context.Background())
+		time.AfterFunc(20*time.Millisecond, func() { cancel(given) })
+		a, err := New().Do(ctx, addr, 0, request("a"))
+		if headCame && err == nil {
+			_, err = io.ReadAll(a)
+			a.Close()
+		}
+		if !errors.Is(err, given) {
+			t.Errorf("head came %v: %v", headCame, err)
+		}
+	}
+}
--- a/lychee/trace/trace.go
+++ b/lychee/trace/trace.go
@@ -55,6 +55,10 @@
 	Left Duration `json:"left"`
 	// Stood is how long the request stood in line at the entry.
 	Stood Duration `json:"stood"`
+	// Silent is how long the endpoint had sent nothing when its try ended, Bound
+	// the longest that was waited for; zero if the entry would have gone on waiting.
+	Silent Duration `json:"silent"`
+	Bound  Duration `json:"bound"`
 }
 
 // Duration is written as Go spells durations.
@@ -192,6 +196,8 @@
 		fmt.Fprintf(&b, "refused it: %s", end.Why)
 	case end.Outcome == "late" || strings.HasPrefix(end.Why, "time is up"):
 		fmt.Fprintf(&b, "ran out of time with it at %s: %s", name(end.Endpoint), slow(end))
+	case end.Outcome == "cut":
+		fmt.Fprintf(&b, "ended its caller's connection itself while %s was at work on it: %s", name(end.Endpoint), end.Why)
 	case end.Event == "request_unknown":
 		fmt.Fprintf(&b, "lost its answer at %s: %s", name(end.Endpoint), end.Why)
 	case end.Event == "request_done":
@@ -202,6 +208,9 @@
 	for _, l := range own[:len(own)-1] {
 		if l.Event == "request_returned" {
 			fmt.Fprintf(&b, "; before, %s failed it (%s) and %s was tried", l.From, l.Why, l.To)
+			if l.Bound > 0 && l.Silent >= l.Bound {
+				fmt.Fprintf(&b, ", given up by the entry after %v without a byte", l.Silent)
+			}
 		}
 	}
 	if end.Heard < end.Known {
--- a/lychee/trace/trace_test.go
+++ b/lychee/trace/trace_test.go
@@ -105,3 +105,32 @@
 		}
 	}
 }
+
+// A caller's connection ended early. Whether it left, or the entry ended it, has
+// different remedies; so has an endpoint that broke off, or was given up as slow.
+func TestWhoEndedIt(t *testing.T) {
+	for _, tt := range []struct {
+		line  string
+		parts []string
+	}{
+		{
+			`"event":"request_unknown","outcome":"cut","endpoint":"i-1","why":"connection idle for 1s"`,
+			[]string{"e ended its caller's connection itself", "i-1", "connection idle for 1s"},
+		},
+		{
+			`"event":"request_returned","from":"i-1","to":"i-2","why":"endpoint silent for 1s","silent":"1.001s","bound":"1s"}` + "\n" +
+				`{"time":"2026-01-01T00:00:01Z","process":"e","request_id":"x","event":"request_done","outcome":"complete","endpoint":"i-2"`,
+			[]string{"answered it from i-2", "i-1 failed it (endpoint silent for 1s)", "given up by the entry after 1.001s"},
+		},
+	} {
+		got, err := Read("x", strings.NewReader(`{"time":"2026-01-01T00:00:00Z","process":"e","request_id":"x",`+tt.line+"}"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, part := range tt.parts {
+			if !strings.Contains(got.Cause, part) {
+				t.Errorf("cause %q does not tell %q", got.Cause, part)
+			}
+		}
+	}
+}
