--- a/entry/direct/cause_test.go
+++ b/entry/direct/cause_test.go
@@ -18,17 +18,26 @@
 	streamed   = route.Route{Stream: true, Resumable: true, Attempts: 2, Target: 100 * time.Millisecond, Timeout: 10 * time.Second}
 )
 
-// silentAfter returns an endpoint that sends n events of four, or the whole plain
-// answer if n is less than zero, only after a pause. It answers at once what has
-// been tried before.
+// Where a pause comes in an answer, beside the number of events before it.
+const (
+	beforePlain = -1
+	beforeHead  = -2
+)
+
+// silentAfter returns an endpoint that pauses once in its answer: four events, of
+// which n come before, or a plain answer. A stream that goes on behind the pause
+// has none.
 func silentAfter(t *testing.T, n int, pause time.Duration) *standIn {
 	return stand(t, func(s *standIn, c net.Conn, q *http.Request) {
-		if n < 0 {
+		if n == beforePlain {
 			if s.pause(c, pause) {
 				whole(c, http.StatusOK, "answer")
 			}
 			return
 		}
+		if n == beforeHead && !s.pause(c, pause) {
+			return
+		}
 		opened(c)
 		for i := from(q) + 1; i <= 4; i++ {
 			if i == n+1 && !s.pause(c, pause) {
@@ -53,7 +62,7 @@
 		why, kind string
 		silent    time.Duration
 	}{
-		{"no head", plainRoute, silentAfter(t, -1, time.Minute), "no head of the answer for 50ms", "head", 50 * time.Millisecond},
+		{"no head", plainRoute, silentAfter(t, beforePlain, time.Minute), "no head of the answer for 50ms", "head", 50 * time.Millisecond},
 		{"no event", streamed, silentAfter(t, 2, time.Minute), "endpoint silent for 1s", "silence", time.Second},
 		{"endpoint broke off", streamed, stand(t, func(_ *standIn, c net.Conn, _ *http.Request) {
 			opened(c)
@@ -63,10 +72,10 @@
 		t.Run(tt.name, func(t *testing.T) {
 			second := prompt(t)
 			if !tt.route.Stream {
-				second = silentAfter(t, -1, 0)
+				second = silentAfter(t, beforePlain, 0)
 			}
 			g := newRig(t, tt.route, tt.first, second)
-			got := g.send(t.Context(), "x", nil)
+			got := g.send(t.Context(), "x", taken{})
 			if got.Outcome != Complete {
 				t.Errorf("%+v", got.Result)
 			}
@@ -116,7 +125,7 @@
 				s.pause(c, 5*time.Second)
 			})
 			g := newRig(t, streamed, endpoint)
-			got := g.send(ctx, "x", tt.failing)
+			got := g.send(ctx, "x", taken{failing: tt.failing})
 			if got.Outcome != tt.outcome || !strings.HasPrefix(got.Why, tt.why) {
 				t.Errorf("%v, %q", got.Outcome, got.Why)
 			}
--- a/entry/direct/rig_test.go
+++ b/entry/direct/rig_test.go
@@ -2,13 +2,13 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -142,13 +142,13 @@
 type taken struct {
 	Result
 	status int
-	body   strings.Builder
-	// failing is the error of each write.
+	body   bytes.Buffer
+	// failing is the error of each write, slow how long the first one takes.
 	failing error
+	slow    time.Duration
 }
 
-func (g *rig) send(ctx context.Context, id string, failing error) *taken {
-	got := &taken{failing: failing}
+func (g *rig) send(ctx context.Context, id string, got taken) *taken {
 	now := time.Now()
 	j := &Job{
 		ID: id, Route: &g.cfg.Routes[0], Pool: &g.cfg.Pools[0], Method: "GET", Target: "/", Host: "h", Header: make(http.Header),
@@ -157,12 +157,15 @@
 	got.Result = g.d.Serve(ctx, j, Sink{
 		Head: func(status int, _ http.Header, _ int64) { got.status = status },
 		Write: func(p []byte) error {
+			if got.body.Len() == 0 {
+				time.Sleep(got.slow)
+			}
 			got.body.Write(p)
 			return got.failing
 		},
 		Flush: func() error { return got.failing },
 	})
-	return got
+	return &got
 }
 
 // said returns a field of the first line of an event, and its level.
