direct: a try is given up only for another one that is in hand

Callers of slow endpoints lost answers that were on their way: streams broke off midway ("endpoint silent for 1s; no repeat left in the budget"), plain requests were unknown ("no head of the answer for 50ms; no repeat left in the budget").

Cause: the timers of silence and patience cancelled the try, and only afterwards was it asked whether a repeat, an attempt and a place could be had. The timer of silence also ran while the entry wrote to its caller, so a slow caller passed for a silent endpoint and its stream ran twice.

A timer now asks first. It reserves a place where a new request of the tier would be sent and takes the repeat; only then is the old try cancelled, under the lock under which its reader takes note of what comes, so either the answer came first and the reservation is given back with its repeat, or the new try goes on after what was passed on. Only time spent reading from the endpoint counts. A place or repeat that a failed try could not use is given back too: the budget lost it before. Trust hears of a try that was given up, or was silent until the time was up, and not of one that was slow and answered.

--- a/core/logs/event.go
+++ b/core/logs/event.go
@@ -50,6 +50,7 @@
 	EventEndpointAway     Event = "endpoint_away"
 	EventEndpointBack     Event = "endpoint_back"
 	EventAnswerBroken     Event = "answer_broken"
+	EventAnswerLate       Event = "answer_late"
 	EventBadFrame         Event = "bad_frame"
 	EventFailed           Event = "failed"
 )
--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -62,6 +62,9 @@
 	return true
 }
 
+// Return gives back a retry that was taken and not used.
+func (b *Budget) Return() { b.saved = min(float64(b.cfg.Burst), b.saved+1) }
+
 const (
 	// backoffBase is the longest wait before the first retry, a few times the
 	// way to an agent and back; it doubles up to backoffMax, which is less
--- a/core/retry/retry_test.go
+++ b/core/retry/retry_test.go
@@ -39,6 +39,24 @@
 	}
 }
 
+// A retry that was taken and not used is there for the next one; what is saved
+// stays bounded all the same.
+func TestReturnedRetryIsThereAgain(t *testing.T) {
+	b := New(Config{Burst: 1})
+	if !b.Spend() || b.Spend() {
+		t.Fatal("not one retry")
+	}
+	b.Return()
+	if !b.Spend() {
+		t.Error("the retry that was given back is lost")
+	}
+	b.Return()
+	b.Return()
+	if !b.Spend() || b.Spend() {
+		t.Error("not one retry after two were given back")
+	}
+}
+
 func TestBackoff(t *testing.T) {
 	for _, tc := range []struct {
 		attempt   int
@@ -58,16 +76,21 @@
 	}
 }
 
-// However first tries and retries mix, no more is spent than was earned.
+// However first tries and retries mix, no more is spent than was earned, also if
+// some that were taken are given back.
 func TestSpendsNoMoreThanEarned(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		cfg := Config{Ratio: rapid.Float64Range(0.01, 1).Draw(t, "ratio"), Burst: rapid.IntRange(1, 50).Draw(t, "burst")}
 		b, earned, spent := New(cfg), 0, 0
 		for range rapid.IntRange(0, 300).Draw(t, "steps") {
-			if rapid.Bool().Draw(t, "earn") {
+			switch {
+			case rapid.Bool().Draw(t, "earn"):
 				b.Earn(1)
 				earned++
-			} else if b.Spend() {
+			case spent > 0 && rapid.Bool().Draw(t, "return"):
+				b.Return()
+				spent--
+			case b.Spend():
 				spent++
 			}
 		}
--- a/entry/direct/cause_test.go
+++ b/entry/direct/cause_test.go
@@ -28,19 +28,24 @@
 // which n come before, or a plain answer. A stream that goes on behind the pause
 // has none.
 func silentAfter(t *testing.T, n int, pause time.Duration) *standIn {
+	return silentAfterEach(t, n, func() time.Duration { return pause })
+}
+
+// silentAfterEach is silentAfter with a pause for each request.
+func silentAfterEach(t *testing.T, n int, pause func() time.Duration) *standIn {
 	return stand(t, func(s *standIn, c net.Conn, q *http.Request) {
 		if n == beforePlain {
-			if s.pause(c, pause) {
+			if s.pause(c, pause()) {
 				whole(c, http.StatusOK, "answer")
 			}
 			return
 		}
-		if n == beforeHead && !s.pause(c, pause) {
+		if n == beforeHead && !s.pause(c, pause()) {
 			return
 		}
 		opened(c)
 		for i := from(q) + 1; i <= 4; i++ {
-			if i == n+1 && !s.pause(c, pause) {
+			if i == n+1 && !s.pause(c, pause()) {
 				return
 			}
 			sent(c, piece(i))
--- a/entry/direct/late_test.go
+++ b/entry/direct/late_test.go
@@ -1,7 +1,10 @@
 package direct
 
 import (
+	"fmt"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -9,25 +12,23 @@
 	"lycheepond/core/wire"
 )
 
-// noBudget uses up the repeats of a rig's pool.
-func noBudget(g *rig) {
-	g.d.mu.Lock()
-	defer g.d.mu.Unlock()
-	for spent := true; spent; {
-		spent = g.d.v.pool("p", g.d.cfg.Repeats, 1).budget.Spend()
-	}
-}
-
-// noRoom fills the other endpoint with requests of another entry.
+// noRoom fills the other endpoint with requests of another entry: they take its
+// slots many times over.
 func noRoom(g *rig) {
-	g.d.Heard("entry-2", true, &wire.Tally{Held: []wire.Held{{Endpoint: "b", Requests: rigSlots}}})
+	g.d.Heard("entry-2", true, &wire.Tally{Held: []wire.Held{{Endpoint: "b", Requests: 100 * rigSlots}}})
 }
 
 // An endpoint becomes slow: it sends nothing for longer than an answer may pause,
-// and goes on. The entry's timer ends the try, and only then is it asked whether
-// there are a repeat, an attempt and a place for another one. Where there is none,
-// the caller loses an answer that was on its way: its stream breaks off midway, or
-// it gets 502 in place of a late answer.
+// and goes on. If the entry's timer ends the try before anyone asks whether a
+// repeat, an attempt and room elsewhere can be had, and they cannot, the
+// caller loses an answer that was on its way. Its stream breaks off midway, or it
+// gets 502 in place of a late answer; the entry's log has
+//
+//	"outcome":"broken","why":"endpoint silent for 1s; no repeat left in the budget"
+//	"outcome":"unknown","why":"no head of the answer for 50ms; no repeat left in the budget"
+//
+// where it has to have "event":"answer_late","why":"endpoint silent for 1s",
+// "lacks":"no repeat left in the budget", and later request_done.
 func TestSlowAnswerIsAwaitedWhenThereIsNoOther(t *testing.T) {
 	const longer = 3 * shortestSilence / 2
 	for _, tt := range []struct {
@@ -45,14 +46,16 @@
 		{"stream", streamed, 2, longer, fourPieces},
 	} {
 		for _, lack := range []struct {
-			name string
+			what string
 			of   func(g *rig)
+			// told is what the log calls it; nothing if the try may not be given up.
+			told any
 		}{
-			{"repeat", noBudget},
-			{"room", noRoom},
-			{"attempt", func(g *rig) { g.cfg.Routes[0].Attempts = 1 }},
+			{"repeat", func(g *rig) { g.spend() }, "no repeat left in the budget"},
+			{"room", noRoom, "full"},
+			{"attempt", func(g *rig) { g.cfg.Routes[0].Attempts = 1 }, nil},
 		} {
-			t.Run(tt.name+", no "+lack.name, func(t *testing.T) {
+			t.Run(tt.name+", no "+lack.what, func(t *testing.T) {
 				t.Parallel()
 				slow, other := silentAfter(t, tt.after, tt.pause), silentAfter(t, tt.after, 0)
 				g := newRig(t, tt.route, slow, other)
@@ -64,6 +67,9 @@
 				if a, b := slow.runs.Load(), other.runs.Load(); a != 1 || b != 0 {
 					t.Errorf("ran %d times at the slow endpoint, %d at the other", a, b)
 				}
+				if told, _ := g.said("answer_late", "lacks"); told != lack.told {
+					t.Errorf("the log says that it lacks %v, want %v", told, lack.told)
+				}
 				if !g.idle() {
 					t.Error("work is still counted at an endpoint")
 				}
@@ -104,3 +110,86 @@
 		}
 	}
 }
+
+// What is held against an endpoint keeps requests away from it. One that was slow
+// and answered after all has done no wrong; one that was silent until the time was
+// up has, also where its request could go nowhere else.
+func TestOnlySilenceCostsTrust(t *testing.T) {
+	for _, tt := range []struct {
+		pause time.Duration
+		away  bool
+	}{{3 * plainRoute.Target, false}, {time.Minute, true}} {
+		r := plainRoute
+		r.Timeout = 20 * r.Target
+		g := newRig(t, r, silentAfter(t, beforePlain, tt.pause), silentAfter(t, beforePlain, 0))
+		g.spend()
+		var all sync.WaitGroup
+		for range 8 {
+			all.Go(func() { g.send(t.Context(), "x", taken{}) })
+		}
+		all.Wait()
+		if away, _ := g.said("endpoint_away", "endpoint"); away != nil != tt.away {
+			t.Errorf("silent for %v: away %v, want %v", tt.pause, away, tt.away)
+		}
+	}
+}
+
+// Endpoints answer in the moment in which they would be given up. Whatever comes
+// first, each caller has to get its answer whole and once, nothing may run more
+// often than repeats were taken for it, and what was reserved in vain has to be
+// given back.
+func TestAnswersThatComeAsTheyAreGivenUp(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		route route.Route
+		after int
+		bound time.Duration
+		want  string
+	}{
+		{"plain", plainRoute, beforePlain, plainRoute.Target, "answer"},
+		{"head", streamed, beforeHead, 2 * streamed.Target, fourPieces},
+		{"event", streamed, 2, shortestSilence, fourPieces},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			const requests, step = 48, 100 * time.Microsecond
+			var endpoints []*standIn
+			for range 2 {
+				var n atomic.Int32
+				endpoints = append(endpoints, silentAfterEach(t, tt.after, func() time.Duration {
+					return tt.bound + time.Duration(n.Add(1)-requests/3)*step
+				}))
+			}
+			g := newRig(t, tt.route, endpoints...)
+			var all sync.WaitGroup
+			for i := range requests {
+				all.Go(func() {
+					got := g.send(t.Context(), fmt.Sprint(i), taken{})
+					if got.Outcome != Complete || got.body.String() != tt.want {
+						t.Errorf("%v, %q: %q", got.Outcome, got.Why, got.body.String())
+					}
+				})
+			}
+			all.Wait()
+			if !soon(g.idle) {
+				t.Error("work is still counted at an endpoint")
+			}
+			ran := func() int { return int(endpoints[0].runs.Load() + endpoints[1].runs.Load()) }
+			spent := rigRepeats - g.spend()
+			if !soon(func() bool { return ran() == requests+spent }) {
+				t.Errorf("%d requests ran %d times with %d repeats", requests, ran(), spent)
+			}
+			t.Logf("%d of %d requests were given up", spent, requests)
+		})
+	}
+}
+
+func soon(f func() bool) bool {
+	for range 500 {
+		if f() {
+			return true
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return false
+}
--- a/entry/direct/relay.go
+++ b/entry/direct/relay.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"context"
 	"fmt"
 	"io"
 	"time"
@@ -24,40 +23,20 @@
 )
 
 // relay passes a stream on, whole events only, as they arrive.
-func (t *task) relay(a *hop.Answer, v *visit, cancel context.CancelCauseFunc) verdict {
+func (t *task) relay(a *hop.Answer, v *visit, w *watch) verdict {
 	if !t.begun {
 		t.begun = true
 		t.sink.Head(a.Status, a.Header, a.Length)
 		t.sink.Flush()
 	}
-	silence := t.silence(v)
-	if silence > 0 {
-		timer := time.AfterFunc(silence, func() { cancel(&lateError{bound: silence}) })
-		defer timer.Stop()
-		return t.pump(a, v, silence, func() { timer.Reset(silence) })
-	}
-	return t.pump(a, v, 0, func() {})
-}
-
-// silence is how long the stream may pause before it is resumed elsewhere; zero
-// if it may not be.
-func (t *task) silence(v *visit) time.Duration {
-	r := t.job.Route
-	if !r.Resumable || t.ran+1 >= r.Attempts || v.alone {
-		return 0
-	}
-	return max(time.Duration(pauses*float64(r.MaxPause)), shortestSilence)
-}
-
-func (t *task) pump(a *hop.Answer, v *visit, bound time.Duration, alive func()) verdict {
-	buf := make([]byte, relayBuffer)
+	buf, silence := make([]byte, relayBuffer), t.silence(v)
 	var part []byte
 	for {
-		began := time.Now()
+		// The time that the caller takes is none of the endpoint's silence.
+		w.wait(silence, false)
 		n, err := a.Read(buf)
-		v.basis.Silent, v.basis.Bound = time.Since(began), bound
+		w.came()
 		if n > 0 {
-			alive()
 			part = append(part, buf[:n]...)
 			if err == nil && a.Buffered() && len(part) < relayBuffer {
 				continue
@@ -80,13 +59,23 @@
 	}
 }
 
+// silence is how long the stream may pause before it is resumed at another
+// endpoint that has room; zero if it may not be.
+func (t *task) silence(v *visit) time.Duration {
+	r := t.job.Route
+	if !r.Resumable || t.ran+1 >= r.Attempts || v.alone {
+		return 0
+	}
+	return max(time.Duration(pauses*float64(r.MaxPause)), shortestSilence)
+}
+
 func (t *task) brokeOff(v *visit, err error) verdict {
 	switch {
 	case t.caller.Err() != nil:
 		v.abandon()
 		return verdict{done: true, res: gone(t.caller)}
 	case t.ctx.Err() != nil:
-		v.abandon()
+		v.outOfTime()
 		return done(Broken, "time is up")
 	}
 	v.end(trust.Broken)
--- a/entry/direct/rig_test.go
+++ b/entry/direct/rig_test.go
@@ -22,8 +22,12 @@
 	"lycheepond/entry/hop"
 )
 
-// rigSlots is how many requests each endpoint of a rig serves at once.
-const rigSlots = 64
+const (
+	// rigSlots is how many requests each endpoint of a rig serves at once.
+	rigSlots = 64
+	// rigRepeats is how many repeats a rig's pool has; none are earned.
+	rigRepeats = 600
+)
 
 // standIn is an endpoint on loopback; each connection carries one request.
 type standIn struct {
@@ -115,7 +119,7 @@
 	core, lines := observer.New(zap.InfoLevel)
 	g := &rig{set: meter.New(), lines: lines}
 	g.d = New(Config{
-		Zone: "near", Addr: "entry-1", Repeats: Repeats{Ratio: 0.1, Slack: 1e6}, Client: hop.New(), Metrics: g.set, Log: zap.New(core),
+		Zone: "near", Addr: "entry-1", Repeats: Repeats{Ratio: 1e-9, Slack: rigRepeats * fewEntries / retrySlack}, Client: hop.New(), Metrics: g.set, Log: zap.New(core),
 		Reach: func() (int, int) { return 1, 1 },
 		Stamp: func(r *hop.Request, o Order) { r.Header.Set("Last", o.LastEvent) },
 		Own:   func(string, int, http.Header) bool { return true },
@@ -180,6 +184,17 @@
 	return g.set.Counter(counter, meter.Label{Key: "why", Value: why}).Count()
 }
 
+// spend uses up the repeats of the rig's pool and returns how many were left.
+func (g *rig) spend() int {
+	g.d.mu.Lock()
+	defer g.d.mu.Unlock()
+	n := 0
+	for g.d.v.pool("p", g.d.cfg.Repeats, 1).budget.Spend() {
+		n++
+	}
+	return n
+}
+
 // idle reports whether nothing is counted at any endpoint any more.
 func (g *rig) idle() bool {
 	g.d.mu.Lock()
--- a/entry/direct/send.go
+++ b/entry/direct/send.go
@@ -16,7 +16,7 @@
 const maxPlain = 16 << 20
 
 // send writes the job and returns the answer if it is one that may be passed on.
-func (t *task) send(ctx context.Context, v *visit) (*hop.Answer, verdict) {
+func (t *task) send(ctx context.Context, v *visit, w *watch) (*hop.Answer, verdict) {
 	j := t.job
 	r := &hop.Request{
 		Method: j.Method, Target: j.Target, Host: j.Host, Header: j.Header.Clone(), Body: j.Body,
@@ -28,7 +28,9 @@
 	}
 	t.d.cfg.Stamp(r, Order{Endpoint: v.id, Customer: j.Customer, Left: time.Until(j.End()), LastEvent: last})
 	_, known := t.d.cfg.Reach()
+	w.wait(t.patience(v), true)
 	a, err := t.d.cfg.Client.Do(ctx, v.addr, v.connLimit(j.Pool, known), r)
+	w.came()
 	if err != nil {
 		return nil, t.unanswered(v, err)
 	}
@@ -76,7 +78,7 @@
 		v.abandon()
 		return verdict{done: true, res: gone(t.caller)}
 	case t.ctx.Err() != nil:
-		v.abandon()
+		v.outOfTime()
 		return verdict{arrived: true, ran: true, res: Result{Why: "time is up"}}
 	}
 	v.end(trust.Broken)
@@ -84,13 +86,13 @@
 }
 
 // receive passes an answer on; without one it returns what send found.
-func (t *task) receive(a *hop.Answer, got verdict, v *visit, cancel context.CancelCauseFunc) verdict {
+func (t *task) receive(a *hop.Answer, got verdict, v *visit, w *watch) verdict {
 	if a == nil {
 		return got
 	}
 	defer a.Close()
 	if t.job.Route.Stream && a.Status == http.StatusOK {
-		return t.relay(a, v, cancel)
+		return t.relay(a, v, w)
 	}
 	if t.begun {
 		v.end(trust.Broken)
--- a/entry/direct/task.go
+++ b/entry/direct/task.go
@@ -8,7 +8,6 @@
 
 	"lycheepond/core/logs"
 	"lycheepond/core/meter"
-	"lycheepond/entry/hop"
 )
 
 const (
@@ -48,6 +47,8 @@
 	arrived, ran bool
 	// paid is set when a repeat was taken from the budget already.
 	paid bool
+	// next is the try that follows, if it has its place and its repeat already.
+	next *visit
 }
 
 func done(o Outcome, why string) verdict {
@@ -78,29 +79,54 @@
 
 // next returns the next try, or nil and the reason why there is none.
 func (t *task) next(v *visit, got verdict) (*visit, string) {
+	next, lack := got.next, ""
 	switch {
-	case t.caller.Err() != nil:
-		return nil, gone(t.caller).Why
-	case time.Until(t.job.End()) < shortLeft:
-		return nil, "no time left"
-	case got.ran && t.job.Route.Once():
-		return nil, "may have run and must not run twice"
-	case t.ran >= max(t.job.Route.Attempts, 1):
-		return nil, "no attempt left"
-	case t.sends >= maxSends:
-		return nil, "sent to enough endpoints"
-	case got.arrived && !got.paid && !t.d.repeat(v):
-		return nil, "no repeat left in the budget"
+	case next != nil && t.caller.Err() != nil:
+		t.d.giveBack(next)
+		next, lack = nil, gone(t.caller).Why
+	case next != nil && !got.arrived:
+		t.d.unspend(v)
+	case next == nil:
+		next, lack = t.another(v, got)
 	}
-	next, dec := t.d.again(t.job, v.id, max(t.job.Output-t.passed, 0))
-	if dec.Endpoint < 0 {
-		return nil, dec.Why.String()
+	if next == nil {
+		return nil, lack
 	}
 	logs.Info(t.d.cfg.Log, logs.EventRequestReturned, zap.String("request_id", t.job.ID), zap.String("why", got.res.Why),
 		zap.String("from", v.id), zap.String("to", next.id), zap.Duration("silent", v.basis.Silent), zap.Duration("bound", v.basis.Bound))
 	return next, ""
 }
 
+// another returns a try that follows one that has ended, or what it lacks.
+func (t *task) another(v *visit, got verdict) (*visit, string) {
+	if got.ran && t.job.Route.Once() {
+		return nil, "may have run and must not run twice"
+	}
+	if lack := t.lacks(t.ran, t.sends); lack != "" {
+		return nil, lack
+	}
+	return t.d.reserve(t.job, v, trial{avoid: v.id, output: t.output(), part: 1}, !got.arrived || got.paid)
+}
+
+// lacks returns what a job lacks for another try, apart from a repeat and a place:
+// nothing if it is empty. ran and sends count what it had.
+func (t *task) lacks(ran, sends int) string {
+	switch {
+	case t.caller.Err() != nil:
+		return gone(t.caller).Why
+	case time.Until(t.job.End()) < shortLeft:
+		return "no time left"
+	case ran >= max(t.job.Route.Attempts, 1):
+		return "no attempt left"
+	case sends >= maxSends:
+		return "sent to enough endpoints"
+	}
+	return ""
+}
+
+// output is how many tokens are still expected.
+func (t *task) output() int { return max(t.job.Output-t.passed, 0) }
+
 // fail returns the result of a job that is not tried again.
 func (t *task) fail(got verdict, why string) Result {
 	why = got.res.Why + "; " + why
@@ -122,29 +148,22 @@
 	defer v.abandon()
 	ctx, cancel := context.WithCancelCause(t.ctx)
 	defer cancel(nil)
-	bound := t.patience(v)
-	began := time.Now()
-	a, got := t.await(ctx, cancel, v, bound)
-	v.basis.Silent, v.basis.Bound = time.Since(began), bound
-	got = t.receive(a, got, v, cancel)
+	w := t.watch(v, cancel)
+	a, got := t.send(ctx, v, w)
+	got = t.receive(a, got, v, w)
 	if cause := context.Cause(ctx); cause != nil && !(got.done && got.res.Outcome == Complete) {
 		t.d.cfg.Metrics.Counter("tries_given_up", meter.Label{Key: "why", Value: kindOf(cause)}).Inc(1)
 	}
-	return got
-}
-
-// await sends the job and waits for the head of the answer.
-func (t *task) await(ctx context.Context, cancel context.CancelCauseFunc, v *visit, bound time.Duration) (*hop.Answer, verdict) {
-	if bound <= 0 {
-		return t.send(ctx, v)
+	got.next = w.replaced()
+	if got.next != nil && (got.done || got.paid) {
+		t.d.giveBack(got.next)
+		got.next = nil
 	}
-	timer := time.AfterFunc(bound, func() { cancel(&lateError{head: true, bound: bound}) })
-	defer timer.Stop()
-	return t.send(ctx, v)
+	return got
 }
 
 // patience is how long the head of an answer is waited for before the job is
-// sent to another endpoint; zero if it may not be.
+// sent to another endpoint that has room; zero if it may not be.
 func (t *task) patience(v *visit) time.Duration {
 	j := t.job
 	if j.Route.Once() || t.ran+1 >= j.Route.Attempts || v.alone {
--- a/entry/direct/visit.go
+++ b/entry/direct/visit.go
@@ -33,6 +33,8 @@
 	part float64
 	// behind is set if others go before it.
 	behind bool
+	// room is set if it is to go only where a new request would be sent.
+	room bool
 }
 
 // place decides where a job goes and counts it there. Refused, it returns a try
@@ -55,7 +57,10 @@
 	if how.avoid != "" {
 		// What was admitted once is not refused for its second try: its caller
 		// has waited already.
-		req.Target, req.Due = math.MaxInt64, math.MaxInt64
+		req.Due = math.MaxInt64
+		if !how.room {
+			req.Target = math.MaxInt64
+		}
 	}
 	all := d.v.describe(p, j.Pool, now, d.since(now))
 	for i, e := range p.endpoints {
@@ -63,6 +68,10 @@
 		all[i].Yield = d.yields(e, all[i].Slots-all[i].Requests, how.part, now)
 	}
 	dec := admit.Decide(req, all)
+	if how.room && dec.Endpoint >= 0 && (!all[dec.Endpoint].Usable || dec.Endpoint == req.Avoid) {
+		// Where no other endpoint is usable, the one that is late is as good as any.
+		dec = admit.Decision{Endpoint: -1, First: dec.First, Wait: dec.Wait, Why: admit.NoEndpoint}
+	}
 	if dec.Endpoint < 0 {
 		return &visit{basis: Basis{Predicted: dec.First, Wait: dec.Wait, Heard: heard, Known: known}}, dec
 	}
@@ -84,11 +93,35 @@
 	return v, dec
 }
 
-// again places a job for another try.
-func (d *Director) again(j *Job, avoid string, output int) (*visit, admit.Decision) {
+// reserve places a job for a try that follows v and takes a repeat for it, unless
+// that is free. It takes both, or neither and returns what is lacking.
+func (d *Director) reserve(j *Job, v *visit, how trial, free bool) (*visit, string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.place(j, trial{avoid: avoid, output: output, part: 1})
+	if !free && !v.pool.budget.Spend() {
+		return nil, "no repeat left in the budget"
+	}
+	next, dec := d.place(j, how)
+	if dec.Endpoint >= 0 {
+		return next, ""
+	}
+	if !free {
+		v.pool.budget.Return()
+	}
+	return nil, dec.Why.String()
+}
+
+// giveBack gives up what reserve returned; it was not sent.
+func (d *Director) giveBack(v *visit) {
+	v.abandon()
+	d.unspend(v)
+}
+
+// unspend gives back a repeat that was not needed.
+func (d *Director) unspend(v *visit) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	v.pool.budget.Return()
 }
 
 // repeat takes one repeat from the pool's budget.
@@ -225,6 +258,16 @@
 	v.d.advance(v.pool)
 }
 
+// outOfTime ends a try that was not over when the time was up: a fault of the
+// endpoint only if it had sent nothing for longer than is in order.
+func (v *visit) outOfTime() {
+	if v.basis.Bound > 0 && v.basis.Silent >= v.basis.Bound {
+		v.end(trust.Broken)
+		return
+	}
+	v.abandon()
+}
+
 // connLimit is how many connections this entry may have to the endpoint: its
 // part of what all may have together.
 func (v *visit) connLimit(p *route.Pool, entries int) int {
--- a/lychee/trace/trace.go
+++ b/lychee/trace/trace.go
@@ -34,6 +34,7 @@
 	Why      string   `json:"why"`
 	Outcome  string   `json:"outcome"`
 	Endpoint string   `json:"endpoint"`
+	Lacks    string   `json:"lacks"`
 	From     string   `json:"from"`
 	To       string   `json:"to"`
 	Retry    Duration `json:"retry"`
@@ -206,6 +207,9 @@
 		fmt.Fprintf(&b, "last wrote %s: %s", end.Event, end.Why)
 	}
 	for _, l := range own[:len(own)-1] {
+		if l.Event == "answer_late" {
+			fmt.Fprintf(&b, "; before, it was late (%s) and stayed at %s, as another try lacked something: %s", l.Why, l.Endpoint, l.Lacks)
+		}
 		if l.Event == "request_returned" {
 			fmt.Fprintf(&b, "; before, %s failed it (%s) and %s was tried", l.From, l.Why, l.To)
 			if l.Bound > 0 && l.Silent >= l.Bound {
--- a/lychee/trace/trace_test.go
+++ b/lychee/trace/trace_test.go
@@ -122,6 +122,11 @@
 				`{"time":"2026-01-01T00:00:01Z","process":"e","request_id":"x","event":"request_done","outcome":"complete","endpoint":"i-2"`,
 			[]string{"answered it from i-2", "i-1 failed it (endpoint silent for 1s)", "given up by the entry after 1.001s"},
 		},
+		{
+			`"event":"answer_late","endpoint":"i-1","why":"endpoint silent for 1s","lacks":"no repeat left in the budget"}` + "\n" +
+				`{"time":"2026-01-01T00:00:01Z","process":"e","request_id":"x","event":"request_done","outcome":"complete","endpoint":"i-1"`,
+			[]string{"answered it from i-1", "late (endpoint silent for 1s)", "no repeat left in the budget"},
+		},
 	} {
 		got, err := Read("x", strings.NewReader(`{"time":"2026-01-01T00:00:00Z","process":"e","request_id":"x",`+tt.line+"}"))
 		if err != nil {
