direct: an endpoint's error is dropped only once its repeat has a place

Callers got 502, "endpoint answered with an error; too long", where the endpoint had answered with an error of its own that says more, and a repeat was spent on nothing: the answer was dropped and the repeat taken before a place was asked for. Both are reserved first, as for late tries; with neither the error is passed on.

--- a/entry/direct/send.go
+++ b/entry/direct/send.go
@@ -46,21 +46,29 @@
 		a.Close()
 		v.end(trust.Broken)
 		return nil, verdict{arrived: true, ran: true, res: Result{Why: "answer without the endpoint's signature"}}
-	case a.Status >= 500 && t.mayRepeatError() && t.d.repeat(v):
-		io.Copy(io.Discard, io.LimitReader(a, maxPlain))
-		a.Close()
-		v.end(trust.Error)
-		return nil, verdict{arrived: true, ran: true, paid: true, res: Result{Why: "endpoint answered with an error"}}
+	case a.Status >= 500:
+		return t.failed(a, v, w)
 	}
 	return a, verdict{}
 }
 
-// mayRepeatError reports whether an error of an endpoint is better followed by
-// another try than passed on. It is asked before the budget: an answer that was
-// thrown away for a repeat that is not to be had would be lost.
-func (t *task) mayRepeatError() bool {
-	j := t.job
-	return !j.Route.Once() && !t.begun && t.ran+1 < j.Route.Attempts && t.sends < maxSends && time.Until(j.End()) > shortLeft
+// failed drops an endpoint's error for another try. The error is dropped only once
+// that has its place and its repeat: else it would be lost to the caller.
+func (t *task) failed(a *hop.Answer, v *visit, w *watch) (*hop.Answer, verdict) {
+	if t.begun || t.job.Route.Once() {
+		return a, verdict{}
+	}
+	next := w.replaced()
+	if next == nil {
+		next, _ = w.another(trial{avoid: v.id, output: t.output(), part: 1})
+	}
+	if next == nil {
+		return a, verdict{}
+	}
+	io.Copy(io.Discard, io.LimitReader(a, maxPlain))
+	a.Close()
+	v.end(trust.Error)
+	return nil, verdict{arrived: true, ran: true, next: next, res: Result{Why: "endpoint answered with an error"}}
 }
 
 // unanswered says what a failed exchange means.
--- a/entry/direct/task.go
+++ b/entry/direct/task.go
@@ -45,8 +45,6 @@
 	// arrived is set when the endpoint got the job and ran when it may have run
 	// it.
 	arrived, ran bool
-	// paid is set when a repeat was taken from the budget already.
-	paid bool
 	// next is the try that follows, if it has its place and its repeat already.
 	next *visit
 }
@@ -105,7 +103,7 @@
 	if lack := t.lacks(t.ran, t.sends); lack != "" {
 		return nil, lack
 	}
-	return t.d.reserve(t.job, v, trial{avoid: v.id, output: t.output(), part: 1}, !got.arrived || got.paid)
+	return t.d.reserve(t.job, v, trial{avoid: v.id, output: t.output(), part: 1}, !got.arrived)
 }
 
 // lacks returns what a job lacks for another try, apart from a repeat and a place:
@@ -154,8 +152,10 @@
 	if cause := context.Cause(ctx); cause != nil && !(got.done && got.res.Outcome == Complete) {
 		t.d.cfg.Metrics.Counter("tries_given_up", meter.Label{Key: "why", Value: kindOf(cause)}).Inc(1)
 	}
-	got.next = w.replaced()
-	if got.next != nil && (got.done || got.paid) {
+	if got.next == nil {
+		got.next = w.replaced()
+	}
+	if got.done && got.next != nil {
 		t.d.giveBack(got.next)
 		got.next = nil
 	}
--- a/entry/direct/visit.go
+++ b/entry/direct/visit.go
@@ -124,13 +124,6 @@
 	v.pool.budget.Return()
 }
 
-// repeat takes one repeat from the pool's budget.
-func (d *Director) repeat(v *visit) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return v.pool.budget.Spend()
-}
-
 // earn credits the pool's budget for a first try.
 func (d *Director) earn(v *visit) {
 	d.mu.Lock()
--- a/entry/direct/watch.go
+++ b/entry/direct/watch.go
@@ -88,7 +88,7 @@
 	if !due {
 		return
 	}
-	next, lack := w.another(output)
+	next, lack := w.another(trial{avoid: w.v.id, output: output, part: 1, room: true})
 	if !w.replace(since, next, lack) && next != nil {
 		// What was waited for has come meanwhile.
 		w.t.d.giveBack(next)
@@ -96,11 +96,11 @@
 }
 
 // another returns a try that may replace this one, or what it lacks.
-func (w *watch) another(output int) (*visit, string) {
+func (w *watch) another(how trial) (*visit, string) {
 	if lack := w.t.lacks(w.ran, w.sends); lack != "" {
 		return nil, lack
 	}
-	return w.t.d.reserve(w.t.job, w.v, trial{avoid: w.v.id, output: output, part: 1, room: true}, false)
+	return w.t.d.reserve(w.t.job, w.v, how, false)
 }
 
 // replace cancels the try for the next one, or goes on waiting if there is none.
