--- a/entry/direct/relay.go
+++ b/entry/direct/relay.go
@@ -2,8 +2,7 @@
 
 import (
 	"bytes"
-	"context"
-	"errors"
+	"fmt"
 	"io"
 	"time"
 
@@ -24,38 +23,20 @@
 )
 
 // relay passes a stream on, whole events only, as they arrive.
-func (t *task) relay(a *hop.Answer, v *visit, cancel context.CancelFunc) verdict {
+func (t *task) relay(a *hop.Answer, v *visit, w *watch) verdict {
 	if !t.begun {
 		t.begun = true
 		t.sink.Head(a.Status, a.Header, a.Length)
 		t.sink.Flush()
 	}
-	silence := t.silence(v)
-	if silence > 0 {
-		timer := time.AfterFunc(silence, cancel)
-		defer timer.Stop()
-		return t.pump(a, v, func() { timer.Reset(silence) })
-	}
-	return t.pump(a, v, func() {})
-}
-
-// silence is how long the stream may pause before it is resumed elsewhere; zero
-// if it may not be.
-func (t *task) silence(v *visit) time.Duration {
-	r := t.job.Route
-	if !r.Resumable || t.ran+1 >= r.Attempts || v.alone {
-		return 0
-	}
-	return max(time.Duration(pauses*float64(r.MaxPause)), shortestSilence)
-}
-
-func (t *task) pump(a *hop.Answer, v *visit, alive func()) verdict {
-	buf := make([]byte, relayBuffer)
+	buf, silence := make([]byte, relayBuffer), t.silence(v)
 	var part []byte
 	for {
+		// The time that the caller takes is none of the endpoint's silence.
+		w.wait(silence, false)
 		n, err := a.Read(buf)
+		w.came()
 		if n > 0 {
-			alive()
 			part = append(part, buf[:n]...)
 			if err == nil && a.Buffered() && len(part) < relayBuffer {
 				continue
@@ -65,7 +46,7 @@
 		part = append(part[:0], rest...)
 		if werr != nil {
 			v.abandon()
-			return done(Left, "caller left")
+			return t.untaken(werr)
 		}
 		switch {
 		case err == nil && len(part) <= maxEvent:
@@ -78,20 +59,31 @@
 	}
 }
 
+// silence is how long the stream may pause before it is resumed at another
+// endpoint that has room; zero if it may not be.
+func (t *task) silence(v *visit) time.Duration {
+	r := t.job.Route
+	if !r.Resumable || t.ran+1 >= r.Attempts || v.alone {
+		return 0
+	}
+	return max(time.Duration(pauses*float64(r.MaxPause)), shortestSilence)
+}
+
 func (t *task) brokeOff(v *visit, err error) verdict {
 	switch {
 	case t.caller.Err() != nil:
 		v.abandon()
-		return done(Left, "caller left")
+		return verdict{done: true, res: gone(t.caller)}
 	case t.ctx.Err() != nil:
-		v.abandon()
+		v.outOfTime()
 		return done(Broken, "time is up")
 	}
 	v.end(trust.Broken)
-	if errors.Is(err, context.Canceled) {
-		return verdict{arrived: true, ran: true, res: Result{Why: "stream fell silent"}}
+	why := broken("stream broke off", err)
+	if err == nil {
+		why = fmt.Sprintf("event longer than %d bytes", maxEvent)
 	}
-	return verdict{arrived: true, ran: true, res: Result{Why: "stream broke off"}}
+	return verdict{arrived: true, ran: true, res: Result{Why: why}}
 }
 
 // forward writes the whole events of part and returns the rest. The end of a
@@ -114,8 +106,7 @@
 	if err := t.sink.Write(part[:n]); err != nil {
 		return nil, err
 	}
-	t.sink.Flush()
-	return part[n:], nil
+	return part[n:], t.sink.Flush()
 }
 
 var (
--- a/entry/direct/send.go
+++ b/entry/direct/send.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -15,7 +16,7 @@
 const maxPlain = 16 << 20
 
 // send writes the job and returns the answer if it is one that may be passed on.
-func (t *task) send(ctx context.Context, v *visit) (*hop.Answer, verdict) {
+func (t *task) send(ctx context.Context, v *visit, w *watch) (*hop.Answer, verdict) {
 	j := t.job
 	r := &hop.Request{
 		Method: j.Method, Target: j.Target, Host: j.Host, Header: j.Header.Clone(), Body: j.Body,
@@ -27,7 +28,9 @@
 	}
 	t.d.cfg.Stamp(r, Order{Endpoint: v.id, Customer: j.Customer, Left: time.Until(j.End()), LastEvent: last})
 	_, known := t.d.cfg.Reach()
+	w.wait(t.patience(v), true)
 	a, err := t.d.cfg.Client.Do(ctx, v.addr, v.connLimit(j.Pool, known), r)
+	w.came()
 	if err != nil {
 		return nil, t.unanswered(v, err)
 	}
@@ -43,21 +46,29 @@
 		a.Close()
 		v.end(trust.Broken)
 		return nil, verdict{arrived: true, ran: true, res: Result{Why: "answer without the endpoint's signature"}}
-	case a.Status >= 500 && t.mayRepeatError() && t.d.repeat(v):
-		io.Copy(io.Discard, io.LimitReader(a, maxPlain))
-		a.Close()
-		v.end(trust.Error)
-		return nil, verdict{arrived: true, ran: true, paid: true, res: Result{Why: "endpoint answered with an error"}}
+	case a.Status >= 500:
+		return t.failed(a, v, w)
 	}
 	return a, verdict{}
 }
 
-// mayRepeatError reports whether an error of an endpoint is better followed by
-// another try than passed on. It is asked before the budget: an answer that was
-// thrown away for a repeat that is not to be had would be lost.
-func (t *task) mayRepeatError() bool {
-	j := t.job
-	return !j.Route.Once() && !t.begun && t.ran+1 < j.Route.Attempts && t.sends < maxSends && time.Until(j.End()) > shortLeft
+// failed drops an endpoint's error for another try. The error is dropped only once
+// that has its place and its repeat: else it would be lost to the caller.
+func (t *task) failed(a *hop.Answer, v *visit, w *watch) (*hop.Answer, verdict) {
+	if t.begun || t.job.Route.Once() {
+		return a, verdict{}
+	}
+	next := w.replaced()
+	if next == nil {
+		next, _ = w.another(trial{avoid: v.id, output: t.output(), part: 1})
+	}
+	if next == nil {
+		return a, verdict{}
+	}
+	io.Copy(io.Discard, io.LimitReader(a, maxPlain))
+	a.Close()
+	v.end(trust.Error)
+	return nil, verdict{arrived: true, ran: true, next: next, res: Result{Why: "endpoint answered with an error"}}
 }
 
 // unanswered says what a failed exchange means.
@@ -73,23 +84,23 @@
 		return verdict{res: Result{Why: "endpoint accepts no connection"}}
 	case t.caller.Err() != nil && t.ctx.Err() != nil:
 		v.abandon()
-		return done(Left, "caller left")
+		return verdict{done: true, res: gone(t.caller)}
 	case t.ctx.Err() != nil:
-		v.abandon()
+		v.outOfTime()
 		return verdict{arrived: true, ran: true, res: Result{Why: "time is up"}}
 	}
 	v.end(trust.Broken)
-	return verdict{arrived: true, ran: true, res: Result{Why: "no answer: " + err.Error()}}
+	return verdict{arrived: true, ran: true, res: Result{Why: broken("no answer", err)}}
 }
 
 // receive passes an answer on; without one it returns what send found.
-func (t *task) receive(a *hop.Answer, got verdict, v *visit, cancel context.CancelFunc) verdict {
+func (t *task) receive(a *hop.Answer, got verdict, v *visit, w *watch) verdict {
 	if a == nil {
 		return got
 	}
 	defer a.Close()
 	if t.job.Route.Stream && a.Status == http.StatusOK {
-		return t.relay(a, v, cancel)
+		return t.relay(a, v, w)
 	}
 	if t.begun {
 		v.end(trust.Broken)
@@ -101,13 +112,15 @@
 // plain passes an answer on once it is whole, so that a broken one can still be
 // made good or told as what it is.
 func (t *task) plain(a *hop.Answer, v *visit) verdict {
+	began := time.Now()
 	body, err := io.ReadAll(io.LimitReader(a, maxPlain))
+	v.basis.Silent, v.basis.Bound = time.Since(began), 0
 	if err != nil || !a.Whole() {
 		if t.ctx.Err() != nil {
 			return verdict{arrived: true, ran: true, res: Result{Why: "time is up"}}
 		}
 		v.end(trust.Broken)
-		return verdict{arrived: true, ran: true, res: Result{Why: "answer broke off"}}
+		return verdict{arrived: true, ran: true, res: Result{Why: brokenPlain(err)}}
 	}
 	if a.Status >= 500 {
 		v.end(trust.Error)
@@ -120,13 +133,20 @@
 		return verdict{arrived: true, ran: true, res: Result{Why: "endpoint refused without saying that it did not run"}}
 	}
 	t.sink.Head(a.Status, a.Header, int64(len(body)))
-	if err := t.sink.Write(body); err != nil {
-		return done(Left, "caller left")
+	if err := errors.Join(t.sink.Write(body), t.sink.Flush()); err != nil {
+		return t.untaken(err)
 	}
-	t.sink.Flush()
 	return done(Complete, "")
 }
 
+// brokenPlain says why an answer that is held until it is whole is not.
+func brokenPlain(err error) string {
+	if err == nil {
+		return fmt.Sprintf("answer longer than %d bytes", maxPlain)
+	}
+	return broken("answer broke off", err)
+}
+
 // promises reports whether a status tells callers that a request has not run.
 func promises(status int) bool {
 	switch status {
