--- a/entry/hop/hop_test.go
+++ b/entry/hop/hop_test.go
@@ -94,6 +94,24 @@
 	}
 }
 
+// A slow endpoint says again and again that it is at work, with answers that are
+// none yet (102). If they count as answers to other requests, the connection is
+// given up after the fourth and the real answer is lost.
+func TestInterimAnswersDoNotEndTheWait(t *testing.T) {
+	addr := endpoint(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		if _, err := http.ReadRequest(r); err != nil {
+			return
+		}
+		for range 2 * maxForeign {
+			io.WriteString(c, "HTTP/1.1 102 Processing\r\n\r\n")
+		}
+		reply(c, "a", "answer")
+	})
+	if got, err := read(t, New(), addr, request("a")); got != "answer" || err != nil {
+		t.Errorf("%q, %v", got, err)
+	}
+}
+
 // An endpoint resets the connection in the middle of an answer that has no
 // length. Half an answer would pass for a whole one.
 func TestResetAnswerWithoutLengthIsNotWhole(t *testing.T) {
