hop: interim answers do not end the wait for the answer

A caller lost the answer of an endpoint that had said four times before that it is at work (1xx): each counted against the bound on answers to other requests. Only those count; interim ones are bounded by the request's time, as silence is. TestInterimAnswersDoNotEndTheWait failed before and passes.

--- a/entry/hop/conn.go
+++ b/entry/hop/conn.go
@@ -116,12 +116,13 @@
 // answer reads heads until one belongs to r. An endpoint may send a second
 // answer to an earlier request, early or late, where that to r is expected.
 func (k *conn) answer(r *Request) (*http.Response, error) {
-	for range maxForeign {
+	for foreign := 0; foreign < maxForeign; {
 		resp, err := http.ReadResponse(k.r, &http.Request{Method: r.Method})
 		if err != nil {
 			return nil, err
 		}
 		if resp.StatusCode < 200 {
+			// An endpoint that says it is at work is waited for as any other.
 			continue
 		}
 		if r.Own(resp.StatusCode, resp.Header) {
@@ -130,6 +131,7 @@
 		if _, err := io.Copy(io.Discard, resp.Body); err != nil || resp.Close {
 			return nil, errors.Join(errors.New("hop: answer to another request"), err)
 		}
+		foreign++
 	}
 	return nil, errors.New("hop: too many answers to other requests")
 }
