direct: an answer longer than is held is passed on as it comes

Callers got 502 for a plain answer of more than 16 MiB ("answer longer than bytes"), it ran twice where it could be repeated, and the endpoint passed for broken. The bound is on the memory of one answer; it ended the answer instead. What has come by then is passed on, and the rest as it is read; an answer that breaks off after that is broken, and nothing of another one follows.

--- a/entry/direct/relay.go
+++ b/entry/direct/relay.go
@@ -79,7 +79,11 @@
 		return done(Broken, "time is up")
 	}
 	v.end(trust.Broken)
-	why := broken("stream broke off", err)
+	what := "answer broke off"
+	if t.job.Route.Stream {
+		what = "stream broke off"
+	}
+	why := broken(what, err)
 	if err == nil {
 		why = fmt.Sprintf("event longer than %d bytes", maxEvent)
 	}
--- a/entry/direct/send.go
+++ b/entry/direct/send.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -12,9 +11,6 @@
 	"lycheepond/entry/hop"
 )
 
-// maxPlain bounds an answer that is held until it is whole.
-const maxPlain = 16 << 20
-
 // send writes the job and returns the answer if it is one that may be passed on.
 func (t *task) send(ctx context.Context, v *visit, w *watch) (*hop.Answer, verdict) {
 	j := t.job
@@ -109,44 +105,6 @@
 	return t.plain(a, v)
 }
 
-// plain passes an answer on once it is whole, so that a broken one can still be
-// made good or told as what it is.
-func (t *task) plain(a *hop.Answer, v *visit) verdict {
-	began := time.Now()
-	body, err := io.ReadAll(io.LimitReader(a, maxPlain))
-	v.basis.Silent, v.basis.Bound = time.Since(began), 0
-	if err != nil || !a.Whole() {
-		if t.ctx.Err() != nil {
-			return verdict{arrived: true, ran: true, res: Result{Why: "time is up"}}
-		}
-		v.end(trust.Broken)
-		return verdict{arrived: true, ran: true, res: Result{Why: brokenPlain(err)}}
-	}
-	if a.Status >= 500 {
-		v.end(trust.Error)
-	} else {
-		v.end(trust.Good)
-	}
-	if promises(a.Status) {
-		// These statuses promise that nothing ran, and the endpoint has not
-		// said so.
-		return verdict{arrived: true, ran: true, res: Result{Why: "endpoint refused without saying that it did not run"}}
-	}
-	t.sink.Head(a.Status, a.Header, int64(len(body)))
-	if err := errors.Join(t.sink.Write(body), t.sink.Flush()); err != nil {
-		return t.untaken(err)
-	}
-	return done(Complete, "")
-}
-
-// brokenPlain says why an answer that is held until it is whole is not.
-func brokenPlain(err error) string {
-	if err == nil {
-		return fmt.Sprintf("answer longer than %d bytes", maxPlain)
-	}
-	return broken("answer broke off", err)
-}
-
 // promises reports whether a status tells callers that a request has not run.
 func promises(status int) bool {
 	switch status {
