proof: an entry is paused until its links are closed and the other entry has ended its requests

The case pause=true waited until 8 of 16 requests had been executed and called that "the agents have closed the silent links". How many run before and during the pause depends on timing: the other entry may refuse some of its 8 as overloaded, and those of the paused entry that wait for a grant get none. With two refused and too few of its own granted the count was never reached.

The condition now is what the message says and what the test is about: each agent's log tells that its link to the paused entry has ended; and while the entry is paused the other one ends all 8 of its requests, at least one of them complete. Before the pause a request of the entry itself must have reached an engine, which the old condition did not ask for. The judgement at the end is as it was.

--- a/trial/proof/once_test.go
+++ b/trial/proof/once_test.go
@@ -1,10 +1,15 @@
 package proof
 
 import (
+	"bytes"
+	"encoding/json"
 	"fmt"
+	"os"
+	"slices"
 	"testing"
 	"time"
 
+	"lycheepond/core/logs"
 	"lycheepond/core/spec"
 	"lycheepond/core/wire"
 	"lycheepond/trial/engin"
@@ -153,29 +158,46 @@
 
 // An entry is killed, or paused past every timeout, while its callers' requests
 // run. Its callers see the connection break or end late; the requests ran at
-// most once and the other entry goes on.
+// most once. The other entry goes on: it ends all of its requests while the
+// paused one is silent, whose links the agents close.
 func TestEntryKilledOrPaused(t *testing.T) {
 	t.Parallel()
 	for _, pause := range []bool{false, true} {
 		t.Run(fmt.Sprintf("pause=%v", pause), func(t *testing.T) {
 			r := newRig(t, shape{engines: []engin.Config{quick(), quick()}, entries: 2})
 			e := r.fleet.Entries()[0]
-			var b batch
-			for i := range 16 {
-				r.send(&b, i%2, ask(i%spec.Tiers, fmt.Sprintf("entry-%v-%d", pause, i), 60, i%3 != 0))
+			var own, others batch
+			var jobs []load.Job
+			for i := range 8 {
+				jobs = append(jobs, ask(i%spec.Tiers, fmt.Sprintf("entry-%v-%d", pause, i), 60, i%3 != 0))
+				r.send(&own, 0, jobs[i])
+				r.send(&others, 1, ask(i%spec.Tiers, fmt.Sprintf("other-%v-%d", pause, i), 60, i%3 != 0))
 			}
 			r.must(r.proxies["engine-1"].Await(r.ctx, proxy.Down, wire.KindChunk, 1))
+			r.await("a request of the entry runs", func() bool {
+				ran := r.executed()
+				return slices.ContainsFunc(jobs, func(j load.Job) bool { return ran[digest(j)] > 0 })
+			})
 			if pause {
+				before := r.linksLost(e)
 				r.must(e.Proc.Pause())
 				r.await("the agents have closed the silent links", func() bool {
-					return len(r.executed()) >= 8
+					for name, n := range r.linksLost(e) {
+						if n == before[name] {
+							return false
+						}
+					}
+					return true
 				})
 				time.Sleep(heartbeat * 5)
+				if seen := r.judge(others.end()); seen[load.Complete] == 0 {
+					t.Errorf("the other entry completed nothing meanwhile: %v", seen)
+				}
 				r.must(e.Proc.Resume())
 			} else {
 				r.must(e.Proc.Kill())
 			}
-			results := b.end()
+			results := append(own.end(), others.end()...)
 			if !pause {
 				r.must(r.fleet.RestartEntry(r.ctx, e))
 			}
@@ -185,6 +207,27 @@
 	}
 }
 
+// linksLost counts by agent how often its log says that a link to e has ended.
+func (r *rig) linksLost(e *fleet.Entry) map[string]int {
+	r.t.Helper()
+	lost := make(map[string]int)
+	for _, u := range r.fleet.Units() {
+		data, err := os.ReadFile(u.Agent.Log())
+		r.must(err)
+		lost[u.Name] = 0
+		for text := range bytes.Lines(data) {
+			var line struct {
+				Event logs.Event `json:"event"`
+				Peer  string     `json:"peer"`
+			}
+			if json.Unmarshal(text, &line) == nil && line.Event == logs.EventLinkLost && line.Peer == e.Name {
+				lost[u.Name]++
+			}
+		}
+	}
+	return lost
+}
+
 // An engine breaks an answer off half way. The caller never takes the half for
 // the whole: a whole answer becomes outcome unknown, a stream ends with an
 // error.
