--- /dev/null
+++ b/entry/caller/slow_test.go
@@ -0,0 +1,123 @@
+package caller
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+
+	"lycheepond/core/ident"
+	"lycheepond/core/once"
+	"lycheepond/core/store"
+	"lycheepond/core/wire"
+	"lycheepond/entry/sched"
+)
+
+// pipeListener accepts what is sent to it.
+type pipeListener struct {
+	conns chan net.Conn
+	ctx   context.Context
+	stop  context.CancelFunc
+}
+
+func newPipeListener() *pipeListener {
+	l := &pipeListener{conns: make(chan net.Conn)}
+	l.ctx, l.stop = context.WithCancel(context.Background())
+	return l
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.ctx.Done():
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *pipeListener) Close() error { l.stop(); return nil }
+
+func (l *pipeListener) Addr() net.Addr { return new(net.TCPAddr) }
+
+// onClock asks an entry over a connection on which time is the test's: ask sends
+// one request whose answer serve writes, and read has the connection from then
+// on.
+func onClock(t *testing.T, body string, serve func(ctx context.Context, s *sched.Sink) sched.Result, read func(c net.Conn)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		st := store.New()
+		seed(t, st, nil)
+		start := time.Now()
+		yes, no := func() bool { return true }, func() bool { return false }
+		server := &http.Server{Handler: New(Config{
+			Store: st, NewID: func() ident.ID { return ident.Make(1, 1) }, Now: func() time.Duration { return time.Since(start) },
+			Serve: func(ctx context.Context, _ *sched.Job, s *sched.Sink) sched.Result { return serve(ctx, s) },
+			Ready: yes, Leaving: no, Done: func(*sched.Job, *sched.Result) {}, Metrics: http.NotFoundHandler(), Log: zap.NewNop(),
+		})}
+		ln := newPipeListener()
+		ended := make(chan error, 1)
+		go func() { ended <- server.Serve(ln) }()
+		near, far := net.Pipe()
+		ln.conns <- far
+		req, err := http.NewRequest(http.MethodPost, "http://entry/v1/completions", strings.NewReader(body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.Header.Set("Authorization", "Bearer "+stubKey)
+		if err := req.Write(near); err != nil {
+			t.Fatal(err)
+		}
+		read(near)
+		near.Close()
+		server.Close()
+		<-ended
+	})
+}
+
+// answerOf reads an answer to its end.
+func answerOf(t *testing.T, r io.Reader) string {
+	t.Helper()
+	res, err := http.ReadResponse(bufio.NewReader(r), nil)
+	if err != nil {
+		t.Errorf("no answer: %v", err)
+		return ""
+	}
+	data, err := io.ReadAll(res.Body)
+	if err != nil {
+		t.Errorf("the answer broke off after %d bytes: %v", len(data), err)
+	}
+	return string(data)
+}
+
+func okHead() []wire.Field {
+	return []wire.Field{{Name: "Content-Type", Value: "text/event-stream"}}
+}
+
+// A model thinks for longer than a caller may take to read, and then sends much
+// at once, more than the server's buffer holds. The caller reads all the time and
+// gets the whole answer.
+func TestStreamOutlastsAPause(t *testing.T) {
+	const pause = callerPatience + 10*time.Second
+	big := "data: " + strings.Repeat("x", 16<<10) + "\n\n"
+	serve := func(_ context.Context, s *sched.Sink) sched.Result {
+		s.Head(http.StatusOK, okHead())
+		s.Data([]byte("data: one\n\n"))
+		s.Flush()
+		time.Sleep(pause)
+		s.Data([]byte(big))
+		s.Flush()
+		return sched.Result{Outcome: once.Complete, Status: http.StatusOK}
+	}
+	onClock(t, completion(true), serve, func(c net.Conn) {
+		if got := answerOf(t, c); got != "data: one\n\n"+big {
+			t.Errorf("%d bytes, want %d", len(got), len(big)+len("data: one\n\n"))
+		}
+	})
+}
