caller: each piece of an answer moves the write deadline

Callers of streams that paused for over 30 s saw the answer break off when the next event was larger than the server's buffer. The deadline was moved by flushes only, and a piece larger than the buffer is written before its flush, under the deadline of the event before the pause. Now data moves it too, so no write begins under an old one. TestStreamOutlastsAPause: 11 of 16403 bytes before, whole after; go test -race ./entry/caller passes.

--- a/entry/caller/reply.go
+++ b/entry/caller/reply.go
@@ -60,7 +60,12 @@
 	r.w.WriteHeader(status)
 }
 
-func (r *reply) data(b []byte) { r.w.Write(b) }
+// data writes a piece of the answer. What is more than the server's buffer goes
+// out at once, so the deadline of an earlier write must not stand by then.
+func (r *reply) data(b []byte) {
+	r.extend()
+	r.w.Write(b)
+}
 
 func (r *reply) flush() {
 	r.extend()
--- a/entry/caller/slow_test.go
+++ b/entry/caller/slow_test.go
@@ -102,7 +102,9 @@
 
 // A model thinks for longer than a caller may take to read, and then sends much
 // at once, more than the server's buffer holds. The caller reads all the time and
-// gets the whole answer.
+// gets the whole answer. With the deadline set only by flushes, the one of the
+// first event still stood when the second was written: "the answer broke off
+// after 11 bytes: unexpected EOF", 11 of 16403.
 func TestStreamOutlastsAPause(t *testing.T) {
 	const pause = callerPatience + 10*time.Second
 	big := "data: " + strings.Repeat("x", 16<<10) + "\n\n"
