--- a/entry/caller/slow_test.go
+++ b/entry/caller/slow_test.go
@@ -123,3 +123,37 @@
 		}
 	})
 }
+
+// A caller on a thin line reads a large answer steadily, without ever stopping,
+// for longer than one write may take. It gets the whole answer.
+func TestSteadyReaderGetsAll(t *testing.T) {
+	const (
+		size = 4 << 20
+		// perSecond takes three times callerPatience for the whole answer.
+		perSecond = size / (3 * int(callerPatience/time.Second))
+	)
+	body := strings.Repeat("x", size)
+	serve := func(_ context.Context, s *sched.Sink) sched.Result {
+		s.Head(http.StatusOK, nil)
+		s.Data([]byte(body))
+		return sched.Result{Outcome: once.Complete, Status: http.StatusOK}
+	}
+	onClock(t, completion(false), serve, func(c net.Conn) {
+		if got := answerOf(t, &thinLine{c, perSecond}); got != body {
+			t.Errorf("%d bytes, want %d", len(got), size)
+		}
+	})
+}
+
+// thinLine lets perSecond bytes through.
+type thinLine struct {
+	io.Reader
+	perSecond int
+}
+
+// Read takes as long as the bytes need.
+func (l *thinLine) Read(p []byte) (int, error) {
+	n, err := l.Reader.Read(p[:min(len(p), l.perSecond/10)])
+	time.Sleep(time.Duration(n) * time.Second / time.Duration(l.perSecond))
+	return n, err
+}
