caller: a large answer is written in pieces, each with its own deadline

Callers that read steadily but slowly saw a large answer break off after 30 s: the whole answer was one write, so its deadline ended what still went well. A piece holds 32 KB; a caller that takes 30 s for one of them has stopped. TestSteadyReaderGetsAll: 1399916 of 4194304 bytes before, whole after; go test -race ./entry/caller passes.

--- a/entry/caller/reply.go
+++ b/entry/caller/reply.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -17,6 +18,9 @@
 	// callerPatience is how long one write to a caller may take. A caller that
 	// stops reading would hold its request's goroutine for good.
 	callerPatience = 30 * time.Second
+	// pieceSize is the most that one write holds: over the thinnest of lines, 1 KB
+	// a second, it takes about as long as callerPatience.
+	pieceSize = 32 << 10
 	// deadlineEvery spares a system call for most flushes.
 	deadlineEvery = time.Second
 )
@@ -60,11 +64,17 @@
 	r.w.WriteHeader(status)
 }
 
-// data writes a piece of the answer. What is more than the server's buffer goes
-// out at once, so the deadline of an earlier write must not stand by then.
+// data writes a part of the answer. What is more than the server's buffer goes
+// out at once, so the deadline of an earlier write must not stand by then; and a
+// large answer is written in pieces, as its size says nothing of whether the
+// caller reads.
 func (r *reply) data(b []byte) {
-	r.extend()
-	r.w.Write(b)
+	for piece := range slices.Chunk(b, pieceSize) {
+		r.extend()
+		if _, err := r.w.Write(piece); err != nil {
+			return
+		}
+	}
 }
 
 func (r *reply) flush() {
--- a/entry/caller/slow_test.go
+++ b/entry/caller/slow_test.go
@@ -125,7 +125,9 @@
 }
 
 // A caller on a thin line reads a large answer steadily, without ever stopping,
-// for longer than one write may take. It gets the whole answer.
+// for longer than one write may take. It gets the whole answer. Written at once
+// under one deadline it ended with its caller still reading: "the answer broke
+// off after 1399916 bytes: unexpected EOF", of 4194304.
 func TestSteadyReaderGetsAll(t *testing.T) {
 	const (
 		size = 4 << 20
