--- a/entry/caller/slow_test.go
+++ b/entry/caller/slow_test.go
@@ -159,3 +159,20 @@
 	time.Sleep(time.Duration(n) * time.Second / time.Duration(l.perSecond))
 	return n, err
 }
+
+// A caller asks and then reads nothing. The short answer fits the server's
+// buffer, which is written after the answer's end. The connection ends within
+// the time of one write all the same: nobody waits for such a caller for good.
+func TestUnreadAnswerEnds(t *testing.T) {
+	serve := func(_ context.Context, s *sched.Sink) sched.Result {
+		s.Head(http.StatusOK, nil)
+		s.Data([]byte("one"))
+		return sched.Result{Outcome: once.Complete, Status: http.StatusOK}
+	}
+	onClock(t, completion(false), serve, func(c net.Conn) {
+		time.Sleep(2 * callerPatience)
+		if n, err := io.ReadFull(c, make([]byte, 1)); n != 0 {
+			t.Errorf("the connection still waited after %v: read %d bytes, %v", 2*callerPatience, n, err)
+		}
+	})
+}
