caller: the last write of an answer has a deadline too

An entry held the goroutine and the connection of a caller that read nothing of a short answer for good, and a planned stop waited for it until its grace was over. The deadline was taken away at the answer's end, before the server writes what it has held back. It stands until the server itself takes it away, after that write. TestUnreadAnswerEnds: still waiting after 1m0s before, ended after; go test -race ./entry/caller passes.

--- a/entry/caller/reply.go
+++ b/entry/caller/reply.go
@@ -91,9 +91,12 @@
 
 // close writes what the answer's end demands.
 func (r *reply) close(res *sched.Result) {
+	// The server writes what it holds back after the handler's return, and takes
+	// the deadline away itself then.
+	r.limit = time.Time{}
+	r.extend()
 	switch {
 	case !r.begun && res.Fault != nil:
-		r.extend()
 		writeFault(r.w, r.job.ID, res.Fault)
 	case res.Fault != nil:
 		r.w.Write([]byte("event: error\ndata: "))
@@ -103,7 +106,6 @@
 	case r.job.Stream:
 		r.w.Header().Set(headerOutcome, res.Outcome.String())
 	}
-	r.rc.SetWriteDeadline(time.Time{})
 }
 
 type faultJSON struct {
--- a/entry/caller/slow_test.go
+++ b/entry/caller/slow_test.go
@@ -163,6 +163,8 @@
 // A caller asks and then reads nothing. The short answer fits the server's
 // buffer, which is written after the answer's end. The connection ends within
 // the time of one write all the same: nobody waits for such a caller for good.
+// With the deadline taken away at the answer's end "the connection still waited
+// after 1m0s", and a planned stop would have waited with it.
 func TestUnreadAnswerEnds(t *testing.T) {
 	serve := func(_ context.Context, s *sched.Sink) sched.Result {
 		s.Head(http.StatusOK, nil)
