wire: deadlines of a link are about silence, not about the size of a frame

A frame that took longer than three heartbeats to cross its line ended the link, though bytes came all the time; every request on the link then waited for a new one and for its answer to be asked for again, and an offer or grant on it was in doubt. Both ends had one deadline for the frame: the reader what was left of the peer's silence when its first byte came, the writer three heartbeats for up to 256 messages. Now each piece of 32 KB that passes moves the deadline, in steps, so only a line on which nothing passes ends. TestLargeFrameOverThinLine (4 MiB in 12 heartbeats): both ends failed before, passes after.

--- a/core/wire/link.go
+++ b/core/wire/link.go
@@ -39,7 +39,9 @@
 // Link is one connection to another lycheepond process.
 type Link struct {
 	conn net.Conn
-	peer Hello
+	// steady is conn as frames pass through it.
+	steady *steady
+	peer   Hello
 	// out holds what Send queued and bulk what SendWait queued. They are apart
 	// because the producers of answers fill their ring whenever the peer reads
 	// more slowly than they write; in one ring a claim or a return would then
@@ -85,9 +87,11 @@
 		cfg.Beat = func() Message { return new(Beat) }
 	}
 	ctx, stop := context.WithCancel(context.Background())
+	p := newPace(conn, cfg.Heartbeat, min(cfg.Idle, peer.Idle()))
 	return &Link{
-		conn: conn, peer: peer, out: ring.New[Message](ringSize), bulk: ring.New[Message](ringSize), done: make(chan struct{}),
-		ctx: ctx, stop: stop, beat: cfg.Beat, heartbeat: cfg.Heartbeat, pace: newPace(conn, cfg.Heartbeat, min(cfg.Idle, peer.Idle())), start: time.Now(),
+		conn: conn, steady: &steady{Conn: conn, pace: p, patience: cfg.Heartbeat * MissedHeartbeats},
+		peer: peer, out: ring.New[Message](ringSize), bulk: ring.New[Message](ringSize), done: make(chan struct{}),
+		ctx: ctx, stop: stop, beat: cfg.Beat, heartbeat: cfg.Heartbeat, pace: p, start: time.Now(),
 	}
 }
 
@@ -182,7 +186,7 @@
 }
 
 func (l *Link) read(handle func(Message)) error {
-	r := NewReader(l.conn)
+	r := NewReader(l.steady)
 	for {
 		if err := l.pace.listen(time.Now()); err != nil {
 			return err
@@ -226,7 +230,7 @@
 // sent for one period, or for the idle period if it would say nothing new.
 func (l *Link) write(ctx context.Context) error {
 	defer l.stop()
-	w := bufio.NewWriterSize(l.conn, linkBuffer)
+	w := bufio.NewWriterSize(l.steady, linkBuffer)
 	tick := time.NewTicker(l.heartbeat)
 	defer tick.Stop()
 	// A link opens with a heartbeat, so that the peer knows at once whether this
@@ -267,15 +271,12 @@
 	}
 }
 
-// maxBatch is how many messages are written before the deadline is set anew.
+// maxBatch is how many messages are written before they are flushed.
 const maxBatch = 256
 
 // batch writes m and what waits behind it with one flush. Before a message
 // that was given to SendWait it writes all that was given to Send.
 func (l *Link) batch(w *bufio.Writer, m Message, bulk bool, buf []byte) ([]byte, error) {
-	if err := l.conn.SetWriteDeadline(time.Now().Add(l.heartbeat * MissedHeartbeats)); err != nil {
-		return buf, err
-	}
 	n := uint64(0)
 	for more := true; more && n < maxBatch; {
 		for before := true; bulk && before; {
--- a/core/wire/steady_test.go
+++ b/core/wire/steady_test.go
@@ -23,7 +23,9 @@
 
 // A request of the largest size crosses a thin line between two availability
 // zones. It takes longer than the peer may be silent, but the line never is, and
-// the other requests on the link must not lose it.
+// the other requests on the link must not lose it. With one deadline for a whole
+// frame at each end the link ended: "write pipe: i/o timeout" here, "unexpected
+// EOF" there.
 func TestLargeFrameOverThinLine(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const (
