--- a/core/logs/event.go
+++ b/core/logs/event.go
@@ -51,6 +51,11 @@
 	EventEndpointBack     Event = "endpoint_back"
 	EventAnswerBroken     Event = "answer_broken"
 	EventBadFrame         Event = "bad_frame"
+	EventConnectionClosed Event = "connection_closed"
+	EventRequestCrossed   Event = "request_crossed"
+	EventAnswerNotTaken   Event = "answer_not_taken"
+	EventHandlerPanicked  Event = "handler_panicked"
+	EventServerTold       Event = "server_told"
 	EventFailed           Event = "failed"
 )
 
