--- a/entry/caller/slow_test.go
+++ b/entry/caller/slow_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 
 	"lycheepond/core/ident"
 	"lycheepond/core/once"
@@ -49,7 +50,7 @@
 // onClock asks an entry over a connection on which time is the test's: ask sends
 // one request whose answer serve writes, and read has the connection from then
 // on.
-func onClock(t *testing.T, body string, serve func(ctx context.Context, s *sched.Sink) sched.Result, read func(c net.Conn)) {
+func onClock(t *testing.T, log zapcore.Core, body string, serve func(ctx context.Context, s *sched.Sink) sched.Result, read func(c net.Conn)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		st := store.New()
@@ -59,7 +60,7 @@
 		server := &http.Server{Handler: New(Config{
 			Store: st, NewID: func() ident.ID { return ident.Make(1, 1) }, Now: func() time.Duration { return time.Since(start) },
 			Serve: func(ctx context.Context, _ *sched.Job, s *sched.Sink) sched.Result { return serve(ctx, s) },
-			Ready: yes, Leaving: no, Done: func(*sched.Job, *sched.Result) {}, Metrics: http.NotFoundHandler(), Log: zap.NewNop(),
+			Ready: yes, Leaving: no, Done: func(*sched.Job, *sched.Result) {}, Metrics: http.NotFoundHandler(), Log: zap.New(log),
 		})}
 		ln := newPipeListener()
 		ended := make(chan error, 1)
@@ -83,17 +84,23 @@
 
 // answerOf reads an answer to its end.
 func answerOf(t *testing.T, r io.Reader) string {
+	t.Helper()
+	_, body := answerAndHead(t, r)
+	return body
+}
+
+func answerAndHead(t *testing.T, r io.Reader) (*http.Response, string) {
 	t.Helper()
 	res, err := http.ReadResponse(bufio.NewReader(r), nil)
 	if err != nil {
 		t.Errorf("no answer: %v", err)
-		return ""
+		return nil, ""
 	}
 	data, err := io.ReadAll(res.Body)
 	if err != nil {
 		t.Errorf("the answer broke off after %d bytes: %v", len(data), err)
 	}
-	return string(data)
+	return res, string(data)
 }
 
 func okHead() []wire.Field {
@@ -117,7 +124,7 @@
 		s.Flush()
 		return sched.Result{Outcome: once.Complete, Status: http.StatusOK}
 	}
-	onClock(t, completion(true), serve, func(c net.Conn) {
+	onClock(t, zapcore.NewNopCore(), completion(true), serve, func(c net.Conn) {
 		if got := answerOf(t, c); got != "data: one\n\n"+big {
 			t.Errorf("%d bytes, want %d", len(got), len(big)+len("data: one\n\n"))
 		}
@@ -140,7 +147,7 @@
 		s.Data([]byte(body))
 		return sched.Result{Outcome: once.Complete, Status: http.StatusOK}
 	}
-	onClock(t, completion(false), serve, func(c net.Conn) {
+	onClock(t, zapcore.NewNopCore(), completion(false), serve, func(c net.Conn) {
 		if got := answerOf(t, &thinLine{c, perSecond}); got != body {
 			t.Errorf("%d bytes, want %d", len(got), size)
 		}
@@ -171,7 +178,7 @@
 		s.Data([]byte("one"))
 		return sched.Result{Outcome: once.Complete, Status: http.StatusOK}
 	}
-	onClock(t, completion(false), serve, func(c net.Conn) {
+	onClock(t, zapcore.NewNopCore(), completion(false), serve, func(c net.Conn) {
 		time.Sleep(2 * callerPatience)
 		if n, err := io.ReadFull(c, make([]byte, 1)); n != 0 {
 			t.Errorf("the connection still waited after %v: read %d bytes, %v", 2*callerPatience, n, err)
