caller, admin, agent: a handler that panics is answered, logged and counted; servers write to the structured log

A caller whose handler panicked saw a cut connection, and an operator a stack outside the structured log; no counter moved. TestPanic*: "0 lines about the panic" and no answer before, pass after; go test -race of entry/caller, agent, agent/admin and core/logs passes.

--- a/agent/admin/admin.go
+++ b/agent/admin/admin.go
@@ -8,7 +8,10 @@
 	"net/http"
 	"time"
 
+	"go.uber.org/zap"
+
 	"lycheepond/core/bearer"
+	"lycheepond/core/logs"
 )
 
 const headerTimeout = 10 * time.Second
@@ -23,6 +26,9 @@
 	Ready func() bool
 	// Drain begins a planned stop; it may be called again.
 	Drain func(context.Context) error
+	// Panicked counts handlers that panicked.
+	Panicked func()
+	Log      *zap.Logger
 }
 
 // Server answers operators.
@@ -36,7 +42,9 @@
 
 // Run serves operators on ln until ctx ends.
 func (s *Server) Run(ctx context.Context, ln net.Listener) error {
-	server := &http.Server{Handler: s.Handler(), ReadHeaderTimeout: headerTimeout}
+	server := &http.Server{
+		Handler: logs.Guard(s.cfg.Log, s.cfg.Panicked, nil, s.Handler()), ReadHeaderTimeout: headerTimeout, ErrorLog: logs.Server(s.cfg.Log),
+	}
 	defer context.AfterFunc(ctx, func() { server.Close() })()
 	err := server.Serve(ln)
 	if ctx.Err() != nil {
--- a/agent/node.go
+++ b/agent/node.go
@@ -164,6 +164,7 @@
 	return admin.New(admin.Config{
 		Token: string(n.cfg.Admin.Token), Metrics: n.set,
 		Status: func() any { return n.owner.Status() }, Drain: n.owner.Leave,
+		Panicked: func() { n.set.Counter("handlers_panicked").Inc(1) }, Log: n.log,
 		Ready: func() bool {
 			s := n.owner.Status()
 			return !s.Leaving && !s.Down && !s.Stalled
--- a/entry/admin/admin.go
+++ b/entry/admin/admin.go
@@ -12,6 +12,7 @@
 
 	"lycheepond/core/bearer"
 	"lycheepond/core/ident"
+	"lycheepond/core/logs"
 	"lycheepond/core/report"
 )
 
@@ -23,7 +24,9 @@
 	Metrics http.Handler
 	Status  func() report.Entry
 	Explain func(ident.ID) (report.Request, bool)
-	Log     *zap.Logger
+	// Panicked counts handlers that panicked.
+	Panicked func()
+	Log      *zap.Logger
 }
 
 // Server answers operators.
@@ -45,7 +48,9 @@
 	if err != nil {
 		return err
 	}
-	server := &http.Server{Handler: s.Handler(), ReadHeaderTimeout: 10 * time.Second}
+	server := &http.Server{
+		Handler: logs.Guard(s.cfg.Log, s.cfg.Panicked, nil, s.Handler()), ReadHeaderTimeout: 10 * time.Second, ErrorLog: logs.Server(s.cfg.Log),
+	}
 	defer context.AfterFunc(ctx, func() { server.Close() })()
 	err = server.Serve(ln)
 	if ctx.Err() != nil {
--- a/entry/caller/server.go
+++ b/entry/caller/server.go
@@ -10,6 +10,8 @@
 	"go.uber.org/zap"
 
 	"lycheepond/core/ident"
+	"lycheepond/core/logs"
+	"lycheepond/core/once"
 	"lycheepond/core/store"
 	"lycheepond/entry/fault"
 	"lycheepond/entry/sched"
@@ -43,13 +45,17 @@
 	// the request was refused before its form was known.
 	Done    func(job *sched.Job, res *sched.Result)
 	Metrics http.Handler
-	Log     *zap.Logger
+	// Panicked counts handlers that panicked.
+	Panicked func()
+	Log      *zap.Logger
 }
 
 // Server answers callers.
 type Server struct {
-	cfg    Config
-	mux    *http.ServeMux
+	cfg Config
+	mux *http.ServeMux
+	// front is mux with its panics answered.
+	front  http.Handler
 	limits *limits
 }
 
@@ -65,11 +71,17 @@
 	s.mux.HandleFunc("GET /readyz", s.readyz)
 	s.mux.Handle("GET /metrics", cfg.Metrics)
 	s.mux.HandleFunc("/", s.missing)
+	s.front = logs.Guard(cfg.Log, cfg.Panicked, s.panicked, s.mux)
 	return s
 }
 
 // ServeHTTP implements http.Handler.
-func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.front.ServeHTTP(w, r) }
+
+// panicked answers a request whose handler panicked before its answer began.
+func (s *Server) panicked(w http.ResponseWriter, _ *http.Request) {
+	s.refuse(w, s.cfg.NewID(), nil, fault.New(fault.UnknownFate, "a fault of the entry ended the request, which may have run: look up its effect, and report the entry's log").With(once.Unknown))
+}
 
 func (s *Server) healthz(w http.ResponseWriter, _ *http.Request) { w.Write([]byte("ok\n")) }
 
--- a/entry/caller/told_test.go
+++ b/entry/caller/told_test.go
@@ -22,7 +22,9 @@
 }
 
 // A fault of the program ends a request's handler. Its caller hears that the
-// outcome is unknown, and the operator where the fault is.
+// outcome is unknown, and the operator where the fault is. Left to the standard
+// server the caller saw its connection cut ("no answer: unexpected EOF") and the
+// log had "0 lines about the panic".
 func TestPanicIsAnsweredAndTold(t *testing.T) {
 	core, seen := observer.New(zap.InfoLevel)
 	serve := func(context.Context, *sched.Sink) sched.Result { panic("a fault") }
--- a/entry/node.go
+++ b/entry/node.go
@@ -177,11 +177,15 @@
 func (n *node) server() *http.Server {
 	front := caller.New(caller.Config{
 		Store: n.store, NewID: n.sched.NewID, Serve: n.sched.Serve, Now: n.now,
-		Ready: n.ready.Load, Leaving: n.leaving.Load, Done: n.tally.Done, Metrics: n.meter.Public(), Log: n.log,
+		Ready: n.ready.Load, Leaving: n.leaving.Load, Done: n.tally.Done, Metrics: n.meter.Public(),
+		Panicked: n.panicked, Log: n.log,
 	})
-	return &http.Server{Handler: front, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	return &http.Server{Handler: front, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: logs.Server(n.log)}
 }
 
+// panicked counts a handler that panicked.
+func (n *node) panicked() { n.meter.Counter("handlers_panicked").Inc(1) }
+
 const (
 	headerTimeout = 10 * time.Second
 	idleTimeout   = 2 * time.Minute
@@ -233,7 +237,7 @@
 	p.start(func() error { return port.Run(ctx) })
 	operators := admin.New(admin.Config{
 		Listen: n.cfg.Admin.Listen, Token: string(n.cfg.Admin.Token), Metrics: n.meter,
-		Status: n.status, Explain: n.sched.Trail().Explain, Log: n.log,
+		Status: n.status, Explain: n.sched.Trail().Explain, Panicked: n.panicked, Log: n.log,
 	})
 	p.start(func() error { return operators.Run(ctx) })
 }
