--- a/entry/caller/told_test.go
+++ b/entry/caller/told_test.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"strings"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
@@ -58,3 +60,45 @@
 		t.Errorf("%d lines about the panic", n)
 	}
 }
+
+// A caller stops reading and its answer is given up. The log tells that apart
+// from a caller that hung up.
+func TestUnreadAnswerIsTold(t *testing.T) {
+	core, seen := observer.New(zap.InfoLevel)
+	serve := func(ctx context.Context, s *sched.Sink) sched.Result {
+		s.Head(http.StatusOK, okHead())
+		for ctx.Err() == nil {
+			s.Data([]byte("data: one\n\n"))
+			s.Flush()
+		}
+		return sched.Result{Outcome: once.Unknown}
+	}
+	onClock(t, core, completion(true), serve, func(net.Conn) { time.Sleep(2 * callerPatience) })
+	if n := lines(seen, logs.EventAnswerNotTaken); n != 1 {
+		t.Errorf("%d lines about the answer", n)
+	}
+}
+
+// A caller hangs up in the middle of its answer. That is no answer given up.
+func TestHangUpIsNoUnreadAnswer(t *testing.T) {
+	core, seen := observer.New(zap.InfoLevel)
+	serve := func(ctx context.Context, s *sched.Sink) sched.Result {
+		s.Head(http.StatusOK, okHead())
+		s.Data([]byte("data: one\n\n"))
+		s.Flush()
+		<-ctx.Done()
+		s.Data([]byte("data: two\n\n"))
+		s.Flush()
+		return sched.Result{Outcome: once.Unknown}
+	}
+	onClock(t, core, completion(true), serve, func(c net.Conn) {
+		if _, err := io.ReadFull(c, make([]byte, 1)); err != nil {
+			t.Error(err)
+		}
+		c.Close()
+		synctest.Wait()
+	})
+	if n := lines(seen, logs.EventAnswerNotTaken); n != 0 {
+		t.Errorf("%d lines about the answer", n)
+	}
+}
