caller: an answer given up because nobody reads it has a line and a counter

The log of such a request said caller_gone, as for a caller that hung up, so an operator could not see that the entry's own write deadline had ended it. Errors of writes were dropped; a deadline that passed now gives answer_not_taken, with how long the answer had been there, and counts in answers_not_taken. A short answer that fits the server's buffer is written after the handler and still leaves no line. TestUnreadAnswerIsTold: 0 lines before, 1 after; TestHangUpIsNoUnreadAnswer holds; go test -race ./entry/caller passes.

--- a/entry/caller/reply.go
+++ b/entry/caller/reply.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"net/http"
+	"os"
 	"slices"
 	"strconv"
 	"time"
@@ -30,14 +32,16 @@
 	w   http.ResponseWriter
 	rc  *http.ResponseController
 	job *sched.Job
-	// begun is set once the status line is written.
-	begun bool
 	// limit is when the write deadline was last moved.
 	limit time.Time
+	// began is when the status line was written, zero before. unread is called
+	// once if the caller then stops reading.
+	began  time.Time
+	unread func(*reply)
 }
 
-func newReply(w http.ResponseWriter, j *sched.Job) *reply {
-	return &reply{w: w, rc: http.NewResponseController(w), job: j}
+func newReply(w http.ResponseWriter, j *sched.Job, unread func(*reply)) *reply {
+	return &reply{w: w, rc: http.NewResponseController(w), job: j, unread: unread}
 }
 
 func (r *reply) sink() *sched.Sink {
@@ -59,7 +63,7 @@
 		// An answer that is not streamed is passed on only when it is whole.
 		h.Set(headerOutcome, "complete")
 	}
-	r.begun = true
+	r.began = time.Now()
 	r.extend()
 	r.w.WriteHeader(status)
 }
@@ -72,6 +76,7 @@
 	for piece := range slices.Chunk(b, pieceSize) {
 		r.extend()
 		if _, err := r.w.Write(piece); err != nil {
+			r.failed(err)
 			return
 		}
 	}
@@ -79,7 +84,16 @@
 
 func (r *reply) flush() {
 	r.extend()
-	r.rc.Flush()
+	r.failed(r.rc.Flush())
+}
+
+// failed takes in the error of a write. Callers that hang up end their request by
+// themselves; one that does not read is given up by this entry.
+func (r *reply) failed(err error) {
+	if r.unread != nil && errors.Is(err, os.ErrDeadlineExceeded) {
+		r.unread(r)
+		r.unread = nil
+	}
 }
 
 func (r *reply) extend() {
@@ -96,7 +110,7 @@
 	r.limit = time.Time{}
 	r.extend()
 	switch {
-	case !r.begun && res.Fault != nil:
+	case r.began.IsZero() && res.Fault != nil:
 		writeFault(r.w, r.job.ID, res.Fault)
 	case res.Fault != nil:
 		r.w.Write([]byte("event: error\ndata: "))
--- a/entry/caller/server.go
+++ b/entry/caller/server.go
@@ -47,7 +47,9 @@
 	Metrics http.Handler
 	// Panicked counts handlers that panicked.
 	Panicked func()
-	Log      *zap.Logger
+	// Unread counts answers that were given up because nobody read them.
+	Unread func()
+	Log    *zap.Logger
 }
 
 // Server answers callers.
@@ -109,12 +111,19 @@
 		return
 	}
 	defer release()
-	out := newReply(w, j)
+	out := newReply(w, j, s.unread)
 	res := s.cfg.Serve(r.Context(), j, out.sink())
 	out.close(&res)
 	s.cfg.Done(j, &res)
 }
 
+// unread tells that an answer was given up.
+func (s *Server) unread(r *reply) {
+	s.cfg.Unread()
+	logs.Warn(s.cfg.Log, logs.EventAnswerNotTaken, logs.Request(r.job.ID), zap.Duration("took", time.Since(r.began)),
+		zap.Duration("patience", callerPatience))
+}
+
 // refuse answers a request that is not served.
 func (s *Server) refuse(w http.ResponseWriter, id ident.ID, j *sched.Job, e *fault.Error) {
 	writeFault(w, id, e)
--- a/entry/caller/slow_test.go
+++ b/entry/caller/slow_test.go
@@ -60,7 +60,7 @@
 		server := &http.Server{Handler: New(Config{
 			Store: st, NewID: func() ident.ID { return ident.Make(1, 1) }, Now: func() time.Duration { return time.Since(start) },
 			Serve: func(ctx context.Context, _ *sched.Job, s *sched.Sink) sched.Result { return serve(ctx, s) },
-			Ready: yes, Leaving: no, Done: func(*sched.Job, *sched.Result) {}, Metrics: http.NotFoundHandler(), Panicked: func() {}, Log: zap.New(log),
+			Ready: yes, Leaving: no, Done: func(*sched.Job, *sched.Result) {}, Metrics: http.NotFoundHandler(), Panicked: func() {}, Unread: func() {}, Log: zap.New(log),
 		})}
 		ln := newPipeListener()
 		ended := make(chan error, 1)
--- a/entry/caller/stub_test.go
+++ b/entry/caller/stub_test.go
@@ -189,7 +189,7 @@
 	yes, no := func() bool { return true }, func() bool { return false }
 	server := httptest.NewServer(New(Config{
 		Store: st, NewID: f.sched.NewID, Serve: f.sched.Serve, Now: now, Ready: yes, Leaving: no,
-		Done: tally.New(m, zap.NewNop()).Done, Metrics: m, Panicked: func() {}, Log: zap.NewNop(),
+		Done: tally.New(m, zap.NewNop()).Done, Metrics: m, Panicked: func() {}, Unread: func() {}, Log: zap.NewNop(),
 	}))
 	f.url = server.URL
 	tb.Cleanup(func() { server.Close(); cancel(); <-done; stop() })
--- a/entry/caller/told_test.go
+++ b/entry/caller/told_test.go
@@ -62,7 +62,8 @@
 }
 
 // A caller stops reading and its answer is given up. The log tells that apart
-// from a caller that hung up.
+// from a caller that hung up: without a line of its own there were "0 lines about
+// the answer", and the request's last line said caller_gone.
 func TestUnreadAnswerIsTold(t *testing.T) {
 	core, seen := observer.New(zap.InfoLevel)
 	serve := func(ctx context.Context, s *sched.Sink) sched.Result {
--- a/entry/node.go
+++ b/entry/node.go
@@ -178,7 +178,7 @@
 	front := caller.New(caller.Config{
 		Store: n.store, NewID: n.sched.NewID, Serve: n.sched.Serve, Now: n.now,
 		Ready: n.ready.Load, Leaving: n.leaving.Load, Done: n.tally.Done, Metrics: n.meter.Public(),
-		Panicked: n.panicked, Log: n.log,
+		Panicked: n.panicked, Unread: func() { n.meter.Counter("answers_not_taken").Inc(1) }, Log: n.log,
 	})
 	return &http.Server{Handler: front, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: logs.Server(n.log)}
 }
