entry: a stop waits for requests that are being read, also when a duty failed

A caller whose request's head was on its way when an entry stopped found its connection closed, and one whose head had just been read whole could get no answer though it was handed on: the standard server calls a connection idle until it has told of the whole head, closes it on that word and then forgets it. A failed duty closed all connections at once, with the requests that ran. The connections are those of package kept now, whose first byte and close exclude each other; a failed duty begins the same stop, within the grace. Each answer of a leaving entry says that it is the connection's last, as the standard stop had it. Connections idle for two minutes are closed by the same rule.

--- a/entry/caller/reply.go
+++ b/entry/caller/reply.go
@@ -29,19 +29,20 @@
 
 // reply writes one answer. It is owned by the goroutine that serves the caller.
 type reply struct {
-	w   http.ResponseWriter
-	rc  *http.ResponseController
-	job *sched.Job
+	server *Server
+	w      http.ResponseWriter
+	rc     *http.ResponseController
+	job    *sched.Job
 	// limit is when the write deadline was last moved.
 	limit time.Time
-	// began is when the status line was written, zero before. unread is called
-	// once if the caller then stops reading.
+	// began is when the status line was written, zero before. unread is set once
+	// the caller was found not to read.
 	began  time.Time
-	unread func(*reply)
+	unread bool
 }
 
-func newReply(w http.ResponseWriter, j *sched.Job, unread func(*reply)) *reply {
-	return &reply{w: w, rc: http.NewResponseController(w), job: j, unread: unread}
+func newReply(w http.ResponseWriter, j *sched.Job, s *Server) *reply {
+	return &reply{server: s, w: w, rc: http.NewResponseController(w), job: j}
 }
 
 func (r *reply) sink() *sched.Sink {
@@ -64,6 +65,7 @@
 		h.Set(headerOutcome, "complete")
 	}
 	r.began = time.Now()
+	r.server.last(r.w)
 	r.extend()
 	r.w.WriteHeader(status)
 }
@@ -90,9 +92,9 @@
 // failed takes in the error of a write. Callers that hang up end their request by
 // themselves; one that does not read is given up by this entry.
 func (r *reply) failed(err error) {
-	if r.unread != nil && errors.Is(err, os.ErrDeadlineExceeded) {
-		r.unread(r)
-		r.unread = nil
+	if !r.unread && errors.Is(err, os.ErrDeadlineExceeded) {
+		r.unread = true
+		r.server.unread(r)
 	}
 }
 
@@ -111,6 +113,7 @@
 	r.extend()
 	switch {
 	case r.began.IsZero() && res.Fault != nil:
+		r.server.last(r.w)
 		writeFault(r.w, r.job.ID, res.Fault)
 	case res.Fault != nil:
 		r.w.Write([]byte("event: error\ndata: "))
--- a/entry/caller/server.go
+++ b/entry/caller/server.go
@@ -78,7 +78,17 @@
 }
 
 // ServeHTTP implements http.Handler.
-func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.front.ServeHTTP(w, r) }
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.last(w)
+	s.front.ServeHTTP(w, r)
+}
+
+// last tells a caller of a leaving entry to send its next request elsewhere.
+func (s *Server) last(w http.ResponseWriter) {
+	if s.cfg.Leaving() {
+		w.Header().Set("Connection", "close")
+	}
+}
 
 // panicked answers a request whose handler panicked before its answer began.
 func (s *Server) panicked(w http.ResponseWriter, _ *http.Request) {
@@ -111,7 +121,7 @@
 		return
 	}
 	defer release()
-	out := newReply(w, j, s.unread)
+	out := newReply(w, j, s)
 	res := s.cfg.Serve(r.Context(), j, out.sink())
 	out.close(&res)
 	s.cfg.Done(j, &res)
--- a/entry/node.go
+++ b/entry/node.go
@@ -5,9 +5,7 @@
 	"crypto/rand"
 	"encoding/binary"
 	"encoding/json"
-	"errors"
 	mathrand "math/rand/v2"
-	"net"
 	"net/http"
 	"os"
 	"strings"
@@ -27,6 +25,7 @@
 	"lycheepond/entry/admin"
 	"lycheepond/entry/agents"
 	"lycheepond/entry/caller"
+	"lycheepond/entry/kept"
 	"lycheepond/entry/keys"
 	"lycheepond/entry/orders"
 	"lycheepond/entry/peers"
@@ -113,7 +112,8 @@
 
 // serve answers callers until ctx or a part ends.
 func (n *node) serve(ctx context.Context, p *parts) error {
-	ln, err := net.Listen("tcp", n.cfg.Listen)
+	conns := kept.New(kept.Config{Bound: func() time.Duration { return idleTimeout }, Metrics: n.meter, Log: n.log})
+	ln, err := conns.Listen(n.cfg.Listen)
 	if err != nil {
 		return err
 	}
@@ -126,17 +126,26 @@
 		p.running--
 		return err
 	}
-	server := n.server()
+	server := n.server(conns)
+	defer server.Close()
 	n.ready.Store(true)
 	p.start(func() error { return server.Serve(ln) })
 	n.announce(ln.Addr().String())
-	select {
-	case <-ctx.Done():
-		return n.stop(server)
-	case err := <-p.ended:
-		p.running--
-		server.Close()
-		return err
+	tick := time.NewTicker(sweepEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+			conns.Sweep()
+		case <-ctx.Done():
+			n.stop(conns)
+			return nil
+		case err := <-p.ended:
+			// What was read is answered all the same.
+			p.running--
+			n.stop(conns)
+			return err
+		}
 	}
 }
 
@@ -150,10 +159,10 @@
 	os.Stdout.Write(append(line, '\n'))
 }
 
-// stop refuses new requests, waits for the running ones and ends. The listener
+// stop refuses new requests, waits for those that were read and ends. The listener
 // stays open for a moment, so that callers the balancer still sends hear a
 // truthful refusal in place of a refused connection.
-func (n *node) stop(server *http.Server) error {
+func (n *node) stop(conns *kept.Set) {
 	n.leaving.Store(true)
 	logs.Info(n.log, logs.EventLeaving, zap.Int("running", n.sched.Running()))
 	grace, cancel := context.WithTimeout(context.Background(), n.cfg.Grace.Std())
@@ -162,25 +171,31 @@
 	case <-grace.Done():
 	case <-time.After(min(balancerNotice, n.cfg.Grace.Std()/4)):
 	}
-	err := server.Shutdown(grace)
-	if errors.Is(err, context.DeadlineExceeded) {
+	if conns.Drain(grace) != nil {
 		logs.Warn(n.log, logs.EventStopped, zap.Int("interrupted", n.sched.Running()))
-		return server.Close()
+		conns.Close(kept.GraceOver)
+		return
 	}
 	logs.Info(n.log, logs.EventStopped)
-	return err
 }
 
 // balancerNotice is how long a balancer may take to see that /readyz changed.
 const balancerNotice = 2 * time.Second
 
-func (n *node) server() *http.Server {
+func (n *node) server(conns *kept.Set) *http.Server {
 	front := caller.New(caller.Config{
 		Store: n.store, NewID: n.sched.NewID, Serve: n.sched.Serve, Now: n.now,
 		Ready: n.ready.Load, Leaving: n.leaving.Load, Done: n.tally.Done, Metrics: n.meter.Public(),
 		Panicked: n.panicked, Unread: func() { n.meter.Counter("answers_not_taken").Inc(1) }, Log: n.log,
 	})
-	return &http.Server{Handler: front, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: logs.Server(n.log)}
+	server := &http.Server{ReadHeaderTimeout: headerTimeout, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !conns.Admit(r) {
+			panic(http.ErrAbortHandler)
+		}
+		front.ServeHTTP(w, r)
+	})}
+	conns.Attach(server)
+	return server
 }
 
 // panicked counts a handler that panicked.
@@ -189,6 +204,9 @@
 const (
 	headerTimeout = 10 * time.Second
 	idleTimeout   = 2 * time.Minute
+	// sweepEvery is how often connections that are idle for too long are looked
+	// for: idleTimeout need not be kept to the second.
+	sweepEvery = time.Second
 )
 
 // build makes the parts; begin starts them.
--- a/entry/stop_test.go
+++ b/entry/stop_test.go
@@ -67,7 +67,8 @@
 	}
 }
 
-func (h *half) answered(t *testing.T) {
+// answered reads an answer and returns whether it is the connection's last.
+func (h *half) answered(t *testing.T) (last bool) {
 	t.Helper()
 	h.SetReadDeadline(time.Now().Add(10 * time.Second))
 	res, err := http.ReadResponse(h.r, nil)
@@ -77,6 +78,7 @@
 	if _, err := io.Copy(io.Discard, res.Body); err != nil || res.StatusCode != http.StatusOK {
 		t.Fatalf("status %d, %v", res.StatusCode, err)
 	}
+	return res.Close
 }
 
 // deaf returns once nobody listens on addr.
@@ -94,7 +96,9 @@
 
 // An entry stops, as planned or because one of its duties failed, while the head
 // of a request is on its way on a kept connection. The request is answered before
-// the entry ends.
+// the entry ends. The standard server calls such a connection idle until it has the
+// whole head and closed it, and a failed duty closed all connections at once: "no
+// answer: unexpected EOF".
 func TestStopAnswersWhatHasBegun(t *testing.T) {
 	failure := errors.New("a duty failed")
 	for _, tc := range []struct {
@@ -133,7 +137,9 @@
 			tc.begin(stop, fail)
 			deaf(t, cfg.Listen)
 			h.send(t, "Host: entry\r\n\r\n")
-			h.answered(t)
+			if !h.answered(t) {
+				t.Error("the caller was not told that the connection ends")
+			}
 			if err := <-served; !errors.Is(err, tc.want) {
 				t.Errorf("the entry ended with %v, want %v", err, tc.want)
 			}
