--- a/core/wire/last_test.go
+++ b/core/wire/last_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"testing"
 	"time"
 
 	"lycheepond/core/ident"
+	"lycheepond/core/ring"
 )
 
 // tcpPair returns both ends of a connection.
@@ -79,3 +81,20 @@
 		t.Errorf("%d of %d pieces were handled; the link ended with %v", got, pieces, err)
 	}
 }
+
+// A peer reads too slowly for messages that must not wait. The link's owner, and
+// with it the log, learns that as the cause of the end.
+func TestFullLinkTellsWhy(t *testing.T) {
+	near, far := net.Pipe()
+	defer far.Close()
+	l := New(near, Hello{}, Config{})
+	ended := make(chan error, 1)
+	go func() { ended <- l.Run(context.Background(), func(Message) {}) }()
+	var full error
+	for full == nil {
+		full = l.Send(new(Known))
+	}
+	if err := <-ended; !errors.Is(full, ring.ErrFull) || !errors.Is(err, ring.ErrFull) {
+		t.Errorf("the link ended with %v, the send with %v", err, full)
+	}
+}
