wire: a link tells why it ended

A link that this process ended itself, because its ring was full, was logged as lost with "use of closed network connection": the error of the reader under which it was closed. The first reason is kept as the cause of the link's context and returned by Run. TestFullLinkTellsWhy: "io: read/write on closed pipe" before, "ring: full" after; go test -race of core/wire, core/feed, agent, entry/mesh and entry/caller passes.

--- a/core/wire/link.go
+++ b/core/wire/link.go
@@ -49,7 +49,8 @@
 	out, bulk *ring.Ring[Message]
 	// done is closed once, by cancel's owner Run, when the link has ended.
 	done chan struct{}
-	stop context.CancelFunc
+	// stop is called with why the link ends; the first call counts.
+	stop context.CancelCauseFunc
 	ctx  context.Context
 	// sends ends, by hush or with ctx, when no message is taken any more.
 	sends context.Context
@@ -92,7 +93,7 @@
 	if cfg.Beat == nil {
 		cfg.Beat = func() Message { return new(Beat) }
 	}
-	ctx, stop := context.WithCancel(context.Background())
+	ctx, stop := context.WithCancelCause(context.Background())
 	sends, hush := context.WithCancel(ctx)
 	p := newPace(conn, cfg.Heartbeat, min(cfg.Idle, peer.Idle()))
 	return &Link{
@@ -116,7 +117,7 @@
 	}
 	l.queued.Add(1)
 	if err := l.out.Offer(m); err != nil {
-		l.stop()
+		l.stop(err)
 		return err
 	}
 	return nil
@@ -151,7 +152,7 @@
 func (l *Link) Idle() bool { return l.queued.Load() == l.written.Load() }
 
 // Close ends the link; Run returns soon after.
-func (l *Link) Close() { l.stop() }
+func (l *Link) Close() { l.stop(ErrClosed) }
 
 // Finish writes what is queued and then the end of what this process has to say.
 // The link reads on until the peer, which has read all of it by then, closes. A peer
@@ -170,29 +171,23 @@
 // or ctx ends. It returns why the link ended and is to be called once.
 func (l *Link) Run(ctx context.Context, handle func(Message)) error {
 	defer close(l.done)
-	defer l.stop()
-	unhook := context.AfterFunc(ctx, l.stop)
+	defer l.stop(ErrClosed)
+	unhook := context.AfterFunc(ctx, func() { l.stop(context.Cause(ctx)) })
 	defer unhook()
-	written := make(chan error, 1)
+	written := make(chan struct{})
 	go func() {
-		err := l.write(l.ctx)
-		l.unwritten(err)
-		written <- err
+		defer close(written)
+		l.unwritten(l.write(l.ctx))
 	}()
 	closer := context.AfterFunc(l.ctx, func() { l.conn.Close() })
 	defer closer()
-	readErr := l.read(handle)
-	stopped := l.ctx.Err() != nil
-	l.stop()
+	l.stop(l.read(handle))
 	l.conn.Close()
-	writeErr := <-written
+	<-written
 	if ctx.Err() != nil {
 		return ctx.Err()
 	}
-	if stopped && writeErr != nil {
-		return writeErr
-	}
-	return readErr
+	return context.Cause(l.ctx)
 }
 
 func (l *Link) read(handle func(Message)) error {
--- a/core/wire/write.go
+++ b/core/wire/write.go
@@ -152,6 +152,6 @@
 func (l *Link) unwritten(err error) {
 	l.hush()
 	if err != nil && !errors.Is(err, syscall.EPIPE) && !errors.Is(err, syscall.ECONNRESET) {
-		l.stop()
+		l.stop(err)
 	}
 }
