links, mesh: a link that is turned away because there are too many has a line in the log

Whoever dialled the 257th link of an agent, or the 1,025th of an entry, found it closed, and nothing said why; a failed accept of an entry left no line either. TestTooManyLinksAreTold: 0 lines with the change taken out, 1 with it (2 of 2 with -race).

--- a/agent/links/links.go
+++ b/agent/links/links.go
@@ -28,6 +28,9 @@
 	flushPoll = 5 * time.Millisecond
 )
 
+// errFull reports a link beyond maxLinks.
+var errFull = errors.New("links: as many links as an agent takes: look for processes that dial it and should not")
+
 // Config is what a Server depends on.
 type Config struct {
 	Self wire.Hello
@@ -74,6 +77,7 @@
 		select {
 		case conn := <-conns:
 			if open >= maxLinks {
+				logs.Warn(s.cfg.Log, logs.EventLinkRefused, zap.Stringer("address", conn.RemoteAddr()), zap.Error(errFull))
 				conn.Close()
 				continue
 			}
--- a/agent/links/links_test.go
+++ b/agent/links/links_test.go
@@ -7,9 +7,11 @@
 	"time"
 
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"lycheepond/agent/slot"
 	"lycheepond/core/ident"
+	"lycheepond/core/logs"
 	"lycheepond/core/meter"
 	"lycheepond/core/wire"
 )
@@ -104,3 +106,34 @@
 	t.Fatal("no link")
 	return nil
 }
+
+// More entries dial an agent than it takes links. Whoever is turned away finds the
+// connection closed, and the operator the bound in the log.
+func TestTooManyLinksAreTold(t *testing.T) {
+	core, seen := observer.New(zap.InfoLevel)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	s := New(Config{Keys: func() wire.Keys { return wire.OneKey([]byte("key")) }, Log: zap.New(core)})
+	ended := make(chan error, 1)
+	go func() { ended <- s.Run(ctx, ln) }()
+	var last net.Conn
+	for range maxLinks + 1 {
+		if last, err = net.Dial("tcp", ln.Addr().String()); err != nil {
+			t.Fatal(err)
+		}
+		defer last.Close()
+	}
+	// The others are greeted and wait for an answer.
+	if n, err := last.Read(make([]byte, 1)); n != 0 {
+		t.Errorf("one link too many was greeted: %v", err)
+	}
+	if n := seen.FilterMessage(string(logs.EventLinkRefused)).FilterField(zap.Error(errFull)).Len(); n != 1 {
+		t.Errorf("%d lines about a link too many", n)
+	}
+	stop()
+	<-ended
+}
--- a/entry/mesh/accept.go
+++ b/entry/mesh/accept.go
@@ -17,6 +17,9 @@
 // maxLinks bounds accepted links.
 const maxLinks = 1024
 
+// errFull reports a link beyond maxLinks.
+var errFull = errors.New("mesh: as many links as an entry takes: look for processes that dial it and should not")
+
 // accept takes links of other entries until ctx ends.
 func (m *Mesh) accept(ctx context.Context, ln net.Listener) {
 	room := make(chan struct{}, maxLinks)
@@ -27,12 +30,14 @@
 				return
 			}
 			// Without descriptors accepting fails at once, again and again.
+			logs.Warn(m.cfg.Log, logs.EventFailed, zap.String("what", "accept"), zap.Error(err))
 			time.Sleep(dialPause)
 			continue
 		}
 		select {
 		case room <- struct{}{}:
 		default:
+			logs.Warn(m.cfg.Log, logs.EventLinkRefused, zap.String("remote", conn.RemoteAddr().String()), zap.Error(errFull))
 			conn.Close()
 			continue
 		}
