--- a/agent/node_test.go
+++ b/agent/node_test.go
@@ -24,6 +24,7 @@
 	link string
 	stop context.CancelFunc
 	end  chan error
+	node *node
 }
 
 func startAgent(t testing.TB, kind string, h http.HandlerFunc) *running {
@@ -44,7 +45,7 @@
 	r, w := io.Pipe()
 	n.out = w
 	ctx, stop := context.WithCancel(context.Background())
-	a := &running{stop: stop, end: make(chan error, 1)}
+	a := &running{stop: stop, end: make(chan error, 1), node: n}
 	go func() { a.end <- n.run(ctx) }()
 	t.Cleanup(stop)
 	var line ready
