agent: a planned stop waits for an entry that has yet to fetch an answer

An entry whose link broke in the middle of an answer redials within a second and asks for the rest. An agent in a planned stop waited for what ran and for links that stood, not for that: if the endpoint ended the answer meanwhile the agent ended with it, and the caller heard unknown. An answer that was sent to its end just before its link broke is not waited for.

--- a/agent/slot/attach.go
+++ b/agent/slot/attach.go
@@ -104,9 +104,9 @@
 	return s
 }
 
-func (o *Owner) linkUp(_ time.Duration, p *Peer) {
+func (o *Owner) linkUp(now time.Duration, p *Peer) {
 	s := o.session(p)
-	s.link = p
+	s.link, s.back = p, now
 	o.askNext = 0
 	logs.Info(o.log, logs.EventLinkUp, zap.String("peer", p.Name), zap.Uint64("incarnation", p.Incarnation))
 	if o.leaving || o.orders.version != "" {
--- a/agent/slot/event.go
+++ b/agent/slot/event.go
@@ -59,9 +59,12 @@
 type followed struct {
 	r *rec
 	f *following
+	// whole is set when the answer was sent to its end.
+	whole bool
 }
 
 func (e followed) apply(_ *Owner, _ time.Duration) {
+	e.r.told = e.r.told || e.whole
 	if e.r.follow == e.f {
 		e.r.follow = nil
 	}
--- a/agent/slot/rec.go
+++ b/agent/slot/rec.go
@@ -56,8 +56,10 @@
 	// charged is set while the work counts against its customer's share.
 	charged bool
 	// log is the answer; several records of one key share it.
-	log      *answer.Log
-	follow   *following
+	log    *answer.Log
+	follow *following
+	// told is set once the answer was sent to its end.
+	told     bool
 	progress *call.Progress
 	stop     context.CancelFunc
 	// stream is set when the answer comes token by token.
@@ -85,8 +87,9 @@
 	incarnation uint64
 	// link is the newest link, nil while there is none.
 	link *Peer
-	// gone is when the last link ended.
+	// gone is when the last link ended and back when the newest began.
 	gone   time.Duration
+	back   time.Duration
 	levels map[string]levelHeard
 }
 
--- a/agent/slot/run.go
+++ b/agent/slot/run.go
@@ -165,8 +165,7 @@
 	o.task(func(context.Context) event {
 		defer stop()
 		// A failed link ends the follower; the entry attaches on a new one.
-		_ = log.Follow(ctx, follower)
-		return followed{r, f}
+		return followed{r, f, log.Follow(ctx, follower) == nil}
 	})
 }
 
--- a/agent/stop_test.go
+++ b/agent/stop_test.go
@@ -13,7 +13,8 @@
 
 // An entry's link breaks in the middle of an answer, and the agent begins a planned
 // stop. The endpoint ends the answer before the entry has dialled again. The agent
-// is the only one that has it, and waits until the entry has got it.
+// is the only one that has it, and waits until the entry has got it. A stop that
+// waited only for what ran had ended by then: "connect: connection refused".
 func TestPlannedStopWaitsForALostEntry(t *testing.T) {
 	proceed, ended := make(chan struct{}), make(chan struct{})
 	a := startAgent(t, conf.EndpointService, func(w http.ResponseWriter, r *http.Request) {
