--- a/entry/caller/slow_test.go
+++ b/entry/caller/slow_test.go
@@ -47,10 +47,18 @@
 
 func (l *pipeListener) Addr() net.Addr { return new(net.TCPAddr) }
 
-// onClock asks an entry over a connection on which time is the test's: ask sends
-// one request whose answer serve writes, and read has the connection from then
-// on.
-func onClock(t *testing.T, log zapcore.Core, body string, serve func(ctx context.Context, s *sched.Sink) sched.Result, read func(c net.Conn)) {
+// server writes the answer of a test's request.
+type server func(ctx context.Context, s *sched.Sink) sched.Result
+
+// onClock asks an entry over a connection on which time is the test's: it sends one
+// request whose answer serve writes, and read has the connection from then on.
+func onClock(t *testing.T, log zapcore.Core, body string, serve server, read func(c net.Conn)) {
+	t.Helper()
+	overLine(t, log, body, func(c net.Conn) net.Conn { return c }, serve, read)
+}
+
+// overLine is onClock with a line of its own to the entry.
+func overLine(t *testing.T, log zapcore.Core, body string, line func(net.Conn) net.Conn, serve server, read func(c net.Conn)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		st := store.New()
@@ -66,19 +74,22 @@
 		ended := make(chan error, 1)
 		go func() { ended <- server.Serve(ln) }()
 		near, far := net.Pipe()
-		ln.conns <- far
+		ln.conns <- line(far)
 		req, err := http.NewRequest(http.MethodPost, "http://entry/v1/completions", strings.NewReader(body))
 		if err != nil {
 			t.Fatal(err)
 		}
 		req.Header.Set("Authorization", "Bearer "+stubKey)
-		if err := req.Write(near); err != nil {
-			t.Fatal(err)
-		}
+		// What is refused before its end need not be sent to its end.
+		sent := make(chan error, 1)
+		go func() { sent <- req.Write(near) }()
 		read(near)
 		near.Close()
+		<-sent
 		server.Close()
 		<-ended
+		// A connection with the rest of a refused request lingers for half a second.
+		time.Sleep(time.Second)
 	})
 }
 
@@ -185,3 +196,34 @@
 		}
 	})
 }
+
+// thinConn is a connection that thinLine reads.
+type thinConn struct {
+	net.Conn
+	line thinLine
+}
+
+// Read implements io.Reader.
+func (c *thinConn) Read(p []byte) (int, error) { return c.line.Read(p) }
+
+// A caller on a thin line sends a large request steadily, for longer than one piece
+// may take. It is served.
+func TestSteadySenderIsServed(t *testing.T) {
+	const (
+		size      = 2 << 20
+		perSecond = size / (3 * int(callerPatience/time.Second))
+	)
+	body := completion(false)
+	body = body[:len(body)-1] + `,"user":"` + strings.Repeat("x", size) + `"}`
+	serve := func(_ context.Context, s *sched.Sink) sched.Result {
+		s.Head(http.StatusOK, nil)
+		s.Data([]byte("one"))
+		return sched.Result{Outcome: once.Complete, Status: http.StatusOK}
+	}
+	thin := func(c net.Conn) net.Conn { return &thinConn{c, thinLine{c, perSecond}} }
+	overLine(t, zapcore.NewNopCore(), body, thin, serve, func(c net.Conn) {
+		if got := answerOf(t, c); got != "one" {
+			t.Errorf("answer %q", got)
+		}
+	})
+}
