caller: a body may take as long as its line needs

A caller on a thin line was refused after 30 s with "the body could not be read to its end" while it was still sending: one deadline for the whole body. Each 32 KB have 30 s now, as in answers, so only a caller that has stopped is refused. TestSteadySenderIsServed: refused before, served after; go test -race -count=2 ./entry/caller passes.

--- a/entry/caller/accept.go
+++ b/entry/caller/accept.go
@@ -152,13 +152,32 @@
 	return binary.BigEndian.Uint64(h.Sum(nil))
 }
 
+// patient reads a body in pieces, each of which may take callerPatience: the size of
+// a body says nothing of whether the caller still sends, but one that has stopped
+// would hold its request's goroutine for good.
+type patient struct {
+	body io.Reader
+	rc   *http.ResponseController
+	// left is what may still come under the deadline in force.
+	left int
+}
+
+// Read implements io.Reader.
+func (p *patient) Read(b []byte) (int, error) {
+	if p.left <= 0 {
+		p.left = pieceSize
+		p.rc.SetReadDeadline(time.Now().Add(callerPatience))
+	}
+	n, err := p.body.Read(b)
+	p.left -= n
+	return n, err
+}
+
 // body reads the whole body of a request.
 func body(w http.ResponseWriter, r *http.Request) ([]byte, *fault.Error) {
-	// A caller that stops sending would hold its request's goroutine for good.
 	rc := http.NewResponseController(w)
-	rc.SetReadDeadline(time.Now().Add(callerPatience))
 	defer rc.SetReadDeadline(time.Time{})
-	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	data, err := io.ReadAll(&patient{body: http.MaxBytesReader(w, r.Body, maxBody), rc: rc})
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
--- a/entry/caller/reply.go
+++ b/entry/caller/reply.go
@@ -20,8 +20,9 @@
 	// callerPatience is how long one write to a caller may take. A caller that
 	// stops reading would hold its request's goroutine for good.
 	callerPatience = 30 * time.Second
-	// pieceSize is the most that one write holds: over the thinnest of lines, 1 KB
-	// a second, it takes about as long as callerPatience.
+	// pieceSize is the most that one write holds, and what a caller has to send in
+	// the same time: over the thinnest of lines, 1 KB a second, it takes about as
+	// long as callerPatience.
 	pieceSize = 32 << 10
 	// deadlineEvery spares a system call for most flushes.
 	deadlineEvery = time.Second
--- a/entry/caller/slow_test.go
+++ b/entry/caller/slow_test.go
@@ -207,7 +207,8 @@
 func (c *thinConn) Read(p []byte) (int, error) { return c.line.Read(p) }
 
 // A caller on a thin line sends a large request steadily, for longer than one piece
-// may take. It is served.
+// may take. It is served. With one deadline for the whole body it was refused while
+// it sent: "the body could not be read to its end".
 func TestSteadySenderIsServed(t *testing.T) {
 	const (
 		size      = 2 << 20
