--- a/core/logs/server.go
+++ b/core/logs/server.go
@@ -66,6 +66,15 @@
 // Unwrap is for http.ResponseController.
 func (o *opened) Unwrap() http.ResponseWriter { return o.ResponseWriter }
 
+// Bare returns the standard server's own writer, which http.MaxBytesReader tells that
+// the rest of a body is not read.
+func Bare(w http.ResponseWriter) http.ResponseWriter {
+	if o, ok := w.(*opened); ok {
+		return o.ResponseWriter
+	}
+	return w
+}
+
 // WriteHeader notes the beginning.
 func (o *opened) WriteHeader(status int) {
 	o.begun = o.begun || status >= http.StatusOK
--- a/entry/caller/accept.go
+++ b/entry/caller/accept.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"lycheepond/core/logs"
 	"lycheepond/core/spec"
 	"lycheepond/core/wire"
 	"lycheepond/entry/fault"
@@ -177,7 +178,7 @@
 func body(w http.ResponseWriter, r *http.Request) ([]byte, *fault.Error) {
 	rc := http.NewResponseController(w)
 	defer rc.SetReadDeadline(time.Time{})
-	data, err := io.ReadAll(&patient{body: http.MaxBytesReader(w, r.Body, maxBody), rc: rc})
+	data, err := io.ReadAll(&patient{body: http.MaxBytesReader(logs.Bare(w), r.Body, maxBody), rc: rc})
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
--- a/entry/caller/accept_test.go
+++ b/entry/caller/accept_test.go
@@ -102,3 +102,14 @@
 		t.Errorf("a customer without limits: %v, %d known", e, len(l.known))
 	}
 }
+
+// The rest of a body that is too large is still to come on its connection, which is
+// closed. The caller is told, so that it sends nothing more there.
+func TestTooLargeEndsTheConnection(t *testing.T) {
+	f := newFront(t, frontOptions{}, newStub(t, "a", serveWhole("x")))
+	res := f.post(t, "/services/app/x", strings.Repeat("x", maxBody+1))
+	if !res.Close || res.StatusCode != http.StatusRequestEntityTooLarge {
+		t.Errorf("status %d, last answer %v", res.StatusCode, res.Close)
+	}
+	res.Body.Close()
+}
