--- a/core/logs/event.go
+++ b/core/logs/event.go
@@ -52,6 +52,11 @@
 	EventAnswerBroken     Event = "answer_broken"
 	EventAnswerLate       Event = "answer_late"
 	EventBadFrame         Event = "bad_frame"
+	EventConnectionClosed Event = "connection_closed"
+	EventRequestCrossed   Event = "request_crossed"
+	EventAnswerNotTaken   Event = "answer_not_taken"
+	EventHandlerPanicked  Event = "handler_panicked"
+	EventServerTold       Event = "server_told"
 	EventFailed           Event = "failed"
 )
 
--- a/core/wire/link.go
+++ b/core/wire/link.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -38,7 +39,9 @@
 // Link is one connection to another lycheepond process.
 type Link struct {
 	conn net.Conn
-	peer Hello
+	// steady is conn as frames pass through it.
+	steady *steady
+	peer   Hello
 	// out holds what Send queued and bulk what SendWait queued. They are apart
 	// because the producers of answers fill their ring whenever the peer reads
 	// more slowly than they write; in one ring a claim or a return would then
@@ -46,8 +49,15 @@
 	out, bulk *ring.Ring[Message]
 	// done is closed once, by cancel's owner Run, when the link has ended.
 	done chan struct{}
-	stop context.CancelFunc
+	// stop is called with why the link ends; the first call counts.
+	stop context.CancelCauseFunc
 	ctx  context.Context
+	// sends ends, by hush or with ctx, when no message is taken any more.
+	sends context.Context
+	hush  context.CancelFunc
+	// finish is closed, once, when the link is to end after what is queued.
+	finish    chan struct{}
+	finishing sync.Once
 	// beat makes the heartbeat to send on an idle link; it may be nil.
 	beat      func() Message
 	heartbeat time.Duration
@@ -83,10 +93,13 @@
 	if cfg.Beat == nil {
 		cfg.Beat = func() Message { return new(Beat) }
 	}
-	ctx, stop := context.WithCancel(context.Background())
+	ctx, stop := context.WithCancelCause(context.Background())
+	sends, hush := context.WithCancel(ctx)
+	p := newPace(conn, cfg.Heartbeat, min(cfg.Idle, peer.Idle()))
 	return &Link{
-		conn: conn, peer: peer, out: ring.New[Message](ringSize), bulk: ring.New[Message](ringSize), done: make(chan struct{}),
-		ctx: ctx, stop: stop, beat: cfg.Beat, heartbeat: cfg.Heartbeat, pace: newPace(conn, cfg.Heartbeat, min(cfg.Idle, peer.Idle())), start: time.Now(),
+		conn: conn, steady: &steady{Conn: conn, pace: p, patience: cfg.Heartbeat * MissedHeartbeats},
+		peer: peer, out: ring.New[Message](ringSize), bulk: ring.New[Message](ringSize), done: make(chan struct{}),
+		finish: make(chan struct{}), ctx: ctx, stop: stop, sends: sends, hush: hush, beat: cfg.Beat, heartbeat: cfg.Heartbeat, pace: p, start: time.Now(),
 	}
 }
 
@@ -99,12 +112,12 @@
 // Send queues m without waiting. When the ring is full the peer reads too
 // slowly for messages that must not wait: the link is closed.
 func (l *Link) Send(m Message) error {
-	if l.ctx.Err() != nil {
+	if l.sends.Err() != nil {
 		return ErrClosed
 	}
 	l.queued.Add(1)
 	if err := l.out.Offer(m); err != nil {
-		l.stop()
+		l.stop(err)
 		return err
 	}
 	return nil
@@ -114,21 +127,16 @@
 // the pieces of answers, whose producer may be held back. What Send takes later
 // may overtake m; what it took before m arrives before it.
 func (l *Link) SendWait(ctx context.Context, m Message) error {
-	if l.ctx.Err() != nil {
+	if l.sends.Err() != nil {
 		return ErrClosed
 	}
-	select {
-	case <-l.ctx.Done():
-		return ErrClosed
-	default:
-	}
 	l.queued.Add(1)
 	if err := l.bulk.Offer(m); err == nil {
 		return nil
 	}
 	joined, cancel := context.WithCancel(ctx)
 	defer cancel()
-	unhook := context.AfterFunc(l.ctx, cancel)
+	unhook := context.AfterFunc(l.sends, cancel)
 	defer unhook()
 	if err := l.bulk.Put(joined, m); err != nil {
 		l.queued.Add(^uint64(0))
@@ -140,12 +148,16 @@
 	return nil
 }
 
-// Idle reports whether all that was sent has been handed to the kernel. A
-// process that stops waits for it, because Close drops what is queued.
+// Idle reports whether all that was sent has been handed to the kernel.
 func (l *Link) Idle() bool { return l.queued.Load() == l.written.Load() }
 
 // Close ends the link; Run returns soon after.
-func (l *Link) Close() { l.stop() }
+func (l *Link) Close() { l.stop(ErrClosed) }
+
+// Finish writes what is queued and then the end of what this process has to say.
+// The link reads on until the peer, which has read all of it by then, closes. A peer
+// that does not read would keep the link open, so its owner bounds the time.
+func (l *Link) Finish() { l.finishing.Do(func() { close(l.finish) }) }
 
 // Counts returns the traffic so far.
 func (l *Link) Counts() Counts {
@@ -159,29 +171,27 @@
 // or ctx ends. It returns why the link ended and is to be called once.
 func (l *Link) Run(ctx context.Context, handle func(Message)) error {
 	defer close(l.done)
-	defer l.stop()
-	unhook := context.AfterFunc(ctx, l.stop)
+	defer l.stop(ErrClosed)
+	unhook := context.AfterFunc(ctx, func() { l.stop(context.Cause(ctx)) })
 	defer unhook()
-	written := make(chan error, 1)
-	go func() { written <- l.write(l.ctx) }()
+	written := make(chan struct{})
+	go func() {
+		defer close(written)
+		l.unwritten(l.write(l.ctx))
+	}()
 	closer := context.AfterFunc(l.ctx, func() { l.conn.Close() })
 	defer closer()
-	readErr := l.read(handle)
-	stopped := l.ctx.Err() != nil
-	l.stop()
+	l.stop(l.read(handle))
 	l.conn.Close()
-	writeErr := <-written
+	<-written
 	if ctx.Err() != nil {
 		return ctx.Err()
 	}
-	if stopped && writeErr != nil {
-		return writeErr
-	}
-	return readErr
+	return context.Cause(l.ctx)
 }
 
 func (l *Link) read(handle func(Message)) error {
-	r := NewReader(l.conn)
+	r := NewReader(l.steady)
 	for {
 		if err := l.pace.listen(time.Now()); err != nil {
 			return err
--- a/core/wire/writer.go
+++ b/core/wire/write.go
@@ -3,6 +3,8 @@
 import (
 	"bufio"
 	"context"
+	"errors"
+	"syscall"
 	"time"
 
 	"lycheepond/core/ring"
@@ -11,8 +13,7 @@
 // write sends what is queued, in batches, and a heartbeat when nothing was
 // sent for one period, or for the idle period if it would say nothing new.
 func (l *Link) write(ctx context.Context) error {
-	defer l.stop()
-	w := bufio.NewWriterSize(l.conn, linkBuffer)
+	w := bufio.NewWriterSize(l.steady, linkBuffer)
 	tick := time.NewTicker(l.heartbeat)
 	defer tick.Stop()
 	// A link opens with a heartbeat, so that the peer knows at once whether this
@@ -30,6 +31,8 @@
 		select {
 		case <-ctx.Done():
 			return ErrClosed
+		case <-l.finish:
+			return l.last(w, buf)
 		case m = <-l.out.Items():
 			sent = true
 		case m = <-l.bulk.Items():
@@ -53,15 +56,36 @@
 	}
 }
 
-// maxBatch is how many messages are written before the deadline is set anew.
+// last writes what is queued and closes the writing half of the connection.
+func (l *Link) last(w *bufio.Writer, buf []byte) error {
+	l.hush()
+	for {
+		m, more := take(l.out)
+		bulk := !more
+		if bulk {
+			m, more = take(l.bulk)
+		}
+		if !more {
+			break
+		}
+		var err error
+		if buf, err = l.batch(w, m, bulk, buf); err != nil {
+			return err
+		}
+	}
+	half, ok := l.conn.(interface{ CloseWrite() error })
+	if !ok {
+		return ErrClosed
+	}
+	return half.CloseWrite()
+}
+
+// maxBatch is how many messages are written before they are flushed.
 const maxBatch = 256
 
 // batch writes m and what waits behind it with one flush. Before a message
 // that was given to SendWait it writes all that was given to Send.
 func (l *Link) batch(w *bufio.Writer, m Message, bulk bool, buf []byte) ([]byte, error) {
-	if err := l.conn.SetWriteDeadline(time.Now().Add(l.heartbeat * MissedHeartbeats)); err != nil {
-		return buf, err
-	}
 	n := uint64(0)
 	for more := true; more && n < maxBatch; {
 		for before := true; bulk && before; {
@@ -121,3 +145,13 @@
 	_, err = w.Write(buf)
 	return buf, err
 }
+
+// unwritten ends the link after a failed write. If the peer has gone, what it wrote
+// before lies in the kernel; closing now would throw its last answers away, and
+// reading does not wait any more.
+func (l *Link) unwritten(err error) {
+	l.hush()
+	if err != nil && !errors.Is(err, syscall.EPIPE) && !errors.Is(err, syscall.ECONNRESET) {
+		l.stop(err)
+	}
+}
--- a/entry/caller/reply.go
+++ b/entry/caller/reply.go
@@ -2,7 +2,10 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"net/http"
+	"os"
+	"slices"
 	"strconv"
 	"time"
 
@@ -17,23 +20,30 @@
 	// callerPatience is how long one write to a caller may take. A caller that
 	// stops reading would hold its request's goroutine for good.
 	callerPatience = 30 * time.Second
+	// pieceSize is the most that one write holds, and what a caller has to send in
+	// the same time: over the thinnest of lines, 1 KB a second, it takes about as
+	// long as callerPatience.
+	pieceSize = 32 << 10
 	// deadlineEvery spares a system call for most flushes.
 	deadlineEvery = time.Second
 )
 
 // reply writes one answer. It is owned by the goroutine that serves the caller.
 type reply struct {
-	w   http.ResponseWriter
-	rc  *http.ResponseController
-	job *sched.Job
-	// begun is set once the status line is written.
-	begun bool
+	server *Server
+	w      http.ResponseWriter
+	rc     *http.ResponseController
+	job    *sched.Job
 	// limit is when the write deadline was last moved.
 	limit time.Time
+	// began is when the status line was written, zero before. unread is set once
+	// the caller was found not to read.
+	began  time.Time
+	unread bool
 }
 
-func newReply(w http.ResponseWriter, j *sched.Job) *reply {
-	return &reply{w: w, rc: http.NewResponseController(w), job: j}
+func newReply(w http.ResponseWriter, j *sched.Job, s *Server) *reply {
+	return &reply{server: s, w: w, rc: http.NewResponseController(w), job: j}
 }
 
 func (r *reply) sink() *sched.Sink {
@@ -55,16 +65,38 @@
 		// An answer that is not streamed is passed on only when it is whole.
 		h.Set(headerOutcome, "complete")
 	}
-	r.begun = true
+	r.began = time.Now()
+	r.server.last(r.w)
 	r.extend()
 	r.w.WriteHeader(status)
 }
 
-func (r *reply) data(b []byte) { r.w.Write(b) }
+// data writes a part of the answer. What is more than the server's buffer goes
+// out at once, so the deadline of an earlier write must not stand by then; and a
+// large answer is written in pieces, as its size says nothing of whether the
+// caller reads.
+func (r *reply) data(b []byte) {
+	for piece := range slices.Chunk(b, pieceSize) {
+		r.extend()
+		if _, err := r.w.Write(piece); err != nil {
+			r.failed(err)
+			return
+		}
+	}
+}
 
 func (r *reply) flush() {
 	r.extend()
-	r.rc.Flush()
+	r.failed(r.rc.Flush())
+}
+
+// failed takes in the error of a write. Callers that hang up end their request by
+// themselves; one that does not read is given up by this entry.
+func (r *reply) failed(err error) {
+	if !r.unread && errors.Is(err, os.ErrDeadlineExceeded) {
+		r.unread = true
+		r.server.unread(r)
+	}
 }
 
 func (r *reply) extend() {
@@ -76,9 +108,13 @@
 
 // close writes what the answer's end demands.
 func (r *reply) close(res *sched.Result) {
+	// The server writes what it holds back after the handler's return, and takes
+	// the deadline away itself then.
+	r.limit = time.Time{}
+	r.extend()
 	switch {
-	case !r.begun && res.Fault != nil:
-		r.extend()
+	case r.began.IsZero() && res.Fault != nil:
+		r.server.last(r.w)
 		writeFault(r.w, r.job.ID, res.Fault)
 	case res.Fault != nil:
 		r.w.Write([]byte("event: error\ndata: "))
@@ -88,7 +124,6 @@
 	case r.job.Stream:
 		r.w.Header().Set(headerOutcome, res.Outcome.String())
 	}
-	r.rc.SetWriteDeadline(time.Time{})
 }
 
 type faultJSON struct {
