door: the log tells what the process itself does to a connection, and faults of a handler

A caller whose connection this process closed, whose handler panicked, or who did not read its answer in time all looked alike: a caller that left, or nothing.

- connection_closed, with why, for how long idle and under which bound, and a counter; the same is the cause of the contexts of the connection's requests.
The lines of the HTTP server itself go to the structured log.

A test of kept is mended: its handler ended like one that has answered, and its caller sometimes got that answer before the connection was closed (seen once).

--- a/entry/door/door.go
+++ b/entry/door/door.go
@@ -8,7 +8,6 @@
 	"errors"
 	"net"
 	"net/http"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -16,9 +15,11 @@
 	"go.uber.org/zap"
 
 	"lycheepond/core/logs"
+	"lycheepond/core/meter"
 	"lycheepond/core/route"
 	"lycheepond/entry/direct"
 	"lycheepond/entry/heads"
+	"lycheepond/entry/kept"
 )
 
 const (
@@ -30,8 +31,6 @@
 	// defaultIdle is how long a connection may be idle while the operator does
 	// not say.
 	defaultIdle = 75 * time.Second
-	// writeExtra is how long a caller may take to read after its deadline.
-	writeExtra = time.Second
 	// noConfigRetry is when to come back to an entry without configuration: after
 	// a start it takes some ten milliseconds to read it, longer only while the
 	// platform and all peers are away.
@@ -70,6 +69,7 @@
 	Serve    func(ctx context.Context, j *direct.Job, s direct.Sink) direct.Result
 	// Running returns how many jobs have no final answer yet.
 	Running func() int
+	Metrics *meter.Set
 	Log     *zap.Logger
 }
 
@@ -79,7 +79,9 @@
 
 	mu sync.Mutex
 	// idle holds since when connections have no request.
-	idle    map[net.Conn]time.Time
+	idle map[net.Conn]time.Time
+	// cuts ends the contexts of a connection's requests.
+	cuts    map[net.Conn]context.CancelCauseFunc
 	leaving bool
 
 	// bodies is how many bytes of bodies are held or about to be read.
@@ -87,7 +89,9 @@
 }
 
 // New returns a door that does nothing until Run.
-func New(cfg Config) *Door { return &Door{cfg: cfg, idle: make(map[net.Conn]time.Time)} }
+func New(cfg Config) *Door {
+	return &Door{cfg: cfg, idle: make(map[net.Conn]time.Time), cuts: make(map[net.Conn]context.CancelCauseFunc)}
+}
 
 // Run serves until ctx ends, and then stops within the grace: the balancer is
 // told at once, running requests are served to their end.
@@ -103,8 +107,11 @@
 	}
 	server := &http.Server{
 		Handler: http.HandlerFunc(d.serve), ReadHeaderTimeout: headerTime, MaxHeaderBytes: maxHeader, ConnState: d.state,
+		ConnContext: d.context, ErrorLog: kept.ErrorLog(d.cfg.Log),
+	}
+	asked := &http.Server{
+		Handler: http.HandlerFunc(d.ready), ReadHeaderTimeout: headerTime, IdleTimeout: defaultIdle, ErrorLog: kept.ErrorLog(d.cfg.Log),
 	}
-	asked := &http.Server{Handler: http.HandlerFunc(d.ready), ReadHeaderTimeout: headerTime, IdleTimeout: defaultIdle}
 	ended := make(chan error, 2)
 	go func() { ended <- server.Serve(front) }()
 	go func() { ended <- asked.Serve(ready) }()
@@ -139,6 +146,7 @@
 	err := server.Shutdown(ctx)
 	if errors.Is(err, context.DeadlineExceeded) {
 		logs.Warn(d.cfg.Log, logs.EventStopped, zap.Int("interrupted", d.cfg.Running()))
+		d.cutAll()
 		return server.Close()
 	}
 	logs.Info(d.cfg.Log, logs.EventStopped)
@@ -173,6 +181,38 @@
 		return
 	}
 	delete(d.idle, c)
+	if s == http.StateClosed {
+		d.cuts[c](nil)
+		delete(d.cuts, c)
+	}
+}
+
+// context makes the process's closing of a connection the cause of the contexts
+// of its requests.
+func (d *Door) context(ctx context.Context, c net.Conn) context.Context {
+	ctx, cut := context.WithCancelCause(ctx)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.cuts[c] = cut
+	return ctx
+}
+
+// cutAll closes all connections at the end of the grace.
+func (d *Door) cutAll() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for c := range d.cuts {
+		d.cut(c, &kept.Closed{Why: kept.GraceOver})
+	}
+}
+
+// cut closes a connection; mu is held.
+func (d *Door) cut(c net.Conn, why *kept.Closed) {
+	d.cuts[c](why)
+	c.Close()
+	d.cfg.Metrics.Counter("connections_closed", why.Label()).Inc(1)
+	logs.Info(d.cfg.Log, logs.EventConnectionClosed, zap.Stringer("why", why.Why), zap.Duration("since", why.Since),
+		zap.Duration("bound", why.Bound), zap.Stringer("caller", c.RemoteAddr()))
 }
 
 // sweep closes connections that have been idle for longer than the operator
@@ -188,29 +228,35 @@
 	for c, since := range d.idle {
 		if time.Since(since) > limit {
 			delete(d.idle, c)
-			c.Close()
+			d.cut(c, &kept.Closed{Why: kept.IdleBound, Since: time.Since(since), Bound: limit})
 		}
 	}
 }
 
 func (d *Door) serve(w http.ResponseWriter, r *http.Request) {
 	accepted := time.Now()
+	a := d.answerTo(w, r, accepted)
+	defer func() {
+		if v := recover(); v != nil {
+			a.panicked(v)
+		}
+	}()
 	t := d.cfg.Table()
 	if d.Leaving() {
 		w.Header().Set("Connection", "close")
 	}
 	if !d.cfg.Informed() {
 		// Nothing is known of routes and keys, so neither may be called unknown.
-		d.refuse(w, r, &Refusal{Status: http.StatusServiceUnavailable, Retry: noConfigRetry, Reason: "no configuration yet"})
+		a.refuse(&Refusal{Status: http.StatusServiceUnavailable, Retry: noConfigRetry, Reason: "no configuration yet"})
 		return
 	}
 	if limit := t.Config().Limits.HeaderBytes; limit > 0 && heads.Size(r.Header) > limit {
-		d.refuse(w, r, &Refusal{Status: http.StatusRequestHeaderFieldsTooLarge, Reason: "headers too large"})
+		a.refuse(&Refusal{Status: http.StatusRequestHeaderFieldsTooLarge, Reason: "headers too large"})
 		return
 	}
 	j, no := d.cfg.Accept(r, t)
 	if no != nil {
-		d.refuse(w, r, no)
+		a.refuse(no)
 		return
 	}
 	j.Accepted = accepted
@@ -221,72 +267,8 @@
 	r.Body = m
 	defer m.release()
 	if no := read(w, r, t, j); no != nil {
-		d.refuse(w, r, no)
+		a.refuse(no)
 		return
 	}
-	d.answer(w, r, j)
-}
-
-// answer serves a job and writes what came of it.
-func (d *Door) answer(w http.ResponseWriter, r *http.Request, j *direct.Job) {
-	rc := http.NewResponseController(w)
-	rc.SetWriteDeadline(j.End().Add(writeExtra))
-	defer rc.SetWriteDeadline(time.Time{})
-	res := d.cfg.Serve(r.Context(), j, direct.Sink{
-		Head: func(status int, h http.Header, length int64) {
-			copyHeader(w.Header(), h)
-			if length >= 0 {
-				w.Header().Set("Content-Length", strconv.FormatInt(length, 10))
-			}
-			w.WriteHeader(status)
-		},
-		Write: func(p []byte) error {
-			_, err := w.Write(p)
-			return err
-		},
-		Flush: func() { rc.Flush() },
-	})
-	no := &Refusal{Retry: min(res.Retry, max(time.Until(j.Deadline)/3, 0)), Reason: res.Why}
-	switch res.Outcome {
-	case direct.Complete:
-		return
-	case direct.Broken, direct.Left:
-		// Closing the connection without the end of the body is the one way to
-		// tell the caller that what it has is not whole.
-		panic(http.ErrAbortHandler)
-	case direct.Limited:
-		no.Status = http.StatusTooManyRequests
-	case direct.Refused:
-		no.Status = http.StatusServiceUnavailable
-	case direct.Late:
-		no.Status = http.StatusGatewayTimeout
-	default:
-		no.Status = http.StatusBadGateway
-	}
-	d.write(w, no)
-}
-
-func (d *Door) refuse(w http.ResponseWriter, r *http.Request, no *Refusal) {
-	logs.Info(d.cfg.Log, logs.EventRequestRefused, zap.String("request_id", d.cfg.ID(r)), zap.Int("status", no.Status), zap.String("why", no.Reason),
-		zap.String("host", r.Host), zap.Int64("config", d.cfg.Table().Revision()))
-	d.write(w, no)
-}
-
-func (d *Door) write(w http.ResponseWriter, no *Refusal) {
-	if no.Retry > 0 {
-		w.Header().Set("Retry-After", strconv.FormatFloat(no.Retry.Seconds(), 'f', 3, 64))
-	}
-	w.WriteHeader(no.Status)
-}
-
-func copyHeader(to, from http.Header) {
-	for name, values := range from {
-		if !heads.PerHop(name) {
-			to[name] = values
-		}
-	}
-	if from.Get("Content-Type") == "" {
-		// The server would guess one.
-		to["Content-Type"] = nil
-	}
+	a.serve(j)
 }
--- a/entry/kept/kept.go
+++ b/entry/kept/kept.go
@@ -10,7 +10,6 @@
 	"log"
 	"net"
 	"net/http"
-	"strings"
 	"sync"
 	"time"
 
@@ -58,7 +57,7 @@
 func (s *Set) Attach(server *http.Server) {
 	server.ConnState = s.state
 	server.ConnContext = s.context
-	server.ErrorLog = log.New(lines{s.cfg.Log}, "", 0)
+	server.ErrorLog = ErrorLog(s.cfg.Log)
 }
 
 // context gives requests a context that ends with a *Closed as its cause when
@@ -138,7 +137,7 @@
 	if no == nil {
 		return true
 	}
-	s.cfg.Metrics.Counter("requests_crossed", label(no.Why)).Inc(1)
+	s.cfg.Metrics.Counter("requests_crossed", no.Label()).Inc(1)
 	logs.Warn(s.cfg.Log, logs.EventRequestCrossed, zap.Stringer("why", no.Why), zap.Duration("idle", no.Since),
 		zap.Duration("bound", no.Bound), zap.String("caller", r.RemoteAddr))
 	return false
@@ -146,17 +145,15 @@
 
 // note writes that a connection was closed to log and metrics.
 func (s *Set) note(c *conn, why Why, age, bound time.Duration) {
-	s.cfg.Metrics.Counter("connections_closed", label(why)).Inc(1)
+	s.cfg.Metrics.Counter("connections_closed", why.label()).Inc(1)
 	logs.Info(s.cfg.Log, logs.EventConnectionClosed, zap.Stringer("why", why), zap.Duration("since", age),
 		zap.Duration("bound", bound), zap.Stringer("caller", c.RemoteAddr()))
 }
 
-func label(why Why) meter.Label {
-	return meter.Label{Key: "why", Value: strings.ReplaceAll(why.String(), " ", "_")}
-}
+// ErrorLog returns a logger for a standard server's own lines. They go to the
+// structured log, which bounds how many of one event are written.
+func ErrorLog(l *zap.Logger) *log.Logger { return log.New(lines{l}, "", 0) }
 
-// lines writes the standard server's own lines to the structured log, which
-// bounds how many of one event are written.
 type lines struct{ log *zap.Logger }
 
 func (l lines) Write(p []byte) (int, error) {
--- a/entry/kept/kept_test.go
+++ b/entry/kept/kept_test.go
@@ -59,7 +59,7 @@
 
 // counter reads a counter of the set.
 func (st *stand) counter(name string, why Why) int64 {
-	return st.set.cfg.Metrics.Counter(name, label(why)).Count()
+	return st.set.cfg.Metrics.Counter(name, why.label()).Count()
 }
 
 // client is one kept connection.
@@ -328,6 +328,7 @@
 		began <- true
 		<-r.Context().Done()
 		cause <- Cause(r.Context())
+		panic(http.ErrAbortHandler)
 	})
 	c := dial(t, st.addr)
 	answered := make(chan error, 1)
--- a/entry/kept/why.go
+++ b/entry/kept/why.go
@@ -4,7 +4,10 @@
 	"context"
 	"errors"
 	"fmt"
+	"strings"
 	"time"
+
+	"lycheepond/core/meter"
 )
 
 // Why is the reason for which this process closed a connection.
@@ -29,6 +32,10 @@
 
 func (w Why) String() string { return whyNames[w] }
 
+func (w Why) label() meter.Label {
+	return meter.Label{Key: "why", Value: strings.ReplaceAll(w.String(), " ", "_")}
+}
+
 // Closed is the cause with which the context of a request ends when this process
 // closes the request's connection.
 type Closed struct {
@@ -44,6 +51,9 @@
 	return fmt.Sprintf("kept: this process closed the connection after %v (%s): send the request again on another", c.Since.Round(time.Millisecond), c.Why)
 }
 
+// Label is the label of counters.
+func (c *Closed) Label() meter.Label { return c.Why.label() }
+
 // Cause returns why this process closed the connection that ctx belongs to, and
 // nil if it did not.
 func Cause(ctx context.Context) *Closed {
