--- a/entry/direct/cause.go
+++ b/entry/direct/cause.go
@@ -5,6 +5,8 @@
 	"errors"
 	"os"
 	"time"
+
+	"lycheepond/core/meter"
 )
 
 // errTimeUp ends the work on a job at the end of its time.
@@ -54,6 +56,11 @@
 	return "cut"
 }
 
+// givenUp counts a try that ended by the entry's own hand.
+func (d *Director) givenUp(why string) {
+	d.cfg.Metrics.Counter("tries_given_up", meter.Label{Key: "why", Value: why}).Inc(1)
+}
+
 // gone says what the end of a caller's context means: its server cancels it
 // with a cause if it closes the connection itself.
 func gone(caller context.Context) Result {
@@ -66,7 +73,7 @@
 // untaken says what a failed write to the caller means.
 func (t *task) untaken(err error) verdict {
 	if errors.Is(err, os.ErrDeadlineExceeded) {
-		t.d.cfg.Metrics.Counter("answers_not_taken").Inc(1)
+		t.d.givenUp("untaken")
 		return done(Cut, "caller did not take the answer in time")
 	}
 	return verdict{done: true, res: gone(t.caller)}
--- a/entry/direct/task.go
+++ b/entry/direct/task.go
@@ -7,7 +7,6 @@
 	"go.uber.org/zap"
 
 	"lycheepond/core/logs"
-	"lycheepond/core/meter"
 )
 
 const (
@@ -150,7 +149,7 @@
 	a, got := t.send(ctx, v, w)
 	got = t.receive(a, got, v, w)
 	if cause := context.Cause(ctx); cause != nil && !(got.done && got.res.Outcome == Complete) {
-		t.d.cfg.Metrics.Counter("tries_given_up", meter.Label{Key: "why", Value: kindOf(cause)}).Inc(1)
+		t.d.givenUp(kindOf(cause))
 	}
 	if got.next == nil {
 		got.next = w.replaced()
--- a/entry/door/door.go
+++ b/entry/door/door.go
@@ -5,20 +5,19 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/http"
-	"strconv"
-	"sync"
 	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
 
 	"lycheepond/core/logs"
+	"lycheepond/core/meter"
 	"lycheepond/core/route"
 	"lycheepond/entry/direct"
 	"lycheepond/entry/heads"
+	"lycheepond/entry/kept"
 )
 
 const (
@@ -30,8 +29,6 @@
 	// defaultIdle is how long a connection may be idle while the operator does
 	// not say.
 	defaultIdle = 75 * time.Second
-	// writeExtra is how long a caller may take to read after its deadline.
-	writeExtra = time.Second
 	// noConfigRetry is when to come back to an entry without configuration: after
 	// a start it takes some ten milliseconds to read it, longer only while the
 	// platform and all peers are away.
@@ -70,29 +67,32 @@
 	Serve    func(ctx context.Context, j *direct.Job, s direct.Sink) direct.Result
 	// Running returns how many jobs have no final answer yet.
 	Running func() int
+	Metrics *meter.Set
 	Log     *zap.Logger
 }
 
 // Door serves callers.
 type Door struct {
 	cfg Config
-
-	mu sync.Mutex
-	// idle holds since when connections have no request.
-	idle    map[net.Conn]time.Time
-	leaving bool
+	// conns are the callers' connections.
+	conns   *kept.Set
+	leaving atomic.Bool
 
 	// bodies is how many bytes of bodies are held or about to be read.
 	bodies atomic.Int64
 }
 
 // New returns a door that does nothing until Run.
-func New(cfg Config) *Door { return &Door{cfg: cfg, idle: make(map[net.Conn]time.Time)} }
+func New(cfg Config) *Door {
+	d := &Door{cfg: cfg}
+	d.conns = kept.New(kept.Config{Bound: d.bound, Metrics: cfg.Metrics, Log: cfg.Log})
+	return d
+}
 
 // Run serves until ctx ends, and then stops within the grace: the balancer is
 // told at once, running requests are served to their end.
 func (d *Door) Run(ctx context.Context) error {
-	front, err := net.Listen("tcp", d.cfg.Listen)
+	front, err := d.conns.Listen(d.cfg.Listen)
 	if err != nil {
 		return err
 	}
@@ -101,10 +101,12 @@
 		front.Close()
 		return err
 	}
-	server := &http.Server{
-		Handler: http.HandlerFunc(d.serve), ReadHeaderTimeout: headerTime, MaxHeaderBytes: maxHeader, ConnState: d.state,
+	server := &http.Server{Handler: http.HandlerFunc(d.serve), ReadHeaderTimeout: headerTime, MaxHeaderBytes: maxHeader}
+	d.conns.Attach(server)
+	asked := &http.Server{
+		Handler: http.HandlerFunc(d.ready), ReadHeaderTimeout: headerTime, IdleTimeout: defaultIdle, ErrorLog: kept.ErrorLog(d.cfg.Log),
 	}
-	asked := &http.Server{Handler: http.HandlerFunc(d.ready), ReadHeaderTimeout: headerTime, IdleTimeout: defaultIdle}
+	defer server.Close()
 	ended := make(chan error, 2)
 	go func() { ended <- server.Serve(front) }()
 	go func() { ended <- asked.Serve(ready) }()
@@ -114,42 +116,47 @@
 	for {
 		select {
 		case err := <-ended:
-			server.Close()
+			d.conns.Close(kept.Failed)
 			return err
 		case <-tick.C:
-			d.sweep()
+			d.conns.Sweep()
 		case <-ctx.Done():
-			return d.stop(server)
+			return d.stop()
 		}
 	}
 }
 
 // stop ends the server. For a moment it goes on accepting, since the balancer
 // still sends connections here; each answer tells its caller to use another.
-func (d *Door) stop(server *http.Server) error {
+func (d *Door) stop() error {
 	began := time.Now()
-	d.mu.Lock()
-	d.leaving = true
-	d.mu.Unlock()
+	d.leaving.Store(true)
 	logs.Info(d.cfg.Log, logs.EventLeaving, zap.Int("running", d.cfg.Running()))
 	end := began.Add(d.cfg.Grace - lastCall)
 	time.Sleep(min(notice, d.cfg.Grace/2))
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
-	err := server.Shutdown(ctx)
-	if errors.Is(err, context.DeadlineExceeded) {
+	// The server's own Shutdown may close a connection of which it has read a
+	// part of a request, and return while that request runs.
+	if err := d.conns.Drain(ctx); err != nil {
 		logs.Warn(d.cfg.Log, logs.EventStopped, zap.Int("interrupted", d.cfg.Running()))
-		return server.Close()
+		d.conns.Close(kept.GraceOver)
+		return nil
 	}
 	logs.Info(d.cfg.Log, logs.EventStopped)
-	return err
+	return nil
 }
 
 // Leaving reports whether a planned stop has begun.
-func (d *Door) Leaving() bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.leaving
+func (d *Door) Leaving() bool { return d.leaving.Load() }
+
+// bound returns how long a connection may be idle. It changes with the operator's
+// configuration, which a server's fixed IdleTimeout cannot follow.
+func (d *Door) bound() time.Duration {
+	if limit := d.cfg.Table().Config().Limits.IdleTime; limit > 0 {
+		return limit
+	}
+	return defaultIdle
 }
 
 // ready answers the balancer. An entry without configuration or instance list
@@ -164,53 +171,30 @@
 	}
 }
 
-// state keeps the idle connections.
-func (d *Door) state(c net.Conn, s http.ConnState) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if s == http.StateIdle {
-		d.idle[c] = time.Now()
-		return
-	}
-	delete(d.idle, c)
-}
-
-// sweep closes connections that have been idle for longer than the operator
-// allows. The bound changes while they are idle, which a server's fixed
-// IdleTimeout cannot follow.
-func (d *Door) sweep() {
-	limit := d.cfg.Table().Config().Limits.IdleTime
-	if limit <= 0 {
-		limit = defaultIdle
-	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for c, since := range d.idle {
-		if time.Since(since) > limit {
-			delete(d.idle, c)
-			c.Close()
-		}
-	}
-}
-
 func (d *Door) serve(w http.ResponseWriter, r *http.Request) {
+	if !d.conns.Admit(r) {
+		panic(http.ErrAbortHandler)
+	}
 	accepted := time.Now()
+	a := d.answerTo(w, r, accepted)
+	defer func() {
+		if v := recover(); v != nil {
+			a.panicked(v)
+		}
+	}()
 	t := d.cfg.Table()
-	if d.Leaving() {
-		w.Header().Set("Connection", "close")
-	}
 	if !d.cfg.Informed() {
 		// Nothing is known of routes and keys, so neither may be called unknown.
-		d.refuse(w, r, &Refusal{Status: http.StatusServiceUnavailable, Retry: noConfigRetry, Reason: "no configuration yet"})
+		a.refuse(&Refusal{Status: http.StatusServiceUnavailable, Retry: noConfigRetry, Reason: "no configuration yet"})
 		return
 	}
 	if limit := t.Config().Limits.HeaderBytes; limit > 0 && heads.Size(r.Header) > limit {
-		d.refuse(w, r, &Refusal{Status: http.StatusRequestHeaderFieldsTooLarge, Reason: "headers too large"})
+		a.refuse(&Refusal{Status: http.StatusRequestHeaderFieldsTooLarge, Reason: "headers too large"})
 		return
 	}
 	j, no := d.cfg.Accept(r, t)
 	if no != nil {
-		d.refuse(w, r, no)
+		a.refuse(no)
 		return
 	}
 	j.Accepted = accepted
@@ -221,72 +205,8 @@
 	r.Body = m
 	defer m.release()
 	if no := read(w, r, t, j); no != nil {
-		d.refuse(w, r, no)
+		a.refuse(no)
 		return
 	}
-	d.answer(w, r, j)
-}
-
-// answer serves a job and writes what came of it.
-func (d *Door) answer(w http.ResponseWriter, r *http.Request, j *direct.Job) {
-	rc := http.NewResponseController(w)
-	rc.SetWriteDeadline(j.End().Add(writeExtra))
-	defer rc.SetWriteDeadline(time.Time{})
-	res := d.cfg.Serve(r.Context(), j, direct.Sink{
-		Head: func(status int, h http.Header, length int64) {
-			copyHeader(w.Header(), h)
-			if length >= 0 {
-				w.Header().Set("Content-Length", strconv.FormatInt(length, 10))
-			}
-			w.WriteHeader(status)
-		},
-		Write: func(p []byte) error {
-			_, err := w.Write(p)
-			return err
-		},
-		Flush: rc.Flush,
-	})
-	no := &Refusal{Retry: min(res.Retry, max(time.Until(j.Deadline)/3, 0)), Reason: res.Why}
-	switch res.Outcome {
-	case direct.Complete:
-		return
-	case direct.Broken, direct.Left, direct.Cut:
-		// Closing the connection without the end of the body is the one way to
-		// tell the caller that what it has is not whole.
-		panic(http.ErrAbortHandler)
-	case direct.Limited:
-		no.Status = http.StatusTooManyRequests
-	case direct.Refused:
-		no.Status = http.StatusServiceUnavailable
-	case direct.Late:
-		no.Status = http.StatusGatewayTimeout
-	default:
-		no.Status = http.StatusBadGateway
-	}
-	d.write(w, no)
-}
-
-func (d *Door) refuse(w http.ResponseWriter, r *http.Request, no *Refusal) {
-	logs.Info(d.cfg.Log, logs.EventRequestRefused, zap.String("request_id", d.cfg.ID(r)), zap.Int("status", no.Status), zap.String("why", no.Reason),
-		zap.String("host", r.Host), zap.Int64("config", d.cfg.Table().Revision()))
-	d.write(w, no)
-}
-
-func (d *Door) write(w http.ResponseWriter, no *Refusal) {
-	if no.Retry > 0 {
-		w.Header().Set("Retry-After", strconv.FormatFloat(no.Retry.Seconds(), 'f', 3, 64))
-	}
-	w.WriteHeader(no.Status)
-}
-
-func copyHeader(to, from http.Header) {
-	for name, values := range from {
-		if !heads.PerHop(name) {
-			to[name] = values
-		}
-	}
-	if from.Get("Content-Type") == "" {
-		// The server would guess one.
-		to["Content-Type"] = nil
-	}
+	a.serve(j)
 }
