--- a/entry/door/door.go
+++ b/entry/door/door.go
@@ -104,7 +104,7 @@
 	server := &http.Server{Handler: http.HandlerFunc(d.serve), ReadHeaderTimeout: headerTime, MaxHeaderBytes: maxHeader}
 	d.conns.Attach(server)
 	asked := &http.Server{
-		Handler: http.HandlerFunc(d.ready), ReadHeaderTimeout: headerTime, IdleTimeout: defaultIdle, ErrorLog: kept.ErrorLog(d.cfg.Log),
+		Handler: http.HandlerFunc(d.ready), ReadHeaderTimeout: headerTime, IdleTimeout: defaultIdle, ErrorLog: logs.Server(d.cfg.Log),
 	}
 	defer server.Close()
 	ended := make(chan error, 2)
--- a/entry/kept/kept.go
+++ b/entry/kept/kept.go
@@ -7,7 +7,6 @@
 
 import (
 	"context"
-	"log"
 	"net"
 	"net/http"
 	"sync"
@@ -57,7 +56,7 @@
 func (s *Set) Attach(server *http.Server) {
 	server.ConnState = s.state
 	server.ConnContext = s.context
-	server.ErrorLog = ErrorLog(s.cfg.Log)
+	server.ErrorLog = logs.Server(s.cfg.Log)
 }
 
 // context gives requests a context that ends with a *Closed as its cause when
@@ -149,17 +148,3 @@
 	logs.Info(s.cfg.Log, logs.EventConnectionClosed, zap.Stringer("why", why), zap.Duration("since", age),
 		zap.Duration("bound", bound), zap.Stringer("caller", c.RemoteAddr()))
 }
-
-// ErrorLog returns a logger for a standard server's own lines. They go to the
-// structured log, which bounds how many of one event are written.
-func ErrorLog(l *zap.Logger) *log.Logger { return log.New(lines{l}, "", 0) }
-
-type lines struct{ log *zap.Logger }
-
-func (l lines) Write(p []byte) (int, error) {
-	logs.Warn(l.log, logs.EventServerTold, zap.ByteString("text", p[:min(len(p), maxLine)]))
-	return len(p), nil
-}
-
-// maxLine bounds the text of a line in bytes: the head of a stack is enough.
-const maxLine = 2 << 10
