direct: a try is given up only if nothing has come at a second look

Callers of a process that was stopped for a moment lost their streams' endpoints all at once: each was run again elsewhere and took a repeat, though its next event waited to be read. The timer of a wait goes off before the bytes are read that came while the process did not run. Now it looks again 20 ms later, each time before another try is asked for, also while a late answer is awaited; an endpoint that is silent itself is left by so much later.

TestStopOfTheProcessIsNotTheEndpointsSilence: given up before, goes on after. TestStopWhileALateAnswerIsAwaited fails if only the first look of a wait is taken twice.

--- a/entry/direct/stopped_test.go
+++ b/entry/direct/stopped_test.go
@@ -31,7 +31,8 @@
 // When it goes on, the timers of all streams go off before the bytes are read that
 // came meanwhile. If that ends the tries, each stream of the process is run again
 // at another endpoint at once, its answer so far is thrown away, and the repeats
-// are gone when an endpoint does fail.
+// are gone when an endpoint does fail. With one look only each try was "given up for
+// endpoint b though the event had come".
 func TestStopOfTheProcessIsNotTheEndpointsSilence(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		_, w := waiting(t)
@@ -45,3 +46,37 @@
 		}
 	})
 }
+
+// The same stop comes while a late answer is awaited for want of a repeat, and in
+// it a repeat comes up.
+func TestStopWhileALateAnswerIsAwaited(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g, w := waiting(t)
+		g.spend()
+		w.wait(shortestSilence, false)
+		time.Sleep(shortestSilence + lookAgain + reading)
+		if lacks, _ := g.said("answer_late", "lacks"); lacks == nil {
+			t.Fatal("no other try was asked for")
+		}
+		g.d.mu.Lock()
+		w.v.pool.budget.Return()
+		g.d.mu.Unlock()
+		time.Sleep(askAgain)
+		w.came()
+		if next := w.replaced(); next != nil {
+			t.Errorf("given up for endpoint %s though the event had come", next.id)
+		}
+	})
+}
+
+// An endpoint that is silent itself is left after the second look.
+func TestSilenceIsFoundAtTheSecondLook(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, w := waiting(t)
+		w.wait(shortestSilence, false)
+		time.Sleep(shortestSilence + lookAgain + reading)
+		if next := w.replaced(); next == nil {
+			t.Error("the try goes on")
+		}
+	})
+}
--- a/entry/direct/watch.go
+++ b/entry/direct/watch.go
@@ -16,6 +16,11 @@
 // tenth of usual targets is soon enough, and each question costs a placement.
 const askAgain = 100 * time.Millisecond
 
+// lookAgain is how long after its timer went off a try is looked at once more. A
+// process that goes on after a stop has read all its streams within some
+// milliseconds; a fiftieth of the shortest silence costs a silent one little.
+const lookAgain = 20 * time.Millisecond
+
 // watch gives a try up when its endpoint has sent nothing for too long, and only
 // for another one that has its place and its repeat already. While there is none
 // the answer is awaited: a late one is worth more to its caller than none.
@@ -35,6 +40,8 @@
 	since       time.Time
 	bound       time.Duration
 	output      int
+	// looked is set while the timer has gone off once and nothing was asked yet.
+	looked bool
 	// kept is set once the log tells that the try was late and went on.
 	kept bool
 	// next is the try that replaces this one, which is cancelled then.
@@ -49,7 +56,7 @@
 func (w *watch) wait(bound time.Duration, head bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.since, w.bound, w.head = time.Now(), bound, head
+	w.since, w.bound, w.head, w.looked = time.Now(), bound, head, false
 	if bound <= 0 || w.next != nil {
 		return
 	}
@@ -81,10 +88,7 @@
 
 // late is called when the endpoint has sent nothing for the bound.
 func (w *watch) late() {
-	w.mu.Lock()
-	since, output := w.since, w.output
-	due := w.armed && time.Since(since) >= w.bound
-	w.mu.Unlock()
+	since, output, due := w.due()
 	if !due {
 		return
 	}
@@ -95,6 +99,23 @@
 	}
 }
 
+// due reports whether it is to be asked for another try, for the wait that began
+// at since. After a stop of the process the timer goes off before the bytes are
+// read that came meanwhile, so it takes a second look with still nothing there.
+func (w *watch) due() (since time.Time, output int, ok bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.armed || time.Since(w.since) < w.bound {
+		return w.since, w.output, false
+	}
+	w.looked = !w.looked
+	if w.looked {
+		w.timer.Reset(lookAgain)
+		return w.since, w.output, false
+	}
+	return w.since, w.output, true
+}
+
 // another returns a try that may replace this one, or what it lacks.
 func (w *watch) another(how trial) (*visit, string) {
 	if lack := w.t.lacks(w.ran, w.sends); lack != "" {
