mesh: failing test: a stop of the process counts as all peers' silence

An entry that was stopped for longer than its peers may be silent takes all of them for gone when it goes on, and forgets what they have in flight. Seen failing: "1 entries heard after a stop, 3 times lost one". TestDeadPeerIsFoundBetweenStops holds the mend to its bound; it passes.

--- /dev/null
+++ b/entry/mesh/stopped_test.go
@@ -0,0 +1,65 @@
+package mesh
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"lycheepond/core/relay"
+	"lycheepond/core/wire"
+)
+
+// within is how long a peer may be silent among few entries.
+const within = heardTimes * tellAtLeast
+
+// run looks for silent peers as a process that runs does, for d.
+func (m *Mesh) run(d time.Duration) {
+	for end := time.Now().Add(d); time.Now().Before(end); {
+		time.Sleep(tellEvery)
+		m.expire()
+	}
+}
+
+// A process is stopped for longer than its peers may be silent. When it goes on it
+// looks for silent peers before it reads what they told meanwhile. If all count as
+// gone, it forgets the work that they have at the endpoints, and sends its requests
+// into queues that it takes for empty.
+func TestStopOfTheProcessIsNotThePeersSilence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m, _ := receiver()
+		lost := 0
+		m.cfg.Lost = func(string) { lost++ }
+		from := origin{"other", "z", 7}
+		for seq := uint64(1); seq <= 3; seq++ {
+			m.take(from, relay.Direct, &wire.Tally{Seq: seq, Whole: seq == 1}, nil)
+			m.run(within / 2)
+			time.Sleep(2 * within)
+			m.expire()
+		}
+		if heard, _ := m.Reach(); heard != 2 || lost > 0 {
+			t.Errorf("%d entries heard after a stop, %d times lost one", heard, lost)
+		}
+	})
+}
+
+// A peer that is dead counts as gone also in a process that is stopped again and
+// again: for ever counted, its work would keep requests away from the endpoints.
+func TestDeadPeerIsFoundBetweenStops(t *testing.T) {
+	for _, stop := range []time.Duration{0, within / 2, within, 2 * within} {
+		synctest.Test(t, func(t *testing.T) {
+			m, _ := receiver()
+			m.take(origin{"other", "z", 7}, relay.Direct, &wire.Tally{Seq: 1, Whole: true}, nil)
+			began, ran := time.Now(), time.Duration(0)
+			for heard := 2; heard == 2 && ran < 2*within; heard, _ = m.Reach() {
+				time.Sleep(stop)
+				m.expire()
+				m.run(tellEvery)
+				ran += tellEvery
+			}
+			if heard, _ := m.Reach(); heard == 2 {
+				t.Errorf("with stops of %v still heard after it ran for %v", stop, ran)
+			}
+			t.Logf("with stops of %v gone after %v, of which it ran for %v", stop, time.Since(began), ran)
+		})
+	}
+}
