mesh: a stop of the process is not the peers' silence

An entry that had been stopped for a second took all other entries for gone when it went on, forgot what they had in flight and gave its customers the share of a fleet of one heard: it looks for silent peers before their tallies are read, which wait in the kernel. Now a look that comes more than twice the longest time between two tallies after the one before gives each peer one more such time, once for each silence, so a dead one is still found in a process that is stopped again and again. A line held_up tells that the process did not run.

TestStopOfTheProcessIsNotThePeersSilence: 3 stops, 3 losses before, none after.

--- a/core/logs/event.go
+++ b/core/logs/event.go
@@ -22,6 +22,7 @@
 	EventRosterChanged    Event = "roster_changed"
 	EventSettingsRead     Event = "settings_read"
 	EventPeerSilent       Event = "peer_silent"
+	EventHeldUp           Event = "held_up"
 	EventPeerHeard        Event = "peer_heard"
 	EventLinesDropped     Event = "lines_dropped"
 	EventEntryForgotten   Event = "entry_forgotten"
--- a/entry/mesh/mesh.go
+++ b/entry/mesh/mesh.go
@@ -26,6 +26,10 @@
 	// heardTimes is how old the last tally of a peer in reach may be, in the
 	// longest times between two: a second in fleets of up to a hundred.
 	heardTimes = 4
+	// awayTimes is how long this process may not have looked for silent peers, in
+	// the same times, until what it missed counts as its own silence: the pause
+	// between two looks is one at most, and two leave peers half of heardTimes.
+	awayTimes = 2
 	// knownFor is how long a silent peer that is not listed counts as an entry
 	// that may still admit work.
 	knownFor = 20 * time.Second
@@ -88,6 +92,8 @@
 	known int
 	// seq is that of the last tally of this entry; the first has two.
 	seq uint64
+	// ran is when it was last looked for silent peers.
+	ran time.Time
 	// versions holds those that were encoded last. The goroutine that tells owns
 	// it.
 	versions map[uint8]*wire.Snapshot
@@ -108,6 +114,9 @@
 	// own link, broke when that link broke and named when another entry last
 	// named it.
 	heard, direct, broke, named time.Time
+	// spared is when it was given one more of the longest times between two
+	// tallies, since this process had been stopped; once for each silence.
+	spared time.Time
 	// links counts those that it has to this entry.
 	links int
 	// reached is set while it counts as heard, and gap while it told something
@@ -124,7 +133,7 @@
 // New returns a mesh that does nothing until Run.
 func New(cfg Config) *Mesh {
 	return &Mesh{
-		cfg: cfg, start: time.Now(), peers: make(map[string]*peer), dials: make(map[string]*dial),
+		cfg: cfg, start: time.Now(), ran: time.Now(), peers: make(map[string]*peer), dials: make(map[string]*dial),
 		seq: 1, versions: make(map[uint8]*wire.Snapshot), ended: make(chan struct{}, 1),
 	}
 }
--- a/entry/mesh/stopped_test.go
+++ b/entry/mesh/stopped_test.go
@@ -23,7 +23,8 @@
 // A process is stopped for longer than its peers may be silent. When it goes on it
 // looks for silent peers before it reads what they told meanwhile. If all count as
 // gone, it forgets the work that they have at the endpoints, and sends its requests
-// into queues that it takes for empty.
+// into queues that it takes for empty. With what it missed counted as their silence
+// it said "1 entries heard after a stop, 3 times lost one".
 func TestStopOfTheProcessIsNotThePeersSilence(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		m, _ := receiver()
--- a/entry/mesh/tell.go
+++ b/entry/mesh/tell.go
@@ -181,9 +181,16 @@
 func (m *Mesh) expire() {
 	var lost []string
 	m.mu.Lock()
-	within := heardTimes * m.alive()
+	within, spare := heardTimes*m.alive(), m.alive()
+	now := time.Now()
+	away := now.Sub(m.ran)
+	m.ran = now
 	for name, p := range m.peers {
-		if p.reached && time.Since(p.heard) > within {
+		// After a stop of this process what peers told meanwhile is yet to be read.
+		if away > awayTimes*spare && !p.spared.After(p.heard) {
+			p.spared = now
+		}
+		if p.reached && now.Sub(p.heard) > within && now.Sub(p.spared) > spare {
 			// What it had in flight is forgotten, so what it tells next follows on
 			// nothing.
 			p.reached, p.gap, p.seq = false, true, 0
@@ -191,6 +198,9 @@
 		}
 	}
 	m.mu.Unlock()
+	if away > awayTimes*spare {
+		logs.Warn(m.cfg.Log, logs.EventHeldUp, zap.Duration("away", away), zap.Duration("spare", spare))
+	}
 	for _, name := range lost {
 		logs.Warn(m.cfg.Log, logs.EventPeerSilent, zap.String("peer", name), zap.Duration("within", within))
 		m.cfg.Lost(name)
