direct: failing test: a stop of the process costs endpoints their trust

Requests whose time is up when a stopped process goes on are held against their endpoints, which then count as away though they answer.

--- a/entry/direct/stopped_test.go
+++ b/entry/direct/stopped_test.go
@@ -80,3 +80,24 @@
 		}
 	})
 }
+
+// The stop lasts until the requests' time is up. Their endpoints have done no wrong:
+// what they sent waits to be read. If it is held against them, they count as away,
+// and the next requests are kept from endpoints that answer.
+func TestTimeUpAfterAStopCostsNoTrust(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g, w := waiting(t)
+		for range 8 {
+			w.wait(shortestSilence, false)
+			time.Sleep(shortestSilence + reading)
+			w.came()
+			w.v.outOfTime()
+			g.d.mu.Lock()
+			w.v, _ = g.d.place(w.t.job, trial{part: 1})
+			g.d.mu.Unlock()
+		}
+		if away, _ := g.said("endpoint_away", "endpoint"); away != nil {
+			t.Errorf("endpoint %s counts as away", away)
+		}
+	})
+}
