direct: time that is up after a stop of the process costs endpoints no trust

Endpoints that answered were avoided after the entry itself had been stopped until its requests' time was up: each of these was held against them, since the time from the last byte read was longer than is in order. Now a try counts against its endpoint only if its watch took the second look with nothing there, which a process that does not run can't.

TestTimeUpAfterAStopCostsNoTrust: endpoint a away before, none after.

--- a/entry/direct/stopped_test.go
+++ b/entry/direct/stopped_test.go
@@ -83,7 +83,8 @@
 
 // The stop lasts until the requests' time is up. Their endpoints have done no wrong:
 // what they sent waits to be read. If it is held against them, they count as away,
-// and the next requests are kept from endpoints that answer.
+// and the next requests are kept from endpoints that answer: "endpoint a counts as
+// away".
 func TestTimeUpAfterAStopCostsNoTrust(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g, w := waiting(t)
--- a/entry/direct/visit.go
+++ b/entry/direct/visit.go
@@ -156,7 +156,10 @@
 	// latest did; tokens counts the output tokens since the first.
 	first, last time.Time
 	tokens      int
-	over        bool
+	// silent is set if its endpoint was found to have sent nothing for too long by
+	// a process that ran, in the wait that ended last.
+	silent bool
+	over   bool
 }
 
 // head notes that the answer's head has come.
@@ -252,9 +255,10 @@
 }
 
 // outOfTime ends a try that was not over when the time was up: a fault of the
-// endpoint only if it had sent nothing for longer than is in order.
+// endpoint only if it had sent nothing for longer than is in order. After a stop of
+// the process the time says nothing of that: what has come is yet to be read.
 func (v *visit) outOfTime() {
-	if v.basis.Bound > 0 && v.basis.Silent >= v.basis.Bound {
+	if v.silent {
 		v.end(trust.Broken)
 		return
 	}
--- a/entry/direct/watch.go
+++ b/entry/direct/watch.go
@@ -40,8 +40,9 @@
 	since       time.Time
 	bound       time.Duration
 	output      int
-	// looked is set while the timer has gone off once and nothing was asked yet.
-	looked bool
+	// looked is set while the timer has gone off once and nothing was asked yet, and
+	// silent once it was: the endpoint had sent nothing at the second look.
+	looked, silent bool
 	// kept is set once the log tells that the try was late and went on.
 	kept bool
 	// next is the try that replaces this one, which is cancelled then.
@@ -56,7 +57,8 @@
 func (w *watch) wait(bound time.Duration, head bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.since, w.bound, w.head, w.looked = time.Now(), bound, head, false
+	w.since, w.bound, w.head = time.Now(), bound, head
+	w.looked, w.silent = false, false
 	if bound <= 0 || w.next != nil {
 		return
 	}
@@ -77,6 +79,7 @@
 		w.timer.Stop()
 	}
 	w.v.basis.Silent, w.v.basis.Bound = time.Since(w.since), w.bound
+	w.v.silent = w.silent
 }
 
 // replaced returns the try that replaces this one, nil if none does.
@@ -113,6 +116,7 @@
 		w.timer.Reset(lookAgain)
 		return w.since, w.output, false
 	}
+	w.silent = true
 	return w.since, w.output, true
 }
 
