mesh: failing test: a long stop of the process takes peers off the list

A process that goes on after a stop of over 20 s has heard nobody for as long, and takes entries that are at work off the platform's list. Seen failing: "[other] off the list before it was looked for silent peers", and again until it hears them.

--- a/entry/mesh/stopped_test.go
+++ b/entry/mesh/stopped_test.go
@@ -64,3 +64,28 @@
 		})
 	}
 }
+
+// Peers that were silent for long are taken off the platform's list of entries. A
+// process that goes on after a long stop has heard nobody meanwhile; if it takes
+// that for their silence, it takes entries off the list that are at work.
+func TestStopOfTheProcessTakesNoPeerOffTheList(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m, _ := receiver()
+		m.take(origin{"other", "z", 7}, relay.Direct, &wire.Tally{Seq: 1, Whole: true}, nil)
+		m.peers["other"].listed = true
+		m.run(within / 2)
+		time.Sleep(2 * knownFor)
+		if off := m.Silent(knownFor); len(off) > 0 {
+			t.Errorf("%v off the list before it was looked for silent peers", off)
+		}
+		m.expire()
+		m.run(knownFor - within)
+		if off := m.Silent(knownFor); len(off) > 0 {
+			t.Errorf("%v off the list %v after the stop", off, knownFor-within)
+		}
+		m.run(2 * within)
+		if off := m.Silent(knownFor); len(off) != 1 {
+			t.Errorf("%v off the list %v after the stop, want the silent peer", off, knownFor+within)
+		}
+	})
+}
