mesh: peers that a stopped process did not hear stay on the list

An entry that went on after a stop of over 20 s took others off the platform's list though they were at work, whenever it looked at the list before it had heard them. Now a peer that still counts as heard is not silent, and its silence counts from the end of a stop on. A process begins to count when its loop does, so that a slow start is no stop.

TestStopOfTheProcessTakesNoPeerOffTheList: off the list at once and 19 s after the stop before, not after; a silent one goes 21 s after the stop. go test -race -count=2 ./entry/mesh ./entry/follow passes.

--- a/entry/mesh/mesh.go
+++ b/entry/mesh/mesh.go
@@ -245,13 +245,14 @@
 	return m.plan.Led()
 }
 
-// Silent returns the listed peers that have not been heard for d.
+// Silent returns the listed peers that have not been heard for d. The time since a
+// stop of this process counts only, and none while they are yet to be looked for.
 func (m *Mesh) Silent(d time.Duration) []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var out []string
 	for name, p := range m.peers {
-		if p.listed && time.Since(p.heard) > d && time.Since(m.start) > d {
+		if p.listed && !p.reached && min(time.Since(p.heard), time.Since(p.spared), time.Since(m.start)) > d {
 			out = append(out, name)
 		}
 	}
--- a/entry/mesh/stopped_test.go
+++ b/entry/mesh/stopped_test.go
@@ -67,7 +67,8 @@
 
 // Peers that were silent for long are taken off the platform's list of entries. A
 // process that goes on after a long stop has heard nobody meanwhile; if it takes
-// that for their silence, it takes entries off the list that are at work.
+// that for their silence, it takes entries off the list that are at work: "[other] off
+// the list before it was looked for silent peers".
 func TestStopOfTheProcessTakesNoPeerOffTheList(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		m, _ := receiver()
--- a/entry/mesh/tell.go
+++ b/entry/mesh/tell.go
@@ -38,6 +38,9 @@
 // cfg.Tally, so that a link that was told everything misses no change after it.
 func (m *Mesh) tell(ctx context.Context) {
 	last := time.Now()
+	m.mu.Lock()
+	m.ran = last
+	m.mu.Unlock()
 	for {
 		select {
 		case <-ctx.Done():
