wire: a tally can tell how new what its sender knows is; tallies with more or fewer fields are read

The decoder wanted exactly ten fields, so that any field added to a tally would have made entries of neighbouring versions silent for each other while one replaced the other. A version before this one and this one read each other's tallies (TestTalliesOfNeighbouringVersionsAreRead); before, each gave up with 'number of fields in array-encoded struct has changed'.

--- a/core/fresh/fresh.go
+++ b/core/fresh/fresh.go
@@ -13,6 +13,7 @@
 package fresh
 
 import (
+	"cmp"
 	"hash/fnv"
 	"slices"
 	"time"
@@ -56,23 +57,28 @@
 		return
 	}
 	b.claims = slices.DeleteFunc(b.claims, func(o Claim) bool { return covered(o, c) })
-	i, _ := slices.BinarySearchFunc(b.claims, c, func(a, b Claim) int { return int(min(max(a.Revision-b.Revision, -1), 1)) })
+	i, _ := slices.BinarySearchFunc(b.claims, c, func(a, b Claim) int { return cmp.Compare(a.Revision, b.Revision) })
 	b.claims = slices.Insert(b.claims, i, c)
 	if len(b.claims) > maxClaims {
-		// The lowest revision has the oldest claim.
-		b.claims = slices.Delete(b.claims, 0, 1)
+		// The first is the one in force, which Best keeps alone.
+		b.claims = slices.Delete(b.claims, 1, 2)
 	}
 }
 
 // Best returns the latest claim that holds for whoever has revision in force;
-// ok is false if there is none. It is what the entry may tell others.
+// ok is false if there is none. It is what the entry may tell others. A revision
+// in force never becomes lower.
 func (b *Book) Best(revision int64) (c Claim, ok bool) {
-	for _, o := range b.claims {
-		if o.Revision <= revision && (!ok || o.At > c.At) {
-			c, ok = o, true
-		}
+	n := 0
+	for n < len(b.claims) && b.claims[n].Revision <= revision {
+		n++
 	}
-	return c, ok
+	if n == 0 {
+		return Claim{}, false
+	}
+	// The last of them is the latest, and those before it serve nothing any more.
+	b.claims = slices.Delete(b.claims, 0, n-1)
+	return b.claims[0], true
 }
 
 // Known is Best or, if that is later, the entry's own last look: what this told
--- a/core/wire/tally.go
+++ b/core/wire/tally.go
@@ -6,7 +6,6 @@
 // second. What it tells of customers and endpoints are totals, so that one that
 // comes twice or not at all does no harm.
 type Tally struct {
-	_msgpack struct{} `msgpack:",as_array"`
 	// Addr is where the sender accepts links; it may be left out of all but whole
 	// tallies.
 	Addr string
@@ -28,10 +27,26 @@
 	// Waiting holds the tiers of pools in which the number of the sender's
 	// requests that wait for a slot changed.
 	Waiting []Waiting
+	// Fresh holds the lists of which the sender knows anew that it has the newest.
+	Fresh []Fresh
 }
 
 // News reports whether the tally tells of anything but that its sender lives.
-func (t *Tally) News() bool { return len(t.Used)+len(t.Held)+len(t.Waiting) > 0 }
+func (t *Tally) News() bool { return len(t.Used)+len(t.Held)+len(t.Waiting)+len(t.Fresh) > 0 }
+
+// Fresh tells that the revision in force at the sender, as in the same tally,
+// held every change that was made up to AgeMS milliseconds before it left.
+type Fresh struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	// What is SnapshotConfig or SnapshotRoster.
+	What  uint8
+	AgeMS uint32
+	// Mark is that of the look that showed it.
+	Mark uint32
+	// Clock is the milliseconds for which the sender had run when the tally left:
+	// it shows how long that was on its way.
+	Clock uint64
+}
 
 // Relay passes on what other entries told.
 type Relay struct {
--- /dev/null
+++ b/core/wire/tally_test.go
@@ -0,0 +1,65 @@
+package wire
+
+import (
+	"testing"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// olderTally is a Tally of a version that does not tell how fresh its lists are.
+type olderTally struct {
+	_msgpack       struct{} `msgpack:",as_array"`
+	Addr           string
+	Config, Roster int64
+	Used           []Used
+	Held           []Held
+	Entries        []EntryAddr
+	Seq            uint64
+	Whole          bool
+	Lacks          []string
+	Waiting        []Waiting
+}
+
+// Entries of neighbouring versions run side by side while one replaces the other.
+// If they could not read each other's tallies, each would count the other as
+// silent and give out its share of every limit a second time.
+func TestTalliesOfNeighbouringVersionsAreRead(t *testing.T) {
+	waiting := []Waiting{{Pool: "p", Requests: 2}}
+	older, err := msgpack.Marshal(&olderTally{Addr: "a", Config: 3, Seq: 9, Waiting: waiting})
+	if err != nil {
+		t.Fatal(err)
+	}
+	got := new(Tally)
+	if err := msgpack.Unmarshal(older, got); err != nil || got.Seq != 9 || len(got.Waiting) != 1 || got.ReadsOn() {
+		t.Errorf("an older tally is read as %+v, %v", got, err)
+	}
+	own := &Tally{Addr: "a", Config: 3, Seq: 9, Waiting: waiting}
+	own.SetReadsOn()
+	newer, err := own.Encoded()
+	if err != nil {
+		t.Fatal(err)
+	}
+	old := new(olderTally)
+	if err := msgpack.Unmarshal(newer, old); err != nil || old.Config != 3 || old.Seq != 9 || len(old.Waiting) != 1 {
+		t.Errorf("a newer tally is read as %+v, %v", old, err)
+	}
+	if err := msgpack.Unmarshal(newer, got); err != nil || !got.ReadsOn() {
+		t.Errorf("that its sender reads further fields is lost: %+v, %v", got, err)
+	}
+}
+
+// A version after this one tells more, and a tally of this one is told to it.
+func TestTallyWithFurtherFields(t *testing.T) {
+	fresh := []Fresh{{What: SnapshotConfig, AgeMS: 5, Mark: 1 << 31, Clock: 1 << 40}}
+	later, err := msgpack.Marshal([]any{"a", 3, 4, nil, nil, nil, uint64(9), true, nil, nil, fresh, []string{"new"}, 7})
+	if err != nil {
+		t.Fatal(err)
+	}
+	got := new(Tally)
+	if err := msgpack.Unmarshal(later, got); err != nil || got.Seq != 9 || len(got.Fresh) != 1 || got.Fresh[0] != fresh[0] {
+		t.Errorf("a later tally is read as %+v, %v", got, err)
+	}
+	if err := msgpack.Unmarshal([]byte{0x92, 0xa1, 'a', 3}, new(Tally)); err == nil {
+		t.Error("a tally that lacks fields is taken for a whole one")
+	}
+}
--- /dev/null
+++ b/core/wire/tallycode.go
@@ -0,0 +1,66 @@
+package wire
+
+import (
+	"errors"
+	"slices"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+const (
+	// tallyFields is how many fields a tally had when readers wanted exactly these,
+	// freshFields how many it has with Fresh.
+	tallyFields = 10
+	freshFields = tallyFields + 1
+	// readsOn stands among the names in Lacks of whoever reads tallies with further
+	// fields. No entry is named so, and readers that want exactly tallyFields look
+	// for their own name only.
+	readsOn = "+"
+)
+
+var errTallyFields = errors.New("wire: a tally lacks fields: run the same version on both ends")
+
+// ReadsOn reports whether the sender reads tallies with fields after Waiting.
+func (t *Tally) ReadsOn() bool { return slices.Contains(t.Lacks, readsOn) }
+
+// SetReadsOn notes that the sender reads tallies with fields after Waiting.
+func (t *Tally) SetReadsOn() { t.Lacks = append(slices.Clip(t.Lacks), readsOn) }
+
+// EncodeMsgpack leaves Fresh out where it says nothing.
+func (t *Tally) EncodeMsgpack(e *msgpack.Encoder) error {
+	fields := []any{t.Addr, t.Config, t.Roster, t.Used, t.Held, t.Entries, t.Seq, t.Whole, t.Lacks, t.Waiting}
+	if len(t.Fresh) > 0 {
+		fields = append(fields, t.Fresh)
+	}
+	if err := e.EncodeArrayLen(len(fields)); err != nil {
+		return err
+	}
+	return e.EncodeMulti(fields...)
+}
+
+// DecodeMsgpack reads a tally of an older version, without Fresh, and one of a
+// later, with further fields.
+func (t *Tally) DecodeMsgpack(d *msgpack.Decoder) error {
+	n, err := d.DecodeArrayLen()
+	if err != nil {
+		return err
+	}
+	if n < tallyFields {
+		return errTallyFields
+	}
+	if err := d.DecodeMulti(&t.Addr, &t.Config, &t.Roster, &t.Used, &t.Held, &t.Entries, &t.Seq, &t.Whole, &t.Lacks, &t.Waiting); err != nil {
+		return err
+	}
+	if n < freshFields {
+		return nil
+	}
+	if err := d.Decode(&t.Fresh); err != nil {
+		return err
+	}
+	for range n - freshFields {
+		if err := d.Skip(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
