follow, platform: how old what an entry knows is, as a figure

What an entry knows of the configuration and the instance list had no age that anybody could see, so keys that were served too long could not be told from a slow operator. Nothing acts on it yet: as a waiting call is evidence of nothing, the figure grows on today's rules whenever nothing changes.

--- a/core/logs/event.go
+++ b/core/logs/event.go
@@ -36,6 +36,8 @@
 	EventConfigFromPeers  Event = "config_from_peers"
 	EventPlatformAway     Event = "platform_away"
 	EventPlatformBack     Event = "platform_back"
+	EventKnowledgeOld     Event = "knowledge_old"
+	EventKnowledgeFresh   Event = "knowledge_fresh"
 	EventKeyTakenOver     Event = "key_taken_over"
 	EventKeysHanded       Event = "keys_handed_over"
 	EventKeysReloaded     Event = "keys_reloaded"
--- a/entry/follow/follow.go
+++ b/entry/follow/follow.go
@@ -44,6 +44,15 @@
 	Revision int64
 }
 
+// Newest returns the highest revision of changes, zero if there are none.
+func Newest[T any](changes []Change[T]) int64 {
+	newest := int64(0)
+	for _, c := range changes {
+		newest = max(newest, c.Revision)
+	}
+	return newest
+}
+
 // Config is what a Follower depends on.
 type Config[T any] struct {
 	// Name is what is followed, for logs.
@@ -62,9 +71,13 @@
 	// then come together. Fifty endpoints that start or leave at once would
 	// otherwise cost each entry fifty calls.
 	Pause func() time.Duration
-	// Listed takes in a whole list, Changed the changes after it.
-	Listed  func(all []Change[T], revision int64)
-	Changed func(changes []Change[T])
+	// Listed takes in a whole list, Changed the changes after it. Both return the
+	// revision that the list has with them.
+	Listed  func(all []Change[T], revision int64) int64
+	Changed func(changes []Change[T]) int64
+	// Looked notes that a call sent at a time showed that nothing is newer than a
+	// revision; nil if nobody wants to know.
+	Looked func(revision int64, sent time.Time)
 	// Away and Back tell that the platform stopped or began to answer.
 	Away, Back func()
 	// Random returns a number in [0, 1).
@@ -77,6 +90,8 @@
 	cfg Config[T]
 	// failed counts the calls that failed since one went well.
 	failed int
+	// holds is the revision that the list has here.
+	holds int64
 }
 
 // New returns a follower that does nothing until Run.
@@ -110,12 +125,14 @@
 func (f *Follower[T]) list(ctx context.Context) (int64, error) {
 	limited, cancel := context.WithTimeout(ctx, listTime)
 	defer cancel()
+	sent := time.Now()
 	all, revision, err := f.cfg.List(limited)
 	if err != nil {
 		return 0, err
 	}
 	f.good()
-	f.cfg.Listed(all, revision)
+	f.holds = max(f.holds, f.cfg.Listed(all, revision))
+	f.looked(sent)
 	return revision, nil
 }
 
@@ -123,18 +140,26 @@
 	wait := f.cfg.Wait()
 	limited, cancel := context.WithTimeout(ctx, wait+waitExtra)
 	defer cancel()
+	sent := time.Now()
 	changes, revision, err := f.cfg.Watch(limited, since, wait)
 	if err != nil {
 		return since, err
 	}
 	f.good()
 	if len(changes) > 0 {
-		f.cfg.Changed(changes)
+		f.holds = max(f.holds, f.cfg.Changed(changes))
+		f.looked(sent)
 		sleep(ctx, f.cfg.Pause())
 	}
 	return max(revision, since), nil
 }
 
+func (f *Follower[T]) looked(sent time.Time) {
+	if f.cfg.Looked != nil {
+		f.cfg.Looked(f.holds, sent)
+	}
+}
+
 func (f *Follower[T]) good() {
 	if f.failed == 0 {
 		return
--- a/entry/follow/follow_test.go
+++ b/entry/follow/follow_test.go
@@ -69,15 +69,16 @@
 func follow(t *testing.T, s *source) <-chan int64 {
 	t.Helper()
 	learnt := make(chan int64, 100)
-	tell := func(all []Change[int]) {
+	tell := func(all []Change[int]) int64 {
 		for _, c := range all {
 			learnt <- c.Revision
 		}
+		return Newest(all)
 	}
 	f := New(Config[int]{
 		Name: "x", List: s.list, Watch: s.watch, Wait: func() time.Duration { return 50 * time.Millisecond },
 		Pause:  func() time.Duration { return 10 * time.Millisecond },
-		Listed: func(all []Change[int], _ int64) { tell(all) }, Changed: tell, Away: func() {}, Back: func() {},
+		Listed: func(all []Change[int], _ int64) int64 { return tell(all) }, Changed: tell, Away: func() {}, Back: func() {},
 		Random: func() float64 { return 0 }, Log: zap.NewNop(),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -144,8 +145,12 @@
 	learnt := make(chan int64, 100)
 	f := New(Config[int]{
 		Name: "x", List: s.list, Watch: watch, Wait: func() time.Duration { return time.Minute },
-		Pause: func() time.Duration { return 2 * time.Second }, Listed: func([]Change[int], int64) {},
-		Changed: func(all []Change[int]) { learnt <- all[len(all)-1].Revision }, Away: func() {}, Back: func() {},
+		Pause: func() time.Duration { return 2 * time.Second }, Listed: func([]Change[int], int64) int64 { return 0 },
+		Changed: func(all []Change[int]) int64 {
+			learnt <- all[len(all)-1].Revision
+			return Newest(all)
+		},
+		Away: func() {}, Back: func() {},
 		Random: func() float64 { return 0 }, Log: zap.NewNop(),
 	})
 	ended := make(chan error, 1)
@@ -204,7 +209,7 @@
 			}
 			return nil, 7, nil
 		},
-		Listed: func([]Change[int], int64) {}, Log: zap.NewNop(),
+		Listed: func([]Change[int], int64) int64 { return 0 }, Log: zap.NewNop(),
 	})
 	if revision, err := f.list(context.Background()); revision != 7 || err != nil {
 		t.Errorf("revision %d, %v", revision, err)
--- a/entry/mesh/accept.go
+++ b/entry/mesh/accept.go
@@ -170,6 +170,9 @@
 		p.addr = t.Addr
 	}
 	p.config, p.roster = t.Config, t.Roster
+	if t.Whole {
+		p.readsOn = t.ReadsOn()
+	}
 	for _, e := range t.Entries {
 		m.named(e, now)
 	}
--- a/entry/mesh/mesh.go
+++ b/entry/mesh/mesh.go
@@ -44,6 +44,9 @@
 	// Tally returns what has changed since it was last called, or everything.
 	// It is called by one goroutine.
 	Tally func(all bool) *wire.Tally
+	// Fresh returns what the next tally tells of how new the versions in force
+	// are; nil is nothing.
+	Fresh func() []wire.Fresh
 	// Revisions returns the revisions in force, zero where there is none.
 	Revisions func() (config, roster int64)
 	// Snapshot returns the version in force.
@@ -110,6 +113,8 @@
 	heard, direct, broke, named time.Time
 	// links counts those that it has to this entry.
 	links int
+	// readsOn is set if it reads tallies with fields that older versions lack.
+	readsOn bool
 	// reached is set while it counts as heard, and gap while it told something
 	// that has not arrived.
 	reached, gap bool
@@ -229,6 +234,19 @@
 	return heard, known
 }
 
+// Names returns the entries that are heard, without this one.
+func (m *Mesh) Names() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []string
+	for name, p := range m.peers {
+		if p.reached {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
 // Led reports whether a hub tells this entry what the others do.
 func (m *Mesh) Led() bool {
 	m.mu.Lock()
--- a/entry/mesh/pass.go
+++ b/entry/mesh/pass.go
@@ -103,6 +103,9 @@
 		m.mu.Lock()
 		p := m.peer(o.name)
 		t.Addr, t.Config, t.Roster, t.Seq, t.Whole = p.addr, p.config, p.roster, p.seq, true
+		if p.readsOn {
+			t.SetReadsOn()
+		}
 		m.mu.Unlock()
 		if body := m.encoded(t); body != nil {
 			out.Tallies = append(out.Tallies, o.relayed(body))
--- a/entry/mesh/tell.go
+++ b/entry/mesh/tell.go
@@ -47,7 +47,10 @@
 		m.expire()
 		m.adjust(ctx)
 		m.greet()
-		if t := m.cfg.Tally(false); t.News() || time.Since(last) >= m.aliveNow() {
+		told := m.fresh()
+		t := m.cfg.Tally(false)
+		t.Fresh = told
+		if t.News() || time.Since(last) >= m.aliveNow() {
 			last = time.Now()
 			m.send(t)
 		}
@@ -56,6 +59,23 @@
 	}
 }
 
+// fresh returns what the next tally tells of how new the versions are: nothing
+// while an entry is heard that could not read it.
+func (m *Mesh) fresh() []wire.Fresh {
+	if m.cfg.Fresh == nil {
+		return nil
+	}
+	m.mu.Lock()
+	for _, p := range m.peers {
+		if p.reached && !p.readsOn {
+			m.mu.Unlock()
+			return nil
+		}
+	}
+	m.mu.Unlock()
+	return m.cfg.Fresh()
+}
+
 // pause is the time between two tallies. It grows with the links, so that what
 // an entry spends on telling and hearing does not: at 27 links a tally each 25 ms
 // would be 1,080 messages a second in each direction.
@@ -119,6 +139,7 @@
 	m.mu.Lock()
 	t.Seq, t.Lacks = m.seq, m.lacks()
 	m.mu.Unlock()
+	t.SetReadsOn()
 	m.sendWhole(again, t, now)
 	// Whoever has just been reached may know nobody else.
 	known := *t
