follow, mesh, core/fresh: an entry looks for all each fifth of the bound, beside the calls that wait

What callers saw: keys that were taken away opened the door for seconds after the operator's acknowledgement, at all entries. Cause: an entry learnt of changes by calls that wait, and such a call is evidence of nothing while it waits; the store may have forgotten it. The only bound on the age of what an entry knew was the call's length (0.3 s for each entry, 8 s at most), and after an outage that ended for all at once all entries waited in step, so none learnt for the others.

Why this holds: evidence is only what was answered at once. Entries share theirs with its age, and when the latest is a fifth of the bound old, one looks, in an order that all derive alike from it; each next one a tenth later, the fourth and all others within a further tenth. So no entry that reaches the store is older than 0.6 of the bound and a call's time, whoever is dead, cut off or slow, and whatever waits in step. An empty answer after a wait moves nothing, not even the revision to go on from. A look without an answer is repeated beside the first; after a failure the next call is a look. Waits are 10 to 20 s, spread.

TestWait is replaced: it wanted waits that grow with the fleet and end with its bound, which looks now give; TestRanksLookInTurn (core/fresh) bounds the age and TestWaitsSpread the waits.

--- a/entry/follow/follow.go
+++ b/entry/follow/follow.go
@@ -1,6 +1,11 @@
 // Package follow keeps a copy of what the platform lists: it reads a list once
 // and then waits for changes, through outages, lost history and connections
 // that go silent.
+//
+// A call that waits for changes brings news within milliseconds, and is evidence
+// of nothing while it waits: the platform may have forgotten it. So an entry now
+// and then looks beside it, with a call that is answered at once, and the entries
+// share what these show.
 package follow
 
 import (
@@ -63,10 +68,13 @@
 	// Watch returns the changes since a revision, waiting for the first one up
 	// to wait, and the revision to go on from.
 	Watch func(ctx context.Context, since int64, wait time.Duration) ([]Change[T], int64, error)
-	// Wait returns how long the next call waits for a change. A waiting call may
-	// have been forgotten by the platform without a word; what it should have
-	// told is learnt no sooner than by the next one.
+	// Wait returns how long the next call waits for a change.
 	Wait func() time.Duration
+	// Due returns in how long to look beside the waiting call; nil is never.
+	Due func() time.Duration
+	// Again is how long a look may go without an answer before another one is
+	// sent beside it.
+	Again time.Duration
 	// Pause returns how long to wait after changes before asking for more, which
 	// then come together. Fifty endpoints that start or leave at once would
 	// otherwise cost each entry fifty calls.
@@ -88,70 +96,49 @@
 // Follower follows one list.
 type Follower[T any] struct {
 	cfg Config[T]
-	// failed counts the calls that failed since one went well.
-	failed int
+	// failed counts the calls that failed since one went well, which was sent at
+	// well. After a failure nothing is asked before retry.
+	failed      int
+	well, retry time.Time
 	// holds is the revision that the list has here.
 	holds int64
+	// since is the revision from which on changes are asked for, and at a later
+	// one up to which a look has shown that there are none.
+	since, at int64
+	calls[T]
 }
 
 // New returns a follower that does nothing until Run.
-func New[T any](cfg Config[T]) *Follower[T] { return &Follower[T]{cfg: cfg} }
+func New[T any](cfg Config[T]) *Follower[T] {
+	return &Follower[T]{cfg: cfg, calls: calls[T]{answers: make(chan answer[T])}}
+}
 
 // Run follows the list until ctx ends.
 func (f *Follower[T]) Run(ctx context.Context) error {
-	since, known := int64(0), false
 	for ctx.Err() == nil {
-		var err error
-		if !known {
-			since, err = f.list(ctx)
-			known = err == nil
-		} else {
-			since, err = f.watch(ctx, since)
-		}
-		if err == nil {
-			f.good()
-			continue
-		}
-		if errors.Is(err, ErrHistory) {
-			known = false
-			f.good()
+		if err := f.list(ctx); err != nil {
+			f.bad(ctx, err)
+			sleep(ctx, time.Until(f.retry))
 			continue
 		}
-		f.bad(ctx, err)
+		f.attend(ctx)
 	}
 	return ctx.Err()
 }
 
-func (f *Follower[T]) list(ctx context.Context) (int64, error) {
+func (f *Follower[T]) list(ctx context.Context) error {
 	limited, cancel := context.WithTimeout(ctx, listTime)
 	defer cancel()
 	sent := time.Now()
 	all, revision, err := f.cfg.List(limited)
 	if err != nil {
-		return 0, err
+		return err
 	}
-	f.good()
+	f.good(sent)
+	f.since, f.at = revision, revision
 	f.holds = max(f.holds, f.cfg.Listed(all, revision))
 	f.looked(sent)
-	return revision, nil
-}
-
-func (f *Follower[T]) watch(ctx context.Context, since int64) (int64, error) {
-	wait := f.cfg.Wait()
-	limited, cancel := context.WithTimeout(ctx, wait+waitExtra)
-	defer cancel()
-	sent := time.Now()
-	changes, revision, err := f.cfg.Watch(limited, since, wait)
-	if err != nil {
-		return since, err
-	}
-	f.good()
-	if len(changes) > 0 {
-		f.holds = max(f.holds, f.cfg.Changed(changes))
-		f.looked(sent)
-		sleep(ctx, f.cfg.Pause())
-	}
-	return max(revision, since), nil
+	return nil
 }
 
 func (f *Follower[T]) looked(sent time.Time) {
@@ -160,7 +147,11 @@
 	}
 }
 
-func (f *Follower[T]) good() {
+// good notes that a call that was sent at a time went well.
+func (f *Follower[T]) good(sent time.Time) {
+	if sent.After(f.well) {
+		f.well = sent
+	}
 	if f.failed == 0 {
 		return
 	}
@@ -169,6 +160,7 @@
 	f.cfg.Back()
 }
 
+// bad notes that a call failed.
 func (f *Follower[T]) bad(ctx context.Context, err error) {
 	if ctx.Err() != nil {
 		return
@@ -179,7 +171,7 @@
 	}
 	f.failed++
 	pause := min(firstPause<<min(f.failed-1, 8), longestPause)
-	sleep(ctx, time.Duration((0.5+f.cfg.Random()/2)*float64(pause)))
+	f.retry = time.Now().Add(time.Duration((0.5 + f.cfg.Random()/2) * float64(pause)))
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/entry/follow/known.go
+++ b/entry/follow/known.go
@@ -26,10 +26,10 @@
 	Revisions func() (config, roster int64)
 	// Heard returns the names of the entries that are heard.
 	Heard func() []string
-	// Hurry has the next tally sent at once, and others' passed on.
-	Hurry   func()
-	Metrics *meter.Set
-	Log     *zap.Logger
+	// Hurry has the next tally sent at once, HurryOn what others told passed on.
+	Hurry, HurryOn func()
+	Metrics        *meter.Set
+	Log            *zap.Logger
 }
 
 // Known is what an entry knows about how new its configuration and its instance
@@ -138,7 +138,7 @@
 	}
 	k.mu.Unlock()
 	if gained >= k.cfg.Rule.Step() {
-		k.cfg.Hurry()
+		k.cfg.HurryOn()
 	}
 }
 
@@ -190,12 +190,12 @@
 
 // Due returns in how long this entry has to look again.
 func (k *Known) Due(what uint8) time.Duration {
-	inForce, heard := k.revision(what), k.cfg.Heard()
+	inForce := k.revision(what)
 	k.mu.Lock()
-	defer k.mu.Unlock()
 	l := k.lists[what]
 	k.update(l, inForce)
 	c, ok := l.book.Known(inForce)
+	k.mu.Unlock()
 	if !ok {
 		return 0
 	}
@@ -203,6 +203,7 @@
 	if first := k.cfg.Rule.First(); age < first {
 		return first - age
 	}
+	heard := k.cfg.Heard()
 	return k.cfg.Rule.Due(fresh.Rank(k.cfg.Self, heard, c.Mark), len(heard)+1) - age
 }
 
--- a/entry/follow/wait.go
+++ b/entry/follow/wait.go
@@ -3,15 +3,14 @@
 import "time"
 
 const (
-	// fleetLook is the time between two calls for changes over all entries. Any
-	// of them tells the others, so the rate of calls does not grow with the
-	// fleet, and news is this old at most while the entries reach each other.
-	fleetLook = 300 * time.Millisecond
-	// ownShare is the part of the bound on changes that one entry by itself may
-	// wait: the call's way and a connection to make anew take the rest.
-	ownShare = 0.6
-	// longestWait is the longest that a call waits.
-	longestWait = 8 * time.Second
+	// longestWait is the longest that a call waits: as it is evidence of nothing, a
+	// shorter one would only cost calls, and the platform ends calls that wait for
+	// longer than half a minute.
+	longestWait = 20 * time.Second
+	// entriesWait is the same for the list of entries: nothing but that list tells
+	// of an entry that none of the others has met, and nothing is decided by it
+	// that must hold at once.
+	entriesWait = 10 * time.Second
 	// pauseEach and longestGather are the pause after changes for each entry
 	// heard, and the longest: a tenth of the usual bound on changes.
 	pauseEach     = 10 * time.Millisecond
@@ -20,16 +19,20 @@
 	// gathers: as much as its next call's way may take is left.
 	ledShare = 0.4
 	// jitter is the part of a wait that is random, so that the calls of entries
-	// that started together spread out.
-	jitter = 0.3
+	// that all began after the same change or outage spread out.
+	jitter = 0.5
 )
 
-// Wait returns how long a call for changes waits when heard entries are heard,
-// this one included, and changes must be in force within bound. rnd is a random
-// number in [0, 1).
-func Wait(heard int, bound time.Duration, rnd float64) time.Duration {
-	wait := max(time.Duration(heard)*fleetLook, time.Duration(ownShare*float64(bound)))
-	return time.Duration(float64(min(wait, longestWait)) * (1 - jitter*rnd))
+// Wait returns how long a call for changes waits; rnd is a random number in
+// [0, 1).
+func Wait(rnd float64) time.Duration { return spread(longestWait, rnd) }
+
+// WaitEntries is Wait for the list of entries.
+func WaitEntries(rnd float64) time.Duration { return spread(entriesWait, rnd) }
+
+// spread returns a wait of up to longest.
+func spread(longest time.Duration, rnd float64) time.Duration {
+	return time.Duration(float64(longest) * (1 - jitter*rnd))
 }
 
 // Pause returns how long an entry that hears heard others, itself included,
--- a/entry/mesh/mesh.go
+++ b/entry/mesh/mesh.go
@@ -91,6 +91,9 @@
 	known int
 	// seq is that of the last tally of this entry; the first has two.
 	seq uint64
+	// hurry has a value while the next tally is to be sent at once, and hurryOn
+	// while what others told is to be passed on at once.
+	hurry, hurryOn chan struct{}
 	// versions holds those that were encoded last. The goroutine that tells owns
 	// it.
 	versions map[uint8]*wire.Snapshot
@@ -130,7 +133,7 @@
 func New(cfg Config) *Mesh {
 	return &Mesh{
 		cfg: cfg, start: time.Now(), peers: make(map[string]*peer), dials: make(map[string]*dial),
-		seq: 1, versions: make(map[uint8]*wire.Snapshot), ended: make(chan struct{}, 1),
+		seq: 1, versions: make(map[uint8]*wire.Snapshot), ended: make(chan struct{}, 1), hurry: make(chan struct{}, 1), hurryOn: make(chan struct{}, 1),
 	}
 }
 
@@ -247,6 +250,19 @@
 	return out
 }
 
+// Hurry has the next tally sent at once.
+func (m *Mesh) Hurry() { once(m.hurry) }
+
+// HurryOn has what others told passed on at once, if this entry is a hub.
+func (m *Mesh) HurryOn() { once(m.hurryOn) }
+
+func once(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
 // Led reports whether a hub tells this entry what the others do.
 func (m *Mesh) Led() bool {
 	m.mu.Lock()
--- a/entry/mesh/tell.go
+++ b/entry/mesh/tell.go
@@ -39,10 +39,8 @@
 func (m *Mesh) tell(ctx context.Context) {
 	last := time.Now()
 	for {
-		select {
-		case <-ctx.Done():
+		if !m.await(ctx) {
 			return
-		case <-time.After(m.pause()):
 		}
 		m.expire()
 		m.adjust(ctx)
@@ -59,6 +57,38 @@
 	}
 }
 
+// await waits until the next tally is due, passing on what cannot wait, and
+// reports false when ctx ends. Also in a hurry it leaves tellEvery between two.
+func (m *Mesh) await(ctx context.Context) bool {
+	began, due := time.Now(), time.After(m.pause())
+	for {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-due:
+			return true
+		case <-m.hurry:
+			return rest(ctx, began)
+		case <-m.hurryOn:
+			if !rest(ctx, began) {
+				return false
+			}
+			m.pass()
+			began = time.Now()
+		}
+	}
+}
+
+// rest waits until tellEvery has passed and reports false when ctx ends.
+func rest(ctx context.Context, since time.Time) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(time.Until(since.Add(tellEvery))):
+		return true
+	}
+}
+
 // fresh returns what the next tally tells of how new the versions are: nothing
 // while an entry is heard that could not read it.
 func (m *Mesh) fresh() []wire.Fresh {
