--- a/entry/follow/calls.go
+++ b/entry/follow/calls.go
@@ -88,7 +88,7 @@
 // last call failed. Then it tells sooner than a waiting call that the platform is
 // back, and that is evidence.
 func (f *Follower[T]) lookDue(now time.Time) bool {
-	if f.looks >= maxLooks || f.looks > 0 && now.Sub(f.look) < max(f.cfg.Again, pollLook) {
+	if f.looks >= maxLooks || f.looks > 0 && (f.cfg.Again == nil || now.Sub(f.look) < f.cfg.Again(f.failed > 0)) {
 		return false
 	}
 	if f.failed > 0 {
--- a/entry/follow/follow.go
+++ b/entry/follow/follow.go
@@ -72,9 +72,9 @@
 	Wait func() time.Duration
 	// Due returns in how long to look beside the waiting call; nil is never.
 	Due func() time.Duration
-	// Again is how long a look may go without an answer before another one is
-	// sent beside it.
-	Again time.Duration
+	// Again returns how long a look may go without an answer before another one is
+	// sent beside it; failing tells that the last call failed. Nil is never.
+	Again func(failing bool) time.Duration
 	// Pause returns how long to wait after changes before asking for more, which
 	// then come together. Fifty endpoints that start or leave at once would
 	// otherwise cost each entry fifty calls.
--- a/entry/follow/follow_test.go
+++ b/entry/follow/follow_test.go
@@ -180,6 +180,18 @@
 	}
 }
 
+// The platform is silent. Thirty entries that each had three calls waiting for an
+// answer would pay for them, and one that is answered is enough.
+func TestSilentPlatformIsNotAskedByAllAgainAndAgain(t *testing.T) {
+	bound := 3 * time.Second
+	if one, many := Again(true, 1, bound), Again(true, 30, bound); one > bound/4 || many < CallTime {
+		t.Errorf("an entry alone asks again after %v, one of thirty after %v", one, many)
+	}
+	if again := Again(false, 30, bound); again > bound/4 {
+		t.Errorf("a lost answer is waited for %v", again)
+	}
+}
+
 // Fifty endpoints start over four seconds. An entry that a hub tells of them need
 // not ask the platform each time, but must be in time by itself if no hub does.
 func TestPause(t *testing.T) {
--- a/entry/follow/look_test.go
+++ b/entry/follow/look_test.go
@@ -27,7 +27,7 @@
 	f := New(Config[int]{
 		Name: "x", List: s.list, Watch: watch, Wait: func() time.Duration { return time.Minute },
 		Due:   func() time.Duration { return 30*time.Millisecond - time.Since(time.Unix(0, last.Load())) },
-		Again: 60 * time.Millisecond, Pause: func() time.Duration { return 0 },
+		Again: func(bool) time.Duration { return 60 * time.Millisecond }, Pause: func() time.Duration { return 0 },
 		Listed: func(all []Change[int], _ int64) int64 { return tell(all) }, Changed: tell, Away: func() {}, Back: func() {},
 		Looked: func(revision int64, sent time.Time) {
 			holds.Store(revision)
--- a/entry/follow/wait.go
+++ b/entry/follow/wait.go
@@ -11,6 +11,11 @@
 	// of an entry that none of the others has met, and nothing is decided by it
 	// that must hold at once.
 	entriesWait = 10 * time.Second
+	// againShare is the part of the bound on changes after which a look without an
+	// answer is repeated beside the first. While calls fail it is againEach for each
+	// entry heard at least: all of them ask, and the first that is answered tells.
+	againShare = 0.2
+	againEach  = 100 * time.Millisecond
 	// pauseEach and longestGather are the pause after changes for each entry
 	// heard, and the longest: a tenth of the usual bound on changes.
 	pauseEach     = 10 * time.Millisecond
@@ -30,6 +35,17 @@
 // WaitEntries is Wait for the list of entries.
 func WaitEntries(rnd float64) time.Duration { return spread(entriesWait, rnd) }
 
+// Again returns how long a look may go without an answer before another one is
+// sent beside it, when heard entries are heard, this one included, and changes must
+// be in force within bound.
+func Again(failing bool, heard int, bound time.Duration) time.Duration {
+	again := time.Duration(againShare * float64(bound))
+	if failing {
+		again = max(again, time.Duration(heard)*againEach)
+	}
+	return again
+}
+
 // spread returns a wait of up to longest.
 func spread(longest time.Duration, rnd float64) time.Duration {
 	return time.Duration(float64(longest) * (1 - jitter*rnd))
