follow: a look without an answer is followed by a reading of the list; lost history is read as differences

What callers saw: keys that were taken away were served while the store held back calls for changes. Why this holds: a reading needs no history, and beside a look that has gone without an answer for a fifth of the bound the whole list is read. The differences to what is held are taken in as changes, so a reading that shows nothing new is evidence and moves no revision; a lost history is mended the same way, with readings repeated beside each other if answers are lost, where one that was lost cost two seconds before.

Own evidence that shows little more than what is known is no longer told at once.

--- a/entry/follow/calls.go
+++ b/entry/follow/calls.go
@@ -25,6 +25,9 @@
 	flying, looks int
 	// look is when the last look was sent.
 	look time.Time
+	// lost is set while the platform no longer has the changes since f.since, so
+	// that the whole list has to be read.
+	lost bool
 	// giveUp ends the waiting call; nil if there is none. next is when the next one
 	// is sent, and serial counts them.
 	giveUp context.CancelFunc
@@ -34,8 +37,10 @@
 
 // answer is that to one call.
 type answer[T any] struct {
-	// serial is that of a waiting call, zero for a look.
+	// serial is that of a waiting call, zero for a look. If whole is set, that was a
+	// reading of the whole list, and changes holds all items.
 	serial   int
+	whole    bool
 	since    int64
 	sent     time.Time
 	changes  []Change[T]
@@ -43,7 +48,7 @@
 	err      error
 }
 
-// attend waits for changes and looks until the whole list has to be read again.
+// attend waits for changes and looks until ctx ends.
 func (f *Follower[T]) attend(ctx context.Context) {
 	ctx, stop := context.WithCancel(ctx)
 	defer f.drain()
@@ -54,9 +59,7 @@
 		select {
 		case <-ctx.Done():
 		case a := <-f.answers:
-			if !f.take(ctx, a) {
-				return
-			}
+			f.take(ctx, a)
 		case <-time.After(f.idle()):
 		}
 	}
@@ -74,19 +77,26 @@
 // send sends the calls that are due.
 func (f *Follower[T]) send(ctx context.Context) {
 	now := time.Now()
-	if f.failed == 0 && f.giveUp == nil && !now.Before(f.next) {
+	if f.failed == 0 && !f.lost && f.giveUp == nil && !now.Before(f.next) {
 		f.wait(ctx)
 	}
-	if f.lookDue(now) {
-		f.look = now
-		f.looks++
-		f.call(ctx, 0, lookWait, CallTime)
+	if !f.lookDue(now) {
+		return
+	}
+	whole := f.lost || f.looks > 0
+	f.look = now
+	f.looks++
+	if whole {
+		f.call(ctx, answer[T]{whole: true}, 0, listTime)
+	} else {
+		f.call(ctx, answer[T]{}, lookWait, CallTime)
 	}
 }
 
 // lookDue reports whether to look: because it is this entry's turn, or because the
 // last call failed. Then it tells sooner than a waiting call that the platform is
-// back, and that is evidence.
+// back, and that is evidence. A look beside one that has no answer reads the whole
+// list: the platform may hold back all calls for changes, short ones too.
 func (f *Follower[T]) lookDue(now time.Time) bool {
 	if f.looks >= maxLooks || f.looks > 0 && (f.cfg.Again == nil || now.Sub(f.look) < f.cfg.Again(f.failed > 0)) {
 		return false
@@ -94,7 +104,7 @@
 	if f.failed > 0 {
 		return !now.Before(f.retry)
 	}
-	return f.cfg.Due != nil && f.cfg.Due() <= 0
+	return f.lost || f.cfg.Due != nil && f.cfg.Due() <= 0
 }
 
 // wait sends a waiting call.
@@ -103,7 +113,7 @@
 	wait := f.cfg.Wait()
 	f.serial++
 	ctx, f.giveUp = context.WithCancel(ctx)
-	f.call(ctx, f.serial, wait, wait+waitExtra)
+	f.call(ctx, answer[T]{serial: f.serial}, wait, wait+waitExtra)
 }
 
 // restart gives up the waiting call and sends the next one after a pause.
@@ -115,13 +125,18 @@
 	f.next = time.Now().Add(pause)
 }
 
-func (f *Follower[T]) call(ctx context.Context, serial int, wait, limit time.Duration) {
-	a := answer[T]{serial: serial, since: f.since, sent: time.Now()}
+// call sends the call that a tells of.
+func (f *Follower[T]) call(ctx context.Context, a answer[T], wait, limit time.Duration) {
+	a.since, a.sent = f.since, time.Now()
 	f.flying++
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, limit)
 		defer cancel()
-		a.changes, a.revision, a.err = f.cfg.Watch(ctx, a.since, wait)
+		if a.whole {
+			a.changes, a.revision, a.err = f.cfg.List(ctx)
+		} else {
+			a.changes, a.revision, a.err = f.cfg.Watch(ctx, a.since, wait)
+		}
 		f.answers <- a
 	}()
 }
@@ -137,26 +152,20 @@
 	return max(time.Until(f.next), pollLook)
 }
 
-// take takes in an answer. It reports false if the whole list must be read.
-func (f *Follower[T]) take(ctx context.Context, a answer[T]) bool {
+// take takes in an answer.
+func (f *Follower[T]) take(ctx context.Context, a answer[T]) {
 	f.flying--
 	waited := a.serial > 0
 	if !waited {
 		f.looks--
 	} else if a.serial != f.serial || f.giveUp == nil {
-		return true
+		return
 	} else {
 		f.restart(0)
 	}
-	switch {
-	case errors.Is(a.err, ErrHistory):
-		f.good(a.sent)
-		return a.since != f.since
-	case a.err != nil:
-		if !a.sent.Before(f.well) {
-			f.bad(ctx, a.err)
-		}
-		return true
+	if a.err != nil {
+		f.failure(ctx, a)
+		return
 	}
 	if f.failed > 0 {
 		// What waited through an outage may be forgotten.
@@ -165,10 +174,27 @@
 	f.good(a.sent)
 	if a.since != f.since {
 		// Another answer has told more.
-		return true
+		return
+	}
+	if a.whole {
+		f.lost = false
+		a.changes = f.differences(a.changes, a.revision)
 	}
 	f.news(a, waited)
-	return true
+}
+
+// failure takes in that a call failed.
+func (f *Follower[T]) failure(ctx context.Context, a answer[T]) {
+	switch {
+	case errors.Is(a.err, ErrHistory):
+		f.good(a.sent)
+		if a.since == f.since {
+			f.lost = true
+			f.restart(0)
+		}
+	case !a.sent.Before(f.well):
+		f.bad(ctx, a.err)
+	}
 }
 
 // news takes in the changes of an answer. Without any, a look is evidence, and a
@@ -177,6 +203,7 @@
 	switch {
 	case len(a.changes) > 0:
 		f.since = max(f.since, a.revision)
+		f.keep(a.changes)
 		f.holds = max(f.holds, f.cfg.Changed(a.changes))
 		f.looked(a.sent)
 		f.restart(f.cfg.Pause())
--- a/entry/follow/follow.go
+++ b/entry/follow/follow.go
@@ -100,8 +100,9 @@
 	// well. After a failure nothing is asked before retry.
 	failed      int
 	well, retry time.Time
-	// holds is the revision that the list has here.
+	// holds is the revision that the list has here, items that of each item.
 	holds int64
+	items map[string]int64
 	// since is the revision from which on changes are asked for, and at a later
 	// one up to which a look has shown that there are none.
 	since, at int64
@@ -110,18 +111,19 @@
 
 // New returns a follower that does nothing until Run.
 func New[T any](cfg Config[T]) *Follower[T] {
-	return &Follower[T]{cfg: cfg, calls: calls[T]{answers: make(chan answer[T])}}
+	return &Follower[T]{cfg: cfg, items: make(map[string]int64), calls: calls[T]{answers: make(chan answer[T])}}
 }
 
 // Run follows the list until ctx ends.
 func (f *Follower[T]) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		if err := f.list(ctx); err != nil {
-			f.bad(ctx, err)
-			sleep(ctx, time.Until(f.retry))
-			continue
+		err := f.list(ctx)
+		if err == nil {
+			f.attend(ctx)
+			break
 		}
-		f.attend(ctx)
+		f.bad(ctx, err)
+		sleep(ctx, time.Until(f.retry))
 	}
 	return ctx.Err()
 }
@@ -136,11 +138,42 @@
 	}
 	f.good(sent)
 	f.since, f.at = revision, revision
+	f.keep(all)
 	f.holds = max(f.holds, f.cfg.Listed(all, revision))
 	f.looked(sent)
 	return nil
 }
 
+// keep notes the revisions of items that are taken in.
+func (f *Follower[T]) keep(changes []Change[T]) {
+	for _, c := range changes {
+		if c.Removed {
+			delete(f.items, c.Name)
+		} else {
+			f.items[c.Name] = c.Revision
+		}
+	}
+}
+
+// differences returns the changes that make what is held here a whole list that
+// was read at a revision.
+func (f *Follower[T]) differences(all []Change[T], revision int64) []Change[T] {
+	var out []Change[T]
+	listed := make(map[string]bool, len(all))
+	for _, c := range all {
+		listed[c.Name] = true
+		if held, ok := f.items[c.Name]; ok == c.Removed || ok && held != c.Revision {
+			out = append(out, c)
+		}
+	}
+	for name := range f.items {
+		if !listed[name] {
+			out = append(out, Change[T]{Name: name, Removed: true, Revision: revision})
+		}
+	}
+	return out
+}
+
 func (f *Follower[T]) looked(sent time.Time) {
 	if f.cfg.Looked != nil {
 		f.cfg.Looked(f.holds, sent)
--- a/entry/follow/known.go
+++ b/entry/follow/known.go
@@ -52,8 +52,8 @@
 type known struct {
 	name string
 	book fresh.Book
-	// own is the mark of the last look of this entry, told that of the claim that
-	// the others were last told, at the time toldAt.
+	// own is the mark of the last look of this entry that showed much more than was
+	// known, told that of the claim that the others were last told, at the time toldAt.
 	own, told uint32
 	toldAt    time.Duration
 	// at is the time as of which the list was last found to be the newest; valid
@@ -99,11 +99,15 @@
 	k.mu.Lock()
 	k.looks++
 	l := k.lists[what]
-	l.own = fresh.Mark(k.cfg.Self, k.looks)
-	l.book.Looked(fresh.Claim{Revision: revision, At: sent.Sub(k.start), Mark: l.own})
+	mark := fresh.Mark(k.cfg.Self, k.looks)
+	l.book.Looked(fresh.Claim{Revision: revision, At: sent.Sub(k.start), Mark: mark})
 	gained := k.update(l, inForce)
+	worth := gained >= k.cfg.Rule.Step()
+	if worth {
+		l.own = mark
+	}
 	k.mu.Unlock()
-	if gained > 0 {
+	if worth {
 		k.cfg.Hurry()
 	}
 }
--- a/entry/follow/look_test.go
+++ b/entry/follow/look_test.go
@@ -178,3 +178,43 @@
 	}
 	await(t, learnt, 2)
 }
+
+// The platform holds back all calls for changes for a second, short ones too, and
+// still takes writes and answers readings. Looks without an answer must not be all
+// that is tried.
+func TestLookWithoutAnAnswerIsFollowedByAReading(t *testing.T) {
+	s := &source{revision: 1}
+	learnt, _, evidence := looker(t, func(ctx context.Context, _ int64, _ time.Duration) ([]Change[int], int64, error) {
+		<-ctx.Done()
+		return nil, 0, ctx.Err()
+	}, s)
+	await(t, learnt, 1)
+	<-evidence
+	began := time.Now()
+	<-evidence // nothing has changed
+	s.set(func() { s.revision = 2 })
+	await(t, learnt, 2)
+	if took := time.Since(began); took > CallTime/2 {
+		t.Errorf("learnt after %v", took)
+	}
+	for len(learnt) > 0 {
+		t.Errorf("revision %d is told twice", <-learnt)
+	}
+}
+
+// The history is lost, and the list is read whole. What has not changed must not
+// pass for a change, and what is gone must be gone.
+func TestReadingTellsDifferencesOnly(t *testing.T) {
+	f := New(Config[int]{})
+	f.keep([]Change[int]{{Name: "a", Revision: 1}, {Name: "b", Revision: 2}, {Name: "c", Revision: 3}})
+	got := f.differences([]Change[int]{{Name: "a", Revision: 1}, {Name: "b", Revision: 7}, {Name: "d", Revision: 8}, {Name: "unreadable", Removed: true, Revision: 6}}, 9)
+	want := map[string]Change[int]{"b": {Name: "b", Revision: 7}, "d": {Name: "d", Revision: 8}, "c": {Name: "c", Removed: true, Revision: 9}}
+	if len(got) != len(want) {
+		t.Errorf("%+v", got)
+	}
+	for _, c := range got {
+		if want[c.Name] != c {
+			t.Errorf("%+v, want %+v", c, want[c.Name])
+		}
+	}
+}
