--- a/entry/follow/calls.go
+++ b/entry/follow/calls.go
@@ -12,13 +12,10 @@
 	// maxLooks bounds the looks without an answer: with the next one the first of
 	// them is about to be given up.
 	maxLooks = 3
-	// pollLook is how often it is checked whether a look that is due may be sent
-	// while others have no answer.
+	// pollLook is how often it is checked whether a look is due, as evidence of a
+	// peer may make it due sooner or later: a fraction of the time in which one
+	// look follows the other.
 	pollLook = 50 * time.Millisecond
-	// shortestIdle and longestIdle bound the time between two checks of whether
-	// anything is to be sent.
-	shortestIdle = 10 * time.Millisecond
-	longestIdle  = time.Second
 )
 
 // calls are those that have been sent and have no answer.
@@ -26,10 +23,8 @@
 	answers chan answer[T]
 	// flying counts all of them, given up or not, looks the looks.
 	flying, looks int
-	// look is when the last look was sent, due in how long the next one is, or is to
-	// be asked for again.
+	// look is when the last look was sent.
 	look time.Time
-	due  time.Duration
 	// lost is set while the platform no longer has the changes since f.since, so
 	// that the whole list has to be read.
 	lost bool
@@ -109,10 +104,7 @@
 	if f.failed > 0 {
 		return !now.Before(f.retry)
 	}
-	if f.cfg.Due != nil {
-		f.due = f.cfg.Due()
-	}
-	return f.lost || f.cfg.Due != nil && f.due <= 0
+	return f.lost || f.cfg.Due != nil && f.cfg.Due() <= 0
 }
 
 // wait sends a waiting call.
@@ -151,19 +143,13 @@
 
 // idle is how long nothing needs to be sent unless an answer comes.
 func (f *Follower[T]) idle() time.Duration {
-	now, idle := time.Now(), longestIdle
-	switch {
-	case f.looks > 0:
-		idle = pollLook
-	case f.failed > 0:
-		idle = f.retry.Sub(now)
-	case f.cfg.Due != nil:
-		idle = f.due
+	if f.cfg.Due != nil {
+		return pollLook
 	}
-	if f.failed == 0 && f.giveUp == nil {
-		idle = min(idle, f.next.Sub(now))
+	if f.failed > 0 {
+		return max(time.Until(f.retry), time.Millisecond)
 	}
-	return max(idle, shortestIdle)
+	return max(time.Until(f.next), pollLook)
 }
 
 // take takes in an answer.
--- a/entry/follow/follow.go
+++ b/entry/follow/follow.go
@@ -70,8 +70,7 @@
 	Watch func(ctx context.Context, since int64, wait time.Duration) ([]Change[T], int64, error)
 	// Wait returns how long the next call waits for a change.
 	Wait func() time.Duration
-	// Due returns in how long to look beside the waiting call, or to ask again when
-	// that is; nil is never.
+	// Due returns in how long to look beside the waiting call; nil is never.
 	Due func() time.Duration
 	// Again returns how long a look may go without an answer before another one is
 	// sent beside it; failing tells that the last call failed. Nil is never.
