follow: a look is a reading of the list, one at a time, given up after 0.3 of the bound

Entries were older than the bound in the model of how knowledge spreads: after a silence of the store, and while it holds back calls for changes and cuts them. A look that hung kept the next one back for up to 2 s, in step at all entries; while calls failed the reading beside it came only after 0.1 s for each entry heard, by when the look had been cut and the next was a call for changes again.

A look is now always a reading of the whole list, taken in as differences: the store does not hold readings back. One is on its way at a time and is given up after 0.3 of the bound, or 300 ms for each page of 500 items if that is more; then the usual pause. A reading that is not older than what is held counts also when a waiting call has ended meanwhile.

--- a/entry/follow/calls.go
+++ b/entry/follow/calls.go
@@ -6,27 +6,24 @@
 	"time"
 )
 
+// shortestIdle and longestIdle bound the time between two checks of whether
+// anything is to be sent.
 const (
-	// lookWait is the wait of a look: the shortest, so that it is answered at once.
-	lookWait = time.Millisecond
-	// maxLooks bounds the looks without an answer: with the next one the first of
-	// them is about to be given up.
-	maxLooks = 3
-	// pollLook is how often it is checked whether a look is due, as evidence of a
-	// peer may make it due sooner or later: a fraction of the time in which one
-	// look follows the other.
-	pollLook = 50 * time.Millisecond
+	shortestIdle = 10 * time.Millisecond
+	longestIdle  = time.Second
 )
 
 // calls are those that have been sent and have no answer.
 type calls[T any] struct {
 	answers chan answer[T]
-	// flying counts all of them, given up or not, looks the looks.
-	flying, looks int
-	// look is when the last look was sent.
-	look time.Time
+	// flying counts all of them, given up or not; looking is set while one of them is
+	// a look.
+	flying  int
+	looking bool
+	// due is in how long the next look is, or is to be asked for again.
+	due time.Duration
 	// lost is set while the platform no longer has the changes since f.since, so
-	// that the whole list has to be read.
+	// that only a look can tell what changed.
 	lost bool
 	// giveUp ends the waiting call; nil if there is none. next is when the next one
 	// is sent, and serial counts them.
@@ -37,10 +34,8 @@
 
 // answer is that to one call.
 type answer[T any] struct {
-	// serial is that of a waiting call, zero for a look. If whole is set, that was a
-	// reading of the whole list, and changes holds all items.
+	// serial is that of a waiting call, zero for a look: then changes holds all items.
 	serial   int
-	whole    bool
 	since    int64
 	sent     time.Time
 	changes  []Change[T]
@@ -48,6 +43,9 @@
 	err      error
 }
 
+// waited reports whether it is that to a call that waits.
+func (a *answer[T]) waited() bool { return a.serial > 0 }
+
 // attend waits for changes and looks until ctx ends.
 func (f *Follower[T]) attend(ctx context.Context) {
 	ctx, stop := context.WithCancel(ctx)
@@ -71,7 +69,7 @@
 		<-f.answers
 		f.flying--
 	}
-	f.looks, f.giveUp = 0, nil
+	f.looking, f.giveUp = false, nil
 }
 
 // send sends the calls that are due.
@@ -80,33 +78,32 @@
 	if f.failed == 0 && !f.lost && f.giveUp == nil && !now.Before(f.next) {
 		f.wait(ctx)
 	}
-	if !f.lookDue(now) {
-		return
-	}
-	whole := f.lost || f.looks > 0
-	f.look = now
-	f.looks++
-	if whole {
-		f.call(ctx, answer[T]{whole: true}, 0, listTime)
-	} else {
-		f.call(ctx, answer[T]{}, lookWait, CallTime)
+	if f.lookDue(now) {
+		f.looking = true
+		f.call(ctx, answer[T]{}, 0, f.limit())
 	}
 }
 
 // lookDue reports whether to look: because it is this entry's turn, or because the
 // last call failed. Then it tells sooner than a waiting call that the platform is
-// back, and that is evidence. A look beside one that has no answer reads the whole
-// list: the platform may hold back all calls for changes, short ones too.
+// back, and that is evidence. One look is on its way at a time, and is given up
+// early: what keeps it from an answer may be over for the next one.
 func (f *Follower[T]) lookDue(now time.Time) bool {
-	if f.looks >= maxLooks || f.looks > 0 && (f.cfg.Again == nil || now.Sub(f.look) < f.cfg.Again(f.failed > 0)) {
+	if f.looking {
 		return false
 	}
 	if f.failed > 0 {
 		return !now.Before(f.retry)
 	}
-	return f.lost || f.cfg.Due != nil && f.cfg.Due() <= 0
+	if f.cfg.Due != nil {
+		f.due = f.cfg.Due()
+	}
+	return f.lost || f.cfg.Due != nil && f.due <= 0
 }
 
+// limit is how long a look may take.
+func (f *Follower[T]) limit() time.Duration { return Limit(len(f.items), f.cfg.Bound) }
+
 // wait sends a waiting call.
 func (f *Follower[T]) wait(ctx context.Context) {
 	f.since = max(f.since, f.at)
@@ -125,17 +122,18 @@
 	f.next = time.Now().Add(pause)
 }
 
-// call sends the call that a tells of.
+// call sends the call that a tells of. A look reads the whole list: the platform
+// may hold back calls for changes, also those that do not wait.
 func (f *Follower[T]) call(ctx context.Context, a answer[T], wait, limit time.Duration) {
 	a.since, a.sent = f.since, time.Now()
 	f.flying++
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, limit)
 		defer cancel()
-		if a.whole {
-			a.changes, a.revision, a.err = f.cfg.List(ctx)
-		} else {
+		if a.waited() {
 			a.changes, a.revision, a.err = f.cfg.Watch(ctx, a.since, wait)
+		} else {
+			a.changes, a.revision, a.err = f.cfg.List(ctx)
 		}
 		f.answers <- a
 	}()
@@ -143,24 +141,29 @@
 
 // idle is how long nothing needs to be sent unless an answer comes.
 func (f *Follower[T]) idle() time.Duration {
-	if f.cfg.Due != nil {
-		return pollLook
+	now, idle := time.Now(), longestIdle
+	switch {
+	case f.looking:
+	case f.failed > 0:
+		idle = f.retry.Sub(now)
+	case f.cfg.Due != nil:
+		idle = f.due
 	}
-	if f.failed > 0 {
-		return max(time.Until(f.retry), time.Millisecond)
+	if f.failed == 0 && f.giveUp == nil {
+		idle = min(idle, f.next.Sub(now))
 	}
-	return max(time.Until(f.next), pollLook)
+	return max(idle, shortestIdle)
 }
 
 // take takes in an answer.
 func (f *Follower[T]) take(ctx context.Context, a answer[T]) {
 	f.flying--
-	waited := a.serial > 0
-	if !waited {
-		f.looks--
-	} else if a.serial != f.serial || f.giveUp == nil {
+	switch {
+	case !a.waited():
+		f.looking = false
+	case a.serial != f.serial || f.giveUp == nil:
 		return
-	} else {
+	default:
 		f.restart(0)
 	}
 	if a.err != nil {
@@ -172,18 +175,17 @@
 		f.restart(0)
 	}
 	f.good(a.sent)
-	if a.since != f.since {
-		// Another answer has told more.
-		return
-	}
-	if a.whole {
-		f.lost = false
-		a.changes = f.differences(a.changes, a.revision)
+	if a.waited() {
+		f.heard(a)
+	} else {
+		f.seen(a)
 	}
-	f.news(a, waited)
 }
 
-// failure takes in that a call failed.
+// failure takes in that a call failed. A look that was given up counts too, as
+// removals are the safer for it: the platform then counts as away from early in a
+// silence on, and not only near its end, while one answer after a single lost look
+// ends an outage that is too short to put removals in doubt.
 func (f *Follower[T]) failure(ctx context.Context, a answer[T]) {
 	switch {
 	case errors.Is(a.err, ErrHistory):
@@ -197,20 +199,40 @@
 	}
 }
 
-// news takes in the changes of an answer. Without any, a look is evidence, and a
-// call that has waited is not: the platform may have forgotten it.
-func (f *Follower[T]) news(a answer[T], waited bool) {
+// heard takes in the answer to a waiting call. Without changes it is no evidence:
+// the platform may have forgotten the call.
+func (f *Follower[T]) heard(a answer[T]) {
 	switch {
+	case a.since != f.since:
+		// A look has told more.
 	case len(a.changes) > 0:
-		f.since = max(f.since, a.revision)
-		f.keep(a.changes)
-		f.holds = max(f.holds, f.cfg.Changed(a.changes))
-		f.looked(a.sent)
-		f.restart(f.cfg.Pause())
-	case !waited:
-		f.at = max(f.at, a.revision)
-		f.looked(a.sent)
+		f.news(a)
 	case f.cfg.Due == nil:
 		f.at = max(f.at, a.revision)
 	}
 }
+
+// seen takes in the answer to a look: what it differs by from what is held here.
+func (f *Follower[T]) seen(a answer[T]) {
+	if a.revision < f.since {
+		// A waiting call has told more.
+		return
+	}
+	f.lost = false
+	a.changes = f.differences(a.changes, a.revision)
+	if len(a.changes) > 0 {
+		f.news(a)
+		return
+	}
+	f.at = max(f.at, a.revision)
+	f.looked(a.sent)
+}
+
+// news takes in changes.
+func (f *Follower[T]) news(a answer[T]) {
+	f.since = max(f.since, a.revision)
+	f.keep(a.changes)
+	f.holds = max(f.holds, f.cfg.Changed(a.changes))
+	f.looked(a.sent)
+	f.restart(f.cfg.Pause())
+}
--- a/entry/follow/follow.go
+++ b/entry/follow/follow.go
@@ -70,11 +70,11 @@
 	Watch func(ctx context.Context, since int64, wait time.Duration) ([]Change[T], int64, error)
 	// Wait returns how long the next call waits for a change.
 	Wait func() time.Duration
-	// Due returns in how long to look beside the waiting call; nil is never.
+	// Due returns in how long to look beside the waiting call, or to ask again when
+	// that is; nil is never.
 	Due func() time.Duration
-	// Again returns how long a look may go without an answer before another one is
-	// sent beside it; failing tells that the last call failed. Nil is never.
-	Again func(failing bool) time.Duration
+	// Bound is the time within which a change must be in force.
+	Bound time.Duration
 	// Pause returns how long to wait after changes before asking for more, which
 	// then come together. Fifty endpoints that start or leave at once would
 	// otherwise cost each entry fifty calls.
@@ -116,32 +116,11 @@
 
 // Run follows the list until ctx ends.
 func (f *Follower[T]) Run(ctx context.Context) error {
-	for ctx.Err() == nil {
-		err := f.list(ctx)
-		if err == nil {
-			f.attend(ctx)
-			break
-		}
-		f.bad(ctx, err)
-		sleep(ctx, time.Until(f.retry))
-	}
-	return ctx.Err()
-}
-
-func (f *Follower[T]) list(ctx context.Context) error {
-	limited, cancel := context.WithTimeout(ctx, listTime)
-	defer cancel()
-	sent := time.Now()
-	all, revision, err := f.cfg.List(limited)
-	if err != nil {
+	if err := f.list(ctx); err != nil {
 		return err
 	}
-	f.good(sent)
-	f.since, f.at = revision, revision
-	f.keep(all)
-	f.holds = max(f.holds, f.cfg.Listed(all, revision))
-	f.looked(sent)
-	return nil
+	f.attend(ctx)
+	return ctx.Err()
 }
 
 // keep notes the revisions of items that are taken in.
--- a/entry/follow/known.go
+++ b/entry/follow/known.go
@@ -192,7 +192,8 @@
 	return out
 }
 
-// Due returns in how long this entry has to look again.
+// Due returns in how long this entry has to look again, at most a step: what peers
+// tell meanwhile may make that sooner.
 func (k *Known) Due(what uint8) time.Duration {
 	inForce := k.revision(what)
 	k.mu.Lock()
@@ -203,12 +204,12 @@
 	if !ok {
 		return 0
 	}
-	age := k.now() - c.At
-	if first := k.cfg.Rule.First(); age < first {
-		return first - age
+	rule, age := k.cfg.Rule, k.now()-c.At
+	if age < rule.First() {
+		return min(rule.First()-age, rule.Step())
 	}
 	heard := k.cfg.Heard()
-	return k.cfg.Rule.Due(fresh.Rank(k.cfg.Self, heard, c.Mark), len(heard)+1) - age
+	return min(rule.Due(fresh.Rank(k.cfg.Self, heard, c.Mark), len(heard)+1)-age, rule.Step())
 }
 
 // Decided counts a request that is decided on what is known.
--- a/entry/follow/wait.go
+++ b/entry/follow/wait.go
@@ -11,11 +11,14 @@
 	// of an entry that none of the others has met, and nothing is decided by it
 	// that must hold at once.
 	entriesWait = 10 * time.Second
-	// againShare is the part of the bound on changes after which a look without an
-	// answer is repeated beside the first. While calls fail it is againEach for each
-	// entry heard at least: all of them ask, and the first that is answered tells.
-	againShare = 0.2
-	againEach  = 100 * time.Millisecond
+	// limitShare is the part of the bound on changes after which a look without an
+	// answer is given up: the next one must be answered within what is left when it
+	// was due at 0.6 of the bound.
+	limitShare = 0.3
+	// pageItems is how many items the platform puts on a page, and pageTime what each
+	// page of a look may take: sixty times its usual 5 ms, as when it is slow.
+	pageItems = 500
+	pageTime  = 300 * time.Millisecond
 	// pauseEach and longestGather are the pause after changes for each entry
 	// heard, and the longest: a tenth of the usual bound on changes.
 	pauseEach     = 10 * time.Millisecond
@@ -35,15 +38,12 @@
 // WaitEntries is Wait for the list of entries.
 func WaitEntries(rnd float64) time.Duration { return spread(entriesWait, rnd) }
 
-// Again returns how long a look may go without an answer before another one is
-// sent beside it, when heard entries are heard, this one included, and changes must
-// be in force within bound.
-func Again(failing bool, heard int, bound time.Duration) time.Duration {
-	again := time.Duration(againShare * float64(bound))
-	if failing {
-		again = max(again, time.Duration(heard)*againEach)
-	}
-	return again
+// Limit returns how long a look at a list of so many items may take when changes
+// must be in force within bound. A list of many pages takes longer than that leaves:
+// one that gave up each look at it would never see it.
+func Limit(items int, bound time.Duration) time.Duration {
+	pages := time.Duration(items/pageItems + 1)
+	return max(time.Duration(limitShare*float64(bound)), pages*pageTime)
 }
 
 // spread returns a wait of up to longest.
