fresh, wire, follow: a peer's way is known by eight of its tallies that came apart

A claim that came late counted as newer than it was if the peer's first tallies had been slow too: tallies were compared to the quickest so far, from the second one with a claim on. An entry that was stopped and reads what was held up for seconds took that for new.

Each tally carries its sender's clock now (five bytes), not only one with a claim, so that the way is known after eight, two seconds at four a second; those read within 10 ms of each other came together and count once. Until then an entry looks for itself. Tallies out of another entry's memory carry no clock.

--- a/core/fresh/entry_test.go
+++ b/core/fresh/entry_test.go
@@ -129,11 +129,11 @@
 
 // hear takes in what a peer's tally says of what it knows.
 func (e *entry) hear(p *peer, t *tally) {
-	if !t.claims {
+	if t.at == never {
 		return
 	}
 	late, ok := p.way.Late(e.w.now, t.at)
-	if !ok {
+	if !ok || !t.claims {
 		return
 	}
 	before, _ := e.book.Known(int64(e.revision))
--- a/core/fresh/fresh_test.go
+++ b/core/fresh/fresh_test.go
@@ -122,10 +122,7 @@
 // An entry is stopped for four seconds and then reads what came meanwhile. The
 // tallies in its buffers say "just now" and are seconds old.
 func TestTallyThatCameLate(t *testing.T) {
-	var w Way
-	if _, ok := w.Late(10*time.Second, 0); ok {
-		t.Error("the first tally has nothing to compare to")
-	}
+	w := met(10 * time.Second)
 	if late, ok := w.Late(11*time.Second+30*ms, time.Second); !ok || late < 25*ms || late > 30*ms {
 		t.Errorf("30 ms late: %v, %v", late, ok)
 	}
@@ -138,11 +135,21 @@
 	}
 }
 
+// met returns the way of a peer whose tallies have come without delay for as long as
+// it takes to know it, the last at now by this clock and 0 by the peer's.
+func met(now time.Duration) *Way {
+	w := new(Way)
+	for n := enough - 1; n >= 0; n-- {
+		back := time.Duration(n) * 250 * ms
+		w.Late(now-back, -back)
+	}
+	return w
+}
+
 // One clock runs slower than the other by less than drift. After hours the peer's
 // tallies must not count as late.
 func TestClocksThatPart(t *testing.T) {
-	var w Way
-	w.Late(0, 0)
+	w := met(0)
 	for n := range 3600 {
 		now := time.Duration(n) * time.Second
 		if late, _ := w.Late(now, time.Duration(0.9995*float64(now))); late > ms {
--- a/core/fresh/net_test.go
+++ b/core/fresh/net_test.go
@@ -46,8 +46,8 @@
 	seq      int
 	revision int
 	lacks    []int
-	// at is when it was told; claim, if it has one, is what the sender knows its
-	// revision by.
+	// at is when it was told, never if it comes from another entry's memory; claim,
+	// if it has one, is what the sender knows its revision by.
 	at     time.Duration
 	claims bool
 	claim  Claim
@@ -284,7 +284,7 @@
 			from = relay.Between
 		}
 		t := p.last
-		t.claims = false
+		t.claims, t.at = false, never
 		out = append(out, passing{t, from})
 	}
 	return out
--- a/core/wire/tally.go
+++ b/core/wire/tally.go
@@ -27,6 +27,9 @@
 	// Waiting holds the tiers of pools in which the number of the sender's
 	// requests that wait for a slot changed.
 	Waiting []Waiting
+	// Clock is the milliseconds for which the sender had run when the tally left: it
+	// shows how long that was on its way. Zero tells nothing.
+	Clock uint64
 	// Fresh holds the lists of which the sender knows anew that it has the newest.
 	Fresh []Fresh
 }
@@ -43,9 +46,6 @@
 	AgeMS uint32
 	// Mark is that of the look that showed it.
 	Mark uint32
-	// Clock is the milliseconds for which the sender had run when the tally left:
-	// it shows how long that was on its way.
-	Clock uint64
 }
 
 // Relay passes on what other entries told.
--- a/core/wire/tallycode.go
+++ b/core/wire/tallycode.go
@@ -9,9 +9,9 @@
 
 const (
 	// tallyFields is how many fields a tally had when readers wanted exactly these,
-	// freshFields how many it has with Fresh.
+	// freshFields how many it has with Clock and Fresh.
 	tallyFields = 10
-	freshFields = tallyFields + 1
+	freshFields = tallyFields + 2
 	// readsOn stands among the names in Lacks of whoever reads tallies with further
 	// fields. No entry is named so, and readers that want exactly tallyFields look
 	// for their own name only.
@@ -26,19 +26,28 @@
 // SetReadsOn notes that the sender reads tallies with fields after Waiting.
 func (t *Tally) SetReadsOn() { t.Lacks = append(slices.Clip(t.Lacks), readsOn) }
 
-// EncodeMsgpack leaves Fresh out where it says nothing.
+// EncodeMsgpack leaves Clock and Fresh out where they say nothing.
 func (t *Tally) EncodeMsgpack(e *msgpack.Encoder) error {
 	fields := []any{t.Addr, t.Config, t.Roster, t.Used, t.Held, t.Entries, t.Seq, t.Whole, t.Lacks, t.Waiting}
-	if len(t.Fresh) > 0 {
-		fields = append(fields, t.Fresh)
+	fresh := t.Clock > 0 || len(t.Fresh) > 0
+	n := tallyFields
+	if fresh {
+		n = freshFields
 	}
-	if err := e.EncodeArrayLen(len(fields)); err != nil {
+	if err := e.EncodeArrayLen(n); err != nil {
 		return err
 	}
-	return e.EncodeMulti(fields...)
+	if err := e.EncodeMulti(fields...); err != nil || !fresh {
+		return err
+	}
+	// As few bytes as it takes: each tally has one.
+	if err := e.EncodeUint(t.Clock); err != nil {
+		return err
+	}
+	return e.Encode(t.Fresh)
 }
 
-// DecodeMsgpack reads a tally of an older version, without Fresh, and one of a
+// DecodeMsgpack reads a tally of an older version, without Clock and Fresh, and one of a
 // later, with further fields.
 func (t *Tally) DecodeMsgpack(d *msgpack.Decoder) error {
 	n, err := d.DecodeArrayLen()
@@ -54,7 +63,7 @@
 	if n < freshFields {
 		return nil
 	}
-	if err := d.Decode(&t.Fresh); err != nil {
+	if err := d.DecodeMulti(&t.Clock, &t.Fresh); err != nil {
 		return err
 	}
 	for range n - freshFields {
--- a/entry/follow/known.go
+++ b/entry/follow/known.go
@@ -115,7 +115,7 @@
 // Heard takes in what a peer's tally tells of its lists; anew is set for the
 // first one of a process.
 func (k *Known) Heard(peer string, anew bool, t *wire.Tally) {
-	if len(t.Fresh) == 0 {
+	if t.Clock == 0 {
 		return
 	}
 	config, roster := k.cfg.Revisions()
@@ -126,7 +126,7 @@
 		w = new(fresh.Way)
 		k.ways[peer] = w
 	}
-	late, ok := w.Late(now, time.Duration(t.Fresh[0].Clock)*time.Millisecond)
+	late, ok := w.Late(now, time.Duration(t.Clock)*time.Millisecond)
 	var gained time.Duration
 	for _, f := range t.Fresh {
 		l := k.lists[f.What]
@@ -166,14 +166,14 @@
 }
 
 // Tell returns what the next tally tells: what this entry has found itself since
-// the last one, and now and then what it has heard. The revisions in that tally
+// the last one, and now and then what it has heard, and for how many milliseconds it
+// has run. The revisions in that tally
 // must be read later, as these may only be newer than those that it is true of.
-func (k *Known) Tell() []wire.Fresh {
+func (k *Known) Tell() (told []wire.Fresh, clock uint64) {
 	config, roster := k.cfg.Revisions()
 	now := k.now()
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	var out []wire.Fresh
 	for what, l := range k.lists {
 		revision := config
 		if what == wire.SnapshotRoster {
@@ -187,9 +187,9 @@
 			continue
 		}
 		l.told, l.toldAt = c.Mark, now
-		out = append(out, wire.Fresh{What: what, AgeMS: uint32((now - c.At + time.Millisecond).Milliseconds()), Mark: c.Mark, Clock: uint64(now.Milliseconds())})
+		told = append(told, wire.Fresh{What: what, AgeMS: uint32((now - c.At + time.Millisecond).Milliseconds()), Mark: c.Mark})
 	}
-	return out
+	return told, max(uint64(now.Milliseconds()), 1)
 }
 
 // Due returns in how long this entry has to look again, at most a step: what peers
--- a/entry/follow/known_test.go
+++ b/entry/follow/known_test.go
@@ -29,10 +29,20 @@
 	return k
 }
 
-// tells lets k hear what other tells now.
+// meets has other's tallies heard often enough to know how long these take.
+func (k *knower) meets(other *knower) {
+	for n := 20; n > 0; n-- {
+		back := time.Duration(n) * 250 * time.Millisecond
+		k.start, other.start = k.start.Add(back), other.start.Add(back)
+		k.Heard(other.cfg.Self, false, &wire.Tally{Clock: uint64(other.now().Milliseconds())})
+		k.start, other.start = k.start.Add(-back), other.start.Add(-back)
+	}
+}
+
+// hears lets k hear what other tells now.
 func (k *knower) hears(other *knower) {
-	t := &wire.Tally{Fresh: other.Tell(), Config: other.config, Roster: other.roster}
-	k.Heard(other.cfg.Self, false, t)
+	told, clock := other.Tell()
+	k.Heard(other.cfg.Self, false, &wire.Tally{Fresh: told, Clock: clock, Config: other.config, Roster: other.roster})
 }
 
 func (k *knower) seen(what uint8, back time.Duration) {
@@ -58,7 +68,8 @@
 		k.start = k.start.Add(-time.Minute)
 	}
 	a.seen(wire.SnapshotConfig, time.Second)
-	b.hears(a) // tells how long tallies of a take
+	b.meets(a)
+	c.meets(b)
 	a.seen(wire.SnapshotConfig, 0)
 	b.hears(a)
 	if age := b.ageOf(wire.SnapshotConfig); age < fresh.Allowance || age > fresh.Allowance+time.Second {
@@ -97,7 +108,7 @@
 	a.start, b.start = a.start.Add(-time.Minute), b.start.Add(-time.Minute)
 	b.seen(wire.SnapshotConfig, 3*time.Second)
 	a.seen(wire.SnapshotConfig, time.Second)
-	b.hears(a)
+	b.meets(a)
 	a.seen(wire.SnapshotConfig, 0)
 	b.hears(a)
 	if age := b.ageOf(wire.SnapshotConfig); age < 3*time.Second {
@@ -123,11 +134,11 @@
 	a := newKnower("a")
 	a.start, a.roster = a.start.Add(-time.Minute), 5
 	a.Looked(wire.SnapshotRoster, 8, time.Now())
-	if told := a.Tell(); len(told) != 0 {
+	if told, _ := a.Tell(); len(told) != 0 {
 		t.Errorf("told %+v with revision 5 in force", told)
 	}
 	a.roster = 8
-	if told := a.Tell(); len(told) != 1 || told[0].What != wire.SnapshotRoster {
+	if told, _ := a.Tell(); len(told) != 1 || told[0].What != wire.SnapshotRoster {
 		t.Errorf("told %+v", told)
 	}
 }
--- a/entry/mesh/fresh_test.go
+++ b/entry/mesh/fresh_test.go
@@ -43,17 +43,17 @@
 // An entry of a version that wants tallies with exactly the fields that it knows is
 // heard. What it cannot read must not be told while it is.
 func TestEvidenceIsNotToldToThoseWhoCannotReadIt(t *testing.T) {
-	m := New(Config{Self: wire.Hello{Name: "a"}, Fresh: func() []wire.Fresh { return []wire.Fresh{{Mark: 1}} }})
+	m := New(Config{Self: wire.Hello{Name: "a"}, Fresh: func() ([]wire.Fresh, uint64) { return []wire.Fresh{{Mark: 1}}, 1 }})
 	*m.peer("b") = peer{reached: true, readsOn: true}
-	if len(m.fresh()) != 1 {
+	if told, clock := m.fresh(); len(told) != 1 || clock == 0 {
 		t.Error("nothing is told although all read it")
 	}
 	*m.peer("old") = peer{reached: true}
-	if len(m.fresh()) != 0 {
+	if told, clock := m.fresh(); len(told) != 0 || clock != 0 {
 		t.Error("told although one does not read it")
 	}
 	m.peer("old").reached = false
-	if len(m.fresh()) != 1 {
+	if told, clock := m.fresh(); len(told) != 1 || clock == 0 {
 		t.Error("nothing is told although the older one is gone")
 	}
 }
--- a/entry/mesh/mesh.go
+++ b/entry/mesh/mesh.go
@@ -45,8 +45,8 @@
 	// It is called by one goroutine.
 	Tally func(all bool) *wire.Tally
 	// Fresh returns what the next tally tells of how new the versions in force
-	// are; nil is nothing.
-	Fresh func() []wire.Fresh
+	// are, and the milliseconds for which this entry has run; nil is nothing.
+	Fresh func() (told []wire.Fresh, clock uint64)
 	// Revisions returns the revisions in force, zero where there is none.
 	Revisions func() (config, roster int64)
 	// Snapshot returns the version in force.
--- a/entry/mesh/mesh_test.go
+++ b/entry/mesh/mesh_test.go
@@ -101,12 +101,12 @@
 	return e
 }
 
-func (e *entry) evidence() []wire.Fresh {
+func (e *entry) evidence() ([]wire.Fresh, uint64) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	out := e.fresh
 	e.fresh = nil
-	return out
+	return out, 1
 }
 
 func (e *entry) tally(all bool) *wire.Tally {
--- a/entry/mesh/tell.go
+++ b/entry/mesh/tell.go
@@ -45,9 +45,9 @@
 		m.expire()
 		m.adjust(ctx)
 		m.greet()
-		told := m.fresh()
+		told, clock := m.fresh()
 		t := m.cfg.Tally(false)
-		t.Fresh = told
+		t.Fresh, t.Clock = told, clock
 		if t.News() || time.Since(last) >= m.aliveNow() {
 			last = time.Now()
 			m.send(t)
@@ -91,15 +91,15 @@
 
 // fresh returns what the next tally tells of how new the versions are: nothing
 // while an entry is heard that could not read it.
-func (m *Mesh) fresh() []wire.Fresh {
+func (m *Mesh) fresh() (told []wire.Fresh, clock uint64) {
 	if m.cfg.Fresh == nil {
-		return nil
+		return nil, 0
 	}
 	m.mu.Lock()
 	for _, p := range m.peers {
 		if p.reached && !p.readsOn {
 			m.mu.Unlock()
-			return nil
+			return nil, 0
 		}
 	}
 	m.mu.Unlock()
