--- a/entry/follow/wait.go
+++ b/entry/follow/wait.go
@@ -6,11 +6,11 @@
 	// longestWait is the longest that a call waits: as it is evidence of nothing, a
 	// shorter one would only cost calls, and the platform ends calls that wait for
 	// longer than half a minute.
-	longestWait = 20 * time.Second
+	longestWait = 24 * time.Second
 	// entriesWait is the same for the list of entries: nothing but that list tells
 	// of an entry that none of the others has met, and nothing is decided by it
 	// that must hold at once.
-	entriesWait = 10 * time.Second
+	entriesWait = 12 * time.Second
 	// againShare is the part of the bound on changes after which a look without an
 	// answer is repeated beside the first. While calls fail it is againEach for each
 	// entry heard at least: all of them ask, and the first that is answered tells.
