follow: while the platform fails, looks spread over time, and a call that was held and cut is followed by a reading

Cause: all looks hang in step, give up in step after two seconds and are sent again in step, so the store can be back for most of that before anybody asks; and after a call that was cut the next one was a call for changes again. Now the time after which a look is repeated beside one without an answer is random over 0.1 s for each entry heard (2 s at most), the pause after a failure counts from when the call was sent, and a call for changes that was held for longer than a look may go without an answer and then failed is followed by a reading of the list.

--- a/entry/follow/calls.go
+++ b/entry/follow/calls.go
@@ -26,10 +26,13 @@
 	answers chan answer[T]
 	// flying counts all of them, given up or not, looks the looks.
 	flying, looks int
-	// look is when the last look was sent, due in how long the next one is, or is to
-	// be asked for again.
-	look time.Time
-	due  time.Duration
+	// look is when the last look was sent, again how long it may go without an
+	// answer, and due in how long the next one is, or is to be asked for again.
+	look       time.Time
+	again, due time.Duration
+	// read is set while the last call for changes was held for long and then
+	// failed, so that the list is read instead.
+	read bool
 	// lost is set while the platform no longer has the changes since f.since, so
 	// that the whole list has to be read.
 	lost bool
@@ -88,10 +91,14 @@
 	if !f.lookDue(now) {
 		return
 	}
-	whole := f.lost || f.looks > 0
+	whole := f.lost || f.read || f.looks > 0
 	f.look = now
 	f.looks++
+	if f.cfg.Again != nil {
+		f.again = f.cfg.Again(f.failed > 0)
+	}
 	if whole {
+		f.read = false
 		f.call(ctx, answer[T]{whole: true}, 0, listTime)
 	} else {
 		f.call(ctx, answer[T]{}, lookWait, CallTime)
@@ -103,7 +110,7 @@
 // back, and that is evidence. A look beside one that has no answer reads the whole
 // list: the platform may hold back all calls for changes, short ones too.
 func (f *Follower[T]) lookDue(now time.Time) bool {
-	if f.looks >= maxLooks || f.looks > 0 && (f.cfg.Again == nil || now.Sub(f.look) < f.cfg.Again(f.failed > 0)) {
+	if f.looks >= maxLooks || f.looks > 0 && (f.cfg.Again == nil || now.Sub(f.look) < f.again) {
 		return false
 	}
 	if f.failed > 0 {
@@ -207,7 +214,10 @@
 			f.restart(0)
 		}
 	case !a.sent.Before(f.well):
-		f.bad(ctx, a.err)
+		if f.cfg.Again != nil && a.serial == 0 && !a.whole && time.Since(a.sent) >= f.cfg.Again(false) {
+			f.read = true
+		}
+		f.bad(ctx, a.sent, a.err)
 	}
 }
 
--- a/entry/follow/follow.go
+++ b/entry/follow/follow.go
@@ -74,7 +74,8 @@
 	// that is; nil is never.
 	Due func() time.Duration
 	// Again returns how long a look may go without an answer before another one is
-	// sent beside it; failing tells that the last call failed. Nil is never.
+	// sent beside it; failing tells that the last call failed. It is asked for each
+	// look. Nil is never.
 	Again func(failing bool) time.Duration
 	// Pause returns how long to wait after changes before asking for more, which
 	// then come together. Fifty endpoints that start or leave at once would
@@ -118,12 +119,13 @@
 // Run follows the list until ctx ends.
 func (f *Follower[T]) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
+		sent := time.Now()
 		err := f.list(ctx)
 		if err == nil {
 			f.attend(ctx)
 			break
 		}
-		f.bad(ctx, err)
+		f.bad(ctx, sent, err)
 		sleep(ctx, time.Until(f.retry))
 	}
 	return ctx.Err()
@@ -194,8 +196,9 @@
 	f.cfg.Back()
 }
 
-// bad notes that a call failed.
-func (f *Follower[T]) bad(ctx context.Context, err error) {
+// bad notes that a call which was sent at a time failed. The next one is sent a
+// while after that: a call without an answer has been pause enough.
+func (f *Follower[T]) bad(ctx context.Context, sent time.Time, err error) {
 	if ctx.Err() != nil {
 		return
 	}
@@ -205,7 +208,7 @@
 	}
 	f.failed++
 	pause := min(firstPause<<min(f.failed-1, 8), longestPause)
-	f.retry = time.Now().Add(time.Duration((0.5 + f.cfg.Random()/2) * float64(pause)))
+	f.retry = sent.Add(time.Duration((0.5 + f.cfg.Random()/2) * float64(pause)))
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/entry/follow/follow_test.go
+++ b/entry/follow/follow_test.go
@@ -181,13 +181,17 @@
 }
 
 // The platform is silent. Thirty entries that each had three calls waiting for an
-// answer would pay for them, and one that is answered is enough.
-func TestSilentPlatformIsNotAskedByAllAgainAndAgain(t *testing.T) {
+// answer all the time would pay for them, and if all sent the next one at the same
+// time, the platform could be back for long before anybody knew.
+func TestSilentPlatformIsAskedAtTimesThatSpread(t *testing.T) {
 	bound := 3 * time.Second
-	if one, many := Again(true, 1, bound), Again(true, 30, bound); one > bound/4 || many < CallTime {
-		t.Errorf("an entry alone asks again after %v, one of thirty after %v", one, many)
+	if one := Again(true, 1, bound, 0.999); one > bound/4 {
+		t.Errorf("an entry alone asks again after %v", one)
 	}
-	if again := Again(false, 30, bound); again > bound/4 {
+	if first, last := Again(true, 30, bound, 0), Again(true, 30, bound, 0.999); last-first < CallTime*9/10 {
+		t.Errorf("thirty ask again after %v to %v", first, last)
+	}
+	if again := Again(false, 30, bound, 0.999); again > bound/4 {
 		t.Errorf("a lost answer is waited for %v", again)
 	}
 }
--- a/entry/follow/look_test.go
+++ b/entry/follow/look_test.go
@@ -219,3 +219,29 @@
 		}
 	}
 }
+
+// The platform cuts each call for changes after holding it for longer than a look
+// may go without an answer. The next thing that is tried must be a reading.
+func TestLookThatIsHeldAndCutIsFollowedByAReading(t *testing.T) {
+	s := &source{revision: 1}
+	var looks atomic.Int32
+	learnt, _, evidence := looker(t, func(ctx context.Context, _ int64, wait time.Duration) ([]Change[int], int64, error) {
+		if wait > lookWait {
+			<-ctx.Done()
+			return nil, 0, ctx.Err()
+		}
+		looks.Add(1)
+		select {
+		case <-ctx.Done():
+		case <-time.After(62 * time.Millisecond):
+		}
+		return nil, 0, errors.New("cut")
+	}, s)
+	await(t, learnt, 1)
+	<-evidence
+	before := looks.Load()
+	<-evidence
+	if n := looks.Load() - before; n > 1 {
+		t.Errorf("%d calls for changes were cut before the list was read", n)
+	}
+}
--- a/entry/follow/wait.go
+++ b/entry/follow/wait.go
@@ -12,8 +12,10 @@
 	// that must hold at once.
 	entriesWait = 12 * time.Second
 	// againShare is the part of the bound on changes after which a look without an
-	// answer is repeated beside the first. While calls fail it is againEach for each
-	// entry heard at least: all of them ask, and the first that is answered tells.
+	// answer is repeated beside the first. While calls fail that takes up to againEach
+	// longer for each entry heard: all of them ask, the first that is answered tells,
+	// and spread over that time they are not all without an answer when the platform
+	// is back.
 	againShare = 0.2
 	againEach  = 100 * time.Millisecond
 	// pauseEach and longestGather are the pause after changes for each entry
@@ -37,11 +39,11 @@
 
 // Again returns how long a look may go without an answer before another one is
 // sent beside it, when heard entries are heard, this one included, and changes must
-// be in force within bound.
-func Again(failing bool, heard int, bound time.Duration) time.Duration {
+// be in force within bound. rnd is a random number in [0, 1).
+func Again(failing bool, heard int, bound time.Duration, rnd float64) time.Duration {
 	again := time.Duration(againShare * float64(bound))
 	if failing {
-		again = max(again, time.Duration(heard)*againEach)
+		again += time.Duration(rnd * float64(min(time.Duration(heard)*againEach, CallTime)))
 	}
 	return again
 }
