fresh, follow: looks of one moment give one order; first readings and cut calls are followed by readings beside them

(2) A first reading that was swallowed cost two seconds, as it was alone: it is now a reading as after lost history, with another one beside it. (3) After a waiting call was cut the next one was a call for changes again, held again: now a reading. (4) The first repetition after one failure comes soon, later ones spread.

TestLongListIsReadToItsEnd now plays Run as a whole instead of the part that is gone, and bounds readings beside each other.

--- a/core/fresh/fresh.go
+++ b/core/fresh/fresh.go
@@ -24,7 +24,7 @@
 	Revision int64
 	At       time.Duration
 	// Mark tells one look from another: all who hold the same claim derive the
-	// same order from it.
+	// same order from it. Claims of the same moment take on the lowest of theirs.
 	Mark uint32
 }
 
@@ -42,8 +42,36 @@
 	claims []Claim
 }
 
+// together is by how much the times of claims may differ that count as one: all
+// entries that look at the same moment have a claim of their own, and a peer's is
+// older by Allowance and its way.
+const together = 150 * time.Millisecond
+
+// same gives claims that count as one the same mark, the lowest, so that all who
+// hear of them derive the same order.
+func (b *Book) same(c Claim) Claim {
+	var near []*Claim
+	note := func(o *Claim) {
+		if max(o.At-c.At, c.At-o.At) <= together {
+			near = append(near, o)
+			c.Mark = min(c.Mark, o.Mark)
+		}
+	}
+	for i := range b.claims {
+		note(&b.claims[i])
+	}
+	if b.looked {
+		note(&b.own)
+	}
+	for _, o := range near {
+		o.Mark = c.Mark
+	}
+	return c
+}
+
 // Looked takes in the answer of a look of this entry's own.
 func (b *Book) Looked(c Claim) {
+	c = b.same(c)
 	if !b.looked || c.At > b.own.At {
 		b.own, b.looked = c, true
 	}
@@ -52,6 +80,7 @@
 
 // Told takes in a peer's claim. Its At must not be later than true: see Way.
 func (b *Book) Told(c Claim) {
+	c = b.same(c)
 	covered := func(c, by Claim) bool { return by.Revision <= c.Revision && by.At >= c.At }
 	if slices.ContainsFunc(b.claims, func(o Claim) bool { return covered(c, o) }) {
 		return
--- a/core/fresh/fresh_test.go
+++ b/core/fresh/fresh_test.go
@@ -8,6 +8,37 @@
 
 const ms = time.Millisecond
 
+// Thirty entries have listed everything at the same moment, each for itself. If each
+// derived the order from its own look, nobody need be the first, and the fleet would
+// look late.
+func TestLooksOfTheSameMomentGiveOneOrder(t *testing.T) {
+	books := make([]Book, 30)
+	var names []string
+	for i := range books {
+		names = append(names, fmt.Sprint("entry-", i))
+		books[i].Looked(Claim{Revision: 5, At: time.Duration(i) * ms, Mark: Mark(names[i], 1)})
+	}
+	for i := range books {
+		for j := range books {
+			if i != j {
+				books[i].Told(Claim{Revision: 5, At: time.Duration(j)*ms - Allowance, Mark: Mark(names[j], 1)})
+			}
+		}
+	}
+	ranks := make(map[int]bool)
+	for i, b := range books {
+		c, _ := b.Known(5)
+		ranks[Rank(names[i], names, c.Mark)] = true
+	}
+	if len(ranks) != len(books) {
+		t.Errorf("%d of %d ranks are taken", len(ranks), len(books))
+	}
+	books[0].Told(Claim{Revision: 5, At: time.Second, Mark: 1 << 31})
+	if c, _ := books[0].Known(5); c.Mark != 1<<31 {
+		t.Error("a later look does not give a new order")
+	}
+}
+
 // A peer has just asked the platform and has revision 9. An entry that still has 7
 // must not take that for evidence of its own, and may once 9 has arrived.
 func TestClaimHoldsOnlyWithItsRevision(t *testing.T) {
--- a/entry/follow/calls.go
+++ b/entry/follow/calls.go
@@ -10,8 +10,10 @@
 	// lookWait is the wait of a look: the shortest, so that it is answered at once.
 	lookWait = time.Millisecond
 	// maxLooks bounds the looks without an answer: with the next one the first of
-	// them is about to be given up.
-	maxLooks = 3
+	// them is about to be given up. maxReadings bounds them while only a reading can
+	// help: the list may be long, and all entries may ask for it at once.
+	maxLooks    = 3
+	maxReadings = 2
 	// pollLook is how often it is checked whether a look that is due may be sent
 	// while others have no answer.
 	pollLook = 50 * time.Millisecond
@@ -95,7 +97,7 @@
 	f.look = now
 	f.looks++
 	if f.cfg.Again != nil {
-		f.again = f.cfg.Again(f.failed > 0)
+		f.again = f.cfg.Again(f.failed > 1)
 	}
 	if whole {
 		f.read = false
@@ -110,7 +112,11 @@
 // back, and that is evidence. A look beside one that has no answer reads the whole
 // list: the platform may hold back all calls for changes, short ones too.
 func (f *Follower[T]) lookDue(now time.Time) bool {
-	if f.looks >= maxLooks || f.looks > 0 && (f.cfg.Again == nil || now.Sub(f.look) < f.again) {
+	most := maxLooks
+	if f.lost {
+		most = maxReadings
+	}
+	if f.looks >= most || f.looks > 0 && (f.cfg.Again == nil || now.Sub(f.look) < f.again) {
 		return false
 	}
 	if f.failed > 0 {
@@ -199,6 +205,10 @@
 	}
 	if a.whole {
 		f.lost = false
+		if !f.known {
+			f.listed(a)
+			return
+		}
 		a.changes = f.differences(a.changes, a.revision)
 	}
 	f.news(a, waited)
@@ -214,7 +224,7 @@
 			f.restart(0)
 		}
 	case !a.sent.Before(f.well):
-		if f.cfg.Again != nil && a.serial == 0 && !a.whole && time.Since(a.sent) >= f.cfg.Again(false) {
+		if f.cfg.Again != nil && !a.whole && time.Since(a.sent) >= f.cfg.Again(false) {
 			f.read = true
 		}
 		f.bad(ctx, a.sent, a.err)
--- a/entry/follow/follow.go
+++ b/entry/follow/follow.go
@@ -74,7 +74,7 @@
 	// that is; nil is never.
 	Due func() time.Duration
 	// Again returns how long a look may go without an answer before another one is
-	// sent beside it; failing tells that the last call failed. It is asked for each
+	// sent beside it; failing tells that calls have failed for a while. It is asked for each
 	// look. Nil is never.
 	Again func(failing bool) time.Duration
 	// Pause returns how long to wait after changes before asking for more, which
@@ -102,7 +102,9 @@
 	// well. After a failure nothing is asked before retry.
 	failed      int
 	well, retry time.Time
-	// holds is the revision that the list has here, items that of each item.
+	// known is set once the list was read. holds is the revision that it has here,
+	// items that of each item.
+	known bool
 	holds int64
 	items map[string]int64
 	// since is the revision from which on changes are asked for, and at a later
@@ -118,33 +120,20 @@
 
 // Run follows the list until ctx ends.
 func (f *Follower[T]) Run(ctx context.Context) error {
-	for ctx.Err() == nil {
-		sent := time.Now()
-		err := f.list(ctx)
-		if err == nil {
-			f.attend(ctx)
-			break
-		}
-		f.bad(ctx, sent, err)
-		sleep(ctx, time.Until(f.retry))
-	}
+	// Nothing is known yet, as after the history was lost.
+	f.lost = true
+	f.attend(ctx)
 	return ctx.Err()
 }
 
-func (f *Follower[T]) list(ctx context.Context) error {
-	limited, cancel := context.WithTimeout(ctx, listTime)
-	defer cancel()
-	sent := time.Now()
-	all, revision, err := f.cfg.List(limited)
-	if err != nil {
-		return err
-	}
-	f.good(sent)
-	f.since, f.at = revision, revision
-	f.keep(all)
-	f.holds = max(f.holds, f.cfg.Listed(all, revision))
-	f.looked(sent)
-	return nil
+// listed takes in the first reading of the whole list.
+func (f *Follower[T]) listed(a answer[T]) {
+	f.known = true
+	f.since, f.at = a.revision, a.revision
+	f.keep(a.changes)
+	f.holds = max(f.holds, f.cfg.Listed(a.changes, a.revision))
+	f.looked(a.sent)
+	f.restart(0)
 }
 
 // keep notes the revisions of items that are taken in.
@@ -210,10 +199,3 @@
 	pause := min(firstPause<<min(f.failed-1, 8), longestPause)
 	f.retry = sent.Add(time.Duration((0.5 + f.cfg.Random()/2) * float64(pause)))
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/entry/follow/follow_test.go
+++ b/entry/follow/follow_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -212,8 +213,11 @@
 // hundred entries ask at once, after all of them were killed. If the whole list
 // had to come within the time of one call, none would ever have it.
 func TestLongListIsReadToItsEnd(t *testing.T) {
+	listed := make(chan int64, 1)
+	var readings atomic.Int32
 	f := New(Config[int]{
 		List: func(ctx context.Context) ([]Change[int], int64, error) {
+			readings.Add(1)
 			for range 25 {
 				select {
 				case <-ctx.Done():
@@ -223,9 +227,56 @@
 			}
 			return nil, 7, nil
 		},
-		Listed: func(_ []Change[int], revision int64) int64 { return revision }, Log: zap.NewNop(),
+		Watch: func(ctx context.Context, _ int64, _ time.Duration) ([]Change[int], int64, error) {
+			<-ctx.Done()
+			return nil, 0, ctx.Err()
+		},
+		Wait: func() time.Duration { return time.Minute }, Again: func(bool) time.Duration { return CallTime / 10 },
+		Listed: func(_ []Change[int], revision int64) int64 { listed <- revision; return revision }, Log: zap.NewNop(),
 	})
-	if err := f.list(context.Background()); f.since != 7 || err != nil {
-		t.Errorf("revision %d, %v", f.since, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- f.Run(ctx) }()
+	select {
+	case revision := <-listed:
+		if revision != 7 {
+			t.Errorf("revision %d", revision)
+		}
+	case <-time.After(3 * CallTime):
+		t.Error("the list was never read to its end")
 	}
+	cancel()
+	<-ended
+	if n := readings.Load(); n > maxReadings {
+		t.Errorf("%d readings beside each other", n)
+	}
+}
+
+// The answer to the first reading is swallowed. Another one must be sent beside it:
+// an entry without a list serves nobody.
+func TestFirstReadingWithoutAnAnswer(t *testing.T) {
+	s := &source{revision: 1}
+	var readings atomic.Int32
+	listed := make(chan int64, 1)
+	f := New(Config[int]{
+		List: func(ctx context.Context) ([]Change[int], int64, error) {
+			if readings.Add(1) == 1 {
+				<-ctx.Done()
+				return nil, 0, ctx.Err()
+			}
+			return s.list(ctx)
+		},
+		Watch: s.watch, Wait: func() time.Duration { return time.Minute }, Again: func(bool) time.Duration { return 50 * time.Millisecond },
+		Listed: func(_ []Change[int], revision int64) int64 { listed <- revision; return revision }, Log: zap.NewNop(),
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- f.Run(ctx) }()
+	select {
+	case <-listed:
+	case <-time.After(CallTime / 2):
+		t.Error("no second reading was sent")
+	}
+	cancel()
+	<-ended
 }
--- a/entry/follow/known.go
+++ b/entry/follow/known.go
@@ -52,10 +52,11 @@
 type known struct {
 	name string
 	book fresh.Book
-	// own is the mark of the last look of this entry that showed much more than was
-	// known, told that of the claim that the others were last told, at the time toldAt.
-	own, told uint32
-	toldAt    time.Duration
+	// own is set while the others have to be told of a look of this entry, told the
+	// mark of the claim that they were last told, at the time toldAt.
+	own    bool
+	told   uint32
+	toldAt time.Duration
 	// at is the time as of which the list was last found to be the newest; valid
 	// if any.
 	at  time.Duration
@@ -104,7 +105,7 @@
 	gained := k.update(l, inForce)
 	worth := gained >= k.cfg.Rule.Step()
 	if worth {
-		l.own = mark
+		l.own = true
 	}
 	k.mu.Unlock()
 	if worth {
@@ -180,13 +181,13 @@
 			revision = roster
 		}
 		c, ok := l.book.Best(revision)
-		if !ok || c.Mark == l.told {
+		if !ok || c.Mark == l.told && !l.own {
 			continue
 		}
-		if c.Mark != l.own && now-l.toldAt < time.Duration(retellShare*float64(k.cfg.Rule.Bound)) {
+		if !l.own && now-l.toldAt < time.Duration(retellShare*float64(k.cfg.Rule.Bound)) {
 			continue
 		}
-		l.told, l.toldAt = c.Mark, now
+		l.own, l.told, l.toldAt = false, c.Mark, now
 		out = append(out, wire.Fresh{What: what, AgeMS: uint32((now - c.At + time.Millisecond).Milliseconds()), Mark: c.Mark, Clock: uint64(now.Milliseconds())})
 	}
 	return out
--- a/entry/follow/known_test.go
+++ b/entry/follow/known_test.go
@@ -77,7 +77,7 @@
 	// What b has heard it tells again after a while.
 	b.toldAgo(wire.SnapshotConfig, time.Second)
 	a.toldAgo(wire.SnapshotConfig, time.Second)
-	time.Sleep(10 * time.Millisecond)
+	time.Sleep(200 * time.Millisecond)
 	a.seen(wire.SnapshotConfig, 0)
 	b.hears(a)
 	c.hears(b)
--- a/entry/follow/register.go
+++ b/entry/follow/register.go
@@ -100,3 +100,10 @@
 		logs.Info(r.Log, logs.EventEntryForgotten, zap.String("peer", name), zap.Error(err))
 	}
 }
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
