--- a/core/fresh/entry_test.go
+++ b/core/fresh/entry_test.go
@@ -36,11 +36,12 @@
 	// revision is what it has in force, and book what it knows of that.
 	revision int
 	book     Book
-	// looks counts the calls of its own that were evidence, own is the mark of the
-	// last one that showed much more than was known. told is the mark of the claim that the others were told last, at
-	// toldAt.
-	looks, own, told uint32
-	toldAt           time.Duration
+	// looks counts the calls of its own that were evidence, own is set while the
+	// others have to be told of one. told is the mark of the claim that they were told
+	// last, at toldAt.
+	looks, told uint32
+	own         bool
+	toldAt      time.Duration
 
 	peers   []*peer
 	plan    relay.Plan
@@ -121,7 +122,7 @@
 	if after.At-before.At < (Rule{e.w.rules.bound}).Step() {
 		return
 	}
-	e.own = mark
+	e.own = true
 	if e.w.rules.hurry {
 		e.tickIn(max(0, e.turned+tellEvery-e.w.now))
 	}
@@ -148,9 +149,9 @@
 func (e *entry) claim(t *tally) {
 	c, ok := e.book.Best(int64(e.revision))
 	again := e.w.now-e.toldAt >= time.Duration(retellShare*float64(e.w.rules.bound))
-	if ok && c.Mark != e.told && (c.Mark == e.own || again) {
+	if ok && (e.own || c.Mark != e.told && again) {
 		t.claim, t.claims = c, true
-		e.told, e.toldAt = c.Mark, e.w.now
+		e.own, e.told, e.toldAt = false, c.Mark, e.w.now
 	}
 }
 
--- a/core/fresh/looker_test.go
+++ b/core/fresh/looker_test.go
@@ -4,7 +4,7 @@
 
 const (
 	// longestWait is the longest that a call waits beside looks.
-	longestWait = 20 * time.Second
+	longestWait = 24 * time.Second
 	// lookLimit is how long a look may take, maxReadings bounds the first readings
 	// beside each other and pollLook is how often it is checked whether a look is due.
 	lookLimit   = bound * 3 / 10
--- a/entry/follow/follow.go
+++ b/entry/follow/follow.go
@@ -185,10 +185,3 @@
 	pause := min(firstPause<<min(f.failed-1, 8), longestPause)
 	f.retry = time.Now().Add(time.Duration((0.5 + f.cfg.Random()/2) * float64(pause)))
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/entry/follow/look_test.go
+++ b/entry/follow/look_test.go
@@ -262,3 +262,28 @@
 		}
 	}
 }
+
+// The platform cuts each call for changes after holding it for a while. The next
+// thing that is tried must be a reading.
+func TestCallThatIsHeldAndCutIsFollowedByAReading(t *testing.T) {
+	s := &source{revision: 1}
+	var cuts atomic.Int32
+	learnt, _, evidence := looker(t, s, nil, func(ctx context.Context, _ int64, _ time.Duration) ([]Change[int], int64, error) {
+		select {
+		case <-ctx.Done():
+			return nil, 0, ctx.Err()
+		case <-time.After(20 * time.Millisecond):
+		}
+		cuts.Add(1)
+		return nil, 0, errors.New("cut")
+	})
+	await(t, learnt, 1)
+	<-evidence
+	before := cuts.Load()
+	for range 5 {
+		<-evidence
+	}
+	if n := cuts.Load() - before; n > 5 {
+		t.Errorf("%d calls for changes were cut before the list was read 5 times", n)
+	}
+}
--- a/entry/follow/wait.go
+++ b/entry/follow/wait.go
@@ -6,11 +6,11 @@
 	// longestWait is the longest that a call waits: as it is evidence of nothing, a
 	// shorter one would only cost calls, and the platform ends calls that wait for
 	// longer than half a minute.
-	longestWait = 20 * time.Second
+	longestWait = 24 * time.Second
 	// entriesWait is the same for the list of entries: nothing but that list tells
 	// of an entry that none of the others has met, and nothing is decided by it
 	// that must hold at once.
-	entriesWait = 10 * time.Second
+	entriesWait = 12 * time.Second
 	// limitShare is the part of the bound on changes after which a look without an
 	// answer is given up: the next one must be answered within what is left when it
 	// was due at 0.6 of the bound.
