--- /dev/null
+++ b/core/wire/tallycode.go
@@ -0,0 +1,75 @@
+package wire
+
+import (
+	"errors"
+	"slices"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+const (
+	// tallyFields is how many fields a tally had when readers wanted exactly these,
+	// freshFields how many it has with Clock and Fresh.
+	tallyFields = 10
+	freshFields = tallyFields + 2
+	// readsOn stands among the names in Lacks of whoever reads tallies with further
+	// fields. No entry is named so, and readers that want exactly tallyFields look
+	// for their own name only.
+	readsOn = "+"
+)
+
+var errTallyFields = errors.New("wire: a tally lacks fields: run the same version on both ends")
+
+// ReadsOn reports whether the sender reads tallies with fields after Waiting.
+func (t *Tally) ReadsOn() bool { return slices.Contains(t.Lacks, readsOn) }
+
+// SetReadsOn notes that the sender reads tallies with fields after Waiting.
+func (t *Tally) SetReadsOn() { t.Lacks = append(slices.Clip(t.Lacks), readsOn) }
+
+// EncodeMsgpack leaves Clock and Fresh out where they say nothing.
+func (t *Tally) EncodeMsgpack(e *msgpack.Encoder) error {
+	fields := []any{t.Addr, t.Config, t.Roster, t.Used, t.Held, t.Entries, t.Seq, t.Whole, t.Lacks, t.Waiting}
+	fresh := t.Clock > 0 || len(t.Fresh) > 0
+	n := tallyFields
+	if fresh {
+		n = freshFields
+	}
+	if err := e.EncodeArrayLen(n); err != nil {
+		return err
+	}
+	if err := e.EncodeMulti(fields...); err != nil || !fresh {
+		return err
+	}
+	// As few bytes as it takes: each tally has one.
+	if err := e.EncodeUint(t.Clock); err != nil {
+		return err
+	}
+	return e.Encode(t.Fresh)
+}
+
+// DecodeMsgpack reads a tally of an older version, without Clock and Fresh, and one of a
+// later, with further fields.
+func (t *Tally) DecodeMsgpack(d *msgpack.Decoder) error {
+	n, err := d.DecodeArrayLen()
+	if err != nil {
+		return err
+	}
+	if n < tallyFields {
+		return errTallyFields
+	}
+	if err := d.DecodeMulti(&t.Addr, &t.Config, &t.Roster, &t.Used, &t.Held, &t.Entries, &t.Seq, &t.Whole, &t.Lacks, &t.Waiting); err != nil {
+		return err
+	}
+	if n < freshFields {
+		return nil
+	}
+	if err := d.DecodeMulti(&t.Clock, &t.Fresh); err != nil {
+		return err
+	}
+	for range n - freshFields {
+		if err := d.Skip(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/entry/mesh/mesh.go
+++ b/entry/mesh/mesh.go
@@ -48,6 +48,9 @@
 	// Tally returns what has changed since it was last called, or everything.
 	// It is called by one goroutine.
 	Tally func(all bool) *wire.Tally
+	// Fresh returns what the next tally tells of how new the versions in force
+	// are, and the milliseconds for which this entry has run; nil is nothing.
+	Fresh func() (told []wire.Fresh, clock uint64)
 	// Revisions returns the revisions in force, zero where there is none.
 	Revisions func() (config, roster int64)
 	// Snapshot returns the version in force.
@@ -94,6 +97,9 @@
 	seq uint64
 	// ran is when it was last looked for silent peers.
 	ran time.Time
+	// hurry has a value while the next tally is to be sent at once, and hurryOn
+	// while what others told is to be passed on at once.
+	hurry, hurryOn chan struct{}
 	// versions holds those that were encoded last. The goroutine that tells owns
 	// it.
 	versions map[uint8]*wire.Snapshot
@@ -119,6 +125,8 @@
 	spared time.Time
 	// links counts those that it has to this entry.
 	links int
+	// readsOn is set if it reads tallies with fields that older versions lack.
+	readsOn bool
 	// reached is set while it counts as heard, and gap while it told something
 	// that has not arrived.
 	reached, gap bool
@@ -134,7 +142,7 @@
 func New(cfg Config) *Mesh {
 	return &Mesh{
 		cfg: cfg, start: time.Now(), ran: time.Now(), peers: make(map[string]*peer), dials: make(map[string]*dial),
-		seq: 1, versions: make(map[uint8]*wire.Snapshot), ended: make(chan struct{}, 1),
+		seq: 1, versions: make(map[uint8]*wire.Snapshot), ended: make(chan struct{}, 1), hurry: make(chan struct{}, 1), hurryOn: make(chan struct{}, 1),
 	}
 }
 
@@ -238,6 +246,32 @@
 	return heard, known
 }
 
+// Names returns the entries that are heard, without this one.
+func (m *Mesh) Names() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []string
+	for name, p := range m.peers {
+		if p.reached {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
+// Hurry has the next tally sent at once.
+func (m *Mesh) Hurry() { once(m.hurry) }
+
+// HurryOn has what others told passed on at once, if this entry is a hub.
+func (m *Mesh) HurryOn() { once(m.hurryOn) }
+
+func once(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
 // Led reports whether a hub tells this entry what the others do.
 func (m *Mesh) Led() bool {
 	m.mu.Lock()
--- a/entry/mesh/tell.go
+++ b/entry/mesh/tell.go
@@ -42,15 +42,16 @@
 	m.ran = last
 	m.mu.Unlock()
 	for {
-		select {
-		case <-ctx.Done():
+		if !m.await(ctx) {
 			return
-		case <-time.After(m.pause()):
 		}
 		m.expire()
 		m.adjust(ctx)
 		m.greet()
-		if t := m.cfg.Tally(false); t.News() || time.Since(last) >= m.aliveNow() {
+		told, clock := m.fresh()
+		t := m.cfg.Tally(false)
+		t.Fresh, t.Clock = told, clock
+		if t.News() || time.Since(last) >= m.aliveNow() {
 			last = time.Now()
 			m.send(t)
 		}
@@ -59,6 +60,55 @@
 	}
 }
 
+// await waits until the next tally is due, passing on what cannot wait, and
+// reports false when ctx ends. Also in a hurry it leaves tellEvery between two.
+func (m *Mesh) await(ctx context.Context) bool {
+	began, due := time.Now(), time.After(m.pause())
+	for {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-due:
+			return true
+		case <-m.hurry:
+			return rest(ctx, began)
+		case <-m.hurryOn:
+			if !rest(ctx, began) {
+				return false
+			}
+			m.pass()
+			began = time.Now()
+		}
+	}
+}
+
+// rest waits until tellEvery has passed and reports false when ctx ends.
+func rest(ctx context.Context, since time.Time) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(time.Until(since.Add(tellEvery))):
+		return true
+	}
+}
+
+// fresh returns what the next tally tells of how new the versions are: nothing
+// while an entry is heard that could not read it.
+func (m *Mesh) fresh() (told []wire.Fresh, clock uint64) {
+	if m.cfg.Fresh == nil {
+		return nil, 0
+	}
+	m.mu.Lock()
+	for _, p := range m.peers {
+		if p.reached && !p.readsOn {
+			m.mu.Unlock()
+			return nil, 0
+		}
+	}
+	m.mu.Unlock()
+	return m.cfg.Fresh()
+}
+
 // pause is the time between two tallies. It grows with the links, so that what
 // an entry spends on telling and hearing does not: at 27 links a tally each 25 ms
 // would be 1,080 messages a second in each direction.
@@ -122,6 +172,7 @@
 	m.mu.Lock()
 	t.Seq, t.Lacks = m.seq, m.lacks()
 	m.mu.Unlock()
+	t.SetReadsOn()
 	m.sendWhole(again, t, now)
 	// Whoever has just been reached may know nobody else.
 	known := *t
