door: a refusal waits for no body, and a body bounds its wait

Callers whose body came for longer than 2 s got a closed connection in place of a refusal, and the log told that they did not take it; callers that sent half of a body to an entry without configuration got no answer at all. The standard server reads the rest of a small body before it writes the head of an answer: while the 2 s to read the answer ran, and without a bound on time. The door reads that rest itself, under the bound on a silent caller, and begins the time to read the answer behind it; what is not whole then ends the connection behind the answer, under the same deadline. Where the caller waits to be asked for the body, it is not asked.

--- a/entry/door/answer.go
+++ b/entry/door/answer.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"net/http"
 	"os"
 	"runtime/debug"
@@ -22,6 +23,9 @@
 	// last of an answer. They fit the send buffer, so that they wait only for a
 	// caller who reads nothing.
 	lastTime = 2 * time.Second
+	// maxRest is how much of an unread body is read for the sake of its connection:
+	// as much as the standard server reads behind an answer.
+	maxRest = 256 << 10
 	// maxStack bounds the stack of a panic in the log, in bytes: the frames that
 	// name the fault come first.
 	maxStack = 4 << 10
@@ -37,6 +41,8 @@
 	began time.Time
 	// deadline is when the caller must have read it.
 	deadline time.Time
+	// read is set once the body was read, to its end or to a deadline that stays.
+	read bool
 	// noted is set once the log tells that the caller did not read it.
 	noted bool
 }
@@ -144,16 +150,38 @@
 }
 
 func (a *answer) refusal(no *Refusal) {
+	a.farewell()
+	a.rest()
 	a.began = time.Now()
 	if no.Retry > 0 {
 		a.w.Header().Set("Retry-After", strconv.FormatFloat(no.Retry.Seconds(), 'f', 3, 64))
 	}
-	a.farewell()
 	a.w.Header().Set("Content-Length", "0")
 	a.w.WriteHeader(no.Status)
 	a.end()
 }
 
+// rest reads the rest of a small body, or lets the connection end behind the answer.
+// The server would read it before it writes the head, without a bound on time and
+// while the caller's time to read the answer runs.
+func (a *answer) rest() {
+	if a.read || a.r.ContentLength == 0 {
+		return
+	}
+	// The deadline stays for what the server still reads before it closes.
+	a.rc.SetReadDeadline(time.Now().Add(bodyTime))
+	if a.w.Header().Get("Connection") != "" {
+		return
+	}
+	if a.r.Header.Get("Expect") == "" {
+		if _, err := io.CopyN(io.Discard, a.r.Body, maxRest); err == io.EOF {
+			a.rc.SetReadDeadline(time.Time{})
+			return
+		}
+	}
+	a.w.Header().Set("Connection", "close")
+}
+
 // panicked answers a request whose handler panicked with v.
 func (a *answer) panicked(v any) {
 	if v == http.ErrAbortHandler {
--- a/entry/door/door.go
+++ b/entry/door/door.go
@@ -204,7 +204,9 @@
 	m := &meteredBody{ReadCloser: r.Body, held: &d.bodies, limit: d.cfg.Memory}
 	r.Body = m
 	defer m.release()
-	if no := read(w, r, t, j); no != nil {
+	no = read(w, r, t, j)
+	a.read = true
+	if no != nil {
 		a.refuse(no)
 		return
 	}
