kept: the first bytes of a request behind another keep their connection

A caller that sent up to three bytes of a request in one packet with the request before lost both connection and request when the connection was swept or a planned stop came. The server had read these bytes while the earlier request was served, so the connection counted as idle. The buffer that the server reads into tells: it is shorter than the whole while it holds something. Its size is what the first read asks for; taken from later reads, which pass the buffer by for large bodies, it would make every connection behind a large body look begun (a trial of that form fails TestIdleBehindALargeBody).

--- a/entry/kept/ahead_test.go
+++ b/entry/kept/ahead_test.go
@@ -1,7 +1,9 @@
 package kept
 
 import (
+	"fmt"
 	"io"
+	"net/http"
 	"testing"
 	"time"
 )
@@ -40,3 +42,28 @@
 		}
 	}
 }
+
+// A large body is read past the server's buffer, in larger steps. Behind it the
+// connection is idle like any other, and is closed at the bound on idle time.
+func TestIdleBehindALargeBody(t *testing.T) {
+	st := newStand(t, func(w http.ResponseWriter, r *http.Request) {
+		io.CopyBuffer(struct{ io.Writer }{io.Discard}, struct{ io.Reader }{r.Body}, make([]byte, 64<<10))
+		ok(w, r)
+	})
+	c := dial(t, st.addr)
+	const size = 1 << 20
+	fmt.Fprintf(c, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n", size)
+	c.Write(make([]byte, size))
+	if err := c.answer(); err != nil {
+		t.Fatal(err)
+	}
+	st.in(t, idle)
+	k := st.one(t)
+	k.mu.Lock()
+	k.since = k.since.Add(-time.Hour)
+	k.mu.Unlock()
+	st.set.Sweep()
+	if n := st.counter("connections_closed", IdleBound); n != 1 {
+		t.Errorf("%d connections closed as idle", n)
+	}
+}
--- a/entry/kept/conn.go
+++ b/entry/kept/conn.go
@@ -27,9 +27,11 @@
 )
 
 // conn is one accepted connection. A byte leaves the kernel in the same step, under
-// mu, that makes the connection begun; it becomes closed only while it is fresh or
-// idle and no byte lies in the kernel, in one step under mu too. So no request of
-// which a byte was read is ever cut by either.
+// mu, that makes the connection begun. Bytes that came with the request before count
+// once the server waits for more of them. As idle or in a planned stop a connection
+// is closed only while it is fresh or idle, the server waits with an empty buffer
+// and no byte lies in the kernel, in one step under mu too. So neither cuts a
+// request of which a byte was read. A slow head and the end of the grace may.
 type conn struct {
 	*net.TCPConn
 	set *Set
@@ -40,6 +42,10 @@
 	to   []byte
 	n    int
 	err  error
+	// room is the size of the server's buffer: it is empty at the first read, which
+	// asks for all of it. Later ones may read a body past the buffer, and ask for
+	// more.
+	room int
 
 	mu    sync.Mutex
 	phase phase
@@ -86,6 +92,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.waiting = false
+	if c.room == 0 {
+		c.room = len(c.to)
+	}
 	if c.phase == closed {
 		c.err = net.ErrClosed
 		return true
@@ -94,6 +103,10 @@
 	switch {
 	case err == syscall.EAGAIN:
 		c.waiting = true
+		if c.phase == idle && len(c.to) < c.room {
+			// The rest of the server's buffer holds the beginning of a request.
+			c.turn(begun)
+		}
 		return false
 	case err != nil:
 		c.err = err
