door: callers hear what became of requests that outlive the grace

A request that stood in line, or waited for the head of its answer, when the grace of a planned stop was over got a closed connection. Its caller could not know whether it had run. Contexts of such requests end with a cause of their own while their connections stay open for 400 ms of the 700 ms that are kept for closing: one that was not sent is refused (503), one that has left the line may have run (502), also one that must not be repeated and would be awaited otherwise; an answer that has begun is broken off as before. What is left then is closed. A request between two tries counts as one that may have run.

--- a/entry/direct/cause.go
+++ b/entry/direct/cause.go
@@ -12,6 +12,13 @@
 // errTimeUp ends the work on a job at the end of its time.
 var errTimeUp = errors.New("time is up")
 
+// ErrEnding is the cause with which a server ends the contexts of requests when the
+// entry is about to end and their callers can still be told.
+var ErrEnding = errors.New("direct: the entry ends: send the request again, to another entry")
+
+// ending reports that the context of a request ended for ErrEnding.
+func ending(caller context.Context) bool { return errors.Is(context.Cause(caller), ErrEnding) }
+
 // lateError is why the entry itself gave a try up: the endpoint sent nothing for
 // the bound.
 type lateError struct {
--- a/entry/direct/serve.go
+++ b/entry/direct/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"go.uber.org/zap"
@@ -37,6 +38,9 @@
 		}
 		d.refund(j)
 		res := gone(ctx)
+		if ending(ctx) {
+			res.Outcome, res.Retry = Refused, busyRetry
+		}
 		res.Basis = v.basis
 		return res
 	}
@@ -49,14 +53,26 @@
 	defer cancel()
 	work, stop := context.WithCancelCause(end)
 	defer stop(nil)
-	if !j.Route.Once() || j.Route.Stream {
+	defer context.AfterFunc(ctx, func() {
 		// Nobody waits for the answer once the caller has left, so the endpoint
 		// is freed. A request that must not be repeated runs to its end: cut
-		// off halfway, neither side could tell what it did.
-		defer context.AfterFunc(ctx, func() { stop(context.Cause(ctx)) })()
+		// off halfway, neither side could tell what it did. If the entry ends,
+		// it can't be awaited.
+		if !j.Route.Once() || j.Route.Stream || ending(ctx) {
+			stop(context.Cause(ctx))
+		}
+	})()
+	headed, head := false, s.Head
+	s.Head = func(status int, h http.Header, length int64) {
+		headed = true
+		head(status, h, length)
 	}
 	t := &task{d: d, job: j, sink: s, caller: ctx, ctx: work}
 	res := t.run(v)
+	if res.Outcome == Cut && !headed && ending(ctx) {
+		// It has left the line, so it may have run.
+		res.Outcome = Unknown
+	}
 	if res.Outcome == Refused {
 		d.refund(j)
 	}
--- a/entry/door/door.go
+++ b/entry/door/door.go
@@ -38,6 +38,9 @@
 	notice = 2600 * time.Millisecond
 	// lastCall is how much of the grace is kept for closing.
 	lastCall = 700 * time.Millisecond
+	// lastWords is the part of lastCall in which callers are told what became of
+	// requests that are not over: a lost packet is sent again in it.
+	lastWords = 400 * time.Millisecond
 )
 
 // Refusal is the answer to a request that is not accepted.
@@ -140,13 +143,24 @@
 	// part of a request, and return while that request runs.
 	if err := d.conns.Drain(ctx); err != nil {
 		logs.Warn(d.cfg.Log, logs.EventStopped, zap.Int("interrupted", d.cfg.Running()))
-		d.conns.Close(kept.GraceOver)
+		d.interrupt()
 		return nil
 	}
 	logs.Info(d.cfg.Log, logs.EventStopped)
 	return nil
 }
 
+// interrupt ends what outlived the grace. What became of a request whose answer has
+// not begun is told on its open connection: a closed one tells its caller nothing.
+func (d *Door) interrupt() {
+	d.conns.Cancel(direct.ErrEnding)
+	ctx, cancel := context.WithTimeout(context.Background(), lastWords)
+	defer cancel()
+	if d.conns.Drain(ctx) != nil {
+		d.conns.Close(kept.GraceOver)
+	}
+}
+
 // Leaving reports whether a planned stop has begun.
 func (d *Door) Leaving() bool { return d.leaving.Load() }
 
--- a/entry/kept/drain.go
+++ b/entry/kept/drain.go
@@ -176,6 +176,18 @@
 	return err == nil && ready > 0
 }
 
+// Cancel ends the contexts of requests with a cause. Their connections stay open, so
+// that their handlers may still answer.
+func (s *Set) Cancel(cause error) {
+	for _, c := range s.all() {
+		c.mu.Lock()
+		if c.cancel != nil {
+			c.cancel(cause)
+		}
+		c.mu.Unlock()
+	}
+}
+
 // Close closes all connections, whatever they carry.
 func (s *Set) Close(why Why) {
 	for _, c := range s.all() {
