--- a/entry/door/door.go
+++ b/entry/door/door.go
@@ -104,6 +104,11 @@
 		front.Close()
 		return err
 	}
+	return d.serveOn(ctx, front, ready)
+}
+
+// serveOn serves callers on front and the balancer on ready.
+func (d *Door) serveOn(ctx context.Context, front, ready net.Listener) error {
 	server := &http.Server{Handler: http.HandlerFunc(d.serve), ReadHeaderTimeout: headerTime, MaxHeaderBytes: maxHeader}
 	d.conns.Attach(server)
 	asked := &http.Server{
--- a/entry/door/grace_test.go
+++ b/entry/door/grace_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -32,3 +34,32 @@
 		t.Errorf("got %d in place of a refusal", got)
 	}
 }
+
+// The listener that the balancer asks fails while a request runs. That request has
+// nothing to do with it: the entry stops as it would by plan, and ends with the
+// error.
+func TestFailedListenerCutsNoRequest(t *testing.T) {
+	t.Parallel()
+	began, end := make(chan bool, 1), make(chan bool)
+	st := newStand(t, grace, func(ctx context.Context, j *direct.Job, s direct.Sink) direct.Result {
+		began <- true
+		<-end
+		return fine(ctx, j, s)
+	})
+	c, err := st.dial()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.send("/long")
+	<-began
+	st.ready.Close()
+	await(t, "the stop", st.door.Leaving)
+	close(end)
+	if got := c.answer(); got != http.StatusOK {
+		t.Errorf("got %d", got)
+	}
+	if err := <-st.ended; !errors.Is(err, net.ErrClosed) {
+		t.Errorf("the door ended with %v", err)
+	}
+}
--- a/entry/door/stand_test.go
+++ b/entry/door/stand_test.go
@@ -34,7 +34,9 @@
 	// process had closed when Serve returned.
 	handed, cut, running atomic.Int64
 	stop                 context.CancelFunc
-	ended                chan error
+	// ready is the balancer's listener.
+	ready net.Listener
+	ended chan error
 }
 
 // output keeps the log. A test may hold back whoever writes a line of an event.
@@ -124,10 +126,17 @@
 	})
 	ctx, stop := context.WithCancel(context.Background())
 	st.stop = stop
+	front, err := st.door.conns.Listen(st.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if st.ready, err = net.Listen("tcp", st.door.cfg.Ready); err != nil {
+		t.Fatal(err)
+	}
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		st.ended <- st.door.Run(ctx)
+		st.ended <- st.door.serveOn(ctx, front, st.ready)
 	}()
 	await(t, "the door", func() bool {
 		nc, err := net.Dial("tcp", st.addr)
