door: the failure of a listener is a planned stop

When a listener failed, also the one that only the balancer asks, all connections were closed at once, with every request that ran on them. The door stops as by plan and ends with the error, as the other server of the entry does; the reason "server failed" of closed connections is gone with its only use.

--- a/entry/door/door.go
+++ b/entry/door/door.go
@@ -124,19 +124,21 @@
 	for {
 		select {
 		case err := <-ended:
-			d.conns.Close(kept.Failed)
+			// What was read is answered all the same.
+			d.stop()
 			return err
 		case <-tick.C:
 			d.conns.Sweep()
 		case <-ctx.Done():
-			return d.stop()
+			d.stop()
+			return nil
 		}
 	}
 }
 
 // stop ends the server. For a moment it goes on accepting, since the balancer
 // still sends connections here; each answer tells its caller to use another.
-func (d *Door) stop() error {
+func (d *Door) stop() {
 	began := time.Now()
 	d.leaving.Store(true)
 	logs.Info(d.cfg.Log, logs.EventLeaving, zap.Int("running", d.cfg.Running()))
@@ -149,10 +151,9 @@
 	if err := d.conns.Drain(ctx); err != nil {
 		logs.Warn(d.cfg.Log, logs.EventStopped, zap.Int("interrupted", d.cfg.Running()))
 		d.interrupt()
-		return nil
+		return
 	}
 	logs.Info(d.cfg.Log, logs.EventStopped)
-	return nil
 }
 
 // interrupt ends what outlived the grace. What became of a request whose answer has
--- a/entry/kept/why.go
+++ b/entry/kept/why.go
@@ -23,12 +23,10 @@
 	PlannedStop
 	// GraceOver is that a request outlived the grace of a planned stop.
 	GraceOver
-	// Failed is that the server itself ended.
-	Failed
 	whys
 )
 
-var whyNames = [whys]string{"idle bound", "slow head", "planned stop", "end of the grace", "server failed"}
+var whyNames = [whys]string{"idle bound", "slow head", "planned stop", "end of the grace"}
 
 func (w Why) String() string { return whyNames[w] }
 
