--- a/entry/kept/drain_test.go
+++ b/entry/kept/drain_test.go
@@ -152,3 +152,30 @@
 		t.Error("the accepted connection is not known")
 	}
 }
+
+// Callers go on connecting, so the time for the listener's line is over when it is
+// closed. The last connection that was accepted may not be known to the set by then;
+// Drain must not find the set empty before.
+func TestDrainWaitsForTheLastAccepted(t *testing.T) {
+	s := New(Config{Bound: func() time.Duration { return time.Minute }, Metrics: meter.New(), Log: zap.NewNop()})
+	ln, err := s.Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := dial(t, ln.Addr().String())
+	await(t, "the connection", func() bool { return queued(s.ln) })
+	go func() {
+		// The listener resets what it has not accepted.
+		c.Read(make([]byte, 1))
+		time.Sleep(50 * time.Millisecond)
+		ln.Accept()
+	}()
+	if err := s.Drain(t.Context()); err != nil {
+		t.Error(err)
+	}
+	select {
+	case <-s.deaf:
+	default:
+		t.Error("drained while the server still accepts")
+	}
+}
