kept: a stop waits for the server's last accept under a bound of its own

While callers go on connecting, the wait for the listener's line uses its bound up, and the wait for the server to see the closed listener shared it. Drain could find the set empty while a connection was accepted and not known yet: its request would be cut. TestDrainWaitsForTheLastAccepted passes, three times with -race.

--- a/entry/kept/drain.go
+++ b/entry/kept/drain.go
@@ -14,6 +14,9 @@
 	// closes it. Whoever has just connected, or has just got an answer, is about
 	// to send; the time covers a lost packet (200 ms until it is sent again).
 	settle = 300 * time.Millisecond
+	// lastAccept is how long a stop waits until the server has seen that its
+	// listener is closed: it does at once, unless the process hardly gets to run.
+	lastAccept = time.Second
 	// drainPause is the time between two looks at the connections.
 	drainPause = 20 * time.Millisecond
 )
@@ -139,19 +142,22 @@
 // the last that was accepted is known to the set. Callers who go on connecting do
 // not hold the stop up for longer than settle.
 func (s *Set) unlisten(ctx context.Context, ln *net.TCPListener) {
-	ctx, cancel := context.WithTimeout(ctx, settle)
+	line, cancel := context.WithTimeout(ctx, settle)
 	defer cancel()
 	tick := time.NewTicker(time.Millisecond)
 	defer tick.Stop()
-	for queued(ln) && ctx.Err() == nil {
+	for queued(ln) && line.Err() == nil {
 		select {
-		case <-ctx.Done():
+		case <-line.Done():
 		case <-tick.C:
 		}
 	}
 	ln.Close()
+	// Its own bound: that of the line is over if callers go on connecting.
+	last, done := context.WithTimeout(ctx, lastAccept)
+	defer done()
 	select {
-	case <-ctx.Done():
+	case <-last.Done():
 	case <-s.deaf:
 	}
 }
