--- a/entry/kept/kept_test.go
+++ b/entry/kept/kept_test.go
@@ -153,6 +153,26 @@
 	}
 }
 
+// The bound is raised and lowered again while a connection is idle. The larger one
+// was in force, so its caller may rely on it until the next answer.
+func TestRaisedBoundHoldsUntilTheNextAnswer(t *testing.T) {
+	st := newStand(t, ok)
+	st.bound.Store(int64(time.Millisecond))
+	c := dial(t, st.addr)
+	if err := c.ask("/"); err != nil {
+		t.Fatal(err)
+	}
+	st.in(t, idle)
+	for _, bound := range []time.Duration{time.Minute, time.Millisecond} {
+		st.bound.Store(int64(bound))
+		time.Sleep(10 * time.Millisecond)
+		st.set.Sweep()
+	}
+	if err := c.ask("/"); err != nil {
+		t.Error(err)
+	}
+}
+
 // The caller leaves by itself: that is not the process's doing.
 func TestCallerThatLeavesIsNoCause(t *testing.T) {
 	began, cause := make(chan bool), make(chan *Closed, 1)
