kept: the largest bound since the last answer holds

A caller whose connection was idle while the bound on idle time was raised and then lowered lost it at the lower one, though it could rely on the larger. TestRaisedBoundHoldsUntilTheNextAnswer passes, twice with -race.

--- a/entry/kept/conn.go
+++ b/entry/kept/conn.go
@@ -49,7 +49,8 @@
 
 	mu    sync.Mutex
 	phase phase
-	// since is when phase began, bound the bound on idle time in force then.
+	// since is when phase began, bound the largest bound on idle time in force
+	// since the last answer.
 	since time.Time
 	bound time.Duration
 	// waiting is set while the server waits for more than it holds. Before that a
--- a/entry/kept/drain.go
+++ b/entry/kept/drain.go
@@ -84,14 +84,14 @@
 }
 
 // Sweep closes connections that have been idle for longer than the bound. Callers
-// keep to the bound that held when their connection became idle: a lower one
-// that comes later does not cut them.
+// keep to the largest bound that has held since their connection became idle: a
+// lower one that comes later does not cut them.
 func (s *Set) Sweep() {
 	now := s.cfg.Bound()
 	for _, c := range s.all() {
 		c.claim(IdleBound, func(age time.Duration) (time.Duration, bool) {
-			bound := max(c.bound, now)
-			return bound, c.phase == idle && age > bound && c.unused()
+			c.bound = max(c.bound, now)
+			return c.bound, c.phase == idle && age > c.bound && c.unused()
 		})
 		c.claimSlow()
 	}
