--- a/entry/door/door.go
+++ b/entry/door/door.go
@@ -38,6 +38,9 @@
 	notice = 2600 * time.Millisecond
 	// lastCall is how much of the grace is kept for closing.
 	lastCall = 700 * time.Millisecond
+	// lastWords is the part of lastCall in which callers are told what became of
+	// requests that are not over: a lost packet is sent again in it.
+	lastWords = 400 * time.Millisecond
 )
 
 // Refusal is the answer to a request that is not accepted.
@@ -101,6 +104,11 @@
 		front.Close()
 		return err
 	}
+	return d.serveOn(ctx, front, ready)
+}
+
+// serveOn serves callers on front and the balancer on ready.
+func (d *Door) serveOn(ctx context.Context, front, ready net.Listener) error {
 	server := &http.Server{Handler: http.HandlerFunc(d.serve), ReadHeaderTimeout: headerTime, MaxHeaderBytes: maxHeader}
 	d.conns.Attach(server)
 	asked := &http.Server{
@@ -116,19 +124,21 @@
 	for {
 		select {
 		case err := <-ended:
-			d.conns.Close(kept.Failed)
+			// What was read is answered all the same.
+			d.stop()
 			return err
 		case <-tick.C:
 			d.conns.Sweep()
 		case <-ctx.Done():
-			return d.stop()
+			d.stop()
+			return nil
 		}
 	}
 }
 
 // stop ends the server. For a moment it goes on accepting, since the balancer
 // still sends connections here; each answer tells its caller to use another.
-func (d *Door) stop() error {
+func (d *Door) stop() {
 	began := time.Now()
 	d.leaving.Store(true)
 	logs.Info(d.cfg.Log, logs.EventLeaving, zap.Int("running", d.cfg.Running()))
@@ -140,11 +150,21 @@
 	// part of a request, and return while that request runs.
 	if err := d.conns.Drain(ctx); err != nil {
 		logs.Warn(d.cfg.Log, logs.EventStopped, zap.Int("interrupted", d.cfg.Running()))
-		d.conns.Close(kept.GraceOver)
-		return nil
+		d.interrupt()
+		return
 	}
 	logs.Info(d.cfg.Log, logs.EventStopped)
-	return nil
+}
+
+// interrupt ends what outlived the grace. What became of a request whose answer has
+// not begun is told on its open connection: a closed one tells its caller nothing.
+func (d *Door) interrupt() {
+	d.conns.Cancel(direct.ErrEnding)
+	ctx, cancel := context.WithTimeout(context.Background(), lastWords)
+	defer cancel()
+	if d.conns.Drain(ctx) != nil {
+		d.conns.Close(kept.GraceOver)
+	}
 }
 
 // Leaving reports whether a planned stop has begun.
@@ -204,7 +224,9 @@
 	m := &meteredBody{ReadCloser: r.Body, held: &d.bodies, limit: d.cfg.Memory}
 	r.Body = m
 	defer m.release()
-	if no := read(w, r, t, j); no != nil {
+	no = read(w, r, t, j)
+	a.read = true
+	if no != nil {
 		a.refuse(no)
 		return
 	}
--- a/entry/kept/drain.go
+++ b/entry/kept/drain.go
@@ -14,6 +14,9 @@
 	// closes it. Whoever has just connected, or has just got an answer, is about
 	// to send; the time covers a lost packet (200 ms until it is sent again).
 	settle = 300 * time.Millisecond
+	// lastAccept is how long a stop waits until the server has seen that its
+	// listener is closed: it does at once, unless the process hardly gets to run.
+	lastAccept = time.Second
 	// drainPause is the time between two looks at the connections.
 	drainPause = 20 * time.Millisecond
 )
@@ -81,14 +84,14 @@
 }
 
 // Sweep closes connections that have been idle for longer than the bound. Callers
-// keep to the bound that held when their connection became idle: a lower one
-// that comes later does not cut them.
+// keep to the largest bound that has held since their connection became idle: a
+// lower one that comes later does not cut them.
 func (s *Set) Sweep() {
 	now := s.cfg.Bound()
 	for _, c := range s.all() {
 		c.claim(IdleBound, func(age time.Duration) (time.Duration, bool) {
-			bound := max(c.bound, now)
-			return bound, c.phase == idle && age > bound && c.unused()
+			c.bound = max(c.bound, now)
+			return c.bound, c.phase == idle && age > c.bound && c.unused()
 		})
 		c.claimSlow()
 	}
@@ -139,19 +142,22 @@
 // the last that was accepted is known to the set. Callers who go on connecting do
 // not hold the stop up for longer than settle.
 func (s *Set) unlisten(ctx context.Context, ln *net.TCPListener) {
-	ctx, cancel := context.WithTimeout(ctx, settle)
+	line, cancel := context.WithTimeout(ctx, settle)
 	defer cancel()
 	tick := time.NewTicker(time.Millisecond)
 	defer tick.Stop()
-	for queued(ln) && ctx.Err() == nil {
+	for queued(ln) && line.Err() == nil {
 		select {
-		case <-ctx.Done():
+		case <-line.Done():
 		case <-tick.C:
 		}
 	}
 	ln.Close()
+	// Its own bound: that of the line is over if callers go on connecting.
+	last, done := context.WithTimeout(ctx, lastAccept)
+	defer done()
 	select {
-	case <-ctx.Done():
+	case <-last.Done():
 	case <-s.deaf:
 	}
 }
@@ -176,6 +182,18 @@
 	return err == nil && ready > 0
 }
 
+// Cancel ends the contexts of requests with a cause. Their connections stay open, so
+// that their handlers may still answer.
+func (s *Set) Cancel(cause error) {
+	for _, c := range s.all() {
+		c.mu.Lock()
+		if c.cancel != nil {
+			c.cancel(cause)
+		}
+		c.mu.Unlock()
+	}
+}
+
 // Close closes all connections, whatever they carry.
 func (s *Set) Close(why Why) {
 	for _, c := range s.all() {
