--- a/entry/mesh/stopped_test.go
+++ b/entry/mesh/stopped_test.go
@@ -90,3 +90,24 @@
 		}
 	})
 }
+
+// A hub that has stopped to tell is left for another one at once. In a process that
+// goes on after a stop all hubs look so; left together, the fleet is told through
+// others and links are dialled that nobody needs.
+func TestStopOfTheProcessLeavesNoHub(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m, _ := receiver()
+		m.linked(wire.Hello{Name: "other"}, true)
+		m.take(origin{"other", "z", 7}, relay.Direct, &wire.Tally{Seq: 1, Whole: true}, nil)
+		m.run(tellAtLeast)
+		time.Sleep(within)
+		m.expire()
+		if m.peers["other"].mute(tellAtLeast) {
+			t.Error("left before what it told is read")
+		}
+		m.run(tellAtLeast + hubMargin + tellEvery)
+		if !m.peers["other"].mute(tellAtLeast) {
+			t.Error("a hub that stays silent is kept")
+		}
+	})
+}
