mesh: hubs are not left for what a stopped process missed

A process that went on after a stop took every hub for mute before it had read what they told, planned anew who tells whom and dialled others.

TestStopOfTheProcessLeavesNoHub: left before, kept after, and left when it stays silent. go test -race -count=2 ./entry/mesh passes.

--- a/entry/mesh/dial.go
+++ b/entry/mesh/dial.go
@@ -83,10 +83,10 @@
 
 // mute reports whether a peer has stopped to tell over its own link: frozen, cut
 // off or dead. The entries that depend on it as a hub must not wait until it
-// counts as silent.
+// counts as silent. What this process missed while it was stopped is spared.
 func (p *peer) mute(alive time.Duration) bool {
 	if p.links > 0 {
-		return time.Since(p.direct) > alive+hubMargin
+		return min(time.Since(p.direct), time.Since(p.spared)) > alive+hubMargin
 	}
 	return time.Since(p.broke) < brokeFor
 }
--- a/entry/mesh/stopped_test.go
+++ b/entry/mesh/stopped_test.go
@@ -93,7 +93,7 @@
 
 // A hub that has stopped to tell is left for another one at once. In a process that
 // goes on after a stop all hubs look so; left together, the fleet is told through
-// others and links are dialled that nobody needs.
+// others and links are dialled that nobody needs: "left before what it told is read".
 func TestStopOfTheProcessLeavesNoHub(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		m, _ := receiver()
