direct: a late try is read until the next one's answer begins

Callers saw half a stream, or 502, where their endpoint had only paused: the late try was ended for another one as soon as that had its place and its repeat, and if the other then declined or closed no attempt was left.

The next try is now sent beside the late one by a goroutine of the late one's watch. Under the watch's lock exactly one of the two is dropped: the late one when the other's good head has come, after 200 ms, or when it breaks off itself; the other one when the late one sends anything, or when the other fails first. The late one's reader waits for the end of the dropped exchange before it goes on, so what the other was sent for is never behind what was passed on, and once the other is taken nothing of the late one is passed on. 200 ms bound how long two endpoints work for one answer. A dropped try counts as an attempt if it may have run and keeps its repeat unless it was not sent.

Open: an endpoint that declines later than 200 ms still costs the late answer.

--- a/entry/direct/hand_test.go
+++ b/entry/direct/hand_test.go
@@ -9,8 +9,13 @@
 
 // A stream pauses for longer than it may, another endpoint seems to have room and
 // there is one repeat. The stream is ended for it, and the other endpoint then
-// declines or is not there. The first one would have gone on; its caller gets half
-// a stream.
+// declines or is not there. The first one would have gone on. If it is ended before
+// the other has answered, its caller gets half a stream, and the log has
+//
+//	"outcome":"broken","why":"the stream was not resumed; no attempt left"
+//
+// where it has to have "event":"request_returned" from the other back to the first,
+// and request_done.
 func TestSlowStreamIsNotLostToAnotherThatDeclines(t *testing.T) {
 	for _, tt := range []struct {
 		name  string
--- a/entry/direct/relay.go
+++ b/entry/direct/relay.go
@@ -36,6 +36,14 @@
 		w.wait(silence, false)
 		n, err := a.Read(buf)
 		w.came()
+		good := err == nil || err == io.EOF
+		if w.settle(good) {
+			// The next try was sent for what comes behind the last event passed on.
+			if good {
+				err = w.why
+			}
+			return t.brokeOff(v, err)
+		}
 		if n > 0 {
 			part = append(part, buf[:n]...)
 			if err == nil && a.Buffered() && len(part) < relayBuffer {
@@ -63,7 +71,7 @@
 // endpoint that has room; zero if it may not be.
 func (t *task) silence(v *visit) time.Duration {
 	r := t.job.Route
-	if !r.Resumable || t.ran+1 >= r.Attempts || v.alone {
+	if !r.Resumable || !t.replaceable(v) {
 		return 0
 	}
 	return max(time.Duration(pauses*float64(r.MaxPause)), shortestSilence)
--- a/entry/direct/send.go
+++ b/entry/direct/send.go
@@ -11,8 +11,8 @@
 	"lycheepond/entry/hop"
 )
 
-// send writes the job and returns the answer if it is one that may be passed on.
-func (t *task) send(ctx context.Context, v *visit, w *watch) (*hop.Answer, verdict) {
+// ask writes the job and returns the head of the answer.
+func (t *task) ask(ctx context.Context, v *visit) (*hop.Answer, error) {
 	j := t.job
 	r := &hop.Request{
 		Method: j.Method, Target: j.Target, Host: j.Host, Header: j.Header.Clone(), Body: j.Body,
@@ -24,9 +24,19 @@
 	}
 	t.d.cfg.Stamp(r, Order{Endpoint: v.id, Customer: j.Customer, Left: time.Until(j.End()), LastEvent: last})
 	_, known := t.d.cfg.Reach()
+	return t.d.cfg.Client.Do(ctx, v.addr, v.connLimit(j.Pool, known), r)
+}
+
+// send returns the answer if it is one that may be passed on.
+func (t *task) send(x *exchange, v *visit, w *watch) (*hop.Answer, verdict) {
 	w.wait(t.patience(v), true)
-	a, err := t.d.cfg.Client.Do(ctx, v.addr, v.connLimit(j.Pool, known), r)
+	a, err := x.answer()
 	w.came()
+	good := err == nil && t.good(a)
+	if w.settle(good) && good {
+		a.Close()
+		err = w.why
+	}
 	if err != nil {
 		return nil, t.unanswered(v, err)
 	}
--- a/entry/direct/task.go
+++ b/entry/direct/task.go
@@ -143,11 +143,18 @@
 // try sends the job to one endpoint.
 func (t *task) try(v *visit) verdict {
 	defer v.abandon()
-	ctx, cancel := context.WithCancelCause(t.ctx)
-	defer cancel(nil)
-	w := t.watch(v, cancel)
-	a, got := t.send(ctx, v, w)
+	x := v.exchange
+	if x == nil {
+		x = t.exchange(v)
+	}
+	ctx := x.ctx
+	defer x.cancel(nil)
+	w := t.watch(v, x.cancel)
+	w.begin()
+	a, got := t.send(x, v, w)
 	got = t.receive(a, got, v, w)
+	w.end()
+	t.ran, t.sends = w.ran-1, w.sends
 	if cause := context.Cause(ctx); cause != nil && !(got.done && got.res.Outcome == Complete) {
 		t.d.givenUp(kindOf(cause))
 	}
@@ -161,11 +168,14 @@
 	return got
 }
 
+// replaceable reports whether there may be another try in the place of v.
+func (t *task) replaceable(v *visit) bool { return t.ran+1 < t.job.Route.Attempts && !v.alone }
+
 // patience is how long the head of an answer is waited for before the job is
 // sent to another endpoint that has room; zero if it may not be.
 func (t *task) patience(v *visit) time.Duration {
 	j := t.job
-	if j.Route.Once() || t.ran+1 >= j.Route.Attempts || v.alone {
+	if j.Route.Once() || !t.replaceable(v) {
 		return 0
 	}
 	if j.Route.Stream {
--- a/entry/direct/visit.go
+++ b/entry/direct/visit.go
@@ -111,10 +111,13 @@
 	return nil, dec.Why.String()
 }
 
-// giveBack gives up what reserve returned; it was not sent.
+// giveBack gives up what reserve returned, and its repeat unless the job was sent.
 func (d *Director) giveBack(v *visit) {
+	arrived := v.exchange != nil && v.exchange.drop()
 	v.abandon()
-	d.unspend(v)
+	if !arrived {
+		d.unspend(v)
+	}
 }
 
 // unspend gives back a repeat that was not needed.
@@ -160,6 +163,8 @@
 	// a process that ran, in the wait that ended last.
 	silent bool
 	over   bool
+	// exchange is set if the try was sent beside another one.
+	exchange *exchange
 }
 
 // head notes that the answer's head has come.
--- a/entry/direct/watch.go
+++ b/entry/direct/watch.go
@@ -22,17 +22,22 @@
 const lookAgain = 20 * time.Millisecond
 
 // watch gives a try up when its endpoint has sent nothing for too long, and only
-// for another one that has its place and its repeat already. While there is none
-// the answer is awaited: a late one is worth more to its caller than none.
+// for another one that has its place and its repeat already and has not declined.
+// While there is none the answer is awaited: a late one is worth more to its
+// caller than none.
 type watch struct {
 	t      *task
 	v      *visit
 	cancel context.CancelCauseFunc
-	// ran and sends are the task's, this try included.
-	ran, sends int
+	// exchanges carries the next tries to the goroutine that sends them; ended is
+	// closed at its end.
+	exchanges chan *exchange
+	ended     chan struct{}
 
 	mu    sync.Mutex
 	timer *time.Timer
+	// ran and sends are the task's, this try and those beside it included.
+	ran, sends int
 	// armed is set while something is waited for that may be given up. head tells
 	// what, since from when on and bound for how long at most; output is how many
 	// tokens were still expected then.
@@ -40,24 +45,32 @@
 	since       time.Time
 	bound       time.Duration
 	output      int
+	// waiting is set from wait to came.
+	waiting bool
 	// looked is set while the timer has gone off once and nothing was asked yet, and
 	// silent once it was: the endpoint had sent nothing at the second look.
 	looked, silent bool
 	// kept is set once the log tells that the try was late and went on.
 	kept bool
-	// next is the try that replaces this one, which is cancelled then.
-	next *visit
+	// next is the try in this one's place. It may still be dropped until taken is
+	// set, for why; from then on nothing of this one is passed on.
+	next  *visit
+	taken bool
+	why   *lateError
 }
 
 func (t *task) watch(v *visit, cancel context.CancelCauseFunc) *watch {
-	return &watch{t: t, v: v, cancel: cancel, ran: t.ran + 1, sends: t.sends}
+	return &watch{
+		t: t, v: v, cancel: cancel, ran: t.ran + 1, sends: t.sends,
+		exchanges: make(chan *exchange, 1), ended: make(chan struct{}),
+	}
 }
 
 // wait begins a wait for the endpoint; a bound of zero means to its end.
 func (w *watch) wait(bound time.Duration, head bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.since, w.bound, w.head = time.Now(), bound, head
+	w.since, w.bound, w.head, w.waiting = time.Now(), bound, head, true
 	w.looked, w.silent = false, false
 	if bound <= 0 || w.next != nil {
 		return
@@ -74,7 +87,7 @@
 func (w *watch) came() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.armed = false
+	w.armed, w.waiting = false, false
 	if w.timer != nil {
 		w.timer.Stop()
 	}
@@ -122,16 +135,17 @@
 
 // another returns a try that may replace this one, or what it lacks.
 func (w *watch) another(how trial) (*visit, string) {
-	if lack := w.t.lacks(w.ran, w.sends); lack != "" {
+	w.mu.Lock()
+	ran, sends := w.ran, w.sends
+	w.mu.Unlock()
+	if lack := w.t.lacks(ran, sends); lack != "" {
 		return nil, lack
 	}
 	return w.t.d.reserve(w.t.job, w.v, how, false)
 }
 
-// replace cancels the try for the next one, or goes on waiting if there is none.
-// It returns false if the wait that began at since is over. From then on the try
-// is awaited no more, so nothing that still comes of it is passed on twice: what
-// the caller has got decides where the next one goes on.
+// replace has the next try sent beside this one, or goes on waiting if there is
+// none. It returns false if the wait that began at since is over.
 func (w *watch) replace(since time.Time, next *visit, lack string) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -144,8 +158,9 @@
 		w.note(why, lack)
 		return true
 	}
-	w.armed, w.next = false, next
-	w.cancel(why)
+	w.armed, w.next, w.why = false, next, why
+	next.exchange = w.t.exchange(next)
+	w.exchanges <- next.exchange
 	return true
 }
 
