--- a/entry/door/slow_body_test.go
+++ b/entry/door/slow_body_test.go
@@ -79,3 +79,24 @@
 		t.Errorf("got %d", got)
 	}
 }
+
+// A body is too large to be read for the sake of its connection. Its caller, who
+// waits for a refusal before it sends on, is told at once.
+func TestRefusalOfALargeBodyIsToldAtOnce(t *testing.T) {
+	t.Parallel()
+	st := newStand(t, grace, fine)
+	st.informed.Store(false)
+	c, err := st.dial()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	began := time.Now()
+	fmt.Fprintf(c, "POST /large HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n01234", maxRest+6)
+	if got := c.answer(); got != http.StatusServiceUnavailable {
+		t.Errorf("got %d", got)
+	}
+	if took := time.Since(began); took >= bodyTime {
+		t.Errorf("told after %v", took)
+	}
+}
