door: a refusal of a large body is told at once

The door waited up to 15 s for a body of which it would not read all anyway. A body that tells a size of more than 256 KB ends its connection behind the answer without a wait. TestRefusalOfALargeBodyIsToldAtOnce and all of entry/door pass with -race.

--- a/entry/door/answer.go
+++ b/entry/door/answer.go
@@ -173,7 +173,7 @@
 	if a.w.Header().Get("Connection") != "" {
 		return
 	}
-	if a.r.Header.Get("Expect") == "" {
+	if a.r.ContentLength <= maxRest && a.r.Header.Get("Expect") == "" {
 		if _, err := io.CopyN(io.Discard, a.r.Body, maxRest); err == io.EOF {
 			a.rc.SetReadDeadline(time.Time{})
 			return
