--- a/core/logs/server.go
+++ b/core/logs/server.go
@@ -10,7 +10,7 @@
 
 // maxText bounds what one line takes in of a server's text or a stack, in bytes:
 // the head tells the place.
-const maxText = 2 << 10
+const maxText = 4 << 10
 
 // Server returns the logger for what a standard HTTP server has to tell, such as a
 // failed accept. By itself it would write lines that are no JSON.
@@ -43,10 +43,8 @@
 			if v == http.ErrAbortHandler {
 				panic(v)
 			}
-			stack := debug.Stack()
 			count()
-			Error(l, EventHandlerPanicked, zap.String("path", r.URL.Path), zap.Any("panic", v),
-				zap.ByteString("stack", stack[:min(len(stack), maxText)]))
+			Panicked(l, v, zap.String("path", r.URL.Path))
 			if o.begun {
 				// The caller must not take what it has for the whole.
 				panic(http.ErrAbortHandler)
@@ -57,6 +55,13 @@
 	})
 }
 
+// Panicked writes that the handler of a request panicked with v. It is to be called
+// where v was recovered: the line has the stack.
+func Panicked(l *zap.Logger, v any, request zap.Field) {
+	stack := debug.Stack()
+	Error(l, EventHandlerPanicked, request, zap.Any("panic", v), zap.ByteString("stack", stack[:min(len(stack), maxText)]))
+}
+
 // opened tells whether an answer has begun.
 type opened struct {
 	http.ResponseWriter
--- a/entry/door/answer.go
+++ b/entry/door/answer.go
@@ -5,7 +5,6 @@
 	"io"
 	"net/http"
 	"os"
-	"runtime/debug"
 	"strconv"
 	"time"
 
@@ -26,9 +25,6 @@
 	// maxRest is how much of an unread body is read for the sake of its connection:
 	// as much as the standard server reads behind an answer.
 	maxRest = 256 << 10
-	// maxStack bounds the stack of a panic in the log, in bytes: the frames that
-	// name the fault come first.
-	maxStack = 4 << 10
 )
 
 // answer is the answer to one request. It belongs to the request's goroutine.
@@ -187,10 +183,9 @@
 	if v == http.ErrAbortHandler {
 		panic(v)
 	}
-	d, stack := a.door, debug.Stack()
+	d := a.door
 	d.cfg.Metrics.Counter("handlers_panicked").Inc(1)
-	logs.Error(d.cfg.Log, logs.EventHandlerPanicked, zap.String("request_id", d.cfg.ID(a.r)), zap.Any("panic", v),
-		zap.ByteString("stack", stack[:min(len(stack), maxStack)]))
+	logs.Panicked(d.cfg.Log, v, zap.String("request_id", d.cfg.ID(a.r)))
 	if !a.began.IsZero() {
 		panic(http.ErrAbortHandler)
 	}
