--- a/entry/kept/drain_test.go
+++ b/entry/kept/drain_test.go
@@ -12,6 +12,47 @@
 	"lycheepond/core/meter"
 )
 
+// The head of a long answer went out before a planned stop began, so it does not
+// say that the connection ends. Its caller goes on using the connection, and a
+// request that is taken seconds after the stop has begun may outlive the grace: its
+// answer is then cut. The connection has to end with the answer.
+func TestDrainEndsAConnectionWithItsAnswer(t *testing.T) {
+	began, end := make(chan bool, 1), make(chan bool)
+	handed := make(chan string, 2)
+	st := newStand(t, func(w http.ResponseWriter, r *http.Request) {
+		handed <- r.URL.Path
+		w.Header().Set("Content-Length", "2")
+		if r.URL.Path == "/long" {
+			w.WriteHeader(http.StatusOK)
+			http.NewResponseController(w).Flush()
+			began <- true
+			<-end
+		}
+		io.WriteString(w, "ok")
+	})
+	c := dial(t, st.addr)
+	if _, err := io.WriteString(c, "GET /long HTTP/1.1\r\nHost: a\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	<-began
+	drained := make(chan error, 1)
+	go func() { drained <- st.set.Drain(t.Context()) }()
+	<-st.served
+	end <- true
+	if err := c.answer(); err != nil {
+		t.Fatal(err)
+	}
+	if err := c.ask("/late"); err == nil {
+		t.Error("a request was taken that came after the stop had begun")
+	}
+	if err := <-drained; err != nil {
+		t.Error(err)
+	}
+	if n := len(handed); n != 1 {
+		t.Errorf("%d requests were handed on", n)
+	}
+}
+
 // A planned stop begins while a request runs and another is half read. Both are
 // answered before Drain returns; an idle connection is closed.
 func TestDrainAnswersWhatWasRead(t *testing.T) {
