kept, door: a connection ends with its answer once a planned stop has begun

Cause: an answer whose head went out before the stop does not say that its connection ends. The standard server ends such a connection behind the answer; kept left it open for another 300 ms, in which its caller sent the next request.

Why it holds: as the server tells that the answer is out, the connection is closed in one step if nothing has arrived on it. What had arrived by then, or arrives on a connection that was idle when the stop began, is marked late in the step that reads its first byte, and the door refuses it: 503, not run, other entry. Only new connections still have 300 ms for their first request.

--- a/entry/door/door.go
+++ b/entry/door/door.go
@@ -33,6 +33,9 @@
 	// a start it takes some ten milliseconds to read it, longer only while the
 	// platform and all peers are away.
 	noConfigRetry = 150 * time.Millisecond
+	// leavingRetry is when to come back to another entry than one that stops: at
+	// once, but for a caller that would not wait at all between two tries.
+	leavingRetry = 10 * time.Millisecond
 	// notice is how long a balancer that asks each second may take to miss two
 	// answers, with a margin.
 	notice = 2600 * time.Millisecond
@@ -203,6 +206,10 @@
 		}
 	}()
 	t := d.cfg.Table()
+	if d.conns.Late(r) {
+		a.refuse(&Refusal{Status: http.StatusServiceUnavailable, Retry: leavingRetry, Reason: "leaving"})
+		return
+	}
 	if !d.cfg.Informed() {
 		// Nothing is known of routes and keys, so neither may be called unknown.
 		a.refuse(&Refusal{Status: http.StatusServiceUnavailable, Retry: noConfigRetry, Reason: "no configuration yet"})
--- a/entry/kept/conn.go
+++ b/entry/kept/conn.go
@@ -58,6 +58,9 @@
 	waiting bool
 	// ahead is set when the server has read a byte behind the request it serves.
 	ahead bool
+	// late is set if the last request began to arrive after a planned stop had begun,
+	// behind another one.
+	late bool
 	// cancel ends the contexts of requests; nil until the server asked for one.
 	cancel context.CancelCauseFunc
 }
@@ -106,7 +109,7 @@
 		c.waiting = true
 		if c.phase == idle && len(c.to) < c.room {
 			// The rest of the server's buffer holds the beginning of a request.
-			c.turn(begun)
+			c.begin()
 		}
 		return false
 	case err != nil:
@@ -119,7 +122,7 @@
 	c.n = n
 	switch c.phase {
 	case fresh, idle:
-		c.turn(begun)
+		c.begin()
 	case busy:
 		// The standard server reads a single byte while a handler runs, to
 		// notice callers that leave; it is the first of the next request.
@@ -161,6 +164,12 @@
 	return &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: err}
 }
 
+// begin notes that a request begins to arrive; mu is held.
+func (c *conn) begin() {
+	c.late = c.phase != fresh && c.set.stopping.Load()
+	c.turn(begun)
+}
+
 // turn changes the phase; mu is held.
 func (c *conn) turn(p phase) {
 	c.phase, c.since = p, time.Now()
@@ -188,10 +197,10 @@
 
 // quiet reports that the server waits for more and nothing has arrived; mu is held.
 // What arrived while the process did not run still lies in the kernel.
-func (c *conn) quiet() bool {
-	if !c.waiting {
-		return false
-	}
+func (c *conn) quiet() bool { return c.waiting && c.empty() }
+
+// empty reports that nothing has arrived that the server has not read; mu is held.
+func (c *conn) empty() bool {
 	arrived := false
 	err := c.raw.Control(func(fd uintptr) {
 		var b [1]byte
--- a/entry/kept/drain.go
+++ b/entry/kept/drain.go
@@ -10,9 +10,9 @@
 )
 
 const (
-	// settle is how long a connection has carried nothing before a planned stop
-	// closes it. Whoever has just connected, or has just got an answer, is about
-	// to send; the time covers a lost packet (200 ms until it is sent again).
+	// settle is how long a new connection has carried nothing before a planned stop
+	// closes it. Whoever has just connected is about to send; the time covers a lost
+	// packet (200 ms until it is sent again).
 	settle = 300 * time.Millisecond
 	// lastAccept is how long a stop waits until the server has seen that its
 	// listener is closed: it does at once, unless the process hardly gets to run.
@@ -63,9 +63,7 @@
 
 // refused returns the error of the listener as the server is to see it.
 func (s *Set) refused(err error) error {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if !s.stopping || !errors.Is(err, net.ErrClosed) {
+	if !s.stopping.Load() || !errors.Is(err, net.ErrClosed) {
 		return err
 	}
 	s.unheard.Do(func() { close(s.deaf) })
@@ -109,8 +107,8 @@
 // returned. If ctx ends before, Drain returns its error and leaves the rest to
 // Close.
 func (s *Set) Drain(ctx context.Context) error {
+	s.stopping.Store(true)
 	s.mu.Lock()
-	s.stopping = true
 	ln := s.ln
 	s.mu.Unlock()
 	if ln != nil {
@@ -125,7 +123,7 @@
 		}
 		for _, c := range left {
 			c.claim(PlannedStop, func(age time.Duration) (time.Duration, bool) {
-				return settle, age > settle && c.unused()
+				return settle, (c.phase == idle || age > settle) && c.unused()
 			})
 			c.claimSlow()
 		}
--- a/entry/kept/kept.go
+++ b/entry/kept/kept.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -39,7 +40,7 @@
 	conns map[*conn]struct{}
 	// ln is nil until Listen; stopping is set before Drain closes it.
 	ln       *net.TCPListener
-	stopping bool
+	stopping atomic.Bool
 	// deaf is closed, once, when the server has seen that ln is closed.
 	deaf    chan struct{}
 	unheard sync.Once
@@ -66,13 +67,16 @@
 	if !ok {
 		return ctx
 	}
-	ctx, cancel := context.WithCancelCause(ctx)
+	ctx, cancel := context.WithCancelCause(context.WithValue(ctx, connKey{}, c))
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.cancel = cancel
 	return ctx
 }
 
+// connKey is the key of a request's connection in its context.
+type connKey struct{}
+
 // state follows the server.
 func (s *Set) state(nc net.Conn, to http.ConnState) {
 	c, ok := nc.(*conn)
@@ -87,6 +91,16 @@
 		c.active()
 	case http.StateIdle:
 		c.rest(s.cfg.Bound())
+		s.last(c)
+	}
+}
+
+// last ends a connection with its answer if a planned stop has begun meanwhile: the
+// answer's head may have gone out before that and not have said so. What the caller
+// has sent by now is Late.
+func (s *Set) last(c *conn) {
+	if s.stopping.Load() {
+		c.claim(PlannedStop, func(time.Duration) (time.Duration, bool) { return 0, c.phase == idle && c.empty() })
 	}
 }
 
@@ -122,7 +136,7 @@
 	}
 	c.bound, c.waiting = bound, false
 	if c.ahead {
-		c.turn(begun)
+		c.begin()
 		return
 	}
 	c.turn(idle)
@@ -142,6 +156,19 @@
 	return false
 }
 
+// Late reports whether a request began to arrive after Drain had begun, behind
+// another one on its connection. It is to be refused: the process may not last until
+// its answer's end.
+func (s *Set) Late(r *http.Request) bool {
+	c, ok := r.Context().Value(connKey{}).(*conn)
+	if !ok {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.late
+}
+
 // note writes that a connection was closed to log and metrics.
 func (s *Set) note(c *conn, why Why, age, bound time.Duration) {
 	s.cfg.Metrics.Counter("connections_closed", why.label()).Inc(1)
