--- a/entry/kept/conn.go
+++ b/entry/kept/conn.go
@@ -31,7 +31,9 @@
 // once the server waits for more of them. As idle or in a planned stop a connection
 // is closed only while it is fresh or idle, the server waits with an empty buffer
 // and no byte lies in the kernel, in one step under mu too. So neither cuts a
-// request of which a byte was read. A slow head and the end of the grace may.
+// request of which a byte was read. A slow head and the end of the grace may; and
+// an answer that goes out during a planned stop ends its connection, also for what
+// was pipelined behind it, which then is not handed on.
 type conn struct {
 	*net.TCPConn
 	set *Set
