relay: failing test: small entries are hubs beside large ones

In a fleet of 115 entries in five zones, each with three large and twenty small entries, all ten hubs are small: a hub is the first entry heard by name in a group that a hash of names makes. TestHubsAreTheLargest fails on all ten.

--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -33,6 +33,9 @@
 // Entry is what matters of an entry.
 type Entry struct {
 	Name, Zone string
+	// Capacity is how much work the entry can carry, zero if unknown. Only the
+	// relation between entries counts.
+	Capacity uint32
 }
 
 // Plan says who tells whom, as one entry sees it. The zero Plan has all tell
--- a/core/relay/relay_test.go
+++ b/core/relay/relay_test.go
@@ -104,8 +104,43 @@
 	}
 }
 
+// A hub that is small chokes on what the fleet tells, and its whole group acts on
+// old knowledge.
+func TestHubsAreTheLargest(t *testing.T) {
+	var all []Entry
+	for z := range 5 {
+		for i := range 23 {
+			e := Entry{Name: fmt.Sprintf("e-%d-%d", z, i+1), Zone: fmt.Sprintf("z%d", z), Capacity: 80}
+			if i >= 20 {
+				e.Capacity = 800
+			}
+			all = append(all, e)
+		}
+	}
+	followers := make(map[string]int)
+	for _, e := range all {
+		p := New(e, len(all), all, func(Entry) bool { return true })
+		if p.Hub() && e.Capacity < 800 {
+			t.Errorf("%s with capacity %d is a hub", e.Name, e.Capacity)
+		}
+		for _, o := range all {
+			if o != e && p.Hub() && p.Near(o) {
+				followers[e.Name]++
+			}
+		}
+	}
+	if len(followers) != 10 {
+		t.Errorf("%d hubs, want two in each of five zones", len(followers))
+	}
+	for name, n := range followers {
+		if n > 17 {
+			t.Errorf("%s is the hub of %d entries", name, n)
+		}
+	}
+}
+
 func ExampleNew() {
-	a, b, far := Entry{"a", "north"}, Entry{"b", "north"}, Entry{"f", "south"}
+	a, b, far := Entry{Name: "a", Zone: "north"}, Entry{Name: "b", Zone: "north"}, Entry{Name: "f", Zone: "south"}
 	p := New(b, 20, []Entry{a, far}, func(Entry) bool { return true })
 	fmt.Println(p.Hub(), p.Tells(b, a), p.Tells(b, far), p.Tells(a, far))
 	// Output: false true false true
