relay, mesh: the entries with the most capacity are hubs

Cause: a hub was the first entry by name in a group that a hash made. On a fleet of large and small entries a small one, with a tenth of the bandwidth, passed on all that the fleet tells, fell behind by seconds, and its group placed requests on what it had heard last.

Change: settings tell an entry's share of a processor and its bandwidth, tallies pass them on as a capacity, and hubs are the entries of a zone with the most; others are divided among them by hashing.

--- a/core/conf/direct.go
+++ b/core/conf/direct.go
@@ -1,6 +1,7 @@
 package conf
 
 import (
+	"cmp"
 	"fmt"
 	"strconv"
 	"time"
@@ -25,6 +26,12 @@
 	Peers []string `yaml:"peers"`
 	// Memory is what the process may use, in MB.
 	Memory int `yaml:"memory"`
+	// Processor and Bandwidth say what the entry can carry: the largest entries of
+	// a fleet do the work that falls to one of many. Left out, an entry counts as
+	// the smallest.
+	Processor Processor `yaml:"processor"`
+	// Bandwidth is that of the instance's network link in Mbit/s.
+	Bandwidth float64 `yaml:"bandwidth"`
 	// Fresh is the time within which a change of the configuration or of the
 	// instance list must be in force.
 	Fresh spec.Duration `yaml:"fresh"`
@@ -41,6 +48,28 @@
 	Slack float64 `yaml:"slack"`
 }
 
+// Processor is what the process may use of the processor.
+type Processor struct {
+	// Share is the share of a core, Speed that core's speed in those of a usual one;
+	// zero means one.
+	Share float64 `yaml:"share"`
+	Speed float64 `yaml:"speed"`
+}
+
+// mbitPerCore is the bandwidth in Mbit/s that goes with one core: whoever has less
+// counts as having less of a core.
+const mbitPerCore = 250
+
+// Capacity is what the entry can carry, in thousandths of a core; zero if the
+// settings do not tell.
+func (d *Direct) Capacity() uint32 {
+	cores := d.Processor.Share * cmp.Or(d.Processor.Speed, 1)
+	if d.Bandwidth > 0 {
+		cores = min(cores, d.Bandwidth/mbitPerCore)
+	}
+	return uint32(1000 * min(max(cores, 0), 1000))
+}
+
 // Repeats bounds the requests that all entries together may send again: in each
 // window a share of a pool's requests and a number on top.
 type Repeats struct {
@@ -90,6 +119,11 @@
 	if d.Memory < minMemory {
 		c.add("memory", fmt.Sprintf("%d MB is too little", d.Memory), fmt.Sprintf("write the process's memory in MB, %d or more", minMemory))
 	}
+	for name, v := range map[string]float64{"processor.share": d.Processor.Share, "processor.speed": d.Processor.Speed, "bandwidth": d.Bandwidth} {
+		if v < 0 {
+			c.add(name, fmt.Sprintf("%v is negative", v), "write 0 if it is unknown")
+		}
+	}
 	if d.Repeats.Ratio < 0 || d.Repeats.Ratio > 1 {
 		c.add("repeats.ratio", fmt.Sprintf("%v is out of range", d.Repeats.Ratio), "write a share of the requests between 0 and 1")
 	}
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -4,29 +4,32 @@
 // and links grow with the square of their number, most of them cross between
 // availability zones, and small entries spend more on hearing than on serving.
 // So a fleet of more than a few entries tells through hubs: one in each zone, or
-// in each group of a zone with many entries, as what a hub sends grows with those
-// that it passes everything on to. An entry tells its hub; the hub tells the
-// other hubs and passes on, in one message for all, what it hears to the entries
-// of its own group.
+// several in a zone with many entries, as what a hub sends grows with those that
+// it passes everything on to. An entry tells its hub; the hub tells the other
+// hubs and passes on, in one message for all, what it hears to the entries of its
+// own group.
 //
-// Nobody elects hubs: each entry takes the first of those that it hears, so two
-// may differ for a moment or while the network is parted. Whoever is not heard
-// by another one says so, and the two talk without a hub until it is. A hub that
-// fails therefore costs a moment, and a parted network as many links as it needs.
+// Hubs are the entries of a zone with the most capacity. Nobody elects them: each
+// entry derives them from those that it hears, so two may differ for a moment or
+// while the network is parted. Whoever is not heard by another one says so, and
+// the two talk without a hub until it is. A hub that fails therefore costs a
+// moment, and a parted network as many links as it needs.
 //
 // It uses no network, clock or random source.
 package relay
 
-import "hash/fnv"
+import (
+	"cmp"
+	"hash/fnv"
+	"slices"
+)
 
 const (
 	// few is up to how many entries all tell all: 56 links, and each entry hears
 	// the others without a detour.
 	few = 8
 	// groupSize is how many entries of a zone have one hub at most, on average. A
-	// hub sends all that a fleet tells to each entry of its group; without groups
-	// that of a hundred entries would send it ninety-nine times, of sixteen fifteen
-	// times.
+	// hub sends all that a fleet tells to each entry of its group.
 	groupSize = 16
 )
 
@@ -42,16 +45,8 @@
 // all.
 type Plan struct {
 	self Entry
-	// hubs holds the name of the hub of each group; nil while all tell all.
-	hubs map[group]string
-	// groups holds how many groups each zone has, at least one.
-	groups map[string]uint32
-}
-
-// group is a part of the entries of a zone.
-type group struct {
-	zone string
-	n    uint32
+	// hubs holds the hubs of each zone, none of them empty; nil while all tell all.
+	hubs map[string][]string
 }
 
 // New returns the plan of an entry that knows of so many, itself included, hears
@@ -60,66 +55,90 @@
 	if known <= few {
 		return Plan{self: self}
 	}
-	p := Plan{self: self, hubs: make(map[group]string), groups: groups(self, heard)}
-	p.hubs[p.group(self)] = self.Name
+	zones := map[string][]Entry{self.Zone: {self}}
+	sizes := map[string]int{self.Zone: 1}
 	for _, e := range heard {
-		g := p.group(e)
-		if first, ok := p.hubs[g]; usable(e) && (!ok || e.Name < first) {
-			p.hubs[g] = e.Name
+		if e.Name == self.Name {
+			continue
+		}
+		sizes[e.Zone]++
+		if usable(e) {
+			zones[e.Zone] = append(zones[e.Zone], e)
+		}
+	}
+	p := Plan{self: self, hubs: make(map[string][]string, len(zones))}
+	for zone, entries := range zones {
+		slices.SortFunc(entries, func(a, b Entry) int {
+			return cmp.Or(cmp.Compare(b.Capacity, a.Capacity), cmp.Compare(a.Name, b.Name))
+		})
+		for _, e := range entries[:min(hubs(sizes[zone]), len(entries))] {
+			p.hubs[zone] = append(p.hubs[zone], e.Name)
 		}
 	}
 	return p
 }
 
-// groups returns how many groups each zone has: a power of two, so that they
-// change seldom as entries come and go.
-func groups(self Entry, heard []Entry) map[string]uint32 {
-	sizes := map[string]int{self.Zone: 1}
-	for _, e := range heard {
-		if e != self {
-			sizes[e.Zone]++
-		}
+// hubs returns how many hubs a zone of so many entries has: a power of two, so
+// that it changes seldom as entries come and go.
+func hubs(entries int) int {
+	n := 1
+	for n*groupSize < entries {
+		n *= 2
 	}
-	out := make(map[string]uint32, len(sizes))
-	for zone, size := range sizes {
-		n := uint32(1)
-		for int(n)*groupSize < size {
-			n *= 2
+	return n
+}
+
+// hub returns the hub of an entry, empty if its zone has none. An entry moves to
+// another hub only when its own goes or a new one comes.
+func (p Plan) hub(e Entry) string {
+	var best string
+	var most uint64
+	for _, name := range p.hubs[e.Zone] {
+		if name == e.Name {
+			return name
+		}
+		h := fnv.New64a()
+		h.Write([]byte(name))
+		h.Write([]byte{0})
+		h.Write([]byte(e.Name))
+		if x := spread(h.Sum64()); best == "" || x > most {
+			best, most = name, x
 		}
-		out[zone] = n
 	}
-	return out
+	return best
 }
 
-// group returns the group of an entry, by its name alone, so that it does not
-// move when others come and go.
-func (p Plan) group(e Entry) group {
-	n := max(p.groups[e.Zone], 1)
-	h := fnv.New32a()
-	h.Write([]byte(e.Name))
-	return group{e.Zone, h.Sum32() % n}
+// spread mixes the bits of a hash: those of names that differ in their last
+// letter have nearly the same high bits.
+func spread(x uint64) uint64 {
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	return x ^ x>>33
 }
 
 // Hub reports whether the entry passes on what it hears.
-func (p Plan) Hub() bool { return p.hubs != nil && p.hub(p.self) }
+func (p Plan) Hub() bool { return p.hubs != nil && p.isHub(p.self) }
 
 // Led reports whether another entry passes on to this one what it hears.
-func (p Plan) Led() bool { return p.hubs != nil && !p.hub(p.self) }
+func (p Plan) Led() bool { return p.hubs != nil && !p.isHub(p.self) }
+
+func (p Plan) isHub(e Entry) bool { return p.hub(e) == e.Name }
 
-func (p Plan) hub(e Entry) bool { return p.hubs[p.group(e)] == e.Name }
+// Near reports whether an entry is of the same group as this one: both have the
+// same hub.
+func (p Plan) Near(e Entry) bool { return p.same(e, p.self) }
 
-// Near reports whether an entry is of the same group as this one.
-func (p Plan) Near(e Entry) bool { return p.group(e) == p.group(p.self) }
+func (p Plan) same(a, b Entry) bool { return a.Zone == b.Zone && p.hub(a) == p.hub(b) }
 
 // Tells reports whether from keeps a link to to.
 func (p Plan) Tells(from, to Entry) bool {
 	if p.hubs == nil {
 		return true
 	}
-	if p.group(from) == p.group(to) {
-		return p.hub(from) || p.hub(to)
+	if p.same(from, to) {
+		return p.isHub(from) || p.isHub(to)
 	}
-	return p.hub(from) && p.hub(to)
+	return p.isHub(from) && p.isHub(to)
 }
 
 // Source is how an entry heard what another one told.
--- a/core/wire/frame_test.go
+++ b/core/wire/frame_test.go
@@ -26,7 +26,7 @@
 			Records: KeyRecords{{Key: []byte("k"), First: id, Status: 200, Header: Fields{{Name: "A", Value: "b"}}, Body: []byte("x")}},
 		},
 		&HandAck{Pool: "p", Took: 2, Seq: 1},
-		&Tally{Addr: "a", Config: 3, Used: []Used{{Customer: "c", Total: 2.5}}, Held: []Held{{Endpoint: "e", Requests: 1}}, Seq: 3, Whole: true, Lacks: []string{"e3"}, Fresh: []Fresh{{What: SnapshotRoster, AgeMS: 40, Mark: 7}}, Clock: 1 << 33},
+		&Tally{Addr: "a", Config: 3, Used: []Used{{Customer: "c", Total: 2.5}}, Held: []Held{{Endpoint: "e", Requests: 1}}, Seq: 3, Whole: true, Lacks: []string{"e3"}, Fresh: []Fresh{{What: SnapshotRoster, AgeMS: 40, Mark: 7}}, Clock: 1 << 33, Capacity: 800},
 		&Snapshot{What: SnapshotConfig, Revision: 3, Body: []byte("x")},
 		&Relay{Tallies: Tallies{{Name: "e2", Zone: "z1", Incarnation: 4, Body: []byte{1}}}},
 	}
--- a/core/wire/tally.go
+++ b/core/wire/tally.go
@@ -32,6 +32,9 @@
 	Clock uint64
 	// Fresh holds the lists of which the sender knows anew that it has the newest.
 	Fresh []Fresh
+	// Capacity is how much work the sender can carry, in thousandths of a core;
+	// zero tells nothing.
+	Capacity uint32
 }
 
 // News reports whether the tally tells of anything but that its sender lives.
--- a/core/wire/tallycode.go
+++ b/core/wire/tallycode.go
@@ -9,9 +9,11 @@
 
 const (
 	// tallyFields is how many fields a tally had when readers wanted exactly these,
-	// freshFields how many it has with Clock and Fresh.
-	tallyFields = 10
-	freshFields = tallyFields + 2
+	// freshFields how many it has with Clock and Fresh, capacityFields with Capacity
+	// behind them.
+	tallyFields    = 10
+	freshFields    = tallyFields + 2
+	capacityFields = freshFields + 1
 	// readsOn stands among the names in Lacks of whoever reads tallies with further
 	// fields. No entry is named so, and readers that want exactly tallyFields look
 	// for their own name only.
@@ -26,29 +28,34 @@
 // SetReadsOn notes that the sender reads tallies with fields after Waiting.
 func (t *Tally) SetReadsOn() { t.Lacks = append(slices.Clip(t.Lacks), readsOn) }
 
-// EncodeMsgpack leaves Clock and Fresh out where they say nothing.
+// EncodeMsgpack leaves the fields after Waiting out where they say nothing.
 func (t *Tally) EncodeMsgpack(e *msgpack.Encoder) error {
 	fields := []any{t.Addr, t.Config, t.Roster, t.Used, t.Held, t.Entries, t.Seq, t.Whole, t.Lacks, t.Waiting}
-	fresh := t.Clock > 0 || len(t.Fresh) > 0
 	n := tallyFields
-	if fresh {
+	switch {
+	case t.Capacity > 0:
+		n = capacityFields
+	case t.Clock > 0 || len(t.Fresh) > 0:
 		n = freshFields
 	}
 	if err := e.EncodeArrayLen(n); err != nil {
 		return err
 	}
-	if err := e.EncodeMulti(fields...); err != nil || !fresh {
+	if err := e.EncodeMulti(fields...); err != nil || n < freshFields {
 		return err
 	}
 	// As few bytes as it takes: each tally has one.
 	if err := e.EncodeUint(t.Clock); err != nil {
 		return err
 	}
-	return e.Encode(t.Fresh)
+	if err := e.Encode(t.Fresh); err != nil || n < capacityFields {
+		return err
+	}
+	return e.EncodeUint(uint64(t.Capacity))
 }
 
-// DecodeMsgpack reads a tally of an older version, without Clock and Fresh, and one of a
-// later, with further fields.
+// DecodeMsgpack reads a tally of an older version, without the fields after Waiting,
+// and one of a later, with further fields.
 func (t *Tally) DecodeMsgpack(d *msgpack.Decoder) error {
 	n, err := d.DecodeArrayLen()
 	if err != nil {
@@ -66,7 +73,13 @@
 	if err := d.DecodeMulti(&t.Clock, &t.Fresh); err != nil {
 		return err
 	}
-	for range n - freshFields {
+	if n < capacityFields {
+		return nil
+	}
+	if err := d.Decode(&t.Capacity); err != nil {
+		return err
+	}
+	for range n - capacityFields {
 		if err := d.Skip(); err != nil {
 			return err
 		}
--- a/entry/mesh/accept.go
+++ b/entry/mesh/accept.go
@@ -75,7 +75,9 @@
 }
 
 // entry returns what a plan needs to know of a peer.
-func (p *peer) entry(name string) relay.Entry { return relay.Entry{Name: name, Zone: p.zone} }
+func (p *peer) entry(name string) relay.Entry {
+	return relay.Entry{Name: name, Zone: p.zone, Capacity: p.capacity}
+}
 
 // linked notes that a link of a peer has begun or ended.
 func (m *Mesh) linked(hello wire.Hello, up bool) {
@@ -175,6 +177,9 @@
 		p.addr = t.Addr
 	}
 	p.config, p.roster = t.Config, t.Roster
+	if anew || t.Capacity > 0 {
+		p.capacity = t.Capacity
+	}
 	if t.Whole {
 		p.readsOn = t.ReadsOn()
 	}
--- a/entry/mesh/dial.go
+++ b/entry/mesh/dial.go
@@ -78,7 +78,7 @@
 }
 
 func (m *Mesh) self() relay.Entry {
-	return relay.Entry{Name: m.cfg.Self.Name, Zone: m.cfg.Self.Zone}
+	return relay.Entry{Name: m.cfg.Self.Name, Zone: m.cfg.Self.Zone, Capacity: m.cfg.Capacity}
 }
 
 // mute reports whether a peer has stopped to tell over its own link: frozen, cut
--- a/entry/mesh/mesh.go
+++ b/entry/mesh/mesh.go
@@ -45,6 +45,9 @@
 	// Seeds are addresses of entries to begin with.
 	Seeds []string
 	Keys  wire.Keys
+	// Capacity is how much work this entry can carry, in thousandths of a core;
+	// zero if unknown. The largest entries are hubs.
+	Capacity uint32
 	// Tally returns what has changed since it was last called, or everything.
 	// It is called by one goroutine.
 	Tally func(all bool) *wire.Tally
@@ -125,6 +128,8 @@
 	spared time.Time
 	// links counts those that it has to this entry.
 	links int
+	// capacity is what it told last of how much work it can carry.
+	capacity uint32
 	// readsOn is set if it reads tallies with fields that older versions lack.
 	readsOn bool
 	// reached is set while it counts as heard, and gap while it told something
--- a/entry/mesh/tell.go
+++ b/entry/mesh/tell.go
@@ -48,9 +48,11 @@
 		m.expire()
 		m.adjust(ctx)
 		m.greet()
-		told, clock := m.fresh()
 		t := m.cfg.Tally(false)
-		t.Fresh, t.Clock = told, clock
+		t.Fresh, t.Clock = m.fresh()
+		if m.readOn() {
+			t.Capacity = m.cfg.Capacity
+		}
 		if t.News() || time.Since(last) >= m.aliveNow() {
 			last = time.Now()
 			m.send(t)
@@ -92,20 +94,25 @@
 	}
 }
 
-// fresh returns what the next tally tells of how new the versions are: nothing
-// while an entry is heard that could not read it.
-func (m *Mesh) fresh() (told []wire.Fresh, clock uint64) {
-	if m.cfg.Fresh == nil {
-		return nil, 0
-	}
+// readOn reports whether all entries that are heard read tallies with fields that
+// older versions lack.
+func (m *Mesh) readOn() bool {
 	m.mu.Lock()
+	defer m.mu.Unlock()
 	for _, p := range m.peers {
 		if p.reached && !p.readsOn {
-			m.mu.Unlock()
-			return nil, 0
+			return false
 		}
 	}
-	m.mu.Unlock()
+	return true
+}
+
+// fresh returns what the next tally tells of how new the versions are: nothing
+// while an entry is heard that could not read it.
+func (m *Mesh) fresh() (told []wire.Fresh, clock uint64) {
+	if m.cfg.Fresh == nil || !m.readOn() {
+		return nil, 0
+	}
 	return m.cfg.Fresh()
 }
 
