direct, shard: the owner of a shard of endpoints gives the places there

Cause: each of many entries placed requests by what the others had told some hundred milliseconds before. After a fifth of the engines had been replaced by empty ones, all sent to the same free slots: 2.0 and 2.6 times as many requests as slots, first events up to four seconds late, no order of tiers behind that.

Change: with more than eight entries the endpoints of a pool are divided into shards (by zone, where zones are large enough), and one entry for each, a large one, chosen by weighted rendezvous hashing among those that are heard, counts what its endpoints have, keeps those that wait in line and gives the places. The others ask it (PlaceAsk, PlaceAck) and tell it what becomes of a request (PlaceNote); they send the request themselves. Without an answer in time, or without a link, an entry places by what it knows, as before. A place whose owner is lost is counted by the entry that has it. A decline tells that an endpoint has more requests than are counted, and how many.

TestEnginesAreNotCrowdedByManyEntries replays a burst of 1.7 with a fifth of the engines lost and replaced on simulated time.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -72,6 +72,9 @@
 	Avoid int
 	// Behind is set if others that wait go before it.
 	Behind bool
+	// Counted is set if whoever decides counts all that the endpoints have, as it comes
+	// and goes, and knows all that wait for them.
+	Counted bool
 }
 
 // Decision is the outcome.
@@ -120,6 +123,10 @@
 	// and 0.2, and 1.1 with these (the model of entry/direct's tests, six seeds).
 	topWait  = 0.2
 	lastWait = 0.05
+	// topCounted and lastCounted are the same where all is counted: a free slot is known
+	// at once, so the queue of an engine only bridges the way there.
+	topCounted  = 0.1
+	lastCounted = 0.02
 	// surePart is the part of the predicted time for an answer's output that it
 	// takes in any case. The pace is that of endpoints at their usual load: of
 	// eleven requests that were refused because the whole prediction exceeded the
@@ -222,7 +229,11 @@
 
 // longestWait returns the longest predicted wait for a slot with which r is sent.
 func (r Request) longestWait() time.Duration {
-	return scale(r.Target, topWait-(topWait-lastWait)*float64(r.Rank)/float64(max(r.Ranks-1, 1)))
+	top, last := topWait, lastWait
+	if r.Counted {
+		top, last = topCounted, lastCounted
+	}
+	return scale(r.Target, top-(top-last)*float64(r.Rank)/float64(max(r.Ranks-1, 1)))
 }
 
 // Free counts the slots that look free. Those of endpoints that failed lately do
--- a/core/logs/event.go
+++ b/core/logs/event.go
@@ -23,6 +23,7 @@
 	EventSettingsRead     Event = "settings_read"
 	EventPeerSilent       Event = "peer_silent"
 	EventHeldUp           Event = "held_up"
+	EventOwnerLate        Event = "owner_late"
 	EventPeerHeard        Event = "peer_heard"
 	EventLinesDropped     Event = "lines_dropped"
 	EventEntryForgotten   Event = "entry_forgotten"
--- a/core/wire/frame_test.go
+++ b/core/wire/frame_test.go
@@ -29,6 +29,9 @@
 		&Tally{Addr: "a", Config: 3, Used: []Used{{Customer: "c", Total: 2.5}}, Held: []Held{{Endpoint: "e", Requests: 1}}, Seq: 3, Whole: true, Lacks: []string{"e3"}, Fresh: []Fresh{{What: SnapshotRoster, AgeMS: 40, Mark: 7}}, Clock: 1 << 33, Capacity: 800},
 		&Snapshot{What: SnapshotConfig, Revision: 3, Body: []byte("x")},
 		&Relay{Tallies: Tallies{{Name: "e2", Zone: "z1", Incarnation: 4, Body: []byte{1}}}},
+		&PlaceAsk{ID: 7, Pool: "p", Zone: "z1", Part: 2, Route: 1, TargetUS: 600000, DueUS: 580000, LeftUS: 3000000, Prompt: 1800, Output: 28, Stand: true},
+		&PlaceAck{ID: 7, Known: true, Endpoint: "e", Addr: "a", Slots: 7, Roster: 4, FirstUS: 90000, Ahead: 3, Prompt: 2400, Free: true},
+		&PlaceNote{ID: 7, Tokens: 14, End: PlaceResult},
 	}
 }
 
--- a/core/wire/kind.go
+++ b/core/wire/kind.go
@@ -32,6 +32,9 @@
 	KindTally
 	KindSnapshot
 	KindRelay
+	KindPlaceAsk
+	KindPlaceAck
+	KindPlaceNote
 	kindLimit
 )
 
@@ -44,6 +47,7 @@
 	KindFetch: "fetch", KindFetched: "fetched",
 	KindHandover: "handover", KindHandAck: "hand-ack",
 	KindTally: "tally", KindSnapshot: "snapshot", KindRelay: "relay",
+	KindPlaceAsk: "place-ask", KindPlaceAck: "place-ack", KindPlaceNote: "place-note",
 }
 
 // String returns the name of the kind as docs/PROTOCOL.md spells it.
@@ -118,6 +122,12 @@
 		return new(Snapshot)
 	case KindRelay:
 		return new(Relay)
+	case KindPlaceAsk:
+		return new(PlaceAsk)
+	case KindPlaceAck:
+		return new(PlaceAck)
+	case KindPlaceNote:
+		return new(PlaceNote)
 	}
 	return nil
 }
--- a/entry/direct/beside.go
+++ b/entry/direct/beside.go
@@ -180,7 +180,11 @@
 	m := t.d.cfg.Read(x.a)
 	x.v.head(m)
 	if m.NotRun || m.WrongEndpoint {
-		x.v.abandon()
+		if m.NotRun {
+			x.v.declined(m.Load)
+		} else {
+			x.v.abandon()
+		}
 		return verdict{arrived: true, res: Result{Why: "endpoint did not run it"}}
 	}
 	how := trust.Broken
--- a/entry/direct/crowd_test.go
+++ b/entry/direct/crowd_test.go
@@ -174,7 +174,7 @@
 			}
 			if !f.refused {
 				serve(v, j)
-				f.inTime = v.first.Sub(now) <= replayTarget
+				f.inTime = !v.first.IsZero() && v.first.Sub(now) <= replayTarget
 			}
 			note(f)
 		})
--- a/entry/direct/direct.go
+++ b/entry/direct/direct.go
@@ -39,6 +39,7 @@
 	Client    *hop.Client
 	// Reach returns how many entries are heard and how many may be at work.
 	Reach func() (heard, known int)
+	Peers Peers
 	// Stamp sets the headers by which the endpoint knows what it is told.
 	Stamp func(r *hop.Request, o Order)
 	// Own reports whether an answer's head belongs to the request of an ID.
@@ -61,12 +62,20 @@
 	v  *view
 	// running counts jobs without a final answer.
 	running int
+	// asks counts the places that were asked of owners; asking holds those without an
+	// answer, placed by owner and number the tries that owners count.
+	asks   uint64
+	asking map[uint64]*asked
+	placed map[string]map[uint64]*visit
+	// passed holds until when owners that did not answer are not asked.
+	passed map[string]time.Time
 }
 
 // New returns a director without configuration.
 func New(cfg Config) *Director {
 	return &Director{
 		cfg: cfg, start: time.Now(), v: newView(cfg.Zone),
+		asking: make(map[uint64]*asked), placed: make(map[string]map[uint64]*visit), passed: make(map[string]time.Time),
 		answered: cfg.Metrics.Top("customer_answer_ms"), refused: cfg.Metrics.Top("customer_retry_ms"),
 	}
 }
@@ -250,6 +259,9 @@
 		case <-sweep.C:
 			d.cfg.Client.Sweep()
 		case <-try.C:
+			if owners := d.owners(); len(owners) > 0 {
+				d.cfg.Peers.Link(owners)
+			}
 			for id, addr := range d.due() {
 				tries.Go(func() { d.reach(ctx, id, addr) })
 			}
--- a/entry/direct/job.go
+++ b/entry/direct/job.go
@@ -110,8 +110,13 @@
 	Ahead, Prompt int
 	// Heard and Known count the entries whose work was in the view.
 	Heard, Known int
-	// Stood is how long it stood in line at this entry.
+	// Stood is how long it waited for a place.
 	Stood time.Duration
+	// Owner is the entry that gave the place, empty if it was this one by what it
+	// knows of the others.
+	Owner string
+	// Age is how old what this entry knew of the endpoint's other requests was.
+	Age time.Duration
 	// Silent is how long the last byte of the answer was waited for, or had been
 	// when the try ended. Bound is the longest wait before the entry may give the
 	// try up, zero if it may not.
@@ -137,4 +142,7 @@
 	// Slots is how many requests the endpoint serves at once; zero if it does not
 	// say.
 	Slots int
+	// Load is how many requests the endpoint has, running and waiting; zero if it
+	// does not say.
+	Load int
 }
--- a/entry/direct/send.go
+++ b/entry/direct/send.go
@@ -43,7 +43,12 @@
 	m := t.d.cfg.Read(a)
 	v.head(m)
 	switch {
-	case m.NotRun || m.WrongEndpoint:
+	case m.NotRun:
+		io.Copy(io.Discard, io.LimitReader(a, maxPlain))
+		a.Close()
+		v.declined(m.Load)
+		return nil, verdict{arrived: true, res: Result{Why: "endpoint did not run it"}}
+	case m.WrongEndpoint:
 		io.Copy(io.Discard, io.LimitReader(a, maxPlain))
 		a.Close()
 		v.abandon()
--- a/entry/direct/serve.go
+++ b/entry/direct/serve.go
@@ -95,7 +95,7 @@
 	}
 	if b := res.Basis; b.Known > 0 {
 		fields = append(fields, zap.String("endpoint", b.Endpoint), zap.Duration("predicted", b.Predicted), zap.Duration("wait", b.Wait), zap.Duration("first", b.First), zap.Duration("target", j.Route.Target), zap.Duration("stood", b.Stood),
-			zap.Int("ahead", b.Ahead), zap.Int("prompt", b.Prompt), zap.Int("heard", b.Heard), zap.Int("known", b.Known))
+			zap.Int("ahead", b.Ahead), zap.Int("prompt", b.Prompt), zap.Int("heard", b.Heard), zap.Int("known", b.Known), zap.Duration("age", b.Age), zap.String("owner", b.Owner))
 	}
 	switch res.Outcome {
 	case Complete, Left:
--- a/entry/direct/view.go
+++ b/entry/direct/view.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -9,6 +10,7 @@
 	"lycheepond/core/quota"
 	"lycheepond/core/retry"
 	"lycheepond/core/route"
+	"lycheepond/core/shard"
 	"lycheepond/core/trust"
 	"lycheepond/core/wire"
 )
@@ -49,6 +51,8 @@
 	quota     *quota.Book
 	// peers holds what each peer has in flight, by endpoint.
 	peers map[string]map[string]wire.Held
+	// heardAt is when each peer's last tally came.
+	heardAt map[string]time.Time
 	// changedHeld and changedUsed are what the peers have not been told yet.
 	changedHeld map[string]bool
 	changedUsed map[string]bool
@@ -57,16 +61,32 @@
 
 // pool is what the entry learns of a pool.
 type pool struct {
+	name      string
 	learner   *admit.Learner
 	budget    *retry.Budget
 	endpoints []*endpoint
 	// tiers are those in use, in order.
 	tiers []route.Tier
+	// layout divides the endpoints into shards; owners holds the owner of each as of
+	// ownedAt.
+	layout  shard.Layout
+	shards  map[shard.Key]*part
+	owners  map[shard.Key]string
+	ownedAt time.Time
 	// scratch is the argument of the last decision, kept to spare allocation.
 	scratch []admit.Endpoint
 	line    await.Line[*waiter]
 }
 
+// part is a shard of a pool.
+type part struct {
+	key       shard.Key
+	endpoints []*endpoint
+	// line holds the requests that wait for a slot of the shard. It is empty unless
+	// this entry owns the shard.
+	line await.Line[*waiter]
+}
+
 // endpoint is one endpoint with the entry's own requests there.
 type endpoint struct {
 	route.Endpoint
@@ -80,6 +100,30 @@
 	// heard is when the last byte came from it, since when own work began to
 	// wait there.
 	heard, since time.Time
+	// excess is how many more requests than were counted it said to have at
+	// excessAt, when it declined one.
+	excess   int
+	excessAt time.Time
+}
+
+// excessFor is how long an endpoint that has declined a request is taken for having
+// more of them than are counted, fewer as time passes.
+const excessFor = 500 * time.Millisecond
+
+// uncounted returns how many more requests than are counted the endpoint seems to
+// have.
+func (e *endpoint) uncounted(now time.Time) int {
+	left := excessFor - now.Sub(e.excessAt)
+	if e.excess == 0 || left <= 0 {
+		return 0
+	}
+	return int(math.Ceil(float64(e.excess) * float64(left) / float64(excessFor)))
+}
+
+// declined notes that the endpoint has declined a request, which is not counted any
+// more. load is how many requests it said that it has, zero if it did not say.
+func (e *endpoint) declined(now time.Time, load, slots int) {
+	e.excess, e.excessAt = max(max(load, slots)-e.own.requests-e.others.requests, 0), now
 }
 
 // hold is work in flight.
@@ -97,7 +141,7 @@
 		zone: zone, table: route.NewTable(route.Config{}), endpoints: make(map[string]*endpoint),
 		pools: make(map[string]*pool), trust: trust.New(), quota: quota.New(),
 		peers: make(map[string]map[string]wire.Held), changedHeld: make(map[string]bool), changedUsed: make(map[string]bool),
-		waits: newWaits(),
+		waits: newWaits(), heardAt: make(map[string]time.Time),
 	}
 }
 
@@ -105,16 +149,42 @@
 func (v *view) pool(name string, repeats Repeats, entries int) *pool {
 	p := v.pools[name]
 	if p == nil {
-		p = &pool{learner: admit.NewLearner(), budget: retry.New(retry.Config{
+		p = &pool{name: name, learner: admit.NewLearner(), budget: retry.New(retry.Config{
 			Ratio: repeats.Ratio * retryRatio,
 			Burst: max(int(repeats.Slack*retrySlack)/max(entries, fewEntries), 1),
 		})}
 		v.pools[name] = p
-		p.endpoints, p.tiers = v.members(name), v.table.Tiers(name)
+		p.tiers = v.table.Tiers(name)
+		p.setEndpoints(v.members(name))
 	}
 	return p
 }
 
+// setEndpoints takes in the endpoints of a pool and divides them into shards.
+func (p *pool) setEndpoints(all []*endpoint) {
+	p.endpoints = all
+	zones := make(map[string]int)
+	for _, e := range all {
+		zones[e.Zone]++
+	}
+	p.layout, p.owners = shard.NewLayout(zones), nil
+	old := p.shards
+	p.shards = make(map[shard.Key]*part)
+	for _, e := range all {
+		k := p.layout.Key(e.ID, e.Zone)
+		s := p.shards[k]
+		if s == nil {
+			// What waits for a slot of the shard stays in its line.
+			if s = old[k]; s == nil {
+				s = &part{key: k}
+			}
+			s.endpoints = nil
+			p.shards[k] = s
+		}
+		s.endpoints = append(s.endpoints, e)
+	}
+}
+
 func (v *view) members(name string) []*endpoint {
 	var out []*endpoint
 	for i := range v.roster.Endpoints {
@@ -154,14 +224,27 @@
 		}
 	}
 	for name, p := range v.pools {
-		p.endpoints = v.members(name)
+		p.setEndpoints(v.members(name))
 	}
 	v.countOthers()
 	return gone
 }
 
+// age returns how long ago the peers that have requests at an endpoint told last, the
+// longest of these times; zero if none has any.
+func (v *view) age(endpoint string, now time.Time) time.Duration {
+	var age time.Duration
+	for peer, held := range v.peers {
+		if _, ok := held[endpoint]; ok {
+			age = max(age, now.Sub(v.heardAt[peer]))
+		}
+	}
+	return age
+}
+
 // heard takes in a peer's tally.
 func (v *view) heard(peer string, anew bool, t *wire.Tally) {
+	v.heardAt[peer] = time.Now()
 	if anew {
 		v.quota.Forget(peer)
 	}
@@ -202,6 +285,7 @@
 		v.count(h, -1)
 	}
 	delete(v.peers, peer)
+	delete(v.heardAt, peer)
 	v.waits.drop(peer)
 }
 
@@ -225,16 +309,22 @@
 
 // describe fills the argument of a decision for the endpoints of a pool.
 func (v *view) describe(p *pool, cfg *route.Pool, now time.Time, since time.Duration) []admit.Endpoint {
+	return v.describeFor(p, p.endpoints, v.zone, cfg, now, since)
+}
+
+// describeFor does the same for some of the endpoints, as an entry of a zone sees them.
+func (v *view) describeFor(p *pool, endpoints []*endpoint, zone string, cfg *route.Pool, now time.Time, since time.Duration) []admit.Endpoint {
 	out := p.scratch[:0]
 	silent := silentService
 	if cfg.Engine {
 		silent = silentEngine
 	}
-	for _, e := range p.endpoints {
+	for _, e := range endpoints {
 		sum := e.others
 		sum.add(e.own, 1)
+		sum.requests += e.uncounted(now)
 		out = append(out, admit.Endpoint{
-			Near: e.Zone == v.zone, Usable: v.trust.Usable(since, e.ID) && !e.silent(now, silent), Slots: e.slots(cfg),
+			Near: e.Zone == zone, Usable: v.trust.Usable(since, e.ID) && !e.silent(now, silent), Slots: e.slots(cfg),
 			Requests: sum.requests, Prompt: sum.prompt, Output: sum.output,
 			Tokens: sum.tokens, Memory: cfg.KVTokens, Pace: p.learner.Pace(e.ID),
 		})
--- a/entry/direct/visit.go
+++ b/entry/direct/visit.go
@@ -9,8 +9,10 @@
 	"lycheepond/core/admit"
 	"lycheepond/core/await"
 	"lycheepond/core/logs"
+	"lycheepond/core/meter"
 	"lycheepond/core/route"
 	"lycheepond/core/trust"
+	"lycheepond/core/wire"
 )
 
 // yields reports whether the entry leaves a free slot of an endpoint to others
@@ -35,6 +37,10 @@
 	behind bool
 	// room is set if it is to go only where a new request would be sent.
 	room bool
+	// shard is the shard to place it in, nil for the whole pool.
+	shard *part
+	// zone is that of the entry for which a shard's owner places it.
+	zone string
 }
 
 // place decides where a job goes and counts it there. Refused, it returns a try
@@ -44,12 +50,16 @@
 	heard, known := d.cfg.Reach()
 	p := d.v.pool(j.Pool.Name, d.cfg.Repeats, known)
 	req := admit.Request{
-		Rank: p.rank(j.Tier), Ranks: len(p.tiers), Target: j.Route.Target, Due: j.due().Sub(now), Left: j.End().Sub(now), Avoid: -1, Behind: how.behind,
+		Rank: p.rank(j.Tier), Ranks: len(p.tiers), Target: j.Route.Target, Due: j.due().Sub(now), Left: j.End().Sub(now), Avoid: -1, Behind: how.behind, Counted: how.shard != nil,
 	}
 	if j.Pool.Engine {
 		req.Prompt, req.Output = j.Prompt, how.output
 	}
-	for i, e := range p.endpoints {
+	endpoints, zone := p.endpoints, d.v.zone
+	if how.shard != nil {
+		endpoints, zone = how.shard.endpoints, how.zone
+	}
+	for i, e := range endpoints {
 		if e.ID == how.avoid {
 			req.Avoid = i
 		}
@@ -62,8 +72,8 @@
 			req.Target = math.MaxInt64
 		}
 	}
-	all := d.v.describe(p, j.Pool, now, d.since(now))
-	for i, e := range p.endpoints {
+	all := d.v.describeFor(p, endpoints, zone, j.Pool, now, d.since(now))
+	for i, e := range endpoints {
 		all[i].Apart = await.Apart(d.cfg.Addr, e.ID)
 		all[i].Yield = d.yields(e, all[i].Slots-all[i].Requests, how.part, now)
 	}
@@ -75,24 +85,49 @@
 	if dec.Endpoint < 0 {
 		return &visit{basis: Basis{Predicted: dec.First, Wait: dec.Wait, Heard: heard, Known: known}}, dec
 	}
-	e := p.endpoints[dec.Endpoint]
+	e := endpoints[dec.Endpoint]
 	chosen := all[dec.Endpoint]
 	v := &visit{
 		d: d, pool: p, e: e, id: e.ID, addr: e.Addr, alone: len(p.endpoints) < 2, sent: now,
 		free: chosen.Requests < chosen.Slots, ahead: chosen.Prompt + req.Prompt,
 		wait: dec.Wait, rest: dec.First - dec.Wait,
 		basis: Basis{Endpoint: e.ID, Predicted: dec.First, Wait: dec.Wait, Ahead: chosen.Requests, Prompt: chosen.Prompt + req.Prompt, Heard: heard, Known: known},
-		held:  hold{requests: 1, prompt: req.Prompt, output: req.Output, tokens: req.Prompt + req.Output},
-	}
-	if e.own.requests == 0 {
-		e.since = now
+		held:  holdOf(j, how.output),
 	}
-	e.own.add(v.held, 1)
-	d.v.changedHeld[e.ID] = true
+	v.basis.Age = d.v.age(e.ID, now)
+	d.observe(v, p, chosen)
+	v.count(now)
 	d.v.trust.Sent(d.since(now), e.ID)
 	return v, dec
 }
 
+// holdOf returns what a try of a job counts for, with the output that is expected.
+func holdOf(j *Job, output int) hold {
+	if !j.Pool.Engine {
+		return hold{requests: 1}
+	}
+	return hold{requests: 1, prompt: j.Prompt, output: output, tokens: j.Prompt + output}
+}
+
+// count counts the try at its endpoint; d.mu is held.
+func (v *visit) count(now time.Time) {
+	if v.e.own.requests == 0 {
+		v.e.since = now
+	}
+	v.e.own.add(v.held, 1)
+	v.d.v.changedHeld[v.id] = true
+}
+
+// observe measures how old what a try was placed by is, and whether its endpoint was
+// full by that.
+func (d *Director) observe(v *visit, p *pool, e admit.Endpoint) {
+	pool := meter.Label{Key: "pool", Value: p.name}
+	meter.Milliseconds(d.cfg.Metrics.Histogram("view_age_ms", pool), v.basis.Age)
+	if e.Requests >= e.Slots {
+		d.cfg.Metrics.Counter("placed_beyond_slots", pool).Inc(1)
+	}
+}
+
 // reserve places a job for a try that follows v and takes a repeat for it, unless
 // that is free. It takes both, or neither and returns what is lacking.
 func (d *Director) reserve(j *Job, v *visit, how trial, free bool) (*visit, string) {
@@ -165,6 +200,8 @@
 	over   bool
 	// exchange is set if the try was sent beside another one.
 	exchange *exchange
+	// place is set while another entry counts the try.
+	place *place
 }
 
 // head notes that the answer's head has come.
@@ -183,6 +220,7 @@
 	v.d.mu.Lock()
 	defer v.d.mu.Unlock()
 	v.e.heard = now
+	defer v.note(now, tokens, wire.PlaceOpen)
 	if v.first.IsZero() {
 		v.first = now
 		v.basis.First = now.Sub(v.sent)
@@ -203,6 +241,9 @@
 // release takes o out of what the try holds; d.mu is held.
 func (v *visit) release(o hold) {
 	v.held.add(o, -1)
+	if v.place != nil {
+		return
+	}
 	v.e.own.add(o, -1)
 	if o.requests != 0 || o.prompt != 0 || v.e.drifted() {
 		v.d.v.changedHeld[v.e.ID] = true
@@ -242,6 +283,7 @@
 		v.pool.learner.First(v.e.ID, 0, now.Sub(v.sent))
 	}
 	v.release(v.held)
+	v.note(now, 0, wire.PlaceResult+uint8(r))
 	change := v.d.v.trust.Ended(v.d.since(now), v.e.ID, r)
 	v.d.advance(v.pool)
 	return change
@@ -255,7 +297,32 @@
 	v.over = true
 	v.d.mu.Lock()
 	defer v.d.mu.Unlock()
+	v.drop()
+}
+
+// drop takes back what the try counts for; d.mu is held.
+func (v *visit) drop() {
 	v.release(v.held)
+	v.note(time.Now(), 0, wire.PlaceDropped)
+	v.d.advance(v.pool)
+}
+
+// declined ends a try that the endpoint did not run; load is how many requests it
+// says that it has, zero if it does not say.
+func (v *visit) declined(load int) {
+	if v.over {
+		return
+	}
+	v.over = true
+	v.d.mu.Lock()
+	defer v.d.mu.Unlock()
+	v.d.cfg.Metrics.Counter("tries_declined").Inc(1)
+	v.release(v.held)
+	if v.place != nil {
+		v.place.load = load
+	}
+	v.note(time.Now(), 0, wire.PlaceDeclined)
+	v.e.declined(time.Now(), load, v.e.Slots)
 	v.d.advance(v.pool)
 }
 
--- a/entry/direct/wait.go
+++ b/entry/direct/wait.go
@@ -8,63 +8,119 @@
 	"lycheepond/core/await"
 )
 
-// waiter is a job in the line of its pool.
+// waiter is a job in the line of its pool, or of a shard.
 type waiter struct {
 	job *Job
+	how lineup
+	// wait is its place in the line, since when it entered that and patience for how
+	// long it stays at most.
+	wait     *await.Wait[*waiter]
+	since    time.Time
+	patience time.Duration
 	// placed is closed once the job has left the line for an endpoint; visit and
-	// dec are set before.
+	// dec are set before. Until then they are the refusal that it gets.
 	placed chan struct{}
 	visit  *visit
 	dec    admit.Decision
 }
 
+// lineup says where a job is placed and waits.
+type lineup struct {
+	// shard is nil for the whole pool.
+	shard *part
+	// zone is that of the entry which sends the job.
+	zone string
+	// stand is set if it may wait.
+	stand bool
+}
+
+// line returns the line of the pool or of one of its shards.
+func (p *pool) waiting(s *part) *await.Line[*waiter] {
+	if s != nil {
+		return &s.line
+	}
+	return &p.line
+}
+
 // enter places a job, at once or after it has stood in line.
 func (d *Director) enter(ctx context.Context, j *Job) (*visit, admit.Decision) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	now := time.Now()
 	_, known := d.cfg.Reach()
 	p := d.v.pool(j.Pool.Name, d.cfg.Repeats, known)
-	in := tierIn{j.Pool.Name, j.Tier}
-	at := await.Place{Tier: j.Tier, Due: d.since(j.due())}
-	ahead := p.line.Ahead(at)
-	c := d.crowd(in, 1, p, j)
-	v, dec := d.place(j, trial{output: j.Output, behind: ahead > 0 || c.Blocked(), part: c.Part()})
-	if dec.Why != admit.Full {
+	if d.sharded(known) {
+		if v, dec, ok := d.enterShard(ctx, j, p); ok {
+			return v, dec
+		}
+	}
+	return d.queue(ctx, j, p, lineup{stand: true})
+}
+
+// queue places a job, at once or after it has stood in line. d.mu is held, but not
+// while the job stands.
+func (d *Director) queue(ctx context.Context, j *Job, p *pool, how lineup) (*visit, admit.Decision) {
+	v, dec, w := d.line(j, p, how)
+	if w == nil {
 		return v, dec
 	}
+	d.mu.Unlock()
+	w.stand(ctx)
+	d.mu.Lock()
+	return d.leave(w, p)
+}
+
+// line places a job, refuses it or puts it into line; it returns the waiter if it did.
+// d.mu is held.
+func (d *Director) line(j *Job, p *pool, how lineup) (*visit, admit.Decision, *waiter) {
+	now := time.Now()
+	at := await.Place{Tier: j.Tier, Due: d.since(j.due())}
+	l := p.waiting(how.shard)
+	ahead := l.Ahead(at)
+	c := d.crowd(1, p, j, how)
+	v, dec := d.place(j, trial{output: j.Output, behind: ahead > 0 || c.Blocked(), part: c.Part(), shard: how.shard, zone: how.zone})
+	if dec.Why != admit.Full || !how.stand {
+		return v, dec, nil
+	}
 	patience := await.Patience(j.Route.Target, j.due().Sub(now), dec.First-dec.Wait)
 	if turn := time.Duration(ahead+c.First+c.Beside+1) * dec.Turn; turn > patience {
 		dec.Retry = max(dec.Retry, turn)
-		return v, dec
+		return v, dec, nil
 	}
-	w := &waiter{job: j, placed: make(chan struct{})}
-	wait := p.line.Add(w, at)
-	d.v.waits.count(in, 1)
-	d.mu.Unlock()
-	w.stand(ctx, patience)
-	d.mu.Lock()
-	if !p.line.Remove(wait) {
-		w.visit.basis.Stood = w.visit.sent.Sub(now)
-		return w.visit, w.dec
+	w := &waiter{job: j, how: how, since: now, patience: patience, placed: make(chan struct{}), visit: v, dec: dec}
+	w.wait = l.Add(w, at)
+	d.v.waits.count(tierIn{j.Pool.Name, j.Tier}, 1)
+	return nil, admit.Decision{}, w
+}
+
+// leave takes a job out of the line, if it still stands there, and returns what has
+// become of it. d.mu is held.
+func (d *Director) leave(w *waiter, p *pool) (*visit, admit.Decision) {
+	if p.waiting(w.how.shard).Remove(w.wait) {
+		d.v.waits.count(tierIn{w.job.Pool.Name, w.job.Tier}, -1)
+		w.visit.basis.Stood = time.Since(w.since)
+	} else {
+		w.visit.basis.Stood = w.visit.sent.Sub(w.since)
 	}
-	d.v.waits.count(in, -1)
-	v.basis.Stood = time.Since(now)
-	return v, dec
+	return w.visit, w.dec
 }
 
-// crowd returns what competes with a job for free slots; joining is one if the job
-// is not in the line yet. d.mu is held.
-func (d *Director) crowd(in tierIn, joining int, p *pool, j *Job) await.Crowd {
+// crowd returns what competes with a job for free slots: in a shard nobody, as all
+// that wait for it stand in its line. joining is one if the job is not in the line
+// yet. d.mu is held.
+func (d *Director) crowd(joining int, p *pool, j *Job, how lineup) await.Crowd {
+	if how.shard != nil {
+		return await.Crowd{Own: 1}
+	}
 	now := time.Now()
+	in := tierIn{j.Pool.Name, j.Tier}
 	free := admit.Free(d.v.describe(p, j.Pool, now, d.since(now)))
 	return d.v.waits.crowd(in, d.v.waits.own[in]+joining, free)
 }
 
-// stand returns when the job has left the line, its patience is over or its
-// caller has left.
-func (w *waiter) stand(ctx context.Context, patience time.Duration) {
-	timer := time.NewTimer(patience)
+// stand returns when the job has left the line, its patience is over or ctx has
+// ended.
+func (w *waiter) stand(ctx context.Context) {
+	timer := time.NewTimer(w.patience)
 	defer timer.Stop()
 	select {
 	case <-w.placed:
@@ -73,20 +129,27 @@
 	}
 }
 
-// advance sends the jobs in the line of a pool for which there is room now; d.mu
+// advance sends the jobs that wait in a pool and for which there is room now; d.mu
 // is held.
 func (d *Director) advance(p *pool) {
-	p.line.Offer(func(w *await.Wait[*waiter]) (sent, more bool) {
-		j := w.Value.job
-		in := tierIn{j.Pool.Name, j.Tier}
-		c := d.crowd(in, 0, p, j)
-		v, dec := d.place(j, trial{output: j.Output, behind: c.Blocked(), part: c.Part()})
+	d.offer(p, &p.line)
+	for _, s := range p.shards {
+		d.offer(p, &s.line)
+	}
+}
+
+// offer sends the jobs of a line for which there is room now; d.mu is held.
+func (d *Director) offer(p *pool, l *await.Line[*waiter]) {
+	l.Offer(func(w *await.Wait[*waiter]) (sent, more bool) {
+		j, how := w.Value.job, w.Value.how
+		c := d.crowd(0, p, j, how)
+		v, dec := d.place(j, trial{output: j.Output, behind: c.Blocked(), part: c.Part(), shard: how.shard, zone: how.zone})
 		if dec.Endpoint < 0 {
 			// One that waits for its prompt's sake keeps no other from a slot.
 			return false, dec.Why != admit.Full
 		}
 		w.Value.visit, w.Value.dec = v, dec
-		d.v.waits.count(in, -1)
+		d.v.waits.count(tierIn{j.Pool.Name, j.Tier}, -1)
 		close(w.Value.placed)
 		return true, true
 	})
--- a/entry/direct/waits.go
+++ b/entry/direct/waits.go
@@ -60,6 +60,22 @@
 	}
 }
 
+// ahead returns how many requests of a tier or a higher one wait at a peer, or here if
+// own is set.
+func (s *waits) ahead(peer string, in tierIn, own bool) int {
+	counts := s.peers[peer]
+	if own {
+		counts = s.own
+	}
+	n := 0
+	for t, c := range counts {
+		if t.pool == in.pool && t.tier.Compare(in.tier) <= 0 {
+			n += c
+		}
+	}
+	return n
+}
+
 // drop forgets what a peer told.
 func (s *waits) drop(peer string) {
 	for t, n := range s.peers[peer] {
--- a/entry/mesh/accept.go
+++ b/entry/mesh/accept.go
@@ -59,8 +59,25 @@
 	link := wire.New(conn, hello, wire.Config{Heartbeat: heartbeat})
 	m.linked(hello, true)
 	defer m.linked(hello, false)
+	var take func(wire.Message)
+	end := func() {}
+	defer func() { end() }()
+	defer func() {
+		if take != nil {
+			m.serve(-1)
+		}
+	}()
 	link.Run(ctx, func(msg wire.Message) {
 		switch t := msg.(type) {
+		case *wire.PlaceAsk, *wire.PlaceNote:
+			if take == nil {
+				if m.cfg.Serve == nil {
+					return
+				}
+				take, end = m.cfg.Serve(ctx, hello.Zone, link.Send)
+				m.serve(1)
+			}
+			take(t)
 		case *wire.Tally:
 			m.take(origin{hello.Name, hello.Zone, hello.Incarnation}, relay.Direct, t, nil)
 		case *wire.Relay:
--- a/entry/mesh/dial.go
+++ b/entry/mesh/dial.go
@@ -55,7 +55,10 @@
 	passed bool
 	// needed is when the link was last needed.
 	needed time.Time
-	stop   context.CancelFunc
+	// tells is set while this entry tells its tallies over the link. Others carry
+	// messages of Send only.
+	tells bool
+	stop  context.CancelFunc
 }
 
 // replan decides anew who tells whom.
@@ -98,7 +101,19 @@
 	now := time.Now()
 	m.mu.Lock()
 	wanted := m.wants(now)
+	told := len(wanted)
+	for name := range m.asked {
+		if p := m.peers[name]; p != nil && p.addr != "" && p.maybe() {
+			wanted = append(wanted, p.addr)
+		}
+	}
 	for addr, d := range m.dials {
+		tells := slices.Contains(wanted[:told], addr) || !slices.Contains(wanted[told:], addr)
+		if tells && !d.tells {
+			// What it missed in between is told anew.
+			d.fresh, d.passed = true, false
+		}
+		d.tells = tells
 		if d.peer == "" || slices.Contains(wanted, addr) {
 			d.needed = now
 		}
@@ -147,7 +162,7 @@
 		return
 	}
 	ctx, stop := context.WithCancel(ctx)
-	d := &dial{needed: time.Now(), stop: stop}
+	d := &dial{needed: time.Now(), stop: stop, tells: true}
 	m.dials[addr] = d
 	m.mu.Unlock()
 	m.spawn(func() {
@@ -212,10 +227,13 @@
 	d.link, d.fresh, d.passed, d.peer = link, true, false, hello.Name
 	m.mu.Unlock()
 	logs.Info(m.cfg.Log, logs.EventLinkUp, zap.String("peer", hello.Name), zap.String("remote", addr))
-	err = link.Run(ctx, func(wire.Message) {})
+	err = link.Run(ctx, func(msg wire.Message) { m.replied(hello.Name, msg) })
 	m.mu.Lock()
 	d.link = nil
 	m.mu.Unlock()
+	if m.cfg.Parted != nil {
+		m.cfg.Parted(hello.Name)
+	}
 	if ctx.Err() != nil {
 		logs.Info(m.cfg.Log, logs.EventLinkClosed, zap.String("peer", hello.Name), zap.String("remote", addr))
 		return err
--- a/entry/mesh/mesh.go
+++ b/entry/mesh/mesh.go
@@ -64,6 +64,14 @@
 	Whole func(peer string) *wire.Tally
 	// Took takes in a version that a peer passed on.
 	Took func(s *wire.Snapshot)
+	// Serve begins to place requests for a peer of a zone that asks for it over a link.
+	// It returns what takes the peer's messages and what ends it; both are called by
+	// the goroutine of the link. Nil ignores such messages.
+	Serve func(ctx context.Context, zone string, reply func(m wire.Message) error) (take func(m wire.Message), end func())
+	// Acked takes in what a peer answers to such a message of this entry, Parted tells
+	// that the link over which it was sent has ended.
+	Acked  func(peer string, m *wire.PlaceAck)
+	Parted func(peer string)
 	// Lost tells that a peer has not been heard for a while.
 	Lost func(peer string)
 	Log  *zap.Logger
@@ -96,6 +104,10 @@
 	// included. Both are made anew at each tally.
 	plan  relay.Plan
 	known int
+	// serving counts the links over which this entry is asked for places.
+	serving int
+	// asked holds when each peer was last named to Link.
+	asked map[string]time.Time
 	// seq is that of the last tally of this entry; the first has two.
 	seq uint64
 	// ran is when it was last looked for silent peers.
@@ -146,7 +158,7 @@
 // New returns a mesh that does nothing until Run.
 func New(cfg Config) *Mesh {
 	return &Mesh{
-		cfg: cfg, start: time.Now(), ran: time.Now(), peers: make(map[string]*peer), dials: make(map[string]*dial),
+		cfg: cfg, start: time.Now(), ran: time.Now(), peers: make(map[string]*peer), dials: make(map[string]*dial), asked: make(map[string]time.Time),
 		seq: 1, versions: make(map[uint8]*wire.Snapshot), ended: make(chan struct{}, 1), hurry: make(chan struct{}, 1), hurryOn: make(chan struct{}, 1),
 	}
 }
--- a/entry/mesh/pass.go
+++ b/entry/mesh/pass.go
@@ -78,7 +78,7 @@
 // other end of a link. A process that is told a change of an entry that it does
 // not know could do nothing with it. It is called with mu held.
 func (m *Mesh) follower(d *dial) bool {
-	leads := m.plan.Hub() && !d.fresh && m.plan.Tells(m.self(), m.peer(d.peer).entry(d.peer))
+	leads := m.plan.Hub() && d.tells && !d.fresh && m.plan.Tells(m.self(), m.peer(d.peer).entry(d.peer))
 	begins := leads && !d.passed
 	d.passed = leads
 	return begins
--- a/entry/mesh/tell.go
+++ b/entry/mesh/tell.go
@@ -123,7 +123,8 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	wait := max(tellEvery, time.Duration(len(m.dials))*tellEach)
-	if !m.plan.Hub() {
+	// What the owner of a shard tells decides where others ask for places.
+	if !m.plan.Hub() && m.serving == 0 {
 		wait = max(wait, time.Duration(m.known)*tellPerEntry)
 	}
 	return min(wait, m.alive())
@@ -147,7 +148,7 @@
 	m.seq++
 	t.Seq, t.Lacks = m.seq, m.lacks()
 	m.mu.Unlock()
-	for _, l := range m.links(func(d *dial) bool { return !d.fresh }) {
+	for _, l := range m.links(func(d *dial) bool { return d.tells && !d.fresh }) {
 		// A link that cannot take it closes itself and is dialled again.
 		_ = l.link.Send(t)
 	}
@@ -169,8 +170,8 @@
 // something. Over the other links the next tally holds what changed.
 func (m *Mesh) greet() {
 	now := time.Now()
-	anew := m.links(func(d *dial) bool { return d.fresh })
-	again := m.links(func(d *dial) bool { return !d.fresh && m.misses(d) })
+	anew := m.links(func(d *dial) bool { return d.tells && d.fresh })
+	again := m.links(func(d *dial) bool { return d.tells && !d.fresh && m.misses(d) })
 	if len(anew)+len(again) == 0 {
 		return
 	}
