--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -118,9 +118,7 @@
 	// lowest tier in use may be predicted to wait for a slot in an engine's queue;
 	// the tiers between them lie at even steps. A wait there delays all that come
 	// behind, whatever their tier, and cannot be taken back. What is longer is waited
-	// at the entries, in the order of tiers. In a burst of twice what six engines
-	// can do, 4.9 in 100 of the highest tier are refused by four entries with 0.4
-	// and 0.2, and 1.1 with these (the model of entry/direct's tests, six seeds).
+	// at the entries, in the order of tiers.
 	topWait  = 0.2
 	lastWait = 0.05
 	// topCounted and lastCounted are the same where all is counted: a free slot is known
@@ -128,31 +126,22 @@
 	topCounted  = 0.1
 	lastCounted = 0.02
 	// surePart is the part of the predicted time for an answer's output that it
-	// takes in any case. The pace is that of endpoints at their usual load: of
-	// eleven requests that were refused because the whole prediction exceeded the
-	// time left, nine were served in time when they were sent.
+	// takes in any case. The pace is that of endpoints at their usual load, and
+	// estimates of outputs are often too long.
 	surePart = 0.5
 	// outputWeight is how much a later end counts against an earlier first
 	// event when endpoints are compared: slow endpoints hold their slots longer.
 	outputWeight = 0.1
 	// farCost is added for endpoints in other availability zones, whose bytes have
-	// a price. A twentieth or less of usual targets: it decides between endpoints
-	// that are about equally good, and cuts the bytes between zones by a third
-	// where there is room near by.
+	// a price. It decides between endpoints that are about equally good.
 	farCost = 30 * time.Millisecond
-	// spread is the most that is added for endpoints which other entries prefer, once
-	// half of the slots there are taken. Entries hear of the same free slot at the
-	// same time; without a preference of its own each would send there. In the same model with 30 entries, 4.4 in 100
-	// of the highest tier and 4.0 of the next are late without it, 3.8 and 2.6 with
-	// it. With 250 ms less are late in the model, where all engines are alike, and
-	// more where some are slow, as they then get as much as the quick ones.
-	spread = 60 * time.Millisecond
+	// maxPreference bounds how far an entry's own preference may outweigh a shorter
+	// wait, once half of the slots are taken. Entries hear of the same free slot at the
+	// same time; without a preference of its own each would send there.
+	maxPreference = 60 * time.Millisecond
 	// shortestRetry is the least time to come back after: several times the
 	// delay with which entries hear of each other, and a part of usual targets, so
-	// that a caller refused in a moment's crowd can still be served in time. On three
-	// fleets of four and five entries, five days with three seeds each, callers got
-	// 0.907, 0.864 and 0.870 of the credit with 200 ms, 0.914, 0.867 and 0.872 with 100,
-	// 0.900, 0.861 and 0.864 with 400.
+	// that a caller refused in a moment's crowd can still be served in time.
 	shortestRetry = 100 * time.Millisecond
 	// noEndpointRetry is the time to come back after when nothing is usable: an
 	// endpoint that failed is tried again within this time.
--- a/core/admit/learn.go
+++ b/core/admit/learn.go
@@ -8,8 +8,8 @@
 	firstDefault  = 25 * time.Millisecond
 	promptDefault = 20 * time.Microsecond
 	outputDefault = 5 * time.Millisecond
-	// waitDefault is what was measured with answers whose lengths spread as
-	// those of text do: the wait for a slot was half of the even spread's.
+	// waitDefault is for answers whose lengths spread as those of text do: the short
+	// ones free their slots early.
 	waitDefault = 0.5
 )
 
--- a/core/admit/predict.go
+++ b/core/admit/predict.go
@@ -46,7 +46,7 @@
 		c += farCost
 	}
 	if !e.roomy() {
-		c += scale(spread, e.Apart)
+		c += scale(maxPreference, e.Apart)
 	}
 	return c
 }
--- a/entry/direct/view.go
+++ b/entry/direct/view.go
@@ -24,9 +24,7 @@
 	silentService = 500 * time.Millisecond
 	// retryRatio and retrySlack are the parts of the operator's bounds on
 	// repeats that the entries use; the rest is for the edges of the operator's
-	// windows and for entries that are not known yet. With 0.6 and 0.5 a service
-	// that failed part of its requests everywhere had 132 of 566 repeats of 28
-	// entries refused for want of budget while a third of the bound was unused.
+	// windows and for entries that are not known yet.
 	retryRatio = 0.85
 	retrySlack = 0.6
 	// driftPart and driftTokens bound by how much less output an endpoint may owe
--- a/entry/direct/wait.go
+++ b/entry/direct/wait.go
@@ -34,7 +34,7 @@
 	stand bool
 }
 
-// line returns the line of the pool or of one of its shards.
+// waiting returns the line of the pool or of one of its shards.
 func (p *pool) waiting(s *part) *await.Line[*waiter] {
 	if s != nil {
 		return &s.line
