direct: an endpoint whose address belongs to another one is passed over

Cause: after a crash of 45 engines their addresses went to new ones while the instance list still named the old.

Change: such an answer is told apart from a decline, takes the endpoint out of placement for a second, here and at the owner of its shard, and is logged. A changed address in the list ends it.

TestEndpointThatHasMovedIsPassedOver fails without it (placed at "a" again).

--- a/core/logs/event.go
+++ b/core/logs/event.go
@@ -24,6 +24,7 @@
 	EventPeerSilent       Event = "peer_silent"
 	EventHeldUp           Event = "held_up"
 	EventOwnerLate        Event = "owner_late"
+	EventEndpointMoved    Event = "endpoint_moved"
 	EventPeerHeard        Event = "peer_heard"
 	EventLinesDropped     Event = "lines_dropped"
 	EventEntryForgotten   Event = "entry_forgotten"
--- a/core/wire/place.go
+++ b/core/wire/place.go
@@ -55,6 +55,8 @@
 	PlaceDropped
 	// PlaceDeclined means that the endpoint did not run the request.
 	PlaceDeclined
+	// PlaceMoved means that the endpoint's address belongs to another one.
+	PlaceMoved
 	PlaceResult
 )
 
--- a/entry/direct/beside.go
+++ b/entry/direct/beside.go
@@ -180,10 +180,10 @@
 	m := t.d.cfg.Read(x.a)
 	x.v.head(m)
 	if m.NotRun || m.WrongEndpoint {
-		if m.NotRun {
-			x.v.declined(m.Load)
+		if m.WrongEndpoint {
+			x.v.misplaced()
 		} else {
-			x.v.abandon()
+			x.v.declined(m.Load)
 		}
 		return verdict{arrived: true, res: Result{Why: "endpoint did not run it"}}
 	}
--- a/entry/direct/place_test.go
+++ b/entry/direct/place_test.go
@@ -287,3 +287,33 @@
 		time.Sleep(time.Second)
 	})
 }
+
+// A crashed endpoint's address belongs to another one, which turns away at once all
+// that is sent for the first, as long as that is listed.
+func TestEndpointThatHasMovedIsPassedOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCouple(t, 2)
+		v, _ := c.asker.enter(t.Context(), c.job())
+		v.misplaced()
+		synctest.Wait()
+		for range 3 {
+			next, dec := c.asker.enter(t.Context(), c.job())
+			if dec.Endpoint >= 0 && next.id == v.id {
+				t.Fatalf("placed at %q again", v.id)
+			}
+			if dec.Endpoint >= 0 {
+				next.abandon()
+				synctest.Wait()
+			}
+		}
+		for _, d := range []*Director{c.asker, c.owner} {
+			d.mu.Lock()
+			if e := d.v.endpoints[v.id]; !e.away(time.Now()) || e.away(time.Now().Add(awayFor)) || e.own.requests != 0 {
+				t.Errorf("%s: the endpoint is not away for a while: %+v", d.cfg.Addr, e)
+			}
+			d.mu.Unlock()
+		}
+		c.session.Close()
+		time.Sleep(time.Second)
+	})
+}
--- a/entry/direct/send.go
+++ b/entry/direct/send.go
@@ -43,15 +43,15 @@
 	m := t.d.cfg.Read(a)
 	v.head(m)
 	switch {
-	case m.NotRun:
+	case m.WrongEndpoint:
 		io.Copy(io.Discard, io.LimitReader(a, maxPlain))
 		a.Close()
-		v.declined(m.Load)
-		return nil, verdict{arrived: true, res: Result{Why: "endpoint did not run it"}}
-	case m.WrongEndpoint:
+		v.misplaced()
+		return nil, verdict{arrived: true, res: Result{Why: "another endpoint has the address"}}
+	case m.NotRun:
 		io.Copy(io.Discard, io.LimitReader(a, maxPlain))
 		a.Close()
-		v.abandon()
+		v.declined(m.Load)
 		return nil, verdict{arrived: true, res: Result{Why: "endpoint did not run it"}}
 	case a.Status < 300 && !m.Signed:
 		a.Close()
--- a/entry/direct/session.go
+++ b/entry/direct/session.go
@@ -154,6 +154,8 @@
 		v.abandon()
 	case m.End == wire.PlaceDeclined:
 		v.declined(int(m.Load))
+	case m.End == wire.PlaceMoved:
+		v.misplaced()
 	case m.End >= wire.PlaceResult:
 		v.end(trust.Result(m.End - wire.PlaceResult))
 	}
--- a/entry/direct/view.go
+++ b/entry/direct/view.go
@@ -102,6 +102,17 @@
 	// excessAt, when it declined one.
 	excess   int
 	excessAt time.Time
+	// movedAt is when another endpoint last answered at its address.
+	movedAt time.Time
+}
+
+// awayFor is how long an endpoint is passed over whose address belongs to another
+// one: the instance list tells of it soon.
+const awayFor = time.Second
+
+// away reports whether another endpoint has lately answered at the address.
+func (e *endpoint) away(now time.Time) bool {
+	return !e.movedAt.IsZero() && now.Sub(e.movedAt) < awayFor
 }
 
 // excessFor is how long an endpoint that has declined a request is taken for having
@@ -204,6 +215,7 @@
 		if e != nil && e.Born == listed.Born && e.Pool == listed.Pool {
 			if e.Addr != listed.Addr {
 				gone = append(gone, e.Addr)
+				e.movedAt = time.Time{}
 			}
 			e.Endpoint = listed
 			v.endpoints[listed.ID] = e
@@ -322,7 +334,7 @@
 		sum.add(e.own, 1)
 		sum.requests += e.uncounted(now)
 		out = append(out, admit.Endpoint{
-			Near: e.Zone == zone, Usable: v.trust.Usable(since, e.ID) && !e.silent(now, silent), Slots: e.slots(cfg),
+			Near: e.Zone == zone, Usable: v.trust.Usable(since, e.ID) && !e.silent(now, silent) && !e.away(now), Slots: e.slots(cfg),
 			Requests: sum.requests, Prompt: sum.prompt, Output: sum.output,
 			Tokens: sum.tokens, Memory: cfg.KVTokens, Pace: p.learner.Pace(e.ID),
 		})
--- a/entry/direct/visit.go
+++ b/entry/direct/visit.go
@@ -326,6 +326,22 @@
 	v.d.advance(v.pool)
 }
 
+// misplaced ends a try that another endpoint declined, which has the address now.
+func (v *visit) misplaced() {
+	if v.over {
+		return
+	}
+	v.over = true
+	v.d.mu.Lock()
+	defer v.d.mu.Unlock()
+	now := time.Now()
+	v.release(v.held)
+	v.note(now, 0, wire.PlaceMoved)
+	v.e.movedAt = now
+	logs.Warn(v.d.cfg.Log, logs.EventEndpointMoved, zap.String("endpoint", v.id), zap.String("remote", v.addr))
+	v.d.advance(v.pool)
+}
+
 // outOfTime ends a try that was not over when the time was up: a fault of the
 // endpoint only if it had sent nothing for longer than is in order. After a stop of
 // the process the time says nothing of that: what has come is yet to be read.
