--- a/entry/direct/place.go
+++ b/entry/direct/place.go
@@ -23,8 +23,8 @@
 	// which the request may stand in line there.
 	answerTime = 60 * time.Millisecond
 	// maxAsks is how many shards a request asks for a place, maxTopAsks one of the
-	// highest tier, as long as they refuse within atOnce: whoever has waited longer has no time
-	// left for another line.
+	// highest tier, as long as they refuse within atOnce: whoever has waited longer has
+	// no time left for another line.
 	maxAsks    = 2
 	maxTopAsks = 4
 	atOnce     = 20 * time.Millisecond
@@ -149,8 +149,8 @@
 	return out
 }
 
-// enterShard has a job placed by the owner of a shard, or by those of two when the
-// first finds no room. It returns false if no owner has decided. d.mu is held.
+// enterShard has a job placed by the owner of a shard, or by that of another one if
+// the first finds no room. It returns false if no owner has decided. d.mu is held.
 func (d *Director) enterShard(ctx context.Context, j *Job, p *pool) (*visit, admit.Decision, bool) {
 	began := time.Now()
 	loads := d.loads(p, j, began)
