--- a/entry/direct/place_test.go
+++ b/entry/direct/place_test.go
@@ -72,6 +72,10 @@
 		}
 		return nil
 	})
+	t.Cleanup(func() {
+		c.session.Close()
+		time.Sleep(2 * keepFor)
+	})
 	return c
 }
 
@@ -108,8 +112,6 @@
 		if counted(c.owner, "a") != 0 {
 			t.Errorf("the owner counts %d after the end", counted(c.owner, "a"))
 		}
-		c.session.Close()
-		time.Sleep(time.Second)
 	})
 }
 
@@ -133,8 +135,6 @@
 			t.Errorf("waited for %v", v.basis.Stood)
 		}
 		v.abandon()
-		c.session.Close()
-		time.Sleep(time.Second)
 	})
 }
 
@@ -154,8 +154,6 @@
 		if n := counted(c.owner, "a"); n != 0 {
 			t.Errorf("the owner counts %d", n)
 		}
-		c.session.Close()
-		time.Sleep(time.Second)
 	})
 }
 
@@ -180,8 +178,6 @@
 		if _, dec := c.asker.enter(t.Context(), c.job()); dec.Endpoint < 0 || time.Since(began) > 0 {
 			t.Errorf("the second request was held up for %v: %v", time.Since(began), dec.Why)
 		}
-		c.session.Close()
-		time.Sleep(time.Second)
 	})
 }
 
@@ -227,8 +223,6 @@
 		if dec.Endpoint < 0 || v.basis.Owner != "" || time.Since(began) != 10*time.Millisecond {
 			t.Errorf("placed by %q after %v: %v", v.basis.Owner, time.Since(began), dec.Why)
 		}
-		c.session.Close()
-		time.Sleep(time.Second)
 	})
 }
 
@@ -256,8 +250,6 @@
 		if v, dec := c.asker.enter(t.Context(), c.job()); dec.Endpoint < 0 || v.id != "c" || v.addr != "c" {
 			t.Errorf("placed at %q: %v", v.id, dec.Why)
 		}
-		c.session.Close()
-		time.Sleep(time.Second)
 	})
 }
 
@@ -283,8 +275,6 @@
 		if _, dec := c.asker.enter(t.Context(), c.job()); dec.Endpoint >= 0 {
 			t.Error("the next request was placed at the full endpoint")
 		}
-		c.session.Close()
-		time.Sleep(time.Second)
 	})
 }
 
@@ -313,7 +303,5 @@
 			}
 			d.mu.Unlock()
 		}
-		c.session.Close()
-		time.Sleep(time.Second)
 	})
 }
