--- a/entry/direct/job.go
+++ b/entry/direct/job.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"lycheepond/core/blame"
 	"lycheepond/core/route"
 )
 
@@ -32,6 +33,17 @@
 	Units float64
 	// LastEvent is the last event that the caller has seen of the stream.
 	LastEvent string
+	// content is what it asks for; Serve sets it.
+	content blame.Content
+}
+
+// identify sets what the job asks for.
+func (j *Job) identify() {
+	customer := ""
+	if j.Customer != nil {
+		customer = j.Customer.Name
+	}
+	j.content = blame.Of(j.Method, j.Host, j.Target, customer, j.Body)
 }
 
 // due returns when the first event is wanted.
--- a/entry/direct/serve.go
+++ b/entry/direct/serve.go
@@ -15,6 +15,7 @@
 func (d *Director) Serve(ctx context.Context, j *Job, s Sink) Result {
 	d.count(1)
 	defer d.count(-1)
+	j.identify()
 	res := d.serve(ctx, j, s)
 	d.note(j, res)
 	return res
@@ -85,7 +86,7 @@
 	d.measure(j, res, took)
 	fields := []zap.Field{
 		zap.String("request_id", j.ID), zap.String("route", j.Route.Name), zap.String("outcome", res.Outcome.String()), zap.Stringer("tier", j.Tier),
-		zap.Duration("took", took), zap.String("why", res.Why), zap.Int64("config", d.Table().Revision()),
+		zap.Duration("took", took), zap.String("why", res.Why), zap.Stringer("content", j.content), zap.Int64("config", d.Table().Revision()),
 	}
 	if j.Output > 0 {
 		fields = append(fields, zap.Int("input", j.Prompt), zap.Int("output", j.Output))
--- a/entry/direct/task.go
+++ b/entry/direct/task.go
@@ -89,7 +89,7 @@
 	if next == nil {
 		return nil, lack
 	}
-	logs.Info(t.d.cfg.Log, logs.EventRequestReturned, zap.String("request_id", t.job.ID), zap.String("why", got.res.Why),
+	logs.Info(t.d.cfg.Log, logs.EventRequestReturned, zap.String("request_id", t.job.ID), zap.String("why", got.res.Why), zap.Stringer("content", t.job.content),
 		zap.String("from", v.id), zap.String("to", next.id), zap.Duration("silent", v.basis.Silent), zap.Duration("bound", v.basis.Bound))
 	return next, ""
 }
