door: tests listen on the port that they ask for

TestRefusalAsksForNoBody failed once with 'address already in use': the test took a free port, closed it and listened on it again, and another test's connection had it in between. Both listeners now ask the system for a port and keep it. What the tests check is unchanged.

--- a/entry/door/stand_test.go
+++ b/entry/door/stand_test.go
@@ -97,12 +97,12 @@
 
 func newStand(t *testing.T, grace time.Duration, serve serveFunc) *stand {
 	t.Helper()
-	st := &stand{addr: free(t), metrics: meter.New(), ended: make(chan error, 1)}
+	st := &stand{metrics: meter.New(), ended: make(chan error, 1)}
 	st.idle.Store(int64(time.Minute))
 	st.timeout.Store(int64(time.Minute))
 	st.informed.Store(true)
 	st.door = New(Config{
-		Listen: st.addr, Ready: free(t), ReadyPath: "/readyz", Grace: grace, Memory: 64 << 20,
+		Listen: anyPort, Ready: anyPort, ReadyPath: "/readyz", Grace: grace, Memory: 64 << 20,
 		ID: func(r *http.Request) string { return r.URL.Path },
 		Accept: func(r *http.Request, _ *route.Table) (*direct.Job, *Refusal) {
 			return &direct.Job{ID: r.URL.Path, Route: &route.Route{Timeout: time.Duration(st.timeout.Load())}}, nil
@@ -126,10 +126,11 @@
 	})
 	ctx, stop := context.WithCancel(context.Background())
 	st.stop = stop
-	front, err := st.door.conns.Listen(st.addr)
+	front, err := st.door.conns.Listen(anyPort)
 	if err != nil {
 		t.Fatal(err)
 	}
+	st.addr = front.Addr().String()
 	if st.ready, err = net.Listen("tcp", st.door.cfg.Ready); err != nil {
 		t.Fatal(err)
 	}
@@ -152,16 +153,8 @@
 	return st
 }
 
-// free returns an address that nobody listens on.
-func free(t *testing.T) string {
-	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer ln.Close()
-	return ln.Addr().String()
-}
+// anyPort has the system choose a port that nobody listens on.
+const anyPort = "127.0.0.1:0"
 
 func await(t *testing.T, what string, f func() bool) {
 	t.Helper()
