blame, direct: a request under which three endpoints ended is held back

Cause: a run that broke off was held against its endpoint only. Nothing connected it with the request, so what came again was placed like any other, at each entry by itself, and the entry's own repeats took it to a second server.

Why this works: the content of a request (method, host, target, customer, body) is blamed when an endpoint has ended, and only then, under a run of it; entries tell each other in their tallies; at three ends without an answer in between it is held back with 503, the platform keeps that through a start of all entries. A whole answer anywhere acquits it, and one trial at a time in the fleet lets what only ran beside a crash be answered again.

--- a/core/recent/recent.go
+++ b/core/recent/recent.go
@@ -39,6 +39,21 @@
 	return &t.slots[i].value
 }
 
+// Peek returns the value of k, nil if there is none. It does not count as a use.
+func (t *Table[K, V]) Peek(k K) *V {
+	if i, ok := t.index[k]; ok {
+		return &t.slots[i].value
+	}
+	return nil
+}
+
+// Each calls f with every key and its value.
+func (t *Table[K, V]) Each(f func(k K, v *V)) {
+	for i := range t.slots {
+		f(t.slots[i].key, &t.slots[i].value)
+	}
+}
+
 // Get returns the value of k, a zero one if there was none. The pointer is
 // valid until the next call of Get.
 func (t *Table[K, V]) Get(k K) *V {
--- a/core/recent/recent_test.go
+++ b/core/recent/recent_test.go
@@ -21,7 +21,18 @@
 			*table.Get(k) = k
 			used = append(slices.DeleteFunc(used, func(u int) bool { return u == k }), k)
 			used = used[max(0, len(used)-limit):]
-			if table.Len() != len(used) || len(table.index) != len(used) {
+			for k := range 10 {
+				if v := table.Peek(k); (v != nil) != slices.Contains(used, k) {
+					t.Fatalf("Peek(%d) = %v, last used %v", k, v, used)
+				}
+			}
+			seen := 0
+			table.Each(func(k int, v *int) {
+				if seen++; *v != k || !slices.Contains(used, k) {
+					t.Fatalf("Each(%d) = %d, last used %v", k, *v, used)
+				}
+			})
+			if table.Len() != len(used) || seen != len(used) || len(table.index) != len(used) {
 				t.Fatalf("holds %d, want %d", table.Len(), len(used))
 			}
 		}
--- a/core/wire/tally.go
+++ b/core/wire/tally.go
@@ -35,10 +35,39 @@
 	// Capacity is how much work the sender can carry, in thousandths of a core;
 	// zero tells nothing.
 	Capacity uint32
+	// Blamed holds the contents of requests under which endpoints have ended.
+	Blamed []Blamed
 }
 
 // News reports whether the tally tells of anything but that its sender lives.
-func (t *Tally) News() bool { return len(t.Used)+len(t.Held)+len(t.Waiting)+len(t.Fresh) > 0 }
+func (t *Tally) News() bool {
+	return len(t.Used)+len(t.Held)+len(t.Waiting)+len(t.Fresh)+len(t.Blamed) > 0
+}
+
+// Blamed is what the sender knows of a content under which endpoints have ended. Times
+// are milliseconds before the tally left.
+type Blamed struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	Content  []byte
+	// ServedMS is when it was last answered; negative if that is not known.
+	ServedMS int64
+	Ends     []EndedAt
+	// HeldMS is when it was last held back, LeftMS for how long it still is and Holds
+	// how often it was, zero for never.
+	HeldMS, LeftMS uint32
+	Holds          uint16
+	// TriedMS is when the trial of a content that was held back began; negative if none
+	// is under way. Over is set if the last one did not run.
+	TriedMS int64
+	Over    bool
+}
+
+// EndedAt is an endpoint that ended under a content.
+type EndedAt struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	Endpoint string
+	AgeMS    uint32
+}
 
 // Fresh tells that the revision in force at the sender, as in the same tally,
 // held every change that was made up to AgeMS milliseconds before it left.
--- a/core/wire/tallycode.go
+++ b/core/wire/tallycode.go
@@ -10,10 +10,11 @@
 const (
 	// tallyFields is how many fields a tally had when readers wanted exactly these,
 	// freshFields how many it has with Clock and Fresh, capacityFields with Capacity
-	// behind them.
+	// and blamedFields with Blamed behind them.
 	tallyFields    = 10
 	freshFields    = tallyFields + 2
 	capacityFields = freshFields + 1
+	blamedFields   = capacityFields + 1
 	// readsOn stands among the names in Lacks of whoever reads tallies with further
 	// fields. No entry is named so, and readers that want exactly tallyFields look
 	// for their own name only.
@@ -33,6 +34,8 @@
 	fields := []any{t.Addr, t.Config, t.Roster, t.Used, t.Held, t.Entries, t.Seq, t.Whole, t.Lacks, t.Waiting}
 	n := tallyFields
 	switch {
+	case len(t.Blamed) > 0:
+		n = blamedFields
 	case t.Capacity > 0:
 		n = capacityFields
 	case t.Clock > 0 || len(t.Fresh) > 0:
@@ -51,7 +54,10 @@
 	if err := e.Encode(t.Fresh); err != nil || n < capacityFields {
 		return err
 	}
-	return e.EncodeUint(uint64(t.Capacity))
+	if err := e.EncodeUint(uint64(t.Capacity)); err != nil || n < blamedFields {
+		return err
+	}
+	return e.Encode(t.Blamed)
 }
 
 // DecodeMsgpack reads a tally of an older version, without the fields after Waiting,
@@ -79,7 +85,13 @@
 	if err := d.Decode(&t.Capacity); err != nil {
 		return err
 	}
-	for range n - capacityFields {
+	if n < blamedFields {
+		return nil
+	}
+	if err := d.Decode(&t.Blamed); err != nil {
+		return err
+	}
+	for range n - blamedFields {
 		if err := d.Skip(); err != nil {
 			return err
 		}
--- a/entry/direct/direct.go
+++ b/entry/direct/direct.go
@@ -14,6 +14,7 @@
 
 	"go.uber.org/zap"
 
+	"lycheepond/core/blame"
 	"lycheepond/core/meter"
 	"lycheepond/core/quota"
 	"lycheepond/core/route"
@@ -45,7 +46,10 @@
 	// Own reports whether an answer's head belongs to the request of an ID.
 	Own func(id string, status int, h http.Header) bool
 	// Read reads the head of an answer.
-	Read    func(a *hop.Answer) Meta
+	Read func(a *hop.Answer) Meta
+	// Blamed takes in that a content has begun or ceased to be held back. It must not
+	// wait; nil ignores it.
+	Blamed  func(c blame.Change)
 	Metrics *meter.Set
 	Log     *zap.Logger
 }
@@ -119,7 +123,8 @@
 		d.mu.Unlock()
 		return false
 	}
-	gone := d.v.setRoster(r)
+	gone := d.v.setRoster(r, d.since(time.Now()))
+	d.blamed()
 	d.advanceAll()
 	d.mu.Unlock()
 	for _, addr := range gone {
@@ -148,6 +153,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.v.heard(peer, anew, t)
+	d.told(t.Blamed)
 	d.advanceAll()
 }
 
@@ -282,11 +288,13 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	out := make(map[string]string)
-	d.v.trust.Due(d.since(time.Now()), func(id string) {
+	now := d.since(time.Now())
+	d.v.trust.Due(now, func(id string) {
 		if e := d.v.endpoints[id]; e != nil {
 			out[id] = e.Addr
 		}
 	})
+	d.doubted(now, out)
 	return out
 }
 
@@ -297,6 +305,9 @@
 	defer d.mu.Unlock()
 	if now := d.since(time.Now()); err != nil {
 		d.v.trust.Ended(now, id, trust.Unreachable)
+		if e := d.v.endpoints[id]; e != nil && e.Addr == addr && hop.Refused(err) {
+			d.ended(e)
+		}
 	} else {
 		d.v.trust.Reached(now, id)
 	}
--- a/entry/direct/job.go
+++ b/entry/direct/job.go
@@ -91,9 +91,11 @@
 	Left
 	// Cut means that the entry itself ended the caller's connection.
 	Cut
+	// Held means refused, as endpoints have ended under requests of this content.
+	Held
 )
 
-var outcomeNames = [...]string{"complete", "limited", "refused", "unknown", "late", "broken", "left", "cut"}
+var outcomeNames = [...]string{"complete", "limited", "refused", "unknown", "late", "broken", "left", "cut", "held"}
 
 // String returns the outcome as logs and metrics spell it.
 func (o Outcome) String() string { return outcomeNames[o] }
--- a/entry/direct/plain.go
+++ b/entry/direct/plain.go
@@ -86,5 +86,8 @@
 		v.end(trust.Error)
 		return
 	}
+	if a.Status < http.StatusMultipleChoices {
+		v.served()
+	}
 	v.end(trust.Good)
 }
--- a/entry/direct/relay.go
+++ b/entry/direct/relay.go
@@ -60,6 +60,7 @@
 		case err == nil && len(part) <= maxEvent:
 			continue
 		case err == io.EOF:
+			v.served()
 			v.end(trust.Good)
 			return done(Complete, "")
 		}
--- a/entry/direct/send.go
+++ b/entry/direct/send.go
@@ -91,6 +91,7 @@
 	case errors.Is(err, hop.ErrNotSent):
 		if t.ctx.Err() == nil {
 			v.end(trust.Unreachable)
+			v.refused(err)
 		}
 		return verdict{res: Result{Why: "endpoint accepts no connection"}}
 	case t.caller.Err() != nil && t.ctx.Err() != nil:
--- a/entry/direct/serve.go
+++ b/entry/direct/serve.go
@@ -28,6 +28,9 @@
 }
 
 func (d *Director) serve(ctx context.Context, j *Job, s Sink) Result {
+	if left := d.held(j); left > 0 {
+		return heldBack(left)
+	}
 	wait, ok := d.charge(j)
 	if !ok {
 		return Result{Outcome: Limited, Retry: wait, Why: "customer over its limit"}
@@ -49,6 +52,12 @@
 		d.refund(j)
 		return Result{Outcome: Refused, Retry: dec.Retry, Why: dec.Why.String(), Basis: v.basis}
 	}
+	if left := d.admitted(j); left > 0 {
+		// It was learnt while the job stood in line.
+		v.abandon()
+		d.refund(j)
+		return heldBack(left)
+	}
 	d.earn(v)
 	end, cancel := context.WithDeadlineCause(context.WithoutCancel(ctx), j.End(), errTimeUp)
 	defer cancel()
@@ -76,6 +85,7 @@
 	}
 	if res.Outcome == Refused {
 		d.refund(j)
+		d.untried(j)
 	}
 	return res
 }
@@ -101,7 +111,7 @@
 	switch res.Outcome {
 	case Complete, Left:
 		logs.Info(d.cfg.Log, logs.EventRequestDone, fields...)
-	case Limited, Refused:
+	case Limited, Refused, Held:
 		logs.Info(d.cfg.Log, logs.EventRequestRefused, append(fields, zap.Duration("retry", res.Retry), zap.Duration("left", time.Until(j.End())))...)
 	default:
 		logs.Warn(d.cfg.Log, logs.EventRequestUnknown, append(fields, zap.Duration("silent", res.Basis.Silent), zap.Duration("bound", res.Basis.Bound))...)
@@ -120,7 +130,7 @@
 		return
 	}
 	switch res.Outcome {
-	case Limited, Refused:
+	case Limited, Refused, Held:
 		d.refused.Observe(j.Customer.Name, res.Retry.Milliseconds())
 	default:
 		d.answered.Observe(j.Customer.Name, took.Milliseconds())
--- a/entry/direct/task.go
+++ b/entry/direct/task.go
@@ -117,6 +117,8 @@
 		return "no attempt left"
 	case sends >= maxSends:
 		return "sent to enough endpoints"
+	case t.d.doubtful(t.job):
+		return "endpoints have ended under it"
 	}
 	return ""
 }
--- a/entry/direct/view.go
+++ b/entry/direct/view.go
@@ -7,6 +7,7 @@
 
 	"lycheepond/core/admit"
 	"lycheepond/core/await"
+	"lycheepond/core/blame"
 	"lycheepond/core/quota"
 	"lycheepond/core/retry"
 	"lycheepond/core/route"
@@ -46,6 +47,7 @@
 	endpoints map[string]*endpoint
 	pools     map[string]*pool
 	trust     *trust.Book
+	blame     *blame.Book
 	quota     *quota.Book
 	// peers holds what each peer has in flight, by endpoint.
 	peers map[string]map[string]wire.Held
@@ -148,7 +150,7 @@
 func newView(zone string) *view {
 	return &view{
 		zone: zone, table: route.NewTable(route.Config{}), endpoints: make(map[string]*endpoint),
-		pools: make(map[string]*pool), trust: trust.New(), quota: quota.New(),
+		pools: make(map[string]*pool), trust: trust.New(), blame: blame.New(), quota: quota.New(),
 		peers: make(map[string]map[string]wire.Held), changedHeld: make(map[string]bool), changedUsed: make(map[string]bool),
 		waits: newWaits(), heardAt: make(map[string]time.Time),
 	}
@@ -207,7 +209,7 @@
 
 // setRoster takes in a newer instance list and returns the addresses that no
 // longer belong to the endpoint they belonged to.
-func (v *view) setRoster(r route.Roster) (gone []string) {
+func (v *view) setRoster(r route.Roster, now time.Duration) (gone []string) {
 	old := v.endpoints
 	v.roster, v.endpoints = r, make(map[string]*endpoint, len(r.Endpoints))
 	for _, listed := range r.Endpoints {
@@ -228,6 +230,9 @@
 			continue
 		}
 		gone = append(gone, e.Addr)
+		if !e.Leaving && v.blame.Doubted(now, e.start()) {
+			v.blame.Ended(now, e.start())
+		}
 		v.trust.Forget(id)
 		if p := v.pools[e.Pool]; p != nil {
 			p.learner.Forget(id)
--- a/entry/direct/view_test.go
+++ b/entry/direct/view_test.go
@@ -22,7 +22,7 @@
 // view returns a view of one pool with endpoints.
 func newPoolView(ids ...string) (*view, *pool) {
 	v := newView("z")
-	v.setRoster(listed(ids...))
+	v.setRoster(listed(ids...), 0)
 	return v, v.pool("p", Repeats{Ratio: 0.2, Slack: 40}, 5)
 }
 
@@ -69,7 +69,7 @@
 	}
 	r := listed("a", "b")
 	r.Revision, r.Endpoints[0].Born = 2, 2
-	if gone := v.setRoster(r); len(gone) != 1 || gone[0] != "a:1" {
+	if gone := v.setRoster(r, 0); len(gone) != 1 || gone[0] != "a:1" {
 		t.Errorf("connections to drop: %v", gone)
 	}
 	if got := v.endpoints["a"].own.requests; got != 0 {
@@ -88,7 +88,7 @@
 	v, p := newPoolView("a", "b")
 	r := listed("a", "b")
 	r.Revision, r.Endpoints[0].Leaving = 2, true
-	if gone := v.setRoster(r); len(gone) != 0 {
+	if gone := v.setRoster(r, 0); len(gone) != 0 {
 		t.Errorf("connections of %v are dropped while requests run on them", gone)
 	}
 	if len(p.endpoints) != 1 || p.endpoints[0].ID != "b" {
--- a/entry/hop/hop.go
+++ b/entry/hop/hop.go
@@ -15,6 +15,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -22,6 +23,9 @@
 // not run.
 var ErrNotSent = errors.New("hop: request not sent: the endpoint accepts no connection; send it to another one")
 
+// Refused reports that nobody listens at the address: what listened there has ended.
+func Refused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+
 // ErrBusy reports that all connections that this entry may have to the endpoint
 // are in use. The request has not run.
 var ErrBusy = errors.New("hop: no connection left to the endpoint: send the request to another one")
--- a/entry/mesh/pass.go
+++ b/entry/mesh/pass.go
@@ -51,6 +51,7 @@
 // this entry.
 func (m *Mesh) pass() {
 	for _, l := range m.links(m.follower) {
+		m.retell = true
 		m.passWhole(l)
 	}
 	m.mu.Lock()
--- a/entry/mesh/tell.go
+++ b/entry/mesh/tell.go
@@ -52,6 +52,10 @@
 		t.Fresh, t.Clock = m.fresh()
 		if m.readOn() {
 			t.Capacity = m.cfg.Capacity
+			if m.cfg.Blamed != nil {
+				t.Blamed = m.cfg.Blamed(m.retell)
+			}
+			m.retell = false
 		}
 		if t.News() || time.Since(last) >= m.aliveNow() {
 			last = time.Now()
@@ -175,6 +179,7 @@
 	if len(anew)+len(again) == 0 {
 		return
 	}
+	m.retell = true
 	t := m.cfg.Tally(true)
 	t.Whole = true
 	m.mu.Lock()
