--- a/core/logs/event.go
+++ b/core/logs/event.go
@@ -64,6 +64,7 @@
 	EventServerTold       Event = "server_told"
 	EventContentHeld      Event = "content_held"
 	EventContentReleased  Event = "content_released"
+	EventLimitChanged     Event = "limit_changed"
 	EventFailed           Event = "failed"
 )
 
--- a/entry/direct/view.go
+++ b/entry/direct/view.go
@@ -104,6 +104,9 @@
 	// excessAt, when it declined one.
 	excess   int
 	excessAt time.Time
+	// limited is set while the endpoint names a limit, limit is the one it named last.
+	limited bool
+	limit   float64
 	// movedAt is when another endpoint last answered at its address.
 	movedAt time.Time
 }
--- a/entry/direct/visit.go
+++ b/entry/direct/visit.go
@@ -215,6 +215,9 @@
 	if m.Slots > 0 && v.e.Slots == 0 {
 		v.e.Slots = m.Slots
 	}
+	if !m.WrongEndpoint {
+		v.limited(m)
+	}
 }
 
 // progress notes that tokens of output have come.
