limit, admit, direct: the limit that an endpoint names is shared by all entries

What callers saw: nothing.

Cause: entries did not read the header; they passed it on. No decision knew that an endpoint may take fewer requests than it has slots for.

Evidence: stand-in workers that name 3 a second got 259 to 310 requests in 4 s, at one and three entries; the log of the incident shows as many requests to the workers after they had named their limit as before, from all entries.

Why this works: core/limit gives all entries one bucket in effect: each takes its own requests and those that the others tell out of it, in turn by name, or the owner of the shard has the whole. core/admit passes over an endpoint without room, whatever its slots, and counts neither these as free nor a pace that the limit forbids. A limit ends by an answer to a request sent after the last word.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -39,6 +39,12 @@
 	// Yield is set if free slots there are left to requests that wait at other
 	// entries.
 	Yield bool
+	// Limited is set if the endpoint takes Rate requests a second at most. Room is how
+	// many of them may be sent now and Next, if that is none, after how long one may.
+	Limited bool
+	Rate    float64
+	Room    int
+	Next    time.Duration
 }
 
 // Pace is how fast an endpoint is.
@@ -202,6 +208,10 @@
 	c := choice{seen: true, first: e.First(r), wait: e.slotWait(r)}
 	c.cost = c.first + e.costs(r)
 	free := !r.Behind && e.roomy()
+	if e.Limited && e.Room <= 0 {
+		c.why, c.over, c.wait = Full, e.Next, max(c.wait, e.Next)
+		return c
+	}
 	if over := c.wait - r.longestWait(); r.Behind || (over > 0 || e.Yield) && !free {
 		c.why, c.over = Full, over
 		return c
@@ -232,7 +242,33 @@
 	n := 0
 	for i := range endpoints {
 		if e := &endpoints[i]; e.Usable {
-			n += max(e.Slots-e.Requests, 0)
+			n += e.free()
+		}
+	}
+	return n
+}
+
+// free counts the slots that look free, as far as a limit lets requests have them.
+func (e *Endpoint) free() int {
+	n := max(e.Slots-e.Requests, 0)
+	if e.Limited {
+		n = min(n, e.Room)
+	}
+	return n
+}
+
+// Slots counts the slots of the usable endpoints. Those that a limit keeps empty do not
+// count.
+func Slots(endpoints []Endpoint) int {
+	n := 0
+	for i := range endpoints {
+		e := &endpoints[i]
+		switch {
+		case !e.Usable:
+		case e.Limited:
+			n += min(e.Slots, e.Requests+e.free())
+		default:
+			n += e.Slots
 		}
 	}
 	return n
@@ -243,9 +279,17 @@
 	rate := 0.0
 	for i := range endpoints {
 		e := &endpoints[i]
-		if e.Usable && e.Requests > 0 {
-			rate += float64(max(e.Slots, 1)) / (float64(e.each()) * e.Pace.wait())
+		if !e.Usable {
+			continue
+		}
+		slots := 0.0
+		if e.Requests > 0 {
+			slots = float64(max(e.Slots, 1)) / (float64(e.each()) * e.Pace.wait())
+		}
+		if named := e.Rate / float64(time.Second); e.Limited && (e.Requests == 0 || named < slots) {
+			slots = named
 		}
+		rate += slots
 	}
 	if rate <= 0 {
 		return 0
--- /dev/null
+++ b/core/limit/limit_test.go
@@ -0,0 +1,212 @@
+package limit
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// Guards against limits that end by an answer which was overtaken, or never.
+func TestAnswersBeginAndEndALimit(t *testing.T) {
+	b := New()
+	if b.Answered(1, "e", 0, 0, false) {
+		t.Error("an answer without a limit changes something")
+	}
+	if !b.Answered(2*time.Second, "e", time.Second, 3, true) || b.Answered(3*time.Second, "e", time.Second, 3, true) {
+		t.Error("a limit begins not just once")
+	}
+	if b.Answered(4*time.Second, "e", 2*time.Second, 0, false) {
+		t.Error("an answer to a request from before the last word ends the limit")
+	}
+	if !b.Answered(5*time.Second, "e", 4*time.Second, 0, false) {
+		t.Error("an answer without a limit does not end it")
+	}
+	if n, _ := b.Room(5*time.Second, "e", Share{Part: 1, Entries: 1}); n != math.MaxInt {
+		t.Errorf("room for %d without a limit", n)
+	}
+}
+
+// Guards against an endpoint that names zero and is never asked again.
+func TestLimitOfZeroIsLeftByAnAnswer(t *testing.T) {
+	b := New()
+	b.Answered(0, "e", 0, 0, true)
+	n, next := b.Room(0, "e", Share{Part: 1, Entries: 1})
+	if n > 0 || next <= 0 || next > 10*time.Second {
+		t.Errorf("room for %d, next after %v", n, next)
+	}
+}
+
+// Guards against memory that grows with endpoints that peers invent or that are gone.
+func TestEndpointsAreBounded(t *testing.T) {
+	b := New()
+	for i := range maxEndpoints + 10 {
+		b.Told(0, "p", Word{Endpoint: fmt.Sprint(i), Rate: 1, Limited: true})
+	}
+	if len(b.endpoints) != maxEndpoints {
+		t.Errorf("%d endpoints", len(b.endpoints))
+	}
+	b.Drop("0")
+	if _, ok := b.Limited("0"); ok {
+		t.Error("a dropped endpoint has a limit")
+	}
+}
+
+const (
+	simStep = time.Millisecond
+	simTime = 40 * time.Second
+	simSpan = 4 * time.Second
+)
+
+// sim is entries that send to one endpoint, on simulated time.
+type sim struct {
+	rnd   *rand.Rand
+	way   time.Duration
+	every time.Duration
+	books []*Book
+	// cut holds until when an entry hears nobody; loud is set for those with requests.
+	cut    []time.Duration
+	told   []simWord
+	sent   []time.Duration
+	rate   float64
+	demand float64
+	// owners is set if one entry places nearly all requests; who that is changes, and two
+	// take themselves for it for a while.
+	owners bool
+}
+
+type simWord struct {
+	at       time.Duration
+	from, to int
+	w        Word
+}
+
+// heard returns how many entries one hears, itself included.
+func (s *sim) heard(now time.Duration, i int) int {
+	if now < s.cut[i] {
+		return 1
+	}
+	n := 0
+	for _, until := range s.cut {
+		if now >= until {
+			n++
+		}
+	}
+	return n
+}
+
+// share returns the part of an entry in the limit, and its demand of all.
+func (s *sim) share(now time.Duration, i int) (Share, float64) {
+	n := len(s.books)
+	if !s.owners {
+		return Share{Part: float64(s.heard(now, i)) / float64(n), Turn: i, Entries: n}, s.demand
+	}
+	const term, overlap = 13 * time.Second, 1500 * time.Millisecond
+	owner := int(now/term) % n
+	if i == owner || now%term < overlap && i == (owner+n-1)%n {
+		return Share{Part: 1, Entries: 1}, s.demand * float64(n)
+	}
+	return Share{Part: 1 / float64(n), Entries: 1}, s.demand / 20
+}
+
+func (s *sim) play() {
+	told := make([]time.Duration, len(s.books))
+	for now := simStep; now < simTime; now += simStep {
+		for i, b := range s.books {
+			share, demand := s.share(now, i)
+			if s.rnd.Float64() < demand*simStep.Seconds() {
+				if n, _ := b.Room(now, "e", share); n > 0 {
+					b.Take("e")
+					s.sent = append(s.sent, now)
+					b.Answered(now, "e", now, s.rate, true)
+				}
+			}
+			if now-told[i] >= s.every {
+				told[i] = now
+				for _, w := range b.Tell(now, false) {
+					for j := range s.books {
+						if j != i {
+							s.told = append(s.told, simWord{now + s.way, i, j, w})
+						}
+					}
+				}
+			}
+			switch s.rnd.IntN(20000 * len(s.books)) {
+			case 0:
+				s.cut[i] = now + 3*time.Second
+			case 1:
+				s.books[i] = New()
+				for j, o := range s.books {
+					o.Forget(fmt.Sprint(i))
+					for _, w := range o.Tell(now, true) {
+						s.told = append(s.told, simWord{now + s.way, j, i, w})
+					}
+				}
+			}
+		}
+		n := 0
+		for _, w := range s.told {
+			switch {
+			case now < w.at:
+				s.told[n] = w
+				n++
+			case now >= s.cut[w.from] && now >= s.cut[w.to] && w.from != w.to:
+				s.books[w.to].Told(now, fmt.Sprint(w.from), w.w)
+			}
+		}
+		s.told = s.told[:n]
+	}
+}
+
+// most returns the most requests in a span.
+func (s *sim) most() int {
+	most, from := 0, 0
+	for i, at := range s.sent {
+		for s.sent[from] <= at-simSpan {
+			from++
+		}
+		most = max(most, i-from+1)
+	}
+	return most
+}
+
+// Guards against a sum over entries that is more than what an endpoint takes, at any
+// rate, with tallies under way, cuts and restarts, and against leaving it unused where
+// one entry alone has requests.
+func TestEntriesKeepALimitTogether(t *testing.T) {
+	for _, tc := range []struct {
+		entries    int
+		way, every time.Duration
+		owners     bool
+	}{
+		{1, 0, 25 * time.Millisecond, false},
+		{3, 5 * time.Millisecond, 25 * time.Millisecond, false},
+		{5, 10 * time.Millisecond, 25 * time.Millisecond, false},
+		{8, 30 * time.Millisecond, 40 * time.Millisecond, false},
+		{30, 50 * time.Millisecond, 75 * time.Millisecond, true},
+		{103, 100 * time.Millisecond, 250 * time.Millisecond, true},
+	} {
+		for _, rate := range []float64{0.3, 1, 2.2, 3.3, 10, 60} {
+			for _, demand := range []float64{0.5, 3} {
+				s := &sim{
+					rnd: rand.New(rand.NewPCG(uint64(tc.entries), uint64(10*rate))), way: tc.way, every: tc.every, cut: make([]time.Duration, tc.entries), rate: rate,
+					demand: demand * max(rate, 1), owners: tc.owners,
+				}
+				for range tc.entries {
+					b := New()
+					b.Answered(0, "e", 0, rate, true)
+					s.books = append(s.books, b)
+				}
+				s.play()
+				if most, allowed := s.most(), 1.5*rate*simSpan.Seconds()+5; float64(most) > allowed {
+					t.Errorf("%d entries, limit %v, demand %v: %d requests in %v, %.0f allowed", tc.entries, rate, s.demand, most, simSpan, allowed)
+				}
+				used := float64(len(s.sent)) / simTime.Seconds()
+				if used < 0.7*min(rate, s.demand*float64(tc.entries)) {
+					t.Errorf("%d entries, limit %v, demand %v: %.2f a second sent", tc.entries, rate, s.demand, used)
+				}
+			}
+		}
+	}
+}
--- a/core/wire/tally.go
+++ b/core/wire/tally.go
@@ -37,11 +37,13 @@
 	Capacity uint32
 	// Blamed holds the contents of requests under which endpoints have ended.
 	Blamed []Blamed
+	// Limits holds the endpoints whose limit, or the sender's requests under it, changed.
+	Limits []Limit
 }
 
 // News reports whether the tally tells of anything but that its sender lives.
 func (t *Tally) News() bool {
-	return len(t.Used)+len(t.Held)+len(t.Waiting)+len(t.Fresh)+len(t.Blamed) > 0
+	return len(t.Used)+len(t.Held)+len(t.Waiting)+len(t.Fresh)+len(t.Blamed)+len(t.Limits) > 0
 }
 
 // Blamed is what the sender knows of a content under which endpoints have ended. Times
@@ -80,6 +82,20 @@
 	Mark uint32
 }
 
+// Limit is what the sender knows of an endpoint that names how many requests a second it
+// takes.
+type Limit struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	Endpoint string
+	// Rate is in requests a second, valid if Limited. AgeMS is how many milliseconds
+	// before the tally left the answer came that says so.
+	Rate    float64
+	Limited bool
+	AgeMS   uint32
+	// Used is how many requests the sender has sent there under limits since it started.
+	Used float64
+}
+
 // Relay passes on what other entries told.
 type Relay struct {
 	_msgpack struct{} `msgpack:",as_array"`
--- a/core/wire/tallycode.go
+++ b/core/wire/tallycode.go
@@ -10,11 +10,12 @@
 const (
 	// tallyFields is how many fields a tally had when readers wanted exactly these,
 	// freshFields how many it has with Clock and Fresh, capacityFields with Capacity
-	// and blamedFields with Blamed behind them.
+	// blamedFields with Blamed and limitsFields with Limits behind them.
 	tallyFields    = 10
 	freshFields    = tallyFields + 2
 	capacityFields = freshFields + 1
 	blamedFields   = capacityFields + 1
+	limitsFields   = blamedFields + 1
 	// readsOn stands among the names in Lacks of whoever reads tallies with further
 	// fields. No entry is named so, and readers that want exactly tallyFields look
 	// for their own name only.
@@ -34,6 +35,8 @@
 	fields := []any{t.Addr, t.Config, t.Roster, t.Used, t.Held, t.Entries, t.Seq, t.Whole, t.Lacks, t.Waiting}
 	n := tallyFields
 	switch {
+	case len(t.Limits) > 0:
+		n = limitsFields
 	case len(t.Blamed) > 0:
 		n = blamedFields
 	case t.Capacity > 0:
@@ -57,7 +60,10 @@
 	if err := e.EncodeUint(uint64(t.Capacity)); err != nil || n < blamedFields {
 		return err
 	}
-	return e.Encode(t.Blamed)
+	if err := e.Encode(t.Blamed); err != nil || n < limitsFields {
+		return err
+	}
+	return e.Encode(t.Limits)
 }
 
 // DecodeMsgpack reads a tally of an older version, without the fields after Waiting,
@@ -91,7 +97,13 @@
 	if err := d.Decode(&t.Blamed); err != nil {
 		return err
 	}
-	for range n - blamedFields {
+	if n < limitsFields {
+		return nil
+	}
+	if err := d.Decode(&t.Limits); err != nil {
+		return err
+	}
+	for range n - limitsFields {
 		if err := d.Skip(); err != nil {
 			return err
 		}
--- a/entry/direct/blame.go
+++ b/entry/direct/blame.go
@@ -48,16 +48,7 @@
 
 // turn returns how much later than others this entry may begin a trial.
 func (d *Director) turn() time.Duration {
-	if d.cfg.Peers.Entries == nil {
-		return 0
-	}
-	rank := 0
-	for _, e := range d.cfg.Peers.Entries() {
-		if e.Name < d.cfg.Peers.Self {
-			rank++
-		}
-	}
-	return time.Duration(rank) * trialStep
+	return time.Duration(d.rank()) * trialStep
 }
 
 // heldBack is the result of a job whose content is.
@@ -152,10 +143,17 @@
 	d.blamed()
 }
 
-// Blamed returns the contents of which the peers have not been told, or all.
-func (d *Director) Blamed(all bool) []wire.Blamed {
+// Extend adds to a tally what the peers have not been told of contents and limits, or
+// all of it.
+func (d *Director) Extend(t *wire.Tally, all bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	t.Blamed, t.Limits = d.tellBlamed(all), d.tellLimits(all)
+}
+
+// tellBlamed returns the contents of which the peers have not been told, or all; d.mu is
+// held.
+func (d *Director) tellBlamed(all bool) []wire.Blamed {
 	var out []wire.Blamed
 	for _, w := range d.v.blame.Tell(d.since(time.Now()), all) {
 		b := wire.Blamed{Content: w.Content[:], ServedMS: -1, HeldMS: ms(w.Held), LeftMS: ms(w.Left), Holds: uint16(w.Holds), TriedMS: -1, Over: w.Over}
--- a/entry/direct/direct.go
+++ b/entry/direct/direct.go
@@ -77,11 +77,13 @@
 
 // New returns a director without configuration.
 func New(cfg Config) *Director {
-	return &Director{
+	d := &Director{
 		cfg: cfg, start: time.Now(), v: newView(cfg.Zone),
 		asking: make(map[uint64]*asked), placed: make(map[string]map[uint64]*visit), passed: make(map[string]time.Time),
 		answered: cfg.Metrics.Top("customer_answer_ms"), refused: cfg.Metrics.Top("customer_retry_ms"),
 	}
+	d.v.share = d.share
+	return d
 }
 
 // Table returns the configuration in force; its revision is zero before the
@@ -154,6 +156,7 @@
 	defer d.mu.Unlock()
 	d.v.heard(peer, anew, t)
 	d.told(t.Blamed)
+	d.toldLimits(peer, t.Limits)
 	d.advanceAll()
 }
 
@@ -265,6 +268,7 @@
 		case <-sweep.C:
 			d.cfg.Client.Sweep()
 		case <-try.C:
+			d.refill()
 			if owners := d.owners(); len(owners) > 0 {
 				d.cfg.Peers.Link(owners)
 			}
--- a/entry/direct/place.go
+++ b/entry/direct/place.go
@@ -137,12 +137,7 @@
 		}
 		l := shard.Load{Key: k}
 		all := d.v.describeFor(p, s.endpoints, d.v.zone, j.Pool, now, d.since(now))
-		for i := range all {
-			if all[i].Usable {
-				l.Slots += all[i].Slots
-			}
-		}
-		l.Free = admit.Free(all)
+		l.Slots, l.Free = admit.Slots(all), admit.Free(all)
 		l.Ahead = d.v.waits.ahead(o, tierIn{j.Pool.Name, j.Tier}, o == d.cfg.Peers.Self)
 		out = append(out, l)
 	}
--- a/entry/direct/send.go
+++ b/entry/direct/send.go
@@ -87,8 +87,10 @@
 	switch {
 	case errors.Is(err, hop.ErrBusy):
 		v.abandon()
+		v.unsent()
 		return verdict{res: Result{Why: "no connection left to the endpoint"}}
 	case errors.Is(err, hop.ErrNotSent):
+		v.unsent()
 		if t.ctx.Err() == nil {
 			v.end(trust.Unreachable)
 			v.refused(err)
--- a/entry/direct/serve.go
+++ b/entry/direct/serve.go
@@ -39,6 +39,7 @@
 	if ctx.Err() != nil {
 		if dec.Endpoint >= 0 {
 			v.abandon()
+			v.unsent()
 		}
 		d.refund(j)
 		res := gone(ctx)
@@ -55,6 +56,7 @@
 	if left := d.admitted(j); left > 0 {
 		// It was learnt while the job stood in line.
 		v.abandon()
+		v.unsent()
 		d.refund(j)
 		return heldBack(left)
 	}
--- a/entry/direct/view.go
+++ b/entry/direct/view.go
@@ -8,6 +8,7 @@
 	"lycheepond/core/admit"
 	"lycheepond/core/await"
 	"lycheepond/core/blame"
+	"lycheepond/core/limit"
 	"lycheepond/core/quota"
 	"lycheepond/core/retry"
 	"lycheepond/core/route"
@@ -48,6 +49,7 @@
 	pools     map[string]*pool
 	trust     *trust.Book
 	blame     *blame.Book
+	limits    *limit.Book
 	quota     *quota.Book
 	// peers holds what each peer has in flight, by endpoint.
 	peers map[string]map[string]wire.Held
@@ -57,6 +59,8 @@
 	changedHeld map[string]bool
 	changedUsed map[string]bool
 	waits       waits
+	// share returns this entry's part in the limit of an endpoint.
+	share func(e *endpoint) limit.Share
 }
 
 // pool is what the entry learns of a pool.
@@ -104,9 +108,6 @@
 	// excessAt, when it declined one.
 	excess   int
 	excessAt time.Time
-	// limited is set while the endpoint names a limit, limit is the one it named last.
-	limited bool
-	limit   float64
 	// movedAt is when another endpoint last answered at its address.
 	movedAt time.Time
 }
@@ -153,7 +154,7 @@
 func newView(zone string) *view {
 	return &view{
 		zone: zone, table: route.NewTable(route.Config{}), endpoints: make(map[string]*endpoint),
-		pools: make(map[string]*pool), trust: trust.New(), blame: blame.New(), quota: quota.New(),
+		pools: make(map[string]*pool), trust: trust.New(), blame: blame.New(), limits: limit.New(), quota: quota.New(),
 		peers: make(map[string]map[string]wire.Held), changedHeld: make(map[string]bool), changedUsed: make(map[string]bool),
 		waits: newWaits(), heardAt: make(map[string]time.Time),
 	}
@@ -237,6 +238,7 @@
 			v.blame.Ended(now, e.start())
 		}
 		v.trust.Forget(id)
+		v.limits.Drop(e.start())
 		if p := v.pools[e.Pool]; p != nil {
 			p.learner.Forget(id)
 		}
@@ -265,6 +267,7 @@
 	v.heardAt[peer] = time.Now()
 	if anew {
 		v.quota.Forget(peer)
+		v.limits.Forget(peer)
 	}
 	if t.Whole {
 		v.drop(peer)
@@ -341,7 +344,9 @@
 		sum := e.others
 		sum.add(e.own, 1)
 		sum.requests += e.uncounted(now)
+		limited := v.limitOf(e, since)
 		out = append(out, admit.Endpoint{
+			Limited: limited.Limited, Rate: limited.Rate, Room: limited.Room, Next: limited.Next,
 			Near: e.Zone == zone, Usable: v.trust.Usable(since, e.ID) && !e.silent(now, silent) && !e.away(now), Slots: e.slots(cfg),
 			Requests: sum.requests, Prompt: sum.prompt, Output: sum.output,
 			Tokens: sum.tokens, Memory: cfg.KVTokens, Pace: p.learner.Pace(e.ID),
--- a/entry/direct/visit.go
+++ b/entry/direct/visit.go
@@ -96,6 +96,10 @@
 		held:  holdOf(j, how.output), content: j.content,
 	}
 	v.basis.Age = d.v.age(e.ID, now)
+	v.taken = chosen.Limited
+	if v.taken {
+		d.v.limits.Take(e.start())
+	}
 	d.observe(v, p, chosen)
 	v.count(now)
 	d.v.trust.Sent(d.since(now), e.ID)
@@ -152,6 +156,7 @@
 	arrived := v.exchange != nil && v.exchange.drop()
 	v.abandon()
 	if !arrived {
+		v.unsent()
 		d.unspend(v)
 	}
 }
@@ -205,6 +210,8 @@
 	place *place
 	// content is the job's, zero for a job of another entry.
 	content blame.Content
+	// taken is set if the try counts against its endpoint's limit.
+	taken bool
 }
 
 // head notes that the answer's head has come.
@@ -216,7 +223,7 @@
 		v.e.Slots = m.Slots
 	}
 	if !m.WrongEndpoint {
-		v.limited(m)
+		v.named(m)
 	}
 }
 
--- a/entry/mesh/tell.go
+++ b/entry/mesh/tell.go
@@ -52,8 +52,8 @@
 		t.Fresh, t.Clock = m.fresh()
 		if m.readOn() {
 			t.Capacity = m.cfg.Capacity
-			if m.cfg.Blamed != nil {
-				t.Blamed = m.cfg.Blamed(m.retell)
+			if m.cfg.Extend != nil {
+				m.cfg.Extend(t, m.retell)
 			}
 			m.retell = false
 		}
