blame: any answer that an endpoint lived through acquits

A request whose endpoint answers 404 or 500 each time was never acquitted once it had run beside three crashes, and was tried every ten seconds from then on. An endpoint that did not listen yet when it was first asked counted as ended for good. Found on reading the change; no run showed either.

--- a/core/blame/blame.go
+++ b/core/blame/blame.go
@@ -108,8 +108,9 @@
 	// the endpoint has ended.
 	lost   []Content
 	lostAt time.Duration
-	// ended is set once it is known that it has.
-	ended bool
+	// ended is set once it is known that it has, endedAt when.
+	ended   bool
+	endedAt time.Duration
 	// asked is set once it was asked whether it still listens.
 	asked bool
 	// guilty is the content that explains the end; valid if explained.
@@ -196,7 +197,7 @@
 		return
 	}
 	lost := e.lost
-	e.ended, e.lost = true, nil
+	e.ended, e.endedAt, e.lost = true, now, nil
 	if now-e.lostAt > lostFor {
 		return
 	}
@@ -234,8 +235,12 @@
 // off at the endpoint before.
 func (b *Book) Served(now time.Duration, c Content, id string) {
 	*b.served.Get(c) = now
-	if e := b.endpoints.Peek(id); e != nil && now-e.lostAt > oneLoss {
-		e.lost = nil
+	if e := b.endpoints.Peek(id); e != nil {
+		if now-e.lostAt > oneLoss {
+			e.lost = nil
+		}
+		// It did not listen yet when it seemed to have ended.
+		e.ended = e.ended && now-e.endedAt <= oneLoss
 	}
 	r := b.contents[c]
 	if r == nil {
--- a/entry/direct/plain.go
+++ b/entry/direct/plain.go
@@ -82,12 +82,12 @@
 
 // answered notes a whole answer.
 func (v *visit) answered(a *hop.Answer) {
+	if !promises(a.Status) && a.Status != http.StatusGatewayTimeout {
+		v.served()
+	}
 	if a.Status >= http.StatusInternalServerError {
 		v.end(trust.Error)
 		return
 	}
-	if a.Status < http.StatusMultipleChoices {
-		v.served()
-	}
 	v.end(trust.Good)
 }
