limit: endpoints that are gone are forgotten

A late answer of an endpoint that had left the instance list, or a peer's word on it, made a limit that nothing removed.

--- a/core/limit/limit.go
+++ b/core/limit/limit.go
@@ -158,8 +158,14 @@
 	}
 }
 
-// Drop forgets an endpoint.
-func (b *Book) Drop(id string) { delete(b.endpoints, id) }
+// Keep forgets the endpoints that are not known any more.
+func (b *Book) Keep(known func(id string) bool) {
+	for id := range b.endpoints {
+		if !known(id) {
+			delete(b.endpoints, id)
+		}
+	}
+}
 
 // Word is what an entry tells the others of an endpoint.
 type Word struct {
--- a/core/limit/limit_test.go
+++ b/core/limit/limit_test.go
@@ -47,9 +47,9 @@
 	if len(b.endpoints) != maxEndpoints {
 		t.Errorf("%d endpoints", len(b.endpoints))
 	}
-	b.Drop("0")
-	if _, ok := b.Limited("0"); ok {
-		t.Error("a dropped endpoint has a limit")
+	b.Keep(func(id string) bool { return id == "1" })
+	if _, ok := b.Limited("1"); !ok || len(b.endpoints) != 1 {
+		t.Errorf("%d endpoints are kept, the known one: %v", len(b.endpoints), ok)
 	}
 }
 
--- a/entry/direct/limit.go
+++ b/entry/direct/limit.go
@@ -39,6 +39,9 @@
 // named takes in what an answer says of the endpoint's limit; d.mu is held.
 func (v *visit) named(m Meta) {
 	d := v.d
+	if d.v.endpoints[v.id] != v.e {
+		return
+	}
 	if d.v.limits.Answered(d.since(time.Now()), v.e.start(), d.since(v.sent), m.Limit, m.Limited) {
 		logs.Info(d.cfg.Log, logs.EventLimitChanged, zap.String("endpoint", v.id), zap.Bool("limited", m.Limited), zap.Float64("limit", m.Limit), zap.Time("sent", v.sent))
 	}
--- a/entry/direct/view.go
+++ b/entry/direct/view.go
@@ -238,11 +238,15 @@
 			v.blame.Ended(now, e.start())
 		}
 		v.trust.Forget(id)
-		v.limits.Drop(e.start())
 		if p := v.pools[e.Pool]; p != nil {
 			p.learner.Forget(id)
 		}
 	}
+	starts := make(map[string]bool, len(v.endpoints))
+	for _, e := range v.endpoints {
+		starts[e.start()] = true
+	}
+	v.limits.Keep(func(id string) bool { return starts[id] })
 	for name, p := range v.pools {
 		p.setEndpoints(v.members(name))
 	}
