--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -39,12 +39,12 @@
 	// Yield is set if free slots there are left to requests that wait at other
 	// entries.
 	Yield bool
-	// Limited is set if the endpoint takes Rate requests a second at most. Room is how
-	// many of them may be sent now and Next, if that is none, after how long one may.
-	Limited bool
-	Rate    float64
-	Room    int
-	Next    time.Duration
+	// Limited is set if the endpoint takes Rate requests a second at most. Allowed is how
+	// many may be sent now and NextAllowed, if that is none, the time until one may.
+	Limited     bool
+	Rate        float64
+	Allowed     int
+	NextAllowed time.Duration
 }
 
 // Pace is how fast an endpoint is.
@@ -208,8 +208,8 @@
 	c := choice{seen: true, first: e.First(r), wait: e.slotWait(r)}
 	c.cost = c.first + e.costs(r)
 	free := !r.Behind && e.roomy()
-	if e.Limited && e.Room <= 0 {
-		c.why, c.over, c.wait = Full, e.Next, max(c.wait, e.Next)
+	if e.Limited && e.Allowed <= 0 {
+		c.why, c.over, c.wait = Full, e.NextAllowed, max(c.wait, e.NextAllowed)
 		return c
 	}
 	if over := c.wait - r.longestWait(); r.Behind || (over > 0 || e.Yield) && !free {
@@ -248,17 +248,17 @@
 	return n
 }
 
-// free counts the slots that look free, as far as a limit lets requests have them.
+// free counts the slots that look free, as far as the rate limit allows their use.
 func (e *Endpoint) free() int {
 	n := max(e.Slots-e.Requests, 0)
 	if e.Limited {
-		n = min(n, e.Room)
+		n = min(n, e.Allowed)
 	}
 	return n
 }
 
-// Slots counts the slots of the usable endpoints. Those that a limit keeps empty do not
-// count.
+// Slots counts the slots of the usable endpoints, without those that a rate limit keeps
+// empty.
 func Slots(endpoints []Endpoint) int {
 	n := 0
 	for i := range endpoints {
--- a/core/admit/admit_test.go
+++ b/core/admit/admit_test.go
@@ -170,10 +170,10 @@
 	}
 }
 
-// Guards against sending to an endpoint whose limit has no room: as the nearest one, as
-// the only one that is usable, for the highest tier, or because half of its slots are free.
-func TestLimitedEndpointWithoutRoomIsNotChosen(t *testing.T) {
-	full := Endpoint{Near: true, Usable: true, Slots: 10, Limited: true, Rate: 2, Next: 400 * time.Millisecond}
+// Guards against exceeding an endpoint's limit because it is near, the only usable one, or
+// has free slots.
+func TestEndpointWithoutTokens(t *testing.T) {
+	full := Endpoint{Near: true, Usable: true, Slots: 10, Limited: true, Rate: 2, NextAllowed: 400 * time.Millisecond}
 	r := Request{Target: time.Second, Due: time.Second, Left: time.Minute, Avoid: -1, Ranks: 1}
 	for name, others := range map[string][]Endpoint{
 		"alone": nil, "beside one that failed": {{Slots: 10}}, "beside a full one": {{Usable: true, Slots: 1, Requests: 50, Output: 50000, Pace: Pace{Output: time.Second}}},
@@ -182,14 +182,14 @@
 		if dec.Endpoint >= 0 || dec.Why != Full {
 			t.Errorf("%s: sent to %d, %v", name, dec.Endpoint, dec.Why)
 		}
-		if name == "alone" && (dec.Retry != full.Next || dec.Turn.Round(time.Millisecond) != 500*time.Millisecond) {
+		if name == "alone" && (dec.Retry != full.NextAllowed || dec.Turn.Round(time.Millisecond) != 500*time.Millisecond) {
 			t.Errorf("come back after %v, a turn each %v", dec.Retry, dec.Turn)
 		}
 	}
 	room := full
-	room.Room, room.Next = 1, 0
+	room.Allowed, room.NextAllowed = 1, 0
 	if dec := Decide(r, []Endpoint{room}); dec.Endpoint != 0 {
-		t.Errorf("a limit with room is not used: %v", dec.Why)
+		t.Errorf("an endpoint with a token is not used: %v", dec.Why)
 	}
 	if free, slots := Free([]Endpoint{full, room}), Slots([]Endpoint{full, room}); free != 1 || slots != 1 {
 		t.Errorf("%d of %d slots are free, want 1 of 1", free, slots)
--- a/core/limit/limit.go
+++ b/core/limit/limit.go
@@ -1,13 +1,12 @@
-// Package limit shares out among the entries how many requests a second an endpoint
-// takes from all of them together.
+// Package limit enforces rate limits that endpoints name, over all entries together.
 //
-// The load it answers is an endpoint in need that names such a number in its answers.
-// Entries that kept it each by itself would send as many times that as there are
-// entries; a fixed part for each would leave most of it unused where few of them have
-// requests for the endpoint. So every entry counts its own requests there and takes in
-// the totals that the others tell, and all fill and drain the same bucket in effect.
-// Each begins at another level of it, so that they do not all take the same request's
-// worth before they have heard of each other.
+// The load it answers is an endpoint in need that states in its answers how many requests
+// a second it takes in all. If each entry enforced the limit by itself, the endpoint would
+// get a multiple of it; fixed shares would leave most of it unused while only some entries
+// have requests for it. Here every entry keeps a token bucket with the whole rate, and
+// takes its own requests and those that peers report out of it. The entries take tokens at
+// different levels, so that they do not all spend the same one before they have heard of
+// each other.
 //
 // It uses no network, clock or random source. One goroutine owns a Book.
 package limit
@@ -18,147 +17,142 @@
 )
 
 const (
-	// step is by how much later than the one before it in order an entry takes from a
-	// bucket, in requests: at a few requests a second more than it takes to hear of each
-	// other.
-	step = 0.25
-	// spare is how many requests a bucket holds beyond what the last in order waits for.
-	spare = 2
-	// leastRate is the least rate in requests a second: the end of a limit shows only in
-	// an answer.
-	leastRate = 0.2
-	// debtFor is for how long a bucket may be overdrawn by what others have sent.
-	debtFor = time.Second
-	// maxEndpoints bounds the endpoints of which a limit is known.
+	// levelStep is the difference in level, in tokens, at which entries take.
+	levelStep = 0.25
+	// spareTokens is the capacity of a bucket beyond the highest of these levels.
+	spareTokens = 2
+	// minRate is the lowest rate, in requests a second: only an answer can end a limit.
+	minRate = 0.2
+	// maxDebt bounds how far peers can overdraw a bucket, in seconds of its rate.
+	maxDebt = 1
+	// maxEndpoints bounds the memory of a Book.
 	maxEndpoints = 1 << 14
 )
 
-// Share is an entry's part in the limits.
+// Share is an entry's share in a limit.
 type Share struct {
-	// Part is the part of a limit that it may use, with all those that it hears.
+	// Part is the part of the rate that this entry and the peers that it hears may use.
 	Part float64
-	// Turn is its place in their order and Entries how many they are, at least one.
-	Turn, Entries int
+	// Rank is the entry's rank among Entries, which is at least one.
+	Rank, Entries int
 }
 
-// Book keeps the limits of endpoints.
+// Book tracks the limits of endpoints.
 type Book struct {
-	endpoints map[string]*endpoint
+	// endpoints has at most maxEndpoints entries.
+	endpoints map[string]*bucket
 }
 
-type endpoint struct {
-	// rate is how many requests a second it takes, valid if limited.
+// bucket is the token bucket of an endpoint.
+type bucket struct {
+	// rate is in requests a second, valid if limited.
 	rate    float64
 	limited bool
-	// at is when the answer came that says so.
-	at time.Duration
-	// level is how many more requests may be sent, as of filled.
-	level  float64
+	// observed is when the answer arrived that stated rate and limited.
+	observed time.Duration
+	// tokens is the level at time filled; negative if peers have overdrawn it.
+	tokens float64
 	filled time.Duration
-	// used is how many requests this entry has sent, peers what the others told of
-	// theirs.
-	used  float64
+	// sent counts requests of this entry, peers holds the counts that peers reported.
+	sent  float64
 	peers map[string]float64
-	// changed is set while the peers have not been told.
-	changed bool
+	// dirty is set while peers have not been told of the latest change.
+	dirty bool
 }
 
-// New returns an empty book.
-func New() *Book { return &Book{endpoints: make(map[string]*endpoint)} }
-
-// Answered takes in what an answer to a request sent at a time says of its endpoint's
-// limit, and reports whether that has changed. An answer without one ends a limit only
-// if its request was sent after the last answer with one came: heads may overtake each
-// other.
-func (b *Book) Answered(now time.Duration, id string, sent time.Duration, rate float64, limited bool) (changed bool) {
-	e := b.endpoints[id]
-	switch {
-	case e == nil && !limited, e != nil && !limited && (!e.limited || sent <= e.at):
+// New returns an empty Book.
+func New() *Book { return &Book{endpoints: make(map[string]*bucket)} }
+
+// Observe records what an answer states about its endpoint's limit, and reports whether
+// that is new. An answer that states no limit ends one only if its request was sent after
+// the last answer that did: answers may overtake each other.
+func (b *Book) Observe(now time.Duration, id string, sent time.Duration, rate float64, limited bool) (changed bool) {
+	k := b.endpoints[id]
+	if !limited && (k == nil || !k.limited || sent <= k.observed) {
 		return false
-	case e == nil:
-		if e = b.add(now, id); e == nil {
+	}
+	if k == nil {
+		if k = b.add(now, id); k == nil {
 			return false
 		}
 	}
-	changed = e.set(now, now, rate, limited)
-	e.changed = e.changed || changed
+	changed = k.set(now, now, rate, limited)
+	k.dirty = k.dirty || changed
 	return changed
 }
 
-// add returns a new endpoint with an empty bucket, nil if there are too many.
-func (b *Book) add(now time.Duration, id string) *endpoint {
+// add returns the bucket of a new endpoint, nil if there are too many.
+func (b *Book) add(now time.Duration, id string) *bucket {
 	if len(b.endpoints) >= maxEndpoints {
 		return nil
 	}
-	e := &endpoint{filled: now, peers: make(map[string]float64)}
-	b.endpoints[id] = e
-	return e
+	k := &bucket{filled: now, peers: make(map[string]float64)}
+	b.endpoints[id] = k
+	return k
 }
 
-// set takes in what an answer that came at a time says.
-func (e *endpoint) set(now, at time.Duration, rate float64, limited bool) (changed bool) {
-	rate = max(rate, leastRate)
-	changed = limited != e.limited || limited && rate != e.rate
-	if limited && !e.limited {
-		e.level, e.filled = min(e.level, 0), now
+func (k *bucket) set(now, observed time.Duration, rate float64, limited bool) (changed bool) {
+	rate = max(rate, minRate)
+	changed = limited != k.limited || limited && rate != k.rate
+	if limited && !k.limited {
+		k.tokens, k.filled = min(k.tokens, 0), now
 	}
-	e.rate, e.limited, e.at = rate, limited, at
+	k.rate, k.limited, k.observed = rate, limited, observed
 	return changed
 }
 
-// Limited returns the limit of an endpoint and whether it has one.
-func (b *Book) Limited(id string) (rate float64, ok bool) {
-	e := b.endpoints[id]
-	if e == nil || !e.limited {
+// Rate returns the limit of an endpoint in requests a second and whether it has one.
+func (b *Book) Rate(id string) (rate float64, ok bool) {
+	k := b.endpoints[id]
+	if k == nil || !k.limited {
 		return 0, false
 	}
-	return e.rate, true
+	return k.rate, true
 }
 
-// Room returns how many requests may be sent to an endpoint now and, if that is none,
-// after how long one may. An endpoint without a limit has no bound.
-func (b *Book) Room(now time.Duration, id string, s Share) (n int, next time.Duration) {
-	e := b.endpoints[id]
-	if e == nil || !e.limited {
+// Available returns how many requests may be sent to an endpoint now and, if none, the
+// time until one may.
+func (b *Book) Available(now time.Duration, id string, s Share) (n int, wait time.Duration) {
+	k := b.endpoints[id]
+	if k == nil || !k.limited {
 		return math.MaxInt, 0
 	}
-	e.fill(now, s)
-	left := e.level - float64(s.Turn)*step
-	if left >= 1 {
-		return int(left), 0
+	k.fill(now, s)
+	tokens := k.tokens - float64(s.Rank)*levelStep
+	if tokens >= 1 {
+		return int(tokens), 0
 	}
-	return 0, time.Duration((1 - left) / (e.rate * s.part()) * float64(time.Second))
+	return 0, time.Duration((1 - tokens) / s.rate(k) * float64(time.Second))
 }
 
-func (s Share) part() float64 { return max(s.Part, 1e-3) }
+// rate returns the rate at which an entry fills a bucket.
+func (s Share) rate(k *bucket) float64 { return k.rate * max(s.Part, 1e-3) }
 
-// fill adds what has become free since the last call.
-func (e *endpoint) fill(now time.Duration, s Share) {
-	if passed := now - e.filled; passed > 0 {
-		e.level += passed.Seconds() * e.rate * s.part()
+func (k *bucket) fill(now time.Duration, s Share) {
+	if elapsed := now - k.filled; elapsed > 0 {
+		k.tokens += elapsed.Seconds() * s.rate(k)
 	}
-	e.filled = now
-	others := float64(max(s.Entries, 1) - 1)
-	e.level = min(e.level, spare+others*step)
-	// What others sent before they had heard of each other is paid back, and no more.
-	e.level = max(e.level, -others-debtFor.Seconds()*e.rate)
+	k.filled = now
+	peers := float64(max(s.Entries, 1) - 1)
+	k.tokens = min(k.tokens, spareTokens+peers*levelStep)
+	k.tokens = max(k.tokens, -peers-maxDebt*k.rate)
 }
 
-// Take counts a request that is sent to an endpoint.
-func (b *Book) Take(id string) { b.count(id, 1) }
+// Take records a request that is sent to an endpoint.
+func (b *Book) Take(id string) { b.spend(id, 1) }
 
 // Return takes back a request that did not reach its endpoint.
-func (b *Book) Return(id string) { b.count(id, -1) }
+func (b *Book) Return(id string) { b.spend(id, -1) }
 
-func (b *Book) count(id string, n float64) {
-	if e := b.endpoints[id]; e != nil && e.limited {
-		e.used += n
-		e.level -= n
-		e.changed = true
+func (b *Book) spend(id string, n float64) {
+	if k := b.endpoints[id]; k != nil && k.limited {
+		k.sent += n
+		k.tokens -= n
+		k.dirty = true
 	}
 }
 
-// Keep forgets the endpoints that are not known any more.
+// Keep forgets all endpoints but those that are known.
 func (b *Book) Keep(known func(id string) bool) {
 	for id := range b.endpoints {
 		if !known(id) {
@@ -167,60 +161,62 @@
 	}
 }
 
-// Word is what an entry tells the others of an endpoint.
-type Word struct {
+// Report is what an entry knows of the limit of an endpoint.
+type Report struct {
 	Endpoint string
-	// Rate is the limit, valid if Limited, and Age how long ago the answer came that says
-	// so.
+	// Rate is in requests a second, valid if Limited; Age is the age of the answer that
+	// stated it.
 	Rate    float64
 	Limited bool
 	Age     time.Duration
-	// Used is how many requests it has sent there while it had a limit, since it started.
-	Used float64
+	// Sent counts the requests that the entry has sent under limits since it started.
+	Sent float64
 }
 
-// Tell returns what the peers have not been told, or all that is known.
-func (b *Book) Tell(now time.Duration, all bool) []Word {
-	var out []Word
-	for id, e := range b.endpoints {
-		if !all && !e.changed {
+// Reports returns reports on the endpoints that changed since the last call, or on all of
+// them.
+func (b *Book) Reports(now time.Duration, all bool) []Report {
+	var out []Report
+	for id, k := range b.endpoints {
+		if !all && !k.dirty {
 			continue
 		}
-		e.changed = false
-		out = append(out, Word{Endpoint: id, Rate: e.rate, Limited: e.limited, Age: max(now-e.at, 0), Used: e.used})
+		k.dirty = false
+		out = append(out, Report{Endpoint: id, Rate: k.rate, Limited: k.limited, Age: max(now-k.observed, 0), Sent: k.sent})
 	}
 	return out
 }
 
-// Told takes in what a peer tells, and reports whether the limit has changed. The latest
-// answer counts, whoever got it.
-func (b *Book) Told(now time.Duration, peer string, w Word) (changed bool) {
-	e := b.endpoints[w.Endpoint]
-	if e == nil {
-		if !w.Limited {
+// Merge merges a peer's report and returns whether the limit has changed. The latest
+// answer prevails, whichever entry observed it.
+func (b *Book) Merge(now time.Duration, peer string, r Report) (changed bool) {
+	k := b.endpoints[r.Endpoint]
+	added := k == nil
+	if added {
+		if !r.Limited {
 			return false
 		}
-		if e = b.add(now, w.Endpoint); e == nil {
+		if k = b.add(now, r.Endpoint); k == nil {
 			return false
 		}
 	}
-	if at := now - w.Age; at > e.at || w.Limited && !e.limited && e.rate == 0 {
-		changed = e.set(now, at, w.Rate, w.Limited)
+	if at := now - r.Age; added || at > k.observed {
+		changed = k.set(now, at, r.Rate, r.Limited)
 	}
-	before, known := e.peers[peer]
-	e.peers[peer] = w.Used
+	before, known := k.peers[peer]
+	k.peers[peer] = r.Sent
 	if known {
-		e.level -= w.Used - before
+		k.tokens -= r.Sent - before
 	} else {
-		// What a peer sent before it was heard is long ago, but for the last.
-		e.level -= min(w.Used, 1)
+		// Most of what the peer sent before the first report was sent long ago.
+		k.tokens -= min(r.Sent, 1)
 	}
 	return changed
 }
 
-// Forget drops the totals of a peer, which counts from zero again.
+// Forget drops the counts of a peer that was restarted.
 func (b *Book) Forget(peer string) {
-	for _, e := range b.endpoints {
-		delete(e.peers, peer)
+	for _, k := range b.endpoints {
+		delete(k.peers, peer)
 	}
 }
--- a/core/limit/limit_test.go
+++ b/core/limit/limit_test.go
@@ -8,47 +8,47 @@
 	"time"
 )
 
-// Guards against limits that end by an answer which was overtaken, or never.
-func TestAnswersBeginAndEndALimit(t *testing.T) {
+// Guards against limits that an overtaken answer ends, or that never end.
+func TestAnswersBeginAndEndLimits(t *testing.T) {
 	b := New()
-	if b.Answered(1, "e", 0, 0, false) {
+	if b.Observe(1, "e", 0, 0, false) {
 		t.Error("an answer without a limit changes something")
 	}
-	if !b.Answered(2*time.Second, "e", time.Second, 3, true) || b.Answered(3*time.Second, "e", time.Second, 3, true) {
+	if !b.Observe(2*time.Second, "e", time.Second, 3, true) || b.Observe(3*time.Second, "e", time.Second, 3, true) {
 		t.Error("a limit begins not just once")
 	}
-	if b.Answered(4*time.Second, "e", 2*time.Second, 0, false) {
+	if b.Observe(4*time.Second, "e", 2*time.Second, 0, false) {
 		t.Error("an answer to a request from before the last word ends the limit")
 	}
-	if !b.Answered(5*time.Second, "e", 4*time.Second, 0, false) {
+	if !b.Observe(5*time.Second, "e", 4*time.Second, 0, false) {
 		t.Error("an answer without a limit does not end it")
 	}
-	if n, _ := b.Room(5*time.Second, "e", Share{Part: 1, Entries: 1}); n != math.MaxInt {
-		t.Errorf("room for %d without a limit", n)
+	if n, _ := b.Available(5*time.Second, "e", Share{Part: 1, Entries: 1}); n != math.MaxInt {
+		t.Errorf("%d available without a limit", n)
 	}
 }
 
-// Guards against an endpoint that names zero and is never asked again.
-func TestLimitOfZeroIsLeftByAnAnswer(t *testing.T) {
+// Guards against an endpoint that states a limit of zero and never gets a request again.
+func TestZeroLimitCanEnd(t *testing.T) {
 	b := New()
-	b.Answered(0, "e", 0, 0, true)
-	n, next := b.Room(0, "e", Share{Part: 1, Entries: 1})
+	b.Observe(0, "e", 0, 0, true)
+	n, next := b.Available(0, "e", Share{Part: 1, Entries: 1})
 	if n > 0 || next <= 0 || next > 10*time.Second {
-		t.Errorf("room for %d, next after %v", n, next)
+		t.Errorf("%d available, next after %v", n, next)
 	}
 }
 
-// Guards against memory that grows with endpoints that peers invent or that are gone.
+// Guards against memory that grows with endpoints that are gone.
 func TestEndpointsAreBounded(t *testing.T) {
 	b := New()
 	for i := range maxEndpoints + 10 {
-		b.Told(0, "p", Word{Endpoint: fmt.Sprint(i), Rate: 1, Limited: true})
+		b.Merge(0, "p", Report{Endpoint: fmt.Sprint(i), Rate: 1, Limited: true})
 	}
 	if len(b.endpoints) != maxEndpoints {
 		t.Errorf("%d endpoints", len(b.endpoints))
 	}
 	b.Keep(func(id string) bool { return id == "1" })
-	if _, ok := b.Limited("1"); !ok || len(b.endpoints) != 1 {
+	if _, ok := b.Rate("1"); !ok || len(b.endpoints) != 1 {
 		t.Errorf("%d endpoints are kept, the known one: %v", len(b.endpoints), ok)
 	}
 }
@@ -67,7 +67,7 @@
 	books []*Book
 	// cut holds until when an entry hears nobody; loud is set for those with requests.
 	cut    []time.Duration
-	told   []simWord
+	told   []simReport
 	sent   []time.Duration
 	rate   float64
 	demand float64
@@ -76,10 +76,10 @@
 	owners bool
 }
 
-type simWord struct {
+type simReport struct {
 	at       time.Duration
 	from, to int
-	w        Word
+	w        Report
 }
 
 // heard returns how many entries one hears, itself included.
@@ -100,7 +100,7 @@
 func (s *sim) share(now time.Duration, i int) (Share, float64) {
 	n := len(s.books)
 	if !s.owners {
-		return Share{Part: float64(s.heard(now, i)) / float64(n), Turn: i, Entries: n}, s.demand
+		return Share{Part: float64(s.heard(now, i)) / float64(n), Rank: i, Entries: n}, s.demand
 	}
 	const term, overlap = 13 * time.Second, 1500 * time.Millisecond
 	owner := int(now/term) % n
@@ -116,18 +116,18 @@
 		for i, b := range s.books {
 			share, demand := s.share(now, i)
 			if s.rnd.Float64() < demand*simStep.Seconds() {
-				if n, _ := b.Room(now, "e", share); n > 0 {
+				if n, _ := b.Available(now, "e", share); n > 0 {
 					b.Take("e")
 					s.sent = append(s.sent, now)
-					b.Answered(now, "e", now, s.rate, true)
+					b.Observe(now, "e", now, s.rate, true)
 				}
 			}
 			if now-told[i] >= s.every {
 				told[i] = now
-				for _, w := range b.Tell(now, false) {
+				for _, w := range b.Reports(now, false) {
 					for j := range s.books {
 						if j != i {
-							s.told = append(s.told, simWord{now + s.way, i, j, w})
+							s.told = append(s.told, simReport{now + s.way, i, j, w})
 						}
 					}
 				}
@@ -139,8 +139,8 @@
 				s.books[i] = New()
 				for j, o := range s.books {
 					o.Forget(fmt.Sprint(i))
-					for _, w := range o.Tell(now, true) {
-						s.told = append(s.told, simWord{now + s.way, j, i, w})
+					for _, w := range o.Reports(now, true) {
+						s.told = append(s.told, simReport{now + s.way, j, i, w})
 					}
 				}
 			}
@@ -152,7 +152,7 @@
 				s.told[n] = w
 				n++
 			case now >= s.cut[w.from] && now >= s.cut[w.to] && w.from != w.to:
-				s.books[w.to].Told(now, fmt.Sprint(w.from), w.w)
+				s.books[w.to].Merge(now, fmt.Sprint(w.from), w.w)
 			}
 		}
 		s.told = s.told[:n]
@@ -171,10 +171,9 @@
 	return most
 }
 
-// Guards against a sum over entries that is more than what an endpoint takes, at any
-// rate, with tallies under way, cuts and restarts, and against leaving it unused where
-// one entry alone has requests.
-func TestEntriesKeepALimitTogether(t *testing.T) {
+// Guards against entries that exceed a limit together, while reports are on their way,
+// after cuts and restarts, or that leave it unused.
+func TestEntriesEnforceALimitTogether(t *testing.T) {
 	for _, tc := range []struct {
 		entries    int
 		way, every time.Duration
@@ -195,7 +194,7 @@
 				}
 				for range tc.entries {
 					b := New()
-					b.Answered(0, "e", 0, rate, true)
+					b.Observe(0, "e", 0, rate, true)
 					s.books = append(s.books, b)
 				}
 				s.play()
--- a/core/wire/tally.go
+++ b/core/wire/tally.go
@@ -37,7 +37,7 @@
 	Capacity uint32
 	// Blamed holds the contents of requests under which endpoints have ended.
 	Blamed []Blamed
-	// Limits holds the endpoints whose limit, or the sender's requests under it, changed.
+	// Limits holds endpoints whose limit, or the sender's use of it, changed.
 	Limits []Limit
 }
 
@@ -82,18 +82,17 @@
 	Mark uint32
 }
 
-// Limit is what the sender knows of an endpoint that names how many requests a second it
-// takes.
+// Limit is the sender's report on an endpoint that limits the rate of requests.
 type Limit struct {
 	_msgpack struct{} `msgpack:",as_array"`
 	Endpoint string
 	// Rate is in requests a second, valid if Limited. AgeMS is how many milliseconds
-	// before the tally left the answer came that says so.
+	// before the tally was sent the answer arrived that stated it.
 	Rate    float64
 	Limited bool
 	AgeMS   uint32
-	// Used is how many requests the sender has sent there under limits since it started.
-	Used float64
+	// Sent counts the requests that the sender has sent there under limits since it started.
+	Sent float64
 }
 
 // Relay passes on what other entries told.
--- a/entry/direct/blame.go
+++ b/entry/direct/blame.go
@@ -148,7 +148,7 @@
 func (d *Director) Extend(t *wire.Tally, all bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	t.Blamed, t.Limits = d.tellBlamed(all), d.tellLimits(all)
+	t.Blamed, t.Limits = d.tellBlamed(all), d.limits(all)
 }
 
 // tellBlamed returns the contents of which the peers have not been told, or all; d.mu is
--- a/entry/direct/direct.go
+++ b/entry/direct/direct.go
@@ -156,7 +156,7 @@
 	defer d.mu.Unlock()
 	d.v.heard(peer, anew, t)
 	d.told(t.Blamed)
-	d.toldLimits(peer, t.Limits)
+	d.mergeLimits(peer, t.Limits)
 	d.advanceAll()
 }
 
@@ -268,7 +268,7 @@
 		case <-sweep.C:
 			d.cfg.Client.Sweep()
 		case <-try.C:
-			d.refill()
+			d.offerTokens()
 			if owners := d.owners(); len(owners) > 0 {
 				d.cfg.Peers.Link(owners)
 			}
--- a/entry/direct/job.go
+++ b/entry/direct/job.go
@@ -159,8 +159,8 @@
 	// Load is how many requests the endpoint has, running and waiting; zero if it
 	// does not say.
 	Load int
-	// Limited is set if the endpoint names a limit, and Limit is how many requests a
-	// second it takes from all entries together.
+	// Limited is set if the endpoint states a limit, Limit, in requests a second from all
+	// entries together.
 	Limited bool
 	Limit   float64
 }
--- a/entry/direct/limit.go
+++ b/entry/direct/limit.go
@@ -11,12 +11,12 @@
 	"lycheepond/core/wire"
 )
 
-// share returns this entry's part in the limit of an endpoint; d.mu is held. The owner of
-// its shard places all requests there but for those of entries that cannot ask it.
+// share returns this entry's share in the limit of an endpoint; d.mu is held. The owner of
+// its shard has all of it, except for requests of entries that cannot reach the owner.
 func (d *Director) share(e *endpoint) limit.Share {
 	heard, known := d.cfg.Reach()
 	if !d.sharded(known) {
-		return limit.Share{Part: float64(heard) / float64(max(known, 1)), Turn: d.rank(), Entries: known}
+		return limit.Share{Part: float64(heard) / float64(max(known, 1)), Rank: d.rank(), Entries: known}
 	}
 	p := d.v.pool(e.Pool, d.cfg.Repeats, known)
 	if d.owner(e.Pool, p, p.layout.Key(e.ID, e.Zone), time.Now()) == d.cfg.Peers.Self {
@@ -25,29 +25,29 @@
 	return limit.Share{Part: 1 / float64(max(known, 1)), Entries: 1}
 }
 
-// limitOf returns an endpoint's limit as a decision takes it.
+// limitOf returns the fields of an admit.Endpoint that describe its limit.
 func (v *view) limitOf(e *endpoint, now time.Duration) admit.Endpoint {
-	rate, ok := v.limits.Limited(e.start())
+	rate, ok := v.limits.Rate(e.start())
 	if !ok {
 		return admit.Endpoint{}
 	}
 	out := admit.Endpoint{Limited: true, Rate: rate}
-	out.Room, out.Next = v.limits.Room(now, e.start(), v.share(e))
+	out.Allowed, out.NextAllowed = v.limits.Available(now, e.start(), v.share(e))
 	return out
 }
 
-// named takes in what an answer says of the endpoint's limit; d.mu is held.
-func (v *visit) named(m Meta) {
+// observeLimit records the limit that an answer states; d.mu is held.
+func (v *visit) observeLimit(m Meta) {
 	d := v.d
 	if d.v.endpoints[v.id] != v.e {
 		return
 	}
-	if d.v.limits.Answered(d.since(time.Now()), v.e.start(), d.since(v.sent), m.Limit, m.Limited) {
+	if d.v.limits.Observe(d.since(time.Now()), v.e.start(), d.since(v.sent), m.Limit, m.Limited) {
 		logs.Info(d.cfg.Log, logs.EventLimitChanged, zap.String("endpoint", v.id), zap.Bool("limited", m.Limited), zap.Float64("limit", m.Limit), zap.Time("sent", v.sent))
 	}
 }
 
-// unsent notes that the try did not reach its endpoint.
+// unsent returns the token of a try that did not reach its endpoint.
 func (v *visit) unsent() {
 	if v.d == nil {
 		return
@@ -60,35 +60,34 @@
 	}
 }
 
-// refill sends what waits for an endpoint whose limit has room again.
-func (d *Director) refill() {
+// offerTokens sends waiting requests to limited endpoints that have tokens again.
+func (d *Director) offerTokens() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, e := range d.v.endpoints {
-		if _, ok := d.v.limits.Limited(e.start()); ok {
+		if _, ok := d.v.limits.Rate(e.start()); ok {
 			d.advanceAll()
 			return
 		}
 	}
 }
 
-// tellLimits returns the limits of which the peers have not been told, or all; d.mu is
-// held.
-func (d *Director) tellLimits(all bool) []wire.Limit {
+// limits returns the reports for a tally; d.mu is held.
+func (d *Director) limits(all bool) []wire.Limit {
 	var out []wire.Limit
-	for _, w := range d.v.limits.Tell(d.since(time.Now()), all) {
-		out = append(out, wire.Limit{Endpoint: w.Endpoint, Rate: w.Rate, Limited: w.Limited, AgeMS: ms(w.Age), Used: w.Used})
+	for _, r := range d.v.limits.Reports(d.since(time.Now()), all) {
+		out = append(out, wire.Limit{Endpoint: r.Endpoint, Rate: r.Rate, Limited: r.Limited, AgeMS: ms(r.Age), Sent: r.Sent})
 	}
 	return out
 }
 
-// toldLimits takes in what a peer tells of limits; d.mu is held.
-func (d *Director) toldLimits(peer string, all []wire.Limit) {
+// mergeLimits merges a peer's reports; d.mu is held.
+func (d *Director) mergeLimits(peer string, all []wire.Limit) {
 	now := d.since(time.Now())
-	for _, w := range all {
-		age := time.Duration(w.AgeMS) * time.Millisecond
-		if d.v.limits.Told(now, peer, limit.Word{Endpoint: w.Endpoint, Rate: w.Rate, Limited: w.Limited, Age: age, Used: w.Used}) {
-			logs.Info(d.cfg.Log, logs.EventLimitChanged, zap.String("endpoint", w.Endpoint), zap.Bool("limited", w.Limited), zap.Float64("limit", w.Rate),
+	for _, r := range all {
+		age := fromMS(r.AgeMS)
+		if d.v.limits.Merge(now, peer, limit.Report{Endpoint: r.Endpoint, Rate: r.Rate, Limited: r.Limited, Age: age, Sent: r.Sent}) {
+			logs.Info(d.cfg.Log, logs.EventLimitChanged, zap.String("endpoint", r.Endpoint), zap.Bool("limited", r.Limited), zap.Float64("limit", r.Rate),
 				zap.Duration("age", age), zap.String("peer", peer))
 		}
 	}
@@ -107,3 +106,5 @@
 	}
 	return n
 }
+
+func fromMS(ms uint32) time.Duration { return time.Duration(ms) * time.Millisecond }
--- a/entry/direct/view.go
+++ b/entry/direct/view.go
@@ -59,7 +59,7 @@
 	changedHeld map[string]bool
 	changedUsed map[string]bool
 	waits       waits
-	// share returns this entry's part in the limit of an endpoint.
+	// share returns this entry's share in the limit of an endpoint.
 	share func(e *endpoint) limit.Share
 }
 
@@ -350,7 +350,7 @@
 		sum.requests += e.uncounted(now)
 		limited := v.limitOf(e, since)
 		out = append(out, admit.Endpoint{
-			Limited: limited.Limited, Rate: limited.Rate, Room: limited.Room, Next: limited.Next,
+			Limited: limited.Limited, Rate: limited.Rate, Allowed: limited.Allowed, NextAllowed: limited.NextAllowed,
 			Near: e.Zone == zone, Usable: v.trust.Usable(since, e.ID) && !e.silent(now, silent) && !e.away(now), Slots: e.slots(cfg),
 			Requests: sum.requests, Prompt: sum.prompt, Output: sum.output,
 			Tokens: sum.tokens, Memory: cfg.KVTokens, Pace: p.learner.Pace(e.ID),
--- a/entry/direct/visit.go
+++ b/entry/direct/visit.go
@@ -210,7 +210,7 @@
 	place *place
 	// content is the job's, zero for a job of another entry.
 	content blame.Content
-	// taken is set if the try counts against its endpoint's limit.
+	// taken is set if the try has taken a token of its endpoint's limit.
 	taken bool
 }
 
@@ -223,7 +223,7 @@
 		v.e.Slots = m.Slots
 	}
 	if !m.WrongEndpoint {
-		v.named(m)
+		v.observeLimit(m)
 	}
 }
 
