poison: the usual words for poison requests

Names and comments only: requests have fingerprints, endpoints crash, suspects are quarantined and probed, entries exchange reports. Packages, log events, the outcome, the metric and the platform's kind are named so as well. No decision changes.

--- a/core/logs/event.go
+++ b/core/logs/event.go
@@ -62,8 +62,8 @@
 	EventAnswerNotTaken   Event = "answer_not_taken"
 	EventHandlerPanicked  Event = "handler_panicked"
 	EventServerTold       Event = "server_told"
-	EventContentHeld      Event = "content_held"
-	EventContentReleased  Event = "content_released"
+	EventQuarantined      Event = "quarantined"
+	EventQuarantineLifted Event = "quarantine_lifted"
 	EventLimitChanged     Event = "limit_changed"
 	EventFailed           Event = "failed"
 )
--- a/core/blame/fleet_test.go
+++ b/core/poison/fleet_test.go
@@ -1,4 +1,4 @@
-package blame
+package poison
 
 import (
 	"flag"
@@ -26,18 +26,18 @@
 	up     []time.Duration
 	ids    []string
 	starts int
-	// third is when the content had ended three endpoints, late how often it was sent
+	// third is when the poison request had crashed three endpoints, late how often it was sent
 	// after fleetWindow since then, by entries that had been in touch for as long.
 	ended int
 	third time.Duration
 	late  int
-	// store holds what is held back.
-	store map[Content]stored
-	// asked and served count requests of the popular content in the last third.
+	// store holds the quarantines.
+	store map[Fingerprint]stored
+	// asked and served count popular requests in the last third.
 	asked, served int
 }
 
-// stored is a content that is held back until a time, noted at another.
+// stored is a quarantine that lasts until a time, noted at another.
 type stored struct {
 	at, until time.Duration
 	holds     int
@@ -47,13 +47,13 @@
 	at   time.Duration
 	from int
 	to   int
-	w    Word
+	w    Report
 }
 
 type run struct {
 	entry, endpoint, tries int
 	id                     string
-	c                      Content
+	c                      Fingerprint
 	end                    time.Duration
 	// lost is when the entry learns that the run has broken off.
 	lost time.Duration
@@ -66,10 +66,10 @@
 	fleetTime   = 60 * time.Second
 )
 
-var fleetBad, fleetPopular = content("bad"), content("popular")
+var fleetBad, fleetPopular = fingerprint("bad"), fingerprint("popular")
 
 func newFleet(seed uint64, entries, endpoints int, way time.Duration) *fleet {
-	f := &fleet{rnd: rand.New(rand.NewPCG(seed, 1)), way: way, store: make(map[Content]stored), cut: make([]time.Duration, entries), fresh: make([]time.Duration, entries)}
+	f := &fleet{rnd: rand.New(rand.NewPCG(seed, 1)), way: way, store: make(map[Fingerprint]stored), cut: make([]time.Duration, entries), fresh: make([]time.Duration, entries)}
 	for range entries {
 		f.books = append(f.books, New())
 	}
@@ -89,8 +89,8 @@
 	return func() time.Duration { return time.Duration(entry) * time.Second }
 }
 
-// send sends a request of a content, unless the entry holds it back.
-func (f *fleet) send(entry int, c Content, tries int) bool {
+// send sends a request, unless the entry has it in quarantine.
+func (f *fleet) send(entry int, c Fingerprint, tries int) bool {
 	if f.books[entry].Admit(f.now, c, f.turn(entry)) > 0 {
 		return false
 	}
@@ -105,7 +105,7 @@
 		f.runs = append(f.runs, run{entry: entry, endpoint: i, id: f.ids[i], tries: tries, c: c, end: f.now + time.Duration(50+f.rnd.IntN(100))*time.Millisecond*4})
 		return true
 	}
-	f.books[entry].Untried(c)
+	f.books[entry].NotRun(c)
 	return false
 }
 
@@ -120,7 +120,7 @@
 	}
 	for i := range f.runs {
 		if r := &f.runs[i]; r.c == fleetBad && r.lost == 0 && f.now >= r.end-300*time.Millisecond {
-			f.crash(r.endpoint)
+			f.kill(r.endpoint)
 		}
 	}
 	all := f.runs
@@ -129,14 +129,14 @@
 		b := f.books[r.entry]
 		switch {
 		case r.lost > 0 && f.now >= r.lost:
-			b.Lost(f.now, r.c, r.id)
-			b.Ended(f.now, r.id)
+			b.RunLost(f.now, r.c, r.id)
+			b.Crashed(f.now, r.id)
 			f.note(b)
-			if r.tries > 1 && !b.Doubtful(f.now, r.c) {
+			if r.tries > 1 && !b.Suspect(f.now, r.c) {
 				f.send(r.entry, r.c, r.tries-1)
 			}
 		case r.lost == 0 && f.now >= r.end:
-			b.Served(f.now, r.c, r.id)
+			b.Completed(f.now, r.c, r.id)
 			if r.c == fleetPopular && f.now > fleetTime*2/3 {
 				f.served++
 			}
@@ -149,16 +149,16 @@
 
 func (f *fleet) note(b *Book) {
 	for _, c := range b.Changes() {
-		if c.Own && !c.Released {
-			f.store[c.Content] = stored{f.now, f.now + c.Left, c.Holds}
-		} else if c.Own {
-			delete(f.store, c.Content)
+		if c.Local && !c.Released {
+			f.store[c.Fingerprint] = stored{f.now, f.now + c.Left, c.Quarantines}
+		} else if c.Local {
+			delete(f.store, c.Fingerprint)
 		}
 	}
 }
 
-// crash ends an endpoint with all that runs there.
-func (f *fleet) crash(i int) {
+// kill crashes an endpoint with all that runs there.
+func (f *fleet) kill(i int) {
 	if f.up[i] > 0 {
 		return
 	}
@@ -176,7 +176,7 @@
 // gossip has each entry hear what others have told.
 func (f *fleet) gossip() {
 	for i, b := range f.books {
-		for _, w := range b.Tell(f.now, false) {
+		for _, w := range b.Reports(f.now, false) {
 			for j := range f.books {
 				if j != i {
 					f.told = append(f.told, word{f.now + f.way, i, j, w})
@@ -191,7 +191,7 @@
 			f.told[n] = w
 			n++
 		case f.now >= f.cut[w.from] && f.now >= f.cut[w.to]:
-			f.books[w.to].Told(f.now, w.w)
+			f.books[w.to].Merge(f.now, w.w)
 			f.note(f.books[w.to])
 		}
 	}
@@ -201,7 +201,7 @@
 // greet has an entry and the others tell each other all that they know.
 func (f *fleet) greet(entry int) {
 	for i, b := range f.books {
-		for _, w := range b.Tell(f.now, true) {
+		for _, w := range b.Reports(f.now, true) {
 			for j := range f.books {
 				if i != j && (i == entry || j == entry) {
 					f.told = append(f.told, word{f.now + f.way, i, j, w})
@@ -211,7 +211,7 @@
 	}
 }
 
-// restart has an entry forget all and read the store.
+// restart has an entry forget everything and read the store.
 func (f *fleet) restart(entry int) {
 	f.books[entry], f.fresh[entry] = New(), f.now
 	for c, h := range f.store {
@@ -220,10 +220,10 @@
 	f.greet(entry)
 }
 
-// play sends the crashing and the popular content for a while, with faults.
+// play sends the poison and the popular request for a while, with faults.
 func (f *fleet) play(rate float64) {
 	for f.now < fleetTime {
-		for _, c := range []Content{fleetBad, fleetPopular} {
+		for _, c := range []Fingerprint{fleetBad, fleetPopular} {
 			if f.rnd.Float64() < rate*fleetStep.Seconds() {
 				if c == fleetPopular && f.now > fleetTime*2/3 {
 					f.asked++
@@ -254,10 +254,9 @@
 	}
 }
 
-// Guards against fleets of which one entry after the other, some of them cut off or
-// started anew, learns by itself what a request does; and against holding back for good
-// what ran beside it.
-func TestFleetLearnsTogether(t *testing.T) {
+// Guards against entries that learn of a poison request each by itself, or forget it when
+// cut off or restarted; and against quarantining for good what ran beside it.
+func TestFleetSharesCrashes(t *testing.T) {
 	for _, tc := range []struct {
 		entries, endpoints int
 		way                time.Duration
@@ -274,13 +273,13 @@
 				f := newFleet(seed, tc.entries, tc.endpoints, tc.way)
 				f.play(tc.rate)
 				if f.late > 3 {
-					t.Errorf("seed %d: sent %d times later than %v after the third end; %d ended", seed, f.late, fleetWindow, f.ended)
+					t.Errorf("seed %d: sent %d times later than %v after the third crash; %d crashed", seed, f.late, fleetWindow, f.ended)
 				}
 				most, asked, served = max(most, f.ended), asked+f.asked, served+f.served
 			}
-			t.Logf("%d endpoints ended at most; of the popular content %d of %d were served in the end", most, served, asked)
+			t.Logf("%d endpoints crashed at most; of the popular requests %d of %d were served in the end", most, served, asked)
 			if served*10 < asked*9 {
-				t.Errorf("of the popular content %d of %d were served", served, asked)
+				t.Errorf("of the popular requests %d of %d were served", served, asked)
 			}
 		})
 	}
--- a/core/wire/tally.go
+++ b/core/wire/tally.go
@@ -35,37 +35,38 @@
 	// Capacity is how much work the sender can carry, in thousandths of a core;
 	// zero tells nothing.
 	Capacity uint32
-	// Blamed holds the contents of requests under which endpoints have ended.
-	Blamed []Blamed
+	// Suspects holds requests that may have crashed endpoints.
+	Suspects []Suspect
 	// Limits holds endpoints whose limit, or the sender's use of it, changed.
 	Limits []Limit
 }
 
 // News reports whether the tally tells of anything but that its sender lives.
 func (t *Tally) News() bool {
-	return len(t.Used)+len(t.Held)+len(t.Waiting)+len(t.Fresh)+len(t.Blamed)+len(t.Limits) > 0
+	return len(t.Used)+len(t.Held)+len(t.Waiting)+len(t.Fresh)+len(t.Suspects)+len(t.Limits) > 0
 }
 
-// Blamed is what the sender knows of a content under which endpoints have ended. Times
-// are milliseconds before the tally left.
-type Blamed struct {
+// Suspect is the sender's report on a request that may have crashed endpoints. Times are
+// milliseconds before the tally was sent.
+type Suspect struct {
 	_msgpack struct{} `msgpack:",as_array"`
-	Content  []byte
-	// ServedMS is when it was last answered; negative if that is not known.
-	ServedMS int64
-	Ends     []EndedAt
-	// HeldMS is when it was last held back, LeftMS for how long it still is and Holds
-	// how often it was, zero for never.
-	HeldMS, LeftMS uint32
-	Holds          uint16
-	// TriedMS is when the trial of a content that was held back began; negative if none
-	// is under way. Over is set if the last one did not run.
-	TriedMS int64
-	Over    bool
+	// Fingerprint identifies the request.
+	Fingerprint []byte
+	// CompletedMS is when it last completed, negative for never.
+	CompletedMS int64
+	Crashes     []Crash
+	// SinceMS is when its last quarantine began, LeftMS what remains of it and Quarantines
+	// their number.
+	SinceMS, LeftMS uint32
+	Quarantines     uint16
+	// ProbedMS is when a probe without an outcome was sent, negative if there is none.
+	// Aborted is set if the last probe did not run.
+	ProbedMS int64
+	Aborted  bool
 }
 
-// EndedAt is an endpoint that ended under a content.
-type EndedAt struct {
+// Crash is the crash of an endpoint on which a request was running.
+type Crash struct {
 	_msgpack struct{} `msgpack:",as_array"`
 	Endpoint string
 	AgeMS    uint32
--- a/core/wire/tallycode.go
+++ b/core/wire/tallycode.go
@@ -10,12 +10,12 @@
 const (
 	// tallyFields is how many fields a tally had when readers wanted exactly these,
 	// freshFields how many it has with Clock and Fresh, capacityFields with Capacity
-	// blamedFields with Blamed and limitsFields with Limits behind them.
+	// suspectFields with Suspects and limitsFields with Limits behind them.
 	tallyFields    = 10
 	freshFields    = tallyFields + 2
 	capacityFields = freshFields + 1
-	blamedFields   = capacityFields + 1
-	limitsFields   = blamedFields + 1
+	suspectFields  = capacityFields + 1
+	limitsFields   = suspectFields + 1
 	// readsOn stands among the names in Lacks of whoever reads tallies with further
 	// fields. No entry is named so, and readers that want exactly tallyFields look
 	// for their own name only.
@@ -37,8 +37,8 @@
 	switch {
 	case len(t.Limits) > 0:
 		n = limitsFields
-	case len(t.Blamed) > 0:
-		n = blamedFields
+	case len(t.Suspects) > 0:
+		n = suspectFields
 	case t.Capacity > 0:
 		n = capacityFields
 	case t.Clock > 0 || len(t.Fresh) > 0:
@@ -57,10 +57,10 @@
 	if err := e.Encode(t.Fresh); err != nil || n < capacityFields {
 		return err
 	}
-	if err := e.EncodeUint(uint64(t.Capacity)); err != nil || n < blamedFields {
+	if err := e.EncodeUint(uint64(t.Capacity)); err != nil || n < suspectFields {
 		return err
 	}
-	if err := e.Encode(t.Blamed); err != nil || n < limitsFields {
+	if err := e.Encode(t.Suspects); err != nil || n < limitsFields {
 		return err
 	}
 	return e.Encode(t.Limits)
@@ -91,10 +91,10 @@
 	if err := d.Decode(&t.Capacity); err != nil {
 		return err
 	}
-	if n < blamedFields {
+	if n < suspectFields {
 		return nil
 	}
-	if err := d.Decode(&t.Blamed); err != nil {
+	if err := d.Decode(&t.Suspects); err != nil {
 		return err
 	}
 	if n < limitsFields {
--- a/entry/direct/beside.go
+++ b/entry/direct/beside.go
@@ -122,7 +122,7 @@
 	if !got.arrived {
 		w.t.d.unspend(next)
 	}
-	logs.Info(w.t.d.cfg.Log, logs.EventRequestReturned, zap.String("request_id", w.t.job.ID), zap.String("why", got.res.Why), zap.Stringer("content", w.t.job.content),
+	logs.Info(w.t.d.cfg.Log, logs.EventRequestReturned, zap.String("request_id", w.t.job.ID), zap.String("why", got.res.Why), zap.Stringer("fingerprint", w.t.job.fingerprint),
 		zap.String("from", next.id), zap.String("to", w.v.id), zap.Duration("silent", time.Since(w.since)), zap.Duration("bound", w.bound))
 }
 
--- a/entry/direct/direct.go
+++ b/entry/direct/direct.go
@@ -14,8 +14,8 @@
 
 	"go.uber.org/zap"
 
-	"lycheepond/core/blame"
 	"lycheepond/core/meter"
+	"lycheepond/core/poison"
 	"lycheepond/core/quota"
 	"lycheepond/core/route"
 	"lycheepond/core/trust"
@@ -47,11 +47,11 @@
 	Own func(id string, status int, h http.Header) bool
 	// Read reads the head of an answer.
 	Read func(a *hop.Answer) Meta
-	// Blamed takes in that a content has begun or ceased to be held back. It must not
-	// wait; nil ignores it.
-	Blamed  func(c blame.Change)
-	Metrics *meter.Set
-	Log     *zap.Logger
+	// Quarantine is called when a quarantine begins or is lifted. It must not block; it
+	// may be nil.
+	Quarantine func(c poison.Change)
+	Metrics    *meter.Set
+	Log        *zap.Logger
 }
 
 // Director serves requests. It is safe for concurrent use.
@@ -126,7 +126,7 @@
 		return false
 	}
 	gone := d.v.setRoster(r, d.since(time.Now()))
-	d.blamed()
+	d.notePoison()
 	d.advanceAll()
 	d.mu.Unlock()
 	for _, addr := range gone {
@@ -155,7 +155,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.v.heard(peer, anew, t)
-	d.told(t.Blamed)
+	d.mergeSuspects(t.Suspects)
 	d.mergeLimits(peer, t.Limits)
 	d.advanceAll()
 }
@@ -298,7 +298,7 @@
 			out[id] = e.Addr
 		}
 	})
-	d.doubted(now, out)
+	d.unverified(now, out)
 	return out
 }
 
@@ -310,7 +310,7 @@
 	if now := d.since(time.Now()); err != nil {
 		d.v.trust.Ended(now, id, trust.Unreachable)
 		if e := d.v.endpoints[id]; e != nil && e.Addr == addr && hop.Refused(err) {
-			d.ended(e)
+			d.crashed(e)
 		}
 	} else {
 		d.v.trust.Reached(now, id)
--- a/entry/direct/job.go
+++ b/entry/direct/job.go
@@ -4,7 +4,7 @@
 	"net/http"
 	"time"
 
-	"lycheepond/core/blame"
+	"lycheepond/core/poison"
 	"lycheepond/core/route"
 )
 
@@ -33,17 +33,16 @@
 	Units float64
 	// LastEvent is the last event that the caller has seen of the stream.
 	LastEvent string
-	// content is what it asks for; Serve sets it.
-	content blame.Content
+	// fingerprint identifies what it asks for; Serve sets it.
+	fingerprint poison.Fingerprint
 }
 
-// identify sets what the job asks for.
-func (j *Job) identify() {
+func (j *Job) setFingerprint() {
 	customer := ""
 	if j.Customer != nil {
 		customer = j.Customer.Name
 	}
-	j.content = blame.Of(j.Method, j.Host, j.Target, customer, j.Body)
+	j.fingerprint = poison.NewFingerprint(j.Method, j.Host, j.Target, customer, j.Body)
 }
 
 // due returns when the first event is wanted.
@@ -91,11 +90,11 @@
 	Left
 	// Cut means that the entry itself ended the caller's connection.
 	Cut
-	// Held means refused, as endpoints have ended under requests of this content.
-	Held
+	// Quarantined means refused, as the request crashed endpoints before.
+	Quarantined
 )
 
-var outcomeNames = [...]string{"complete", "limited", "refused", "unknown", "late", "broken", "left", "cut", "held"}
+var outcomeNames = [...]string{"complete", "limited", "refused", "unknown", "late", "broken", "left", "cut", "quarantined"}
 
 // String returns the outcome as logs and metrics spell it.
 func (o Outcome) String() string { return outcomeNames[o] }
--- a/entry/direct/limit.go
+++ b/entry/direct/limit.go
@@ -106,5 +106,3 @@
 	}
 	return n
 }
-
-func fromMS(ms uint32) time.Duration { return time.Duration(ms) * time.Millisecond }
--- a/entry/direct/place.go
+++ b/entry/direct/place.go
@@ -271,7 +271,7 @@
 	dec.Endpoint, dec.Why = 0, admit.Admitted
 	v.d, v.pool, v.e, v.id, v.addr = d, p, e, e.ID, e.Addr
 	v.alone, v.sent, v.free, v.ahead, v.wait, v.rest = len(p.endpoints) < 2, time.Now(), m.Free, int(m.Prompt), dec.Wait, dec.First-dec.Wait
-	v.held, v.content = holdOf(j, j.Output), j.content
+	v.held, v.fingerprint = holdOf(j, j.Output), j.fingerprint
 	v.place = &place{owner: owner, id: m.ID, output: v.held.output}
 	if d.placed[owner] == nil {
 		d.placed[owner] = make(map[uint64]*visit)
--- a/entry/direct/plain.go
+++ b/entry/direct/plain.go
@@ -83,7 +83,7 @@
 // answered notes a whole answer.
 func (v *visit) answered(a *hop.Answer) {
 	if !promises(a.Status) && a.Status != http.StatusGatewayTimeout {
-		v.served()
+		v.completed()
 	}
 	if a.Status >= http.StatusInternalServerError {
 		v.end(trust.Error)
--- /dev/null
+++ b/entry/direct/poison.go
@@ -0,0 +1,198 @@
+package direct
+
+import (
+	"strconv"
+	"time"
+
+	"go.uber.org/zap"
+
+	"lycheepond/core/logs"
+	"lycheepond/core/poison"
+	"lycheepond/core/wire"
+	"lycheepond/entry/hop"
+)
+
+// start names one start of an endpoint.
+func (e *endpoint) start() string {
+	if e.Born == 0 {
+		return e.ID
+	}
+	return e.ID + "@" + strconv.FormatInt(e.Born, 10)
+}
+
+// probeDelay is how much later than the entry before it an entry may send a probe: longer
+// than reports take to reach it.
+const probeDelay = time.Second
+
+// quarantined returns the time after which to retry a job, zero if it may be sent.
+func (d *Director) quarantined(j *Job) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.v.poison.Wait(d.since(time.Now()), j.fingerprint, d.probeDelay)
+}
+
+// admitted is like quarantined, for a job that is going to be sent if it returns zero.
+func (d *Director) admitted(j *Job) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.v.poison.Admit(d.since(time.Now()), j.fingerprint, d.probeDelay)
+}
+
+// notRun records that no endpoint has run a job.
+func (d *Director) notRun(j *Job) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.v.poison.NotRun(j.fingerprint)
+}
+
+// probeDelay returns how much later than the first entry this one may send a probe.
+func (d *Director) probeDelay() time.Duration {
+	return time.Duration(d.rank()) * probeDelay
+}
+
+// quarantineResult is the result of a job in quarantine.
+func quarantineResult(retry time.Duration) Result {
+	return Result{Outcome: Quarantined, Retry: retry, Why: "quarantined: it crashed endpoints"}
+}
+
+// suspect reports whether retries of a job are left to its caller.
+func (d *Director) suspect(j *Job) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.v.poison.Suspect(d.since(time.Now()), j.fingerprint)
+}
+
+// runLost records that the try broke off, unless its endpoint is shutting down; d.mu is
+// held.
+func (v *visit) runLost() {
+	if v.fingerprint == (poison.Fingerprint{}) || v.e.Leaving {
+		return
+	}
+	v.d.v.poison.RunLost(v.d.since(time.Now()), v.fingerprint, v.e.start())
+	v.d.notePoison()
+}
+
+// completed records that the try got a complete answer.
+func (v *visit) completed() {
+	if v.fingerprint == (poison.Fingerprint{}) {
+		return
+	}
+	v.d.mu.Lock()
+	defer v.d.mu.Unlock()
+	v.d.v.poison.Completed(v.d.since(time.Now()), v.fingerprint, v.e.start())
+	v.d.notePoison()
+}
+
+// refused records a crash of the endpoint if err says that nobody listens there.
+func (v *visit) refused(err error) {
+	if !hop.Refused(err) {
+		return
+	}
+	v.d.mu.Lock()
+	defer v.d.mu.Unlock()
+	if v.e.Addr == v.addr {
+		v.d.crashed(v.e)
+	}
+}
+
+// crashed records that an endpoint has crashed; d.mu is held.
+func (d *Director) crashed(e *endpoint) {
+	if e.Leaving {
+		return
+	}
+	d.v.poison.Crashed(d.since(time.Now()), e.start())
+	d.notePoison()
+}
+
+// unverified adds to out the endpoints that may have crashed, with their addresses; d.mu
+// is held.
+func (d *Director) unverified(now time.Duration, out map[string]string) {
+	starts := make(map[string]bool)
+	d.v.poison.Unverified(now, func(start string) { starts[start] = true })
+	if len(starts) == 0 {
+		return
+	}
+	for id, e := range d.v.endpoints {
+		if starts[e.start()] {
+			out[id] = e.Addr
+		}
+	}
+}
+
+// notePoison logs and passes on what has changed about quarantines; d.mu is held.
+func (d *Director) notePoison() {
+	for _, c := range d.v.poison.Changes() {
+		if c.Released {
+			logs.Info(d.cfg.Log, logs.EventQuarantineLifted, zap.Stringer("fingerprint", c.Fingerprint))
+		} else {
+			d.cfg.Metrics.Counter("quarantines").Inc(1)
+			logs.Warn(d.cfg.Log, logs.EventQuarantined, zap.Stringer("fingerprint", c.Fingerprint), zap.Duration("left", c.Left),
+				zap.Int("quarantines", c.Quarantines), zap.Strings("endpoints", c.Endpoints), zap.Bool("local", c.Local))
+		}
+		if d.cfg.Quarantine != nil {
+			d.cfg.Quarantine(c)
+		}
+	}
+}
+
+// Restore restores a quarantine that began before this entry was started.
+func (d *Director) Restore(f poison.Fingerprint, age, left time.Duration, quarantines int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.v.poison.Restore(d.since(time.Now()), f, age, left, quarantines)
+	d.notePoison()
+}
+
+// Extend adds reports on suspects and limits to a tally: those that changed, or all.
+func (d *Director) Extend(t *wire.Tally, all bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	t.Suspects, t.Limits = d.suspects(all), d.limits(all)
+}
+
+// suspects returns the reports for a tally; d.mu is held.
+func (d *Director) suspects(all bool) []wire.Suspect {
+	var out []wire.Suspect
+	for _, r := range d.v.poison.Reports(d.since(time.Now()), all) {
+		s := wire.Suspect{
+			Fingerprint: r.Fingerprint[:], CompletedMS: age(r.Completed), SinceMS: ms(r.Since), LeftMS: ms(r.Left),
+			Quarantines: uint16(r.Quarantines), ProbedMS: age(r.Probed), Aborted: r.Aborted,
+		}
+		for _, c := range r.Crashes {
+			s.Crashes = append(s.Crashes, wire.Crash{Endpoint: c.Endpoint, AgeMS: ms(c.Age)})
+		}
+		out = append(out, s)
+	}
+	return out
+}
+
+// mergeSuspects merges a peer's reports; d.mu is held.
+func (d *Director) mergeSuspects(all []wire.Suspect) {
+	now := d.since(time.Now())
+	for _, s := range all {
+		r := poison.Report{
+			Completed: fromMS(s.CompletedMS), Since: fromMS(s.SinceMS), Left: fromMS(s.LeftMS),
+			Quarantines: int(s.Quarantines), Probed: fromMS(s.ProbedMS), Aborted: s.Aborted,
+		}
+		if copy(r.Fingerprint[:], s.Fingerprint) < len(r.Fingerprint) {
+			continue
+		}
+		for _, c := range s.Crashes {
+			r.Crashes = append(r.Crashes, poison.CrashReport{Endpoint: c.Endpoint, Age: fromMS(c.AgeMS)})
+		}
+		d.v.poison.Merge(now, r)
+	}
+	d.notePoison()
+}
+
+func ms(d time.Duration) uint32 { return uint32(max(d.Milliseconds(), 0)) }
+
+// age is an age in milliseconds; negative ones mean that there is none.
+func age(d time.Duration) int64 {
+	if d < 0 {
+		return -1
+	}
+	return d.Milliseconds()
+}
+
+func fromMS[T int64 | uint32](ms T) time.Duration { return time.Duration(ms) * time.Millisecond }
--- a/entry/direct/relay.go
+++ b/entry/direct/relay.go
@@ -60,7 +60,7 @@
 		case err == nil && len(part) <= maxEvent:
 			continue
 		case err == io.EOF:
-			v.served()
+			v.completed()
 			v.end(trust.Good)
 			return done(Complete, "")
 		}
--- a/entry/direct/serve.go
+++ b/entry/direct/serve.go
@@ -15,7 +15,7 @@
 func (d *Director) Serve(ctx context.Context, j *Job, s Sink) Result {
 	d.count(1)
 	defer d.count(-1)
-	j.identify()
+	j.setFingerprint()
 	res := d.serve(ctx, j, s)
 	d.note(j, res)
 	return res
@@ -28,8 +28,8 @@
 }
 
 func (d *Director) serve(ctx context.Context, j *Job, s Sink) Result {
-	if left := d.held(j); left > 0 {
-		return heldBack(left)
+	if retry := d.quarantined(j); retry > 0 {
+		return quarantineResult(retry)
 	}
 	wait, ok := d.charge(j)
 	if !ok {
@@ -53,12 +53,12 @@
 		d.refund(j)
 		return Result{Outcome: Refused, Retry: dec.Retry, Why: dec.Why.String(), Basis: v.basis}
 	}
-	if left := d.admitted(j); left > 0 {
-		// It was learnt while the job stood in line.
+	if retry := d.admitted(j); retry > 0 {
+		// The quarantine began while the job was queued.
 		v.abandon()
 		v.unsent()
 		d.refund(j)
-		return heldBack(left)
+		return quarantineResult(retry)
 	}
 	d.earn(v)
 	end, cancel := context.WithDeadlineCause(context.WithoutCancel(ctx), j.End(), errTimeUp)
@@ -87,7 +87,7 @@
 	}
 	if res.Outcome == Refused {
 		d.refund(j)
-		d.untried(j)
+		d.notRun(j)
 	}
 	return res
 }
@@ -98,7 +98,7 @@
 	d.measure(j, res, took)
 	fields := []zap.Field{
 		zap.String("request_id", j.ID), zap.String("route", j.Route.Name), zap.String("outcome", res.Outcome.String()), zap.Stringer("tier", j.Tier),
-		zap.Duration("took", took), zap.String("why", res.Why), zap.Stringer("content", j.content), zap.Int64("config", d.Table().Revision()),
+		zap.Duration("took", took), zap.String("why", res.Why), zap.Stringer("fingerprint", j.fingerprint), zap.Int64("config", d.Table().Revision()),
 	}
 	if j.Output > 0 {
 		fields = append(fields, zap.Int("input", j.Prompt), zap.Int("output", j.Output))
@@ -113,7 +113,7 @@
 	switch res.Outcome {
 	case Complete, Left:
 		logs.Info(d.cfg.Log, logs.EventRequestDone, fields...)
-	case Limited, Refused, Held:
+	case Limited, Refused, Quarantined:
 		logs.Info(d.cfg.Log, logs.EventRequestRefused, append(fields, zap.Duration("retry", res.Retry), zap.Duration("left", time.Until(j.End())))...)
 	default:
 		logs.Warn(d.cfg.Log, logs.EventRequestUnknown, append(fields, zap.Duration("silent", res.Basis.Silent), zap.Duration("bound", res.Basis.Bound))...)
@@ -132,7 +132,7 @@
 		return
 	}
 	switch res.Outcome {
-	case Limited, Refused, Held:
+	case Limited, Refused, Quarantined:
 		d.refused.Observe(j.Customer.Name, res.Retry.Milliseconds())
 	default:
 		d.answered.Observe(j.Customer.Name, took.Milliseconds())
--- a/entry/direct/task.go
+++ b/entry/direct/task.go
@@ -89,7 +89,7 @@
 	if next == nil {
 		return nil, lack
 	}
-	logs.Info(t.d.cfg.Log, logs.EventRequestReturned, zap.String("request_id", t.job.ID), zap.String("why", got.res.Why), zap.Stringer("content", t.job.content),
+	logs.Info(t.d.cfg.Log, logs.EventRequestReturned, zap.String("request_id", t.job.ID), zap.String("why", got.res.Why), zap.Stringer("fingerprint", t.job.fingerprint),
 		zap.String("from", v.id), zap.String("to", next.id), zap.Duration("silent", v.basis.Silent), zap.Duration("bound", v.basis.Bound))
 	return next, ""
 }
@@ -117,8 +117,8 @@
 		return "no attempt left"
 	case sends >= maxSends:
 		return "sent to enough endpoints"
-	case t.d.doubtful(t.job):
-		return "endpoints have ended under it"
+	case t.d.suspect(t.job):
+		return "it may crash endpoints"
 	}
 	return ""
 }
--- a/entry/direct/view.go
+++ b/entry/direct/view.go
@@ -7,8 +7,8 @@
 
 	"lycheepond/core/admit"
 	"lycheepond/core/await"
-	"lycheepond/core/blame"
 	"lycheepond/core/limit"
+	"lycheepond/core/poison"
 	"lycheepond/core/quota"
 	"lycheepond/core/retry"
 	"lycheepond/core/route"
@@ -48,7 +48,7 @@
 	endpoints map[string]*endpoint
 	pools     map[string]*pool
 	trust     *trust.Book
-	blame     *blame.Book
+	poison    *poison.Book
 	limits    *limit.Book
 	quota     *quota.Book
 	// peers holds what each peer has in flight, by endpoint.
@@ -154,7 +154,7 @@
 func newView(zone string) *view {
 	return &view{
 		zone: zone, table: route.NewTable(route.Config{}), endpoints: make(map[string]*endpoint),
-		pools: make(map[string]*pool), trust: trust.New(), blame: blame.New(), limits: limit.New(), quota: quota.New(),
+		pools: make(map[string]*pool), trust: trust.New(), poison: poison.New(), limits: limit.New(), quota: quota.New(),
 		peers: make(map[string]map[string]wire.Held), changedHeld: make(map[string]bool), changedUsed: make(map[string]bool),
 		waits: newWaits(), heardAt: make(map[string]time.Time),
 	}
@@ -234,8 +234,8 @@
 			continue
 		}
 		gone = append(gone, e.Addr)
-		if !e.Leaving && v.blame.Doubted(now, e.start()) {
-			v.blame.Ended(now, e.start())
+		if !e.Leaving && v.poison.MayHaveCrashed(now, e.start()) {
+			v.poison.Crashed(now, e.start())
 		}
 		v.trust.Forget(id)
 		if p := v.pools[e.Pool]; p != nil {
--- a/entry/direct/visit.go
+++ b/entry/direct/visit.go
@@ -8,9 +8,9 @@
 
 	"lycheepond/core/admit"
 	"lycheepond/core/await"
-	"lycheepond/core/blame"
 	"lycheepond/core/logs"
 	"lycheepond/core/meter"
+	"lycheepond/core/poison"
 	"lycheepond/core/route"
 	"lycheepond/core/trust"
 	"lycheepond/core/wire"
@@ -93,7 +93,7 @@
 		free: chosen.Requests < chosen.Slots, ahead: chosen.Prompt + req.Prompt,
 		wait: dec.Wait, rest: dec.First - dec.Wait,
 		basis: Basis{Endpoint: e.ID, Predicted: dec.First, Wait: dec.Wait, Ahead: chosen.Requests, Prompt: chosen.Prompt + req.Prompt, Heard: heard, Known: known},
-		held:  holdOf(j, how.output), content: j.content,
+		held:  holdOf(j, how.output), fingerprint: j.fingerprint,
 	}
 	v.basis.Age = d.v.age(e.ID, now)
 	v.taken = chosen.Limited
@@ -208,8 +208,8 @@
 	exchange *exchange
 	// place is set while another entry counts the try.
 	place *place
-	// content is the job's, zero for a job of another entry.
-	content blame.Content
+	// fingerprint is the job's, zero for a job of another entry.
+	fingerprint poison.Fingerprint
 	// taken is set if the try has taken a token of its endpoint's limit.
 	taken bool
 }
@@ -299,7 +299,7 @@
 	v.note(now, 0, wire.PlaceResult+uint8(r))
 	change := v.d.v.trust.Ended(v.d.since(now), v.e.ID, r)
 	if r == trust.Broken {
-		v.lost()
+		v.runLost()
 	}
 	v.d.advance(v.pool)
 	return change
@@ -354,7 +354,7 @@
 	v.release(v.held)
 	v.note(now, 0, wire.PlaceMoved)
 	v.e.movedAt = now
-	v.d.ended(v.e)
+	v.d.crashed(v.e)
 	logs.Warn(v.d.cfg.Log, logs.EventEndpointMoved, zap.String("endpoint", v.id), zap.String("remote", v.addr))
 	v.d.advance(v.pool)
 }
--- a/entry/door/answer.go
+++ b/entry/door/answer.go
@@ -75,8 +75,8 @@
 		no.Status = http.StatusTooManyRequests
 	case direct.Refused:
 		no.Status = http.StatusServiceUnavailable
-	case direct.Held:
-		// To come back within the caller's deadline would be in vain.
+	case direct.Quarantined:
+		// A retry within the deadline would be refused again.
 		no.Status, no.Retry = http.StatusServiceUnavailable, res.Retry
 	case direct.Late:
 		no.Status = http.StatusGatewayTimeout
--- /dev/null
+++ b/entry/follow/quarantine.go
@@ -0,0 +1,170 @@
+package follow
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"go.uber.org/zap"
+
+	"lycheepond/core/logs"
+	"lycheepond/core/poison"
+)
+
+const (
+	// maxPending bounds the queue of writes.
+	maxPending = 64
+	// writeTries bounds the attempts of one write. Peers know of the quarantine anyway;
+	// the object only matters if all entries are restarted.
+	writeTries = 5
+	// keepFor is how long an object outlives its quarantine, so that a restarted fleet
+	// still sends a single probe.
+	keepFor = 10 * time.Minute
+	// cleanEvery is the interval between removals of outdated objects.
+	cleanEvery = 30 * time.Second
+)
+
+// QuarantineObject is how the platform stores a quarantine.
+type QuarantineObject struct {
+	// SinceMS and UntilMS are Unix times in milliseconds.
+	SinceMS int64 `json:"since_ms"`
+	UntilMS int64 `json:"until_ms"`
+	// Quarantines is their number so far.
+	Quarantines int `json:"quarantines"`
+}
+
+// QuarantinesConfig is what Quarantines depends on.
+type QuarantinesConfig struct {
+	// Create, Replace and Remove write the object of a fingerprint, List returns all.
+	Create, Replace func(ctx context.Context, name string, o QuarantineObject) error
+	Remove          func(ctx context.Context, name string) error
+	List            func(ctx context.Context) (map[string]QuarantineObject, error)
+	// Restore restores a quarantine that began before this entry was started.
+	Restore func(f poison.Fingerprint, age, left time.Duration, quarantines int)
+	// Wall is the time of day, which entries share well enough for minutes.
+	Wall   func() time.Time
+	Random func() float64
+	Log    *zap.Logger
+}
+
+// Quarantines stores quarantines in the platform, so that they survive a restart of all
+// entries. Requests never wait for it.
+type Quarantines struct {
+	cfg     QuarantinesConfig
+	changes chan poison.Change
+	// written holds the end of each quarantine that this entry stored. Run owns it.
+	written map[string]int64
+}
+
+// NewQuarantines returns a Quarantines that does nothing until Run.
+func NewQuarantines(cfg QuarantinesConfig) *Quarantines {
+	return &Quarantines{cfg: cfg, changes: make(chan poison.Change, maxPending), written: make(map[string]int64)}
+}
+
+// Note queues a change to be stored, if this entry has lost a run of the request. It does
+// not block: changes beyond maxPending are dropped.
+func (q *Quarantines) Note(c poison.Change) {
+	if !c.Local {
+		return
+	}
+	select {
+	case q.changes <- c:
+	default:
+		logs.Warn(q.cfg.Log, logs.EventFailed, zap.String("what", "too many quarantines to store"), zap.Stringer("fingerprint", c.Fingerprint))
+	}
+}
+
+// Run restores the stored quarantines and then stores changes until ctx ends.
+func (q *Quarantines) Run(ctx context.Context) error {
+	q.retry(ctx, 0, q.restore)
+	tick := time.NewTicker(cleanEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case c := <-q.changes:
+			q.retry(ctx, writeTries, func(ctx context.Context) error { return q.write(ctx, c) })
+		case <-tick.C:
+			q.clean(ctx)
+		}
+	}
+}
+
+// retry calls f until it succeeds, limit times at most; zero means no limit.
+func (q *Quarantines) retry(ctx context.Context, limit int, f func(ctx context.Context) error) {
+	for failed := 0; ctx.Err() == nil; failed++ {
+		callCtx, cancel := context.WithTimeout(ctx, CallTime)
+		err := f(callCtx)
+		cancel()
+		if err == nil {
+			return
+		}
+		if failed+1 == limit {
+			logs.Warn(q.cfg.Log, logs.EventFailed, zap.String("what", "storing a quarantine; a restart of all entries would lose it"), zap.Error(err))
+			return
+		}
+		pause := min(firstPause<<min(failed, 8), longestPause)
+		sleep(ctx, time.Duration((0.5+q.cfg.Random()/2)*float64(pause)))
+	}
+}
+
+func (q *Quarantines) restore(ctx context.Context) error {
+	all, err := q.cfg.List(ctx)
+	if err != nil {
+		return err
+	}
+	now := q.cfg.Wall().UnixMilli()
+	for name, o := range all {
+		f, ok := poison.ParseFingerprint(name)
+		switch {
+		case !ok:
+		case outdated(o.UntilMS, now):
+			_ = q.cfg.Remove(ctx, name)
+		default:
+			ms := func(n int64) time.Duration { return time.Duration(max(n, 0)) * time.Millisecond }
+			q.cfg.Restore(f, ms(now-o.SinceMS), ms(o.UntilMS-now), o.Quarantines)
+		}
+	}
+	return nil
+}
+
+func outdated(untilMS, nowMS int64) bool { return untilMS+keepFor.Milliseconds() <= nowMS }
+
+func (q *Quarantines) write(ctx context.Context, c poison.Change) error {
+	name := c.Fingerprint.String()
+	if c.Released {
+		delete(q.written, name)
+		return q.cfg.Remove(ctx, name)
+	}
+	now := q.cfg.Wall()
+	o := QuarantineObject{SinceMS: now.UnixMilli(), UntilMS: now.Add(c.Left).UnixMilli(), Quarantines: c.Quarantines}
+	err := q.cfg.Create(ctx, name, o)
+	if errors.Is(err, ErrExists) {
+		// Another entry has stored the first one.
+		err = nil
+		if c.Quarantines > 1 {
+			err = q.cfg.Replace(ctx, name, o)
+		}
+	}
+	if err == nil {
+		q.written[name] = o.UntilMS
+	}
+	return err
+}
+
+// clean removes the outdated objects of this entry.
+func (q *Quarantines) clean(ctx context.Context) {
+	now := q.cfg.Wall().UnixMilli()
+	for name, until := range q.written {
+		if !outdated(until, now) {
+			continue
+		}
+		callCtx, cancel := context.WithTimeout(ctx, CallTime)
+		err := q.cfg.Remove(callCtx, name)
+		cancel()
+		if err == nil {
+			delete(q.written, name)
+		}
+	}
+}
--- a/entry/mesh/mesh.go
+++ b/entry/mesh/mesh.go
@@ -54,8 +54,8 @@
 	// Fresh returns what the next tally tells of how new the versions in force
 	// are, and the milliseconds for which this entry has run; nil is nothing.
 	Fresh func() (told []wire.Fresh, clock uint64)
-	// Extend adds to a tally what only those read that read further fields: what has not
-	// been told, or all of it. Nil adds nothing.
+	// Extend adds to a tally what peers of older versions cannot read: what has changed
+	// since the last call, or all of it. It may be nil.
 	Extend func(t *wire.Tally, all bool)
 	// Revisions returns the revisions in force, zero where there is none.
 	Revisions func() (config, roster int64)
@@ -118,8 +118,7 @@
 	// hurry has a value while the next tally is to be sent at once, and hurryOn
 	// while what others told is to be passed on at once.
 	hurry, hurryOn chan struct{}
-	// retell is set when the next tally is to have all that Extend adds, as an entry may not
-	// have heard of it. The goroutine that tells owns it.
+	// retell is set if the next tally is to have all that Extend adds, for a new peer. The goroutine that tells owns it.
 	retell bool
 	// versions holds those that were encoded last. The goroutine that tells owns
 	// it.
