--- a/core/limit/limit.go
+++ b/core/limit/limit.go
@@ -101,6 +101,9 @@
 	return changed
 }
 
+// Empty reports whether no limit is known.
+func (b *Book) Empty() bool { return len(b.endpoints) == 0 }
+
 // Rate returns the limit of an endpoint in requests a second and whether it has one.
 func (b *Book) Rate(id string) (rate float64, ok bool) {
 	k := b.endpoints[id]
--- a/entry/direct/limit.go
+++ b/entry/direct/limit.go
@@ -27,6 +27,9 @@
 
 // limitOf returns the fields of an admit.Endpoint that describe its limit.
 func (v *view) limitOf(e *endpoint, now time.Duration) admit.Endpoint {
+	if v.limits.Empty() {
+		return admit.Endpoint{}
+	}
 	rate, ok := v.limits.Rate(e.start())
 	if !ok {
 		return admit.Endpoint{}
@@ -36,6 +39,18 @@
 	return out
 }
 
+// keepLimits forgets the limits of endpoints that are not listed any more.
+func (v *view) keepLimits() {
+	if v.limits.Empty() {
+		return
+	}
+	starts := make(map[string]bool, len(v.endpoints))
+	for _, e := range v.endpoints {
+		starts[e.start()] = true
+	}
+	v.limits.Keep(func(id string) bool { return starts[id] })
+}
+
 // observeLimit records the limit that an answer states; d.mu is held.
 func (v *visit) observeLimit(m Meta) {
 	d := v.d
@@ -64,11 +79,8 @@
 func (d *Director) offerTokens() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for _, e := range d.v.endpoints {
-		if _, ok := d.v.limits.Rate(e.start()); ok {
-			d.advanceAll()
-			return
-		}
+	if !d.v.limits.Empty() {
+		d.advanceAll()
 	}
 }
 
--- a/entry/direct/view.go
+++ b/entry/direct/view.go
@@ -242,11 +242,7 @@
 			p.learner.Forget(id)
 		}
 	}
-	starts := make(map[string]bool, len(v.endpoints))
-	for _, e := range v.endpoints {
-		starts[e.start()] = true
-	}
-	v.limits.Keep(func(id string) bool { return starts[id] })
+	v.keepLimits()
 	for name, p := range v.pools {
 		p.setEndpoints(v.members(name))
 	}
