trace: a quarantine is told as the cause of a refusal

lychee trace printed the bare reason of the entry. It now names the fingerprint and when to come back, and shows the quarantine's beginning among what the entry had come to believe, unless it is another request's.

--- a/lychee/trace/trace.go
+++ b/lychee/trace/trace.go
@@ -31,18 +31,20 @@
 	// Text is the line as it was written.
 	Text string `json:"-"`
 
-	Why      string   `json:"why"`
-	Outcome  string   `json:"outcome"`
-	Endpoint string   `json:"endpoint"`
-	Lacks    string   `json:"lacks"`
-	From     string   `json:"from"`
-	To       string   `json:"to"`
-	Retry    Duration `json:"retry"`
-	Heard    int      `json:"heard"`
-	Known    int      `json:"known"`
-	Ahead    int      `json:"ahead"`
-	Prompt   int      `json:"prompt"`
-	Output   int      `json:"output"`
+	Why      string `json:"why"`
+	Outcome  string `json:"outcome"`
+	Endpoint string `json:"endpoint"`
+	Lacks    string `json:"lacks"`
+	// Fingerprint identifies what the request asked for.
+	Fingerprint string   `json:"fingerprint"`
+	From        string   `json:"from"`
+	To          string   `json:"to"`
+	Retry       Duration `json:"retry"`
+	Heard       int      `json:"heard"`
+	Known       int      `json:"known"`
+	Ahead       int      `json:"ahead"`
+	Prompt      int      `json:"prompt"`
+	Output      int      `json:"output"`
 	// Predicted and First are the predicted and the actual time to the first
 	// event, Took that to the end.
 	Predicted Duration `json:"predicted"`
@@ -81,7 +83,7 @@
 var believed = map[string]bool{
 	"endpoint_away": true, "endpoint_back": true, "platform_away": true, "platform_back": true,
 	"peer_silent": true, "peer_heard": true, "link_lost": true, "config_changed": true, "config_from_peers": true,
-	"roster_changed": true, "starting": true, "leaving": true,
+	"roster_changed": true, "starting": true, "leaving": true, "quarantined": true, "quarantine_lifted": true,
 }
 
 // Trace is what the logs say of one request.
@@ -146,7 +148,8 @@
 }
 
 // relevant returns the changes that the request's entries took in shortly before
-// its last line. Those of endpoints count only if the request went there.
+// its last line. Those of endpoints count only if the request went there, those of a
+// fingerprint only if it is the request's.
 func relevant(own, beliefs []Line) []Line {
 	last := own[len(own)-1].Time
 	// What a process knew before it started again is lost.
@@ -156,9 +159,9 @@
 			began[l.Process] = l.Time
 		}
 	}
-	processes, endpoints := make(map[string]bool), make(map[string]bool)
+	processes, endpoints, fingerprints := make(map[string]bool), make(map[string]bool), map[string]bool{"": true}
 	for _, l := range own {
-		processes[l.Process] = true
+		processes[l.Process], fingerprints[l.Fingerprint] = true, true
 		for _, e := range []string{l.Endpoint, l.From, l.To} {
 			endpoints[e] = e != ""
 		}
@@ -168,7 +171,7 @@
 		if !processes[l.Process] || l.Time.After(last) || last.Sub(l.Time) > around || l.Time.Before(began[l.Process]) {
 			continue
 		}
-		if l.Endpoint == "" || endpoints[l.Endpoint] {
+		if (l.Endpoint == "" || endpoints[l.Endpoint]) && fingerprints[l.Fingerprint] {
 			out = append(out, l)
 		}
 	}
@@ -193,6 +196,8 @@
 		fmt.Fprintf(&b, "refused it: the first event was predicted after %v at the best endpoint that had room, where %v are wanted; the caller was told to come back after %v", end.Predicted, end.Target, end.Retry)
 	case end.Outcome == "refused" && end.Why == "too long" && end.Left > 0:
 		fmt.Fprintf(&b, "refused it: the first event was predicted after %v, and the answer would not have been complete in the %v that the caller had left", end.Predicted, end.Left)
+	case end.Outcome == "quarantined":
+		fmt.Fprintf(&b, "refused it: requests with its fingerprint %s have crashed endpoints, and the caller was told to come back after %v, when one is let through as a probe", end.Fingerprint, end.Retry)
 	case end.Event == "request_refused":
 		fmt.Fprintf(&b, "refused it: %s", end.Why)
 	case end.Outcome == "late" || strings.HasPrefix(end.Why, "time is up"):
--- a/lychee/trace/trace_test.go
+++ b/lychee/trace/trace_test.go
@@ -139,3 +139,21 @@
 		}
 	}
 }
+
+// Guards against taking another request's quarantine for the cause.
+func TestQuarantine(t *testing.T) {
+	log := `{"time":"2026-01-01T00:00:01Z","event":"quarantined","process":"e","fingerprint":"f1","left":"5m0s"}
+{"time":"2026-01-01T00:00:02Z","event":"quarantined","process":"e","fingerprint":"f2","left":"5m0s"}
+{"time":"2026-01-01T00:00:03Z","event":"request_refused","process":"e","request_id":"r","outcome":"quarantined","fingerprint":"f1","retry":"4m58s"}
+`
+	got, err := Read("r", strings.NewReader(log))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(got.Before) != 1 || got.Before[0].Fingerprint != "f1" {
+		t.Errorf("before it: %+v", got.Before)
+	}
+	if !strings.Contains(got.Cause, "f1 have crashed endpoints") || !strings.Contains(got.Cause, "4m58s") {
+		t.Errorf("cause: %s", got.Cause)
+	}
+}
