sched, agent: requests that crash endpoints are quarantined at the other door

Cause: as at the platform's door, a run that broke off counted against nobody but its endpoint. An agent said that an answer had broken off, not that its engine had crashed, so entries could not tell either.

Change: an agent checks whether the endpoint still listens after an answer broke off; if not, the end of the answer says unreachable. Entries count that by fingerprint and refuse with 503, type quarantined, outcome not-run, after three crashes; a probe is let through as core/poison says. Requests with an idempotency key are left out: their retries do not run again.

--- a/agent/call/call.go
+++ b/agent/call/call.go
@@ -50,6 +50,8 @@
 	Usage  wire.Usage
 	// Err says why the answer is not whole.
 	Err error
+	// Crashed is set if the endpoint accepted no connections after its answer broke off.
+	Crashed bool
 }
 
 // Progress is what another goroutine may read of a call under way. Times are
--- a/agent/node.go
+++ b/agent/node.go
@@ -97,6 +97,7 @@
 // endpoint sets how the endpoint is called.
 func (n *node) endpoint(sc *slot.Config) {
 	base := n.cfg.Endpoint.Address
+	sc.Listening = call.Listening(base)
 	if n.cfg.Endpoint.Kind == conf.EndpointService {
 		sc.Run = plain.New(base, call.Client()).Run
 		return
--- a/agent/slot/attach.go
+++ b/agent/slot/attach.go
@@ -88,9 +88,12 @@
 }
 
 // brokenReason says why an answer that the owner did not stop is not whole.
-func brokenReason(err error) wire.Reason {
-	if errors.Is(err, engine.ErrUnknown) {
+func brokenReason(res call.Result) wire.Reason {
+	switch {
+	case errors.Is(res.Err, engine.ErrUnknown):
 		return wire.ReasonForgotten
+	case res.Crashed:
+		return wire.ReasonUnreachable
 	}
 	return wire.ReasonBroken
 }
--- a/agent/slot/owner.go
+++ b/agent/slot/owner.go
@@ -75,6 +75,9 @@
 	// Cancel stops a request at the endpoint; nil if closing the connection
 	// is all that can be done.
 	Cancel func(ctx context.Context, id ident.ID) error
+	// Listening reports whether the endpoint accepts connections; nil if that is not to be
+	// checked.
+	Listening func(ctx context.Context) bool
 	// Order hears of assignments for this endpoint; nil for plain services.
 	Order func(ctx context.Context, o engine.Order) error
 	// Grace is how long running work may take after a planned stop began.
--- a/agent/slot/run.go
+++ b/agent/slot/run.go
@@ -41,7 +41,11 @@
 	r.stop = stop
 	o.task(func(context.Context) event {
 		defer stop()
-		return finished{r, f(ctx, sink)}
+		res := f(ctx, sink)
+		if res.Sent && !res.Whole && ctx.Err() == nil && o.cfg.Listening != nil {
+			res.Crashed = !o.cfg.Listening(ctx)
+		}
+		return finished{r, res}
 	})
 }
 
@@ -60,7 +64,7 @@
 	o.observe(now, r, res.Usage)
 	reason := r.stopped
 	if !res.Whole && reason == wire.ReasonNone {
-		reason = brokenReason(res.Err)
+		reason = brokenReason(res)
 		logs.Warn(o.log, logs.EventAnswerBroken, logs.Request(r.id), zap.Error(res.Err))
 	}
 	if res.Whole {
--- a/core/wire/message.go
+++ b/core/wire/message.go
@@ -196,7 +196,8 @@
 	// ReasonNeverGranted: an Attach named a request whose grant never came;
 	// the agent has put a tombstone on the ID and will not run it.
 	ReasonNeverGranted
-	// ReasonUnreachable: the endpoint refused the connection, nothing was sent.
+	// ReasonUnreachable: the endpoint refused the connection. In a Return nothing was sent,
+	// in an End the endpoint has crashed during the run.
 	ReasonUnreachable
 	// ReasonBroken: the endpoint's answer broke off.
 	ReasonBroken
--- /dev/null
+++ b/entry/caller/poison_test.go
@@ -0,0 +1,49 @@
+package caller
+
+import (
+	"net/http"
+	"testing"
+
+	"lycheepond/core/wire"
+)
+
+// Guards against dispatching a request for ever that crashes each endpoint which runs it.
+func TestRequestThatCrashesEndpoints(t *testing.T) {
+	crash := func(_ *stub, l *wire.Link, m wire.Message) {
+		switch m := m.(type) {
+		case *wire.Offer:
+			l.Send(&wire.Claim{ID: m.ID, Load: idle})
+		case *wire.Grant:
+			l.Send(&wire.End{ID: m.ID, Reason: wire.ReasonUnreachable, Load: idle})
+		}
+	}
+	// The agents report to have a crashed endpoint each time, which counts once a second.
+	stubs := []*stub{newStub(t, "a", crash), newStub(t, "b", crash), newStub(t, "c", crash), newStub(t, "d", crash)}
+	f := newFront(t, frontOptions{}, stubs...)
+	grants := func() int {
+		n := 0
+		for _, s := range stubs {
+			n += s.count(wire.KindGrant)
+		}
+		return n
+	}
+	var last *http.Response
+	for range 100 {
+		last = f.post(t, "/v1/completions", completion(false), headerRepeatable, "true")
+		last.Body.Close()
+		if last.StatusCode == http.StatusServiceUnavailable {
+			break
+		}
+	}
+	if last.Header.Get("Retry-After") == "" {
+		t.Errorf("status %d without Retry-After", last.StatusCode)
+	}
+	before := grants()
+	expect(t, f.post(t, "/v1/completions", completion(false), headerRepeatable, "true"), http.StatusServiceUnavailable, "not-run", `"type":"quarantined"`)
+	if n := grants(); n != before {
+		t.Errorf("%d grants for a request in quarantine", n-before)
+	}
+	if before > 30 {
+		t.Errorf("%d grants before the quarantine", before)
+	}
+}
--- a/entry/fault/fault.go
+++ b/entry/fault/fault.go
@@ -31,6 +31,7 @@
 	UnknownFate   Kind = "unknown_outcome"
 	SlowCaller    Kind = "slow_caller"
 	CallerGone    Kind = "caller_gone"
+	Quarantined   Kind = "quarantined"
 )
 
 var statuses = map[Kind]int{
@@ -40,7 +41,8 @@
 	CustomerLimit: http.StatusTooManyRequests, KeyMismatch: http.StatusConflict,
 	Overloaded: http.StatusServiceUnavailable, NoEndpoint: http.StatusServiceUnavailable,
 	NoHome: http.StatusServiceUnavailable, Leaving: http.StatusServiceUnavailable,
-	Deadline: http.StatusGatewayTimeout, UnknownFate: http.StatusBadGateway,
+	Quarantined: http.StatusServiceUnavailable,
+	Deadline:    http.StatusGatewayTimeout, UnknownFate: http.StatusBadGateway,
 	SlowCaller: http.StatusBadGateway, CallerGone: http.StatusBadGateway,
 }
 
--- a/entry/sched/flight.go
+++ b/entry/sched/flight.go
@@ -6,6 +6,7 @@
 
 	"lycheepond/core/cost"
 	"lycheepond/core/once"
+	"lycheepond/core/poison"
 	"lycheepond/core/wire"
 	"lycheepond/entry/agents"
 	"lycheepond/entry/answer"
@@ -49,10 +50,12 @@
 	job  *Job
 	sink *Sink
 	pool *pool
-	mail *mailbox
-	once *once.Request
-	ans  answer.Answer
-	est  cost.Estimate
+	// fingerprint identifies the request, zero for one with an idempotency key.
+	fingerprint poison.Fingerprint
+	mail        *mailbox
+	once        *once.Request
+	ans         answer.Answer
+	est         cost.Estimate
 	// held are the agents that the present ID was offered to.
 	held holders
 	// holder is the agent that the grant was written to.
@@ -88,7 +91,7 @@
 
 func newFlight(s *Sched, j *Job, sink *Sink) *flight {
 	return &flight{
-		s: s, job: j, sink: sink, pool: s.pool(j.Pool), mail: newMailbox(),
+		s: s, job: j, sink: sink, pool: s.pool(j.Pool), fingerprint: j.fingerprint(), mail: newMailbox(),
 		once: once.New(j.ID, j.Repeatable), reply: make(chan choice, 1),
 		trace: s.trail.open(j),
 	}
--- a/entry/sched/offer.go
+++ b/entry/sched/offer.go
@@ -221,6 +221,10 @@
 		f.finish(fault.New(fault.UnknownFate, "the answer is lost and the request may have run ("+why+"): find out before asking again"))
 		return
 	}
+	if f.s.poison.suspect(f) {
+		f.finish(fault.New(fault.UnknownFate, "the answer is lost ("+why+"), and so were others to requests like it: it may crash endpoints and is not sent again"))
+		return
+	}
 	f.pool.tell(note{op: opRetry, f: f})
 	if c := <-f.reply; c.fault != nil {
 		f.finish(c.fault)
--- a/entry/sched/relay.go
+++ b/entry/sched/relay.go
@@ -123,6 +123,7 @@
 // whole ends the request with its complete answer.
 func (f *flight) whole() {
 	f.once.End()
+	f.s.poison.ended(f)
 	f.give()
 	if len(f.body) > 0 {
 		f.sink.Data(f.body)
@@ -138,6 +139,7 @@
 	if e := f.ans.End(); e != nil && !e.Whole {
 		why = "it ended with " + e.Reason.String()
 	}
+	f.s.poison.ended(f)
 	f.once.Fail()
 	f.renew(why)
 }
--- a/entry/sched/sched.go
+++ b/entry/sched/sched.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"lycheepond/core/ident"
+	"lycheepond/core/once"
 	"lycheepond/core/report"
 	"lycheepond/core/wire"
 	"lycheepond/entry/agents"
@@ -44,11 +45,13 @@
 
 // Sched serves requests.
 type Sched struct {
-	cfg     Config
-	table   *table
-	last    atomic.Uint64
-	trail   *Trail
-	room    *room
+	cfg   Config
+	table *table
+	last  atomic.Uint64
+	trail *Trail
+	room  *room
+	// poison holds back requests that crash endpoints.
+	poison  *quarantine
 	running atomic.Int64
 
 	// owners counts the goroutines of pools.
@@ -64,7 +67,7 @@
 // New returns a Sched that serves until ctx ends.
 func New(ctx context.Context, cfg Config) *Sched {
 	return &Sched{
-		cfg: cfg, table: newTable(), trail: newTrail(), room: newRoom(cfg.Memory),
+		cfg: cfg, table: newTable(), trail: newTrail(), room: newRoom(cfg.Memory), poison: newQuarantine(),
 		pools: make(map[string]*pool), seen: make(map[string]uint64), ctx: ctx,
 	}
 }
@@ -176,6 +179,10 @@
 	s.running.Add(1)
 	defer s.running.Add(-1)
 	f := newFlight(s, j, sink)
+	if e := s.poison.admit(f); e != nil {
+		f.finish(e)
+		return f.res
+	}
 	if !s.room.enter(f) {
 		f.finish(fullEntry())
 		return f.res
@@ -185,6 +192,9 @@
 	s.table.put(f.once.ID(), f)
 	res := f.run(ctx)
 	s.table.drop(f.once.ID())
+	if res.Outcome == once.NotRun {
+		s.poison.notRun(f)
+	}
 	return res
 }
 
