poison, mesh: what is reported again is bounded

Whenever a link came up, an entry reported all suspects to all others, those of its peers as well, and hubs passed that on: with 103 entries, many crashes and links that break, megabytes a second at each entry, worked out, not measured. Reported again are now quarantines and the entry's own suspects with several crashes, 32 in one tally at most.

--- a/core/poison/gossip.go
+++ b/core/poison/gossip.go
@@ -6,6 +6,9 @@
 // quarantine.
 const clockSkew = time.Second
 
+// maxReports bounds the reports of one call: a fleet that links anew tells them to all.
+const maxReports = 32
+
 // Report is what an entry knows of a suspect. Times are ages, as clocks differ between
 // processes.
 type Report struct {
@@ -29,12 +32,18 @@
 	Age      time.Duration
 }
 
-// Reports returns reports on the suspects that changed since the last call, or on all of
-// them.
-func (b *Book) Reports(now time.Duration, all bool) []Report {
+// Reports returns reports on suspects that changed since they were last reported, at most
+// maxReports. If again is set it also reports, by and by, what a new peer has to know:
+// quarantines, and suspects of this entry with several crashes.
+func (b *Book) Reports(now time.Duration, again bool) []Report {
+	if again {
+		for _, s := range b.suspects {
+			s.dirty = s.dirty || s.quarantines > 0 || s.local && len(s.crashes) >= suspectLimit
+		}
+	}
 	var out []Report
 	for f, s := range b.suspects {
-		if !all && !s.dirty {
+		if !s.dirty || len(out) >= maxReports {
 			continue
 		}
 		r := Report{Fingerprint: f, Completed: -1, Probed: -1, Quarantines: s.quarantines, Aborted: s.aborted}
--- a/core/poison/poison_test.go
+++ b/core/poison/poison_test.go
@@ -188,3 +188,30 @@
 		t.Errorf("quarantined for %v after one more crash, want %v", wait, 2*nextQuarantine)
 	}
 }
+
+// Guards against a fleet whose entries tell each other everything whenever links break: a
+// hub passes the reports of all entries on.
+func TestReportsAreBounded(t *testing.T) {
+	b := New()
+	for i := range maxSuspects {
+		for j := range crashLimit {
+			crashUnder(b, time.Second, fmt.Sprint("e", i, "-", j), fingerprint(fmt.Sprint(i)))
+		}
+	}
+	reported := make(map[Fingerprint]bool)
+	for again := true; ; again = false {
+		got := b.Reports(time.Second, again)
+		if len(got) > maxReports {
+			t.Fatalf("%d reports at once", len(got))
+		}
+		if len(got) == 0 {
+			break
+		}
+		for _, r := range got {
+			reported[r.Fingerprint] = true
+		}
+	}
+	if len(reported) != maxSuspects {
+		t.Errorf("%d of %d suspects were reported", len(reported), maxSuspects)
+	}
+}
--- a/entry/direct/limit.go
+++ b/entry/direct/limit.go
@@ -85,9 +85,9 @@
 }
 
 // limits returns the reports for a tally; d.mu is held.
-func (d *Director) limits(all bool) []wire.Limit {
+func (d *Director) limits(again bool) []wire.Limit {
 	var out []wire.Limit
-	for _, r := range d.v.limits.Reports(d.since(time.Now()), all) {
+	for _, r := range d.v.limits.Reports(d.since(time.Now()), again) {
 		out = append(out, wire.Limit{Endpoint: r.Endpoint, Rate: r.Rate, Limited: r.Limited, AgeMS: ms(r.Age), Sent: r.Sent})
 	}
 	return out
--- a/entry/direct/poison.go
+++ b/entry/direct/poison.go
@@ -143,17 +143,18 @@
 	d.notePoison()
 }
 
-// Extend adds reports on suspects and limits to a tally: those that changed, or all.
-func (d *Director) Extend(t *wire.Tally, all bool) {
+// Extend adds reports on suspects and limits to a tally: those that changed, and again
+// those that a new peer has to know.
+func (d *Director) Extend(t *wire.Tally, again bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	t.Suspects, t.Limits = d.suspects(all), d.limits(all)
+	t.Suspects, t.Limits = d.suspects(again), d.limits(again)
 }
 
 // suspects returns the reports for a tally; d.mu is held.
-func (d *Director) suspects(all bool) []wire.Suspect {
+func (d *Director) suspects(again bool) []wire.Suspect {
 	var out []wire.Suspect
-	for _, r := range d.v.poison.Reports(d.since(time.Now()), all) {
+	for _, r := range d.v.poison.Reports(d.since(time.Now()), again) {
 		s := wire.Suspect{
 			Fingerprint: r.Fingerprint[:], CompletedMS: age(r.Completed), SinceMS: ms(r.Since), LeftMS: ms(r.Left),
 			Quarantines: uint16(r.Quarantines), ProbedMS: age(r.Probed), Aborted: r.Aborted,
--- a/entry/mesh/mesh.go
+++ b/entry/mesh/mesh.go
@@ -55,8 +55,8 @@
 	// are, and the milliseconds for which this entry has run; nil is nothing.
 	Fresh func() (told []wire.Fresh, clock uint64)
 	// Extend adds to a tally what peers of older versions cannot read: what has changed
-	// since the last call, or all of it. It may be nil.
-	Extend func(t *wire.Tally, all bool)
+	// since it was last told, and again what a new peer has to know. It may be nil.
+	Extend func(t *wire.Tally, again bool)
 	// Revisions returns the revisions in force, zero where there is none.
 	Revisions func() (config, roster int64)
 	// Snapshot returns the version in force.
