--- a/core/limit/limit.go
+++ b/core/limit/limit.go
@@ -27,6 +27,8 @@
 	maxDebt = 1
 	// maxEndpoints bounds the memory of a Book.
 	maxEndpoints = 1 << 14
+	// maxReports bounds the reports of one call.
+	maxReports = 64
 )
 
 // Share is an entry's share in a limit.
@@ -176,12 +178,14 @@
 	Sent float64
 }
 
-// Reports returns reports on the endpoints that changed since the last call, or on all of
-// them.
-func (b *Book) Reports(now time.Duration, all bool) []Report {
+// Reports returns reports on endpoints that changed since they were last reported, at most
+// maxReports. If again is set it also reports, by and by, the limits under which this entry
+// has sent requests, for a new peer.
+func (b *Book) Reports(now time.Duration, again bool) []Report {
 	var out []Report
 	for id, k := range b.endpoints {
-		if !all && !k.dirty {
+		k.dirty = k.dirty || again && k.limited && k.sent > 0
+		if !k.dirty || len(out) >= maxReports {
 			continue
 		}
 		k.dirty = false
