follow: one loop of retries and one pause after failed calls

The keeper of quarantines had written again the loop by which an entry enters itself in the platform's list, and the formula of its pause stood a third time in the follower. Behaviour is unchanged.

--- a/entry/follow/follow.go
+++ b/entry/follow/follow.go
@@ -181,7 +181,6 @@
 		logs.Warn(f.cfg.Log, logs.EventPlatformAway, zap.String("list", f.cfg.Name), zap.Error(err))
 		f.cfg.Away()
 	}
+	f.retry = time.Now().Add(backoff(f.failed, f.cfg.Random()))
 	f.failed++
-	pause := min(firstPause<<min(f.failed-1, 8), longestPause)
-	f.retry = time.Now().Add(time.Duration((0.5 + f.cfg.Random()/2) * float64(pause)))
 }
--- a/entry/follow/quarantine.go
+++ b/entry/follow/quarantine.go
@@ -76,7 +76,7 @@
 
 // Run restores the stored quarantines and then stores changes until ctx ends.
 func (q *Quarantines) Run(ctx context.Context) error {
-	q.retry(ctx, 0, q.restore)
+	_ = retry(ctx, 0, q.cfg.Random, q.restore)
 	tick := time.NewTicker(cleanEvery)
 	defer tick.Stop()
 	for {
@@ -84,31 +84,16 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case c := <-q.changes:
-			q.retry(ctx, writeTries, func(ctx context.Context) error { return q.write(ctx, c) })
+			err := retry(ctx, writeTries, q.cfg.Random, func(ctx context.Context) error { return q.write(ctx, c) })
+			if err != nil && ctx.Err() == nil {
+				logs.Warn(q.cfg.Log, logs.EventFailed, zap.String("what", "storing a quarantine; a restart of all entries would lose it"), zap.Error(err))
+			}
 		case <-tick.C:
 			q.clean(ctx)
 		}
 	}
 }
 
-// retry calls f until it succeeds, limit times at most; zero means no limit.
-func (q *Quarantines) retry(ctx context.Context, limit int, f func(ctx context.Context) error) {
-	for failed := 0; ctx.Err() == nil; failed++ {
-		callCtx, cancel := context.WithTimeout(ctx, CallTime)
-		err := f(callCtx)
-		cancel()
-		if err == nil {
-			return
-		}
-		if failed+1 == limit {
-			logs.Warn(q.cfg.Log, logs.EventFailed, zap.String("what", "storing a quarantine; a restart of all entries would lose it"), zap.Error(err))
-			return
-		}
-		pause := min(firstPause<<min(failed, 8), longestPause)
-		sleep(ctx, time.Duration((0.5+q.cfg.Random()/2)*float64(pause)))
-	}
-}
-
 func (q *Quarantines) restore(ctx context.Context) error {
 	all, err := q.cfg.List(ctx)
 	if err != nil {
@@ -160,10 +145,7 @@
 		if !outdated(until, now) {
 			continue
 		}
-		callCtx, cancel := context.WithTimeout(ctx, CallTime)
-		err := q.cfg.Remove(callCtx, name)
-		cancel()
-		if err == nil {
+		if call(ctx, func(ctx context.Context) error { return q.cfg.Remove(ctx, name) }) == nil {
 			delete(q.written, name)
 		}
 	}
--- a/entry/follow/register.go
+++ b/entry/follow/register.go
@@ -77,33 +77,18 @@
 
 // write writes the line, until it is there.
 func (r *Registration) write(ctx context.Context) {
-	for failed := 0; ctx.Err() == nil; failed++ {
-		limited, cancel := context.WithTimeout(ctx, CallTime)
-		err := r.Create(limited)
+	_ = retry(ctx, 0, r.Random, func(ctx context.Context) error {
+		err := r.Create(ctx)
 		if errors.Is(err, ErrExists) {
-			err = r.Replace(limited)
+			err = r.Replace(ctx)
 		}
-		cancel()
-		if err == nil {
-			return
-		}
-		pause := min(firstPause<<min(failed, 8), longestPause)
-		sleep(ctx, time.Duration((0.5+r.Random()/2)*float64(pause)))
-	}
+		return err
+	})
 }
 
 func (r *Registration) purge(ctx context.Context) {
 	for _, name := range r.Silent(purgeAfter) {
-		limited, cancel := context.WithTimeout(ctx, CallTime)
-		err := r.Remove(limited, name)
-		cancel()
+		err := call(ctx, func(ctx context.Context) error { return r.Remove(ctx, name) })
 		logs.Info(r.Log, logs.EventEntryForgotten, zap.String("peer", name), zap.Error(err))
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- /dev/null
+++ b/entry/follow/retry.go
@@ -0,0 +1,40 @@
+package follow
+
+import (
+	"context"
+	"time"
+)
+
+// retry calls f until it succeeds or ctx ends, limit times at most, with growing pauses
+// between; zero means no limit. It returns the error of the last call.
+func retry(ctx context.Context, limit int, random func() float64, f func(ctx context.Context) error) error {
+	for failed := 0; ctx.Err() == nil; failed++ {
+		err := call(ctx, f)
+		if err == nil || failed+1 == limit {
+			return err
+		}
+		sleep(ctx, backoff(failed, random()))
+	}
+	return ctx.Err()
+}
+
+// backoff returns the pause after a call that has failed, after failed earlier ones; rnd is
+// a random number in [0, 1).
+func backoff(failed int, rnd float64) time.Duration {
+	pause := min(firstPause<<min(failed, 8), longestPause)
+	return time.Duration((0.5 + rnd/2) * float64(pause))
+}
+
+// call calls f with CallTime to end in.
+func call(ctx context.Context, f func(ctx context.Context) error) error {
+	ctx, cancel := context.WithTimeout(ctx, CallTime)
+	defer cancel()
+	return f(ctx)
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
