direct: a try ends in one place, and one that was not sent in another

Four ways to end a try began with the same four lines, and giving a try back that had not been sent took the same two calls at four places. Behaviour is unchanged.

--- a/entry/direct/send.go
+++ b/entry/direct/send.go
@@ -86,8 +86,7 @@
 func (t *task) unanswered(v *visit, err error) verdict {
 	switch {
 	case errors.Is(err, hop.ErrBusy):
-		v.abandon()
-		v.unsent()
+		v.withdraw()
 		return verdict{res: Result{Why: "no connection left to the endpoint"}}
 	case errors.Is(err, hop.ErrNotSent):
 		v.unsent()
--- a/entry/direct/serve.go
+++ b/entry/direct/serve.go
@@ -38,8 +38,7 @@
 	v, dec := d.enter(ctx, j)
 	if ctx.Err() != nil {
 		if dec.Endpoint >= 0 {
-			v.abandon()
-			v.unsent()
+			v.withdraw()
 		}
 		d.refund(j)
 		res := gone(ctx)
@@ -55,8 +54,7 @@
 	}
 	if retry := d.admitted(j); retry > 0 {
 		// The quarantine began while the job was queued.
-		v.abandon()
-		v.unsent()
+		v.withdraw()
 		d.refund(j)
 		return quarantineResult(retry)
 	}
--- a/entry/direct/visit.go
+++ b/entry/direct/visit.go
@@ -153,12 +153,12 @@
 
 // giveBack gives up what reserve returned, and its repeat unless the job was sent.
 func (d *Director) giveBack(v *visit) {
-	arrived := v.exchange != nil && v.exchange.drop()
-	v.abandon()
-	if !arrived {
-		v.unsent()
-		d.unspend(v)
+	if v.exchange != nil && v.exchange.drop() {
+		v.abandon()
+		return
 	}
+	v.withdraw()
+	d.unspend(v)
 }
 
 // unspend gives back a repeat that was not needed.
@@ -273,10 +273,9 @@
 // end notes how the try ended. It may be called more than once; the first call
 // counts.
 func (v *visit) end(r trust.Result) {
-	if v.over {
+	if !v.finish() {
 		return
 	}
-	v.over = true
 	switch v.settle(r) {
 	case trust.Lost:
 		logs.Warn(v.d.cfg.Log, logs.EventEndpointAway, zap.String("endpoint", v.id), zap.String("result", r.String()))
@@ -285,6 +284,13 @@
 	}
 }
 
+// finish ends the try and reports whether it had not ended before.
+func (v *visit) finish() bool {
+	ended := v.over
+	v.over = true
+	return !ended
+}
+
 // settle takes a result into all that is known of the endpoint.
 func (v *visit) settle(r trust.Result) trust.Change {
 	now := time.Now()
@@ -307,15 +313,20 @@
 
 // abandon ends a try without a verdict on the endpoint.
 func (v *visit) abandon() {
-	if v.over {
+	if !v.finish() {
 		return
 	}
-	v.over = true
 	v.d.mu.Lock()
 	defer v.d.mu.Unlock()
 	v.drop()
 }
 
+// withdraw ends a try that was not sent to its endpoint.
+func (v *visit) withdraw() {
+	v.abandon()
+	v.unsent()
+}
+
 // drop takes back what the try counts for; d.mu is held.
 func (v *visit) drop() {
 	v.release(v.held)
@@ -326,10 +337,9 @@
 // declined ends a try that the endpoint did not run; load is how many requests it
 // says that it has, zero if it does not say.
 func (v *visit) declined(load int) {
-	if v.over {
+	if !v.finish() {
 		return
 	}
-	v.over = true
 	v.d.mu.Lock()
 	defer v.d.mu.Unlock()
 	v.d.cfg.Metrics.Counter("tries_declined").Inc(1)
@@ -344,10 +354,9 @@
 
 // misplaced ends a try that another endpoint declined, which has the address now.
 func (v *visit) misplaced() {
-	if v.over {
+	if !v.finish() {
 		return
 	}
-	v.over = true
 	v.d.mu.Lock()
 	defer v.d.mu.Unlock()
 	now := time.Now()
