--- a/entry/direct/poison.go
+++ b/entry/direct/poison.go
@@ -4,8 +4,6 @@
 	"strconv"
 	"time"
 
-	"go.uber.org/zap"
-
 	"lycheepond/core/logs"
 	"lycheepond/core/poison"
 	"lycheepond/core/wire"
@@ -122,12 +120,9 @@
 // notePoison logs and passes on what has changed about quarantines; d.mu is held.
 func (d *Director) notePoison() {
 	for _, c := range d.v.poison.Changes() {
-		if c.Released {
-			logs.Info(d.cfg.Log, logs.EventQuarantineLifted, zap.Stringer("fingerprint", c.Fingerprint))
-		} else {
+		logs.Quarantine(d.cfg.Log, c)
+		if !c.Released {
 			d.cfg.Metrics.Counter("quarantines").Inc(1)
-			logs.Warn(d.cfg.Log, logs.EventQuarantined, zap.Stringer("fingerprint", c.Fingerprint), zap.Duration("left", c.Left),
-				zap.Int("quarantines", c.Quarantines), zap.Strings("endpoints", c.Endpoints), zap.Bool("local", c.Local))
 		}
 		if d.cfg.Quarantine != nil {
 			d.cfg.Quarantine(c)
--- a/entry/sched/poison.go
+++ b/entry/sched/poison.go
@@ -5,8 +5,6 @@
 	"sync"
 	"time"
 
-	"go.uber.org/zap"
-
 	"lycheepond/core/logs"
 	"lycheepond/core/poison"
 	"lycheepond/core/wire"
@@ -83,13 +81,8 @@
 		q.book.RunLost(now, f.fingerprint, start(agent, c.n))
 		q.book.Crashed(now, start(agent, c.n))
 	}
-	for _, change := range q.book.Changes() {
-		if change.Released {
-			logs.Info(f.s.cfg.Log, logs.EventQuarantineLifted, zap.Stringer("fingerprint", change.Fingerprint))
-			continue
-		}
-		logs.Warn(f.s.cfg.Log, logs.EventQuarantined, zap.Stringer("fingerprint", change.Fingerprint), zap.Duration("left", change.Left),
-			zap.Int("quarantines", change.Quarantines), zap.Strings("endpoints", change.Endpoints))
+	for _, c := range q.book.Changes() {
+		logs.Quarantine(f.s.cfg.Log, c)
 	}
 }
 
