--- a/core/await/share.go
+++ b/core/await/share.go
@@ -4,6 +4,8 @@
 	"encoding/binary"
 	"hash/fnv"
 	"time"
+
+	"lycheepond/core/spread"
 )
 
 const (
@@ -67,14 +69,5 @@
 	h.Write([]byte(entry))
 	h.Write([]byte(endpoint))
 	h.Write(round)
-	return fraction(h.Sum64())
-}
-
-// fraction spreads a hash evenly over 0 to 1. The bits of the hash alone do not:
-// names that differ in their last letter have nearly the same high bits.
-func fraction(x uint64) float64 {
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	return float64(x>>11) / (1 << 53)
+	return float64(spread.Bits(h.Sum64())>>11) / (1 << 53)
 }
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -22,6 +22,8 @@
 	"cmp"
 	"hash/fnv"
 	"slices"
+
+	"lycheepond/core/spread"
 )
 
 const (
@@ -101,21 +103,13 @@
 		h.Write([]byte(name))
 		h.Write([]byte{0})
 		h.Write([]byte(e.Name))
-		if x := spread(h.Sum64()); best == "" || x > most {
+		if x := spread.Bits(h.Sum64()); best == "" || x > most {
 			best, most = name, x
 		}
 	}
 	return best
 }
 
-// spread mixes the bits of a hash: those of names that differ in their last
-// letter have nearly the same high bits.
-func spread(x uint64) uint64 {
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	return x ^ x>>33
-}
-
 // Hub reports whether the entry passes on what it hears.
 func (p Plan) Hub() bool { return p.hubs != nil && p.isHub(p.self) }
 
--- a/core/shard/shard.go
+++ b/core/shard/shard.go
@@ -20,6 +20,7 @@
 	"math"
 
 	"lycheepond/core/relay"
+	"lycheepond/core/spread"
 )
 
 const (
@@ -205,10 +206,6 @@
 		h.Write([]byte(n))
 		h.Write([]byte{0})
 	}
-	x := h.Sum64()
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	x *= 0xc4ceb9fe1a85ec53
+	x := spread.Bits(h.Sum64()) * 0xc4ceb9fe1a85ec53
 	return x ^ x>>33
 }
