--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -39,6 +39,11 @@
 	// Yield is set if free slots there are left to requests that wait at other
 	// entries.
 	Yield bool
+	Limit
+}
+
+// Limit is a limit on the rate of requests to an endpoint; the zero Limit is none.
+type Limit struct {
 	// Limited is set if the endpoint takes Rate requests a second at most. Allowed is how
 	// many may be sent now and NextAllowed, if that is none, the time until one may.
 	Limited     bool
--- a/core/admit/admit_test.go
+++ b/core/admit/admit_test.go
@@ -173,7 +173,7 @@
 // Guards against exceeding an endpoint's limit because it is near, the only usable one, or
 // has free slots.
 func TestEndpointWithoutTokens(t *testing.T) {
-	full := Endpoint{Near: true, Usable: true, Slots: 10, Limited: true, Rate: 2, NextAllowed: 400 * time.Millisecond}
+	full := Endpoint{Near: true, Usable: true, Slots: 10, Limit: Limit{Limited: true, Rate: 2, NextAllowed: 400 * time.Millisecond}}
 	r := Request{Target: time.Second, Due: time.Second, Left: time.Minute, Avoid: -1, Ranks: 1}
 	for name, others := range map[string][]Endpoint{
 		"alone": nil, "beside one that failed": {{Slots: 10}}, "beside a full one": {{Usable: true, Slots: 1, Requests: 50, Output: 50000, Pace: Pace{Output: time.Second}}},
--- a/entry/direct/limit.go
+++ b/entry/direct/limit.go
@@ -25,16 +25,16 @@
 	return limit.Share{Part: 1 / float64(max(known, 1)), Entries: 1}
 }
 
-// limitOf returns the fields of an admit.Endpoint that describe its limit.
-func (v *view) limitOf(e *endpoint, now time.Duration) admit.Endpoint {
+// limitOf returns the limit of an endpoint as decisions take it.
+func (v *view) limitOf(e *endpoint, now time.Duration) admit.Limit {
 	if v.limits.Empty() {
-		return admit.Endpoint{}
+		return admit.Limit{}
 	}
 	rate, ok := v.limits.Rate(e.start())
 	if !ok {
-		return admit.Endpoint{}
+		return admit.Limit{}
 	}
-	out := admit.Endpoint{Limited: true, Rate: rate}
+	out := admit.Limit{Limited: true, Rate: rate}
 	out.Allowed, out.NextAllowed = v.limits.Available(now, e.start(), v.share(e))
 	return out
 }
--- a/entry/direct/view.go
+++ b/entry/direct/view.go
@@ -344,10 +344,9 @@
 		sum := e.others
 		sum.add(e.own, 1)
 		sum.requests += e.uncounted(now)
-		limited := v.limitOf(e, since)
 		out = append(out, admit.Endpoint{
-			Limited: limited.Limited, Rate: limited.Rate, Allowed: limited.Allowed, NextAllowed: limited.NextAllowed,
-			Near: e.Zone == zone, Usable: v.trust.Usable(since, e.ID) && !e.silent(now, silent) && !e.away(now), Slots: e.slots(cfg),
+			Limit: v.limitOf(e, since),
+			Near:  e.Zone == zone, Usable: v.trust.Usable(since, e.ID) && !e.silent(now, silent) && !e.away(now), Slots: e.slots(cfg),
 			Requests: sum.requests, Prompt: sum.prompt, Output: sum.output,
 			Tokens: sum.tokens, Memory: cfg.KVTokens, Pace: p.learner.Pace(e.ID),
 		})
