core/feed: an answer from before an outage does not end it

Callers and operators saw: platform_away false during an outage, or true for up to 30 s after its end. Cause: two loops share the flag. The answer to a call from before the outage was handled after the first failure of the other loop and ended the outage; notes could be sent in the wrong order. After a failure the next call was a watch, which is answered only after a change or 30 s, so the end of an outage without a change was not noticed. Change: only an answer to a call made after the last failure ends the outage; flag and note change under noteMu; after a failed watch the classes are listed until the platform answers. Looked at for the same fault: entry/follow has one goroutine for each list, and after a failure sends a check, which is answered at once; an answer to a watch from before the failure can still end its outage there (not changed, nothing seen).

--- a/core/feed/feed.go
+++ b/core/feed/feed.go
@@ -61,8 +61,11 @@
 // called once.
 type Feed struct {
 	cfg Config
-	// noteMu serializes the calls of Config.OnNote.
+	// noteMu serializes the calls of Config.OnNote. It also guards changes of
+	// unavailable, so that the notes report them in order, and failedAt, the time at
+	// which a call last failed.
 	noteMu      sync.Mutex
+	failedAt    time.Time
 	lastContact atomic.Pointer[Contact]
 	unavailable atomic.Bool
 	// ready is closed through readyOnce once the store has a configuration.
@@ -143,19 +146,29 @@
 	return context.Cause(ctx)
 }
 
-// recordAnswer records a complete answer to a call made at requestedAt.
+// recordAnswer records a complete answer to a call made at requestedAt. The outage is
+// over only if the call was made after the last failure: an answer to an earlier call
+// may have been sent before the outage.
 func (f *Feed) recordAnswer(requestedAt time.Time) {
 	f.lastContact.Store(&Contact{RequestedAt: requestedAt, AnsweredAt: time.Now()})
-	if f.unavailable.CompareAndSwap(true, false) {
-		f.note(Note{Kind: NoteAvailable})
+	if !f.unavailable.Load() {
+		return
+	}
+	f.noteMu.Lock()
+	defer f.noteMu.Unlock()
+	if requestedAt.After(f.failedAt) && f.unavailable.CompareAndSwap(true, false) {
+		f.noteLocked(Note{Kind: NoteAvailable})
 	}
 }
 
 // recordFailure records a call without an answer and reports the first one of each
 // outage.
 func (f *Feed) recordFailure(err error) {
+	f.noteMu.Lock()
+	defer f.noteMu.Unlock()
+	f.failedAt = time.Now()
 	if f.unavailable.CompareAndSwap(false, true) {
-		f.note(Note{Kind: NoteUnavailable, Err: err})
+		f.noteLocked(Note{Kind: NoteUnavailable, Err: err})
 	}
 }
 
--- a/core/feed/note.go
+++ b/core/feed/note.go
@@ -33,6 +33,11 @@
 func (f *Feed) note(n Note) {
 	f.noteMu.Lock()
 	defer f.noteMu.Unlock()
+	f.noteLocked(n)
+}
+
+// noteLocked is note for callers that hold noteMu.
+func (f *Feed) noteLocked(n Note) {
 	n.Version = f.cfg.Store.Version()
 	f.cfg.OnNote(n)
 }
--- a/core/feed/watch.go
+++ b/core/feed/watch.go
@@ -43,8 +43,10 @@
 			f.recordFailure(err)
 			if !listed {
 				f.loadFromPeers(ctx)
+				f.sleep(ctx, b.next(f.cfg.Random()))
+				continue
 			}
-			f.sleep(ctx, b.next(f.cfg.Random()))
+			f.awaitPlatform(ctx, &b)
 			continue
 		}
 		if !listed && f.lacksGoodVersion() {
@@ -55,6 +57,27 @@
 	}
 }
 
+// awaitPlatform returns when the platform answers again after a failed watch, or ctx
+// has ended. It lists the classes, of which there are few, because a watch is not
+// answered until something changes.
+func (f *Feed) awaitPlatform(ctx context.Context, b *backoff) {
+	for {
+		f.sleep(ctx, b.next(f.cfg.Random()))
+		requestedAt := time.Now()
+		batch, err := f.cfg.Platform.List(ctx, spec.KindClass)
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			f.recordFailure(err)
+			continue
+		}
+		f.recordAnswer(requestedAt)
+		f.reportBatch(f.cfg.Store.AcceptList(spec.KindClass, batch))
+		return
+	}
+}
+
 // lacksGoodVersion reports whether an object has no good version here. This happens
 // if the process started when the newest version of the object was bad; its peers may
 // still have the last good one.
@@ -122,7 +145,7 @@
 		}
 		if err != nil {
 			f.recordFailure(err)
-			f.sleep(ctx, b.next(f.cfg.Random()))
+			f.awaitPlatform(ctx, &b)
 			continue
 		}
 		f.recordAnswer(requestedAt)
