core/wire: a pause of the process does not make a busy link idle

Callers saw: requests on a link whose peer is gone waited for three idle periods, after a pause of their own process. Cause: a read deadline that passed during the pause was judged by the time at which it was handled; by then the link counted as idle. The first deadline of a link had the same fault. Writes whose deadline passed during the pause failed, although the peer reads, with an error that is not ErrSilent. The two new tests: the first fails on the old code, the second covers the write. Change: extendIfAlive judges as of the read deadline; until the first message the periods are those of a busy link; writes are tried a second time; a write timeout is ErrSilent. Looked at for the same fault: entry/mesh judges silence with graceAt after pauses; entry/kept looks into the kernel before it closes; the other door's agents use this package.

--- a/core/wire/deadline.go
+++ b/core/wire/deadline.go
@@ -45,7 +45,7 @@
 		if err := s.extendWriteDeadline(time.Now()); err != nil {
 			return written, err
 		}
-		n, err := s.Conn.Write(p[written:min(len(p), written+maxWriteBytes)])
+		n, err := s.writePiece(p[written:min(len(p), written+maxWriteBytes)])
 		written += n
 		if err != nil {
 			return written, err
@@ -54,6 +54,25 @@
 	return written, nil
 }
 
+// writePiece writes p. Like Read, it tries a second time after a passed deadline: after a
+// pause of the process, the deadline fires although the peer reads.
+func (s *deadlineConn) writePiece(p []byte) (int, error) {
+	n, err := s.Conn.Write(p)
+	if errors.Is(err, os.ErrDeadlineExceeded) && s.allowRewrite(time.Now()) == nil {
+		var more int
+		more, err = s.Conn.Write(p[n:])
+		n += more
+	}
+	return n, err
+}
+
+// allowRewrite extends the write deadline just enough to write what the connection has
+// room for. The next piece gets the full time.
+func (s *deadlineConn) allowRewrite(now time.Time) error {
+	s.deadlineSetAt = time.Time{}
+	return s.SetWriteDeadline(now.Add(s.writeTimeout / deadlineSteps))
+}
+
 // extendWriteDeadline moves the write deadline. It does so in steps, because most
 // writes follow each other closely.
 func (s *deadlineConn) extendWriteDeadline(now time.Time) error {
--- a/core/wire/late_test.go
+++ b/core/wire/late_test.go
@@ -101,3 +101,26 @@
 	<-ended
 	<-ended
 }
+
+// The process is paused between setting a write deadline and writing. The peer reads, so
+// the write must succeed.
+func TestWriteSurvivesPausedProcess(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	conn, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	now := time.Now()
+	c := &deadlineConn{Conn: conn, liveness: newLiveness(conn, time.Hour, 0), writeTimeout: time.Hour, deadlineSetAt: now}
+	if err := conn.SetWriteDeadline(now.Add(-time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	if n, err := c.Write([]byte("piece")); n != len("piece") || err != nil {
+		t.Errorf("wrote %d bytes: %v", n, err)
+	}
+}
--- a/core/wire/link.go
+++ b/core/wire/link.go
@@ -204,10 +204,10 @@
 // readLoop reads messages and passes them to handle until an error ends the link.
 func (l *Link) readLoop(handle func(Message)) error {
 	r := NewReader(l.timedConn)
+	if err := l.liveness.start(time.Now()); err != nil {
+		return err
+	}
 	for {
-		if err := l.liveness.recordReceived(time.Now()); err != nil {
-			return err
-		}
 		if err := l.awaitFrame(r); err != nil {
 			return err
 		}
@@ -221,6 +221,10 @@
 		l.controlIn.Store(r.controlBytes)
 		l.dataIn.Store(r.dataBytes)
 		handle(m)
+		// The time that handle took does not count as silence of the peer.
+		if err := l.liveness.recordReceived(time.Now()); err != nil {
+			return err
+		}
 	}
 }
 
@@ -235,7 +239,7 @@
 	}
 }
 
-// silentOnTimeout replaces a read timeout by ErrSilent.
+// silentOnTimeout replaces a read or write timeout by ErrSilent.
 func silentOnTimeout(err error) error {
 	var timeout net.Error
 	if errors.As(err, &timeout) && timeout.Timeout() {
--- a/core/wire/liveness.go
+++ b/core/wire/liveness.go
@@ -33,7 +33,10 @@
 	// lastRequestAt is the time of the last message of a request in either direction,
 	// and lastReceivedAt the time at which the last message of any kind arrived.
 	lastRequestAt, lastReceivedAt time.Time
-	// readDeadline is the read deadline in force.
+	// hasReceived is set once a message has arrived.
+	hasReceived bool
+	// readDeadline is the time at which the peer's silence is judged. The connection's
+	// read deadline is later while bytes that have arrived are read.
 	readDeadline time.Time
 }
 
@@ -65,43 +68,60 @@
 	return p.idleHeartbeat
 }
 
-// setReadDeadline sets the read deadline to three heartbeat periods after from. The
-// caller holds mu.
+// setReadDeadline sets the read deadline to three heartbeat periods after from. Until the
+// first message these are the periods of a busy link, since a peer begins with a
+// heartbeat. The caller holds mu.
 func (p *liveness) setReadDeadline(from, now time.Time) error {
-	silence := p.period(now) * MissedHeartbeats
+	period := p.heartbeat
+	if p.hasReceived {
+		period = p.period(now)
+	}
+	silence := period * MissedHeartbeats
 	p.readDeadline = from.Add(silence + silence/deadlineSteps)
 	return p.conn.SetReadDeadline(p.readDeadline)
 }
 
+// start sets the read deadline of a link that begins to read.
+func (p *liveness) start(now time.Time) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lastReceivedAt = now
+	return p.setReadDeadline(now, now)
+}
+
 // recordReceived notes that the peer is alive and extends the read deadline. It moves
 // the deadline in steps, because most frames follow each other closely and moving the
 // deadline costs more than decoding a frame.
 func (p *liveness) recordReceived(now time.Time) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.lastReceivedAt = now
+	p.lastReceivedAt, p.hasReceived = now, true
 	if p.readDeadline.Sub(now) >= p.period(now)*MissedHeartbeats {
 		return nil
 	}
 	return p.setReadDeadline(now, now)
 }
 
-// allowReread extends the read deadline just enough to read the bytes that have
-// already arrived.
+// allowReread extends the connection's read deadline just enough to read the bytes that
+// have already arrived.
 func (p *liveness) allowReread(now time.Time) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.readDeadline = now.Add(p.heartbeat * MissedHeartbeats / deadlineSteps)
-	return p.conn.SetReadDeadline(p.readDeadline)
+	return p.conn.SetReadDeadline(now.Add(p.heartbeat * MissedHeartbeats / deadlineSteps))
 }
 
 // extendIfAlive is called when the read deadline has passed. It reports whether the
-// peer may be silent for longer, for example because the link became idle meanwhile,
-// and extends the deadline in this case.
+// peer may be silent for longer because the link became idle before the deadline, and
+// extends the deadline in this case. It does not look at the time after the deadline: if
+// this process was paused, a link that was busy at the deadline would count as idle.
 func (p *liveness) extendIfAlive(now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if now.Sub(p.lastReceivedAt) >= p.period(now)*MissedHeartbeats {
+	judgedAt := now
+	if p.readDeadline.Before(now) {
+		judgedAt = p.readDeadline
+	}
+	if !p.hasReceived || now.Sub(p.lastReceivedAt) >= p.period(judgedAt)*MissedHeartbeats {
 		return false
 	}
 	return p.setReadDeadline(p.lastReceivedAt, now) == nil
--- a/core/wire/liveness_test.go
+++ b/core/wire/liveness_test.go
@@ -76,6 +76,19 @@
 	}
 }
 
+// The process is paused while a request is on the link, and the read deadline is handled
+// only after the time for which the link counts as busy. The dead peer must be detected
+// then, not after three of the longer idle periods.
+func TestPauseDoesNotMakeABusyLinkIdle(t *testing.T) {
+	p, start := newTestLiveness(t)
+	if err := p.recordReceived(start); err != nil {
+		t.Fatal(err)
+	}
+	if p.extendIfAlive(start.Add(20 * time.Second)) {
+		t.Error("the dead peer was not detected")
+	}
+}
+
 // A peer accepts the connection and then sends nothing, as a paused process does. The
 // link must end, because its requests wait until then.
 func TestSilentPeerEndsLink(t *testing.T) {
--- a/core/wire/write.go
+++ b/core/wire/write.go
@@ -157,6 +157,6 @@
 func (l *Link) handleWriteEnd(err error) {
 	l.stopSends()
 	if err != nil && !errors.Is(err, syscall.EPIPE) && !errors.Is(err, syscall.ECONNRESET) {
-		l.cancel(err)
+		l.cancel(silentOnTimeout(err))
 	}
 }
