--- a/entry/kept/drain.go
+++ b/entry/kept/drain.go
@@ -62,7 +62,9 @@
 		return nil, errors.Join(err, nc.Close())
 	}
 	// A system without the option only notices such callers later.
-	_ = raw.Control(func(fd uintptr) { _ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpNotSentLowAt, maxUnsentBytes) })
+	_ = raw.Control(func(fd uintptr) {
+		_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpNotSentLowAt, maxUnsentBytes)
+	})
 	c := newConn(l.set, nc, raw)
 	l.set.mu.Lock()
 	defer l.set.mu.Unlock()
