core/sigs: SIGHUP during the start does not end a process

Callers saw: an entry that ends right after its start, when its settings file changes at that moment. Cause: the runtime ends the process on SIGHUP until signal.Notify is called. CatchHangup was the first call of main, after the dynamic linker, the runtime's start and the initialization of all packages. Change: core/sigs registers for SIGHUP, SIGTERM and interrupt while it is initialized, and a C constructor ignores SIGHUP before the Go runtime starts, which keeps it ignored until then. Without cgo only the first holds. SIGTERM in the first 20 ms of a race build still ends it by the signal. Looked at for the same fault: entry and agent start through core/boot and get it too; lychee and trial read no settings again.

--- a/core/boot/boot.go
+++ b/core/boot/boot.go
@@ -6,12 +6,11 @@
 	"context"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/integrii/flaggy"
 
 	"lycheepond/core/conf"
+	"lycheepond/core/sigs"
 )
 
 // Exit codes.
@@ -41,7 +40,6 @@
 
 // Main reads the command line, runs the program and returns its exit code.
 func (p Program[T]) Main() int {
-	conf.CatchHangup()
 	cmd, err := p.parse()
 	if err != nil {
 		fmt.Fprintf(os.Stderr, "%s: %v\n", p.Name, err)
@@ -91,7 +89,7 @@
 // run runs the program until it ends or a signal stops it, and returns its exit code.
 func (p Program[T]) run(cfg *T, path string) int {
 	// The first signal begins a planned stop. A second one ends the process at once.
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	ctx, stop := sigs.Context(context.Background())
 	context.AfterFunc(ctx, stop)
 	if err := p.Run(ctx, cfg, path); err != nil {
 		fmt.Fprintf(os.Stderr, "%s: %v\n", p.Name, err)
--- a/core/conf/live.go
+++ b/core/conf/live.go
@@ -122,8 +122,3 @@
 		logs.Info(log, logs.EventKeysReloaded, zap.Int("accepted", len(l.Keys().Accepted)))
 	}
 }
-
-// CatchHangup prevents SIGHUP from ending the process. The signal means that the
-// settings file has changed. It may arrive before the handler that reloads the file
-// is installed or after it has been removed.
-func CatchHangup() { signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP) }
--- /dev/null
+++ b/core/sigs/hangup.go
@@ -0,0 +1,5 @@
+//go:build cgo
+
+package sigs
+
+import "C" // for hangup.c
