--- a/core/logs/event.go
+++ b/core/logs/event.go
@@ -13,6 +13,7 @@
 	EventNotReady         Event = "not_ready"
 	EventLeaving          Event = "leaving"
 	EventStopped          Event = "stopped"
+	EventStopSlow         Event = "stop_slow"
 	EventRequestRefused   Event = "request_refused"
 	EventRequestUnknown   Event = "request_unknown"
 	EventRequestReturned  Event = "request_returned"
