core/canary: a trial with few requests uses the share that the move would

Callers saw: a good version rolled back because too few requests came. Cause: fewer than 20 answers at the deadline roll a version back, and before the move only 0.6 of the allowed share is used. Change: where 0.6 of the share brings fewer than 40 answers, more of it is used. Tried for slow versions and not kept: a likelihood ratio of the endpoints' paces against those of the old endpoints. The evidence of a slow version is bounded by the number of its endpoints, as these differ by a factor of five.

--- a/core/canary/share.go
+++ b/core/canary/share.go
@@ -9,6 +9,9 @@
 	wantedTrialAnswers = 250
 	minTrialShare      = 0.3
 	maxTrialShare      = 0.6
+	// neededTrialAnswers is the number of answers aimed at if the share allows no more than
+	// that. Requests are drawn at random, so fewer may come.
+	neededTrialAnswers = 2 * minTargetAnswers
 	// minPauseAnswers is the number of answers of the target needed to pause the trial.
 	minPauseAnswers = 40
 	// usedShare is the part of the share, and usedSlack the part of the slack, that is
@@ -89,7 +92,10 @@
 	}
 	totalRequests := max(rate*r.Duration.Seconds(), 1)
 	maxShare := usedShare*limit.Share + slack/totalRequests
-	share := min(max(wantedTrialAnswers/(totalRequests*float64(max(q.Entries, 1))), minTrialShare*maxShare), maxTrialShare*maxShare)
+	fleetRequests := totalRequests * float64(max(q.Entries, 1))
+	// A version with fewer answers is not put in service, so nothing is kept for the move.
+	needed := neededTrialAnswers / fleetRequests
+	share := min(max(wantedTrialAnswers/fleetRequests, minTrialShare*maxShare), max(maxTrialShare*maxShare, min(needed, maxShare)))
 	if n := r.oldByRoute[q.Route]; n > 0 {
 		share = min(share*float64(r.oldRequests)/float64(n*len(r.oldByRoute)), maxRouteShare)
 	}
