entry/direct: an endpoint that says in an answer that it leaves gets no more requests

Cause: Leaving came from the instance list alone; the header of the answers was read nowhere. Evidence: requests to the endpoint go on at their rate from 8 s until the list changes, with no roster_changed between; those sent late were also accepted late, so nothing was taken back and nothing had been queued.

core/drain keeps which starts of endpoints have said so. The head of every answer counts, also of refusals and of attempts that are not forwarded, unless another endpoint sent it. No list takes it back, a later start is another process. A request is checked again just before it is sent, so that placements, retries, resumed streams and grants made earlier don't get through; a request that is held back there costs no retry. Peers are told in tallies, in a last field that older versions skip.

--- a/core/logs/event.go
+++ b/core/logs/event.go
@@ -26,6 +26,7 @@
 	EventProcessPaused    Event = "held_up"
 	EventOwnerLate        Event = "owner_late"
 	EventEndpointMoved    Event = "endpoint_moved"
+	EventEndpointLeaving  Event = "endpoint_leaving"
 	EventPeerRecovered    Event = "peer_heard"
 	EventLinesDropped     Event = "lines_dropped"
 	EventEntryForgotten   Event = "entry_forgotten"
--- a/core/wire/tally.go
+++ b/core/wire/tally.go
@@ -43,12 +43,15 @@
 	Limits []Limit
 	// Rollouts holds the rollouts whose state or counts changed.
 	Rollouts []Rollout
+	// Leaving holds endpoints that stated in answers to the sender that they are
+	// leaving.
+	Leaving []LeavingEndpoint
 }
 
 // HasChanges reports whether the tally contains anything besides the information that
 // its sender is alive.
 func (t *Tally) HasChanges() bool {
-	return len(t.Customers)+len(t.Endpoints)+len(t.Queues)+len(t.Freshness)+len(t.Suspects)+len(t.Limits)+len(t.Rollouts) > 0
+	return len(t.Customers)+len(t.Endpoints)+len(t.Queues)+len(t.Freshness)+len(t.Suspects)+len(t.Limits)+len(t.Rollouts)+len(t.Leaving) > 0
 }
 
 // Suspect is the sender's report on a request that may have crashed endpoints. Its
@@ -138,6 +141,15 @@
 	TokenLogSum     float32
 }
 
+// LeavingEndpoint is an endpoint that is leaving.
+type LeavingEndpoint struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	Endpoint string
+	// Incarnation is the start of the endpoint that is leaving, as on the instance
+	// list.
+	Incarnation int64
+}
+
 // Relay forwards the tallies of other entries.
 type Relay struct {
 	_msgpack struct{} `msgpack:",as_array"`
--- a/entry/direct/attempt.go
+++ b/entry/direct/attempt.go
@@ -8,6 +8,7 @@
 
 	"lycheepond/core/admit"
 	"lycheepond/core/canary"
+	"lycheepond/core/drain"
 	"lycheepond/core/health"
 	"lycheepond/core/logs"
 	"lycheepond/core/meter"
@@ -105,7 +106,7 @@
 func (d *Director) startAttempt(j *Job, p *pool, e *endpoint, chosen admit.Endpoint, req admit.Request, dec admit.Decision, now time.Time) *attempt {
 	reachableEntries, knownEntries := d.cfg.EntryCounts()
 	a := &attempt{
-		d: d, pool: p, endpoint: e, id: e.ID, sentAddr: e.Addr, isOnlyEndpoint: len(p.endpoints) < 2, sentAt: now,
+		d: d, pool: p, endpoint: e, id: e.ID, start: e.start(), sentAddr: e.Addr, isOnlyEndpoint: len(p.endpoints) < 2, sentAt: now,
 		hadFreeSlot: chosen.Requests < chosen.Slots, promptAhead: chosen.PromptTokens + req.PromptTokens,
 		predictedWait: dec.SlotWait, predictedService: dec.FirstEvent - dec.SlotWait,
 		placement: Placement{Endpoint: e.ID, PredictedFirst: dec.FirstEvent, PredictedWait: dec.SlotWait, RequestsAhead: chosen.Requests, PromptTokensAhead: chosen.PromptTokens + req.PromptTokens, ReachableEntries: reachableEntries, KnownEntries: knownEntries},
@@ -202,6 +203,8 @@
 	// address from the time of the placement.
 	endpoint     *endpoint
 	id, sentAddr string
+	// start is the process of the endpoint that the attempt was placed at.
+	start drain.Start
 	// isOnlyEndpoint is set if there was no other endpoint to go to.
 	isOnlyEndpoint bool
 	sentAt         time.Time
--- a/entry/direct/direct.go
+++ b/entry/direct/direct.go
@@ -170,6 +170,7 @@
 	d.mergeSuspects(t.Suspects)
 	d.mergeLimits(peer, t.Limits)
 	d.mergeRollouts(peer, restarted, t.Rollouts)
+	d.mergeLeaving(peer, t.Leaving)
 	d.dispatchAllQueued()
 }
 
@@ -313,7 +314,7 @@
 	out := make(map[string]string)
 	now := d.sinceStart(time.Now())
 	d.view.health.StartConnectProbes(now, func(id string) {
-		if e := d.view.endpoints[id]; e != nil {
+		if e := d.view.endpoints[id]; e != nil && !e.Leaving {
 			out[id] = e.Addr
 		}
 	})
--- a/entry/direct/job.go
+++ b/entry/direct/job.go
@@ -154,6 +154,8 @@
 	NotRun bool
 	// WrongEndpoint is set if another endpoint has the address now.
 	WrongEndpoint bool
+	// Leaving is set if the endpoint says that it is leaving.
+	Leaving bool
 	// Signed is set if the answer carries the endpoint's signature.
 	Signed bool
 	// Slots is how many requests the endpoint serves at once; zero if it does not
--- a/entry/direct/place.go
+++ b/entry/direct/place.go
@@ -9,6 +9,7 @@
 
 	"lycheepond/core/admit"
 	"lycheepond/core/canary"
+	"lycheepond/core/drain"
 	"lycheepond/core/logs"
 	"lycheepond/core/relay"
 	"lycheepond/core/route"
@@ -270,14 +271,14 @@
 	e := d.view.endpoints[reply.Endpoint]
 	switch {
 	case e != nil && !e.Leaving && e.Pool == j.Pool.Name && d.view.rollouts.RoleOf(e.Pool, e.Version) == canary.InService:
-	case e == nil && reply.RosterRevision > d.view.roster.Revision && !d.view.rollouts.HasOpenOrder(j.Pool.Name):
+	case e == nil && reply.RosterRevision > d.view.roster.Revision && !d.view.rollouts.HasOpenOrder(j.Pool.Name) && !d.view.leaving.IsLeaving(drain.Start{Endpoint: reply.Endpoint}):
 		e = &endpoint{Endpoint: route.Endpoint{ID: reply.Endpoint, Addr: reply.Addr, Pool: j.Pool.Name, Slots: reply.Slots}}
 	default:
 		d.cfg.Peers.Send(owner, &wire.PlaceReport{ID: reply.ID, Outcome: wire.PlaceDropped})
 		return nil, admit.Decision{}, false
 	}
 	dec.Endpoint, dec.Reason = 0, admit.Admitted
-	a.d, a.pool, a.endpoint, a.id, a.sentAddr = d, p, e, e.ID, e.Addr
+	a.d, a.pool, a.endpoint, a.id, a.start, a.sentAddr = d, p, e, e.ID, e.start(), e.Addr
 	a.isOnlyEndpoint, a.sentAt, a.hadFreeSlot, a.promptAhead, a.predictedWait, a.predictedService = len(p.endpoints) < 2, time.Now(), reply.HadFreeSlot, int(reply.PromptTokens), dec.SlotWait, dec.FirstEvent-dec.SlotWait
 	a.work, a.fingerprint, a.route, a.version = jobWork(j, j.OutputTokens), j.fingerprint, j.Route.Name, e.Version
 	a.ownerPlacement = &ownerPlacement{owner: owner, id: reply.ID, expectedOutput: a.work.outputTokens}
--- a/entry/direct/poison.go
+++ b/entry/direct/poison.go
@@ -142,12 +142,12 @@
 	d.applyQuarantineChanges()
 }
 
-// AddReports adds reports on suspect requests, rate limits and rollouts to a tally: the
-// changed ones, and with resend also those that a new peer needs.
+// AddReports adds reports on suspect requests, rate limits, rollouts and leaving endpoints to
+// a tally: the changed ones, and with resend also those that a new peer needs.
 func (d *Director) AddReports(t *wire.Tally, resend bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	t.Suspects, t.Limits, t.Rollouts = d.suspectReports(resend), d.limitReports(resend), d.rolloutReports(resend)
+	t.Suspects, t.Limits, t.Rollouts, t.Leaving = d.suspectReports(resend), d.limitReports(resend), d.rolloutReports(resend), d.leavingReports(resend)
 }
 
 // suspectReports returns the reports on suspect requests for a tally. The caller holds d.mu.
--- a/entry/direct/replace.go
+++ b/entry/direct/replace.go
@@ -58,7 +58,9 @@
 	return !wasNotSent(x.err)
 }
 
-func wasNotSent(err error) bool { return errors.Is(err, hop.ErrBusy) || errors.Is(err, hop.ErrNotSent) }
+func wasNotSent(err error) bool {
+	return errors.Is(err, hop.ErrBusy) || errors.Is(err, hop.ErrNotSent) || errors.Is(err, errLeaving)
+}
 
 // startSender starts the goroutine that sends replacements, if the attempt may be replaced.
 func (w *watchdog) startSender() {
--- a/entry/direct/send.go
+++ b/entry/direct/send.go
@@ -23,8 +23,15 @@
 		lastEventID = t.lastEventID
 	}
 	t.d.cfg.StampHeaders(r, AttemptInfo{Endpoint: a.id, Customer: j.Customer, TimeLeft: time.Until(j.End()), LastEventID: lastEventID})
+	if err := t.d.checkSendable(a); err != nil {
+		return nil, err
+	}
 	_, knownEntries := t.d.cfg.EntryCounts()
-	return t.d.cfg.Client.Do(ctx, a.sentAddr, a.connLimit(j.Pool, knownEntries), r)
+	answer, err := t.d.cfg.Client.Do(ctx, a.sentAddr, a.connLimit(j.Pool, knownEntries), r)
+	if err == nil {
+		t.d.observeHead(a, answer)
+	}
+	return answer, err
 }
 
 // awaitUsableAnswer returns the answer if it may be forwarded, and otherwise the result of the
@@ -90,6 +97,9 @@
 	case errors.Is(err, hop.ErrBusy):
 		a.withdraw()
 		return attemptResult{result: Result{Reason: "no connection left to the endpoint"}}
+	case errors.Is(err, errLeaving):
+		a.withdraw()
+		return attemptResult{result: Result{Reason: "endpoint is leaving"}}
 	case errors.Is(err, hop.ErrNotSent):
 		a.returnReservations()
 		if t.ctx.Err() == nil {
--- a/entry/direct/view.go
+++ b/entry/direct/view.go
@@ -7,6 +7,7 @@
 
 	"lycheepond/core/admit"
 	"lycheepond/core/canary"
+	"lycheepond/core/drain"
 	"lycheepond/core/health"
 	"lycheepond/core/limit"
 	"lycheepond/core/poison"
@@ -53,6 +54,7 @@
 	limits    *limit.Limiter
 	quota     *quota.Limiter
 	rollouts  *canary.Controller
+	leaving   *drain.Tracker
 	// peerLoads holds the work in flight that the peers have reported, by peer and endpoint.
 	peerLoads map[string]map[string]wire.EndpointLoad
 	// tallyAt is when each peer's last tally arrived.
@@ -171,7 +173,7 @@
 func newView(zone string, rule canary.Limit) *view {
 	return &view{
 		zone: zone, table: route.NewTable(route.Config{}), endpoints: make(map[string]*endpoint),
-		pools: make(map[string]*pool), health: health.New(), poison: poison.New(), limits: limit.New(), quota: quota.New(), rollouts: canary.New(rule),
+		pools: make(map[string]*pool), health: health.New(), poison: poison.New(), limits: limit.New(), quota: quota.New(), rollouts: canary.New(rule), leaving: drain.New(),
 		peerLoads: make(map[string]map[string]wire.EndpointLoad), unreportedWork: make(map[string]bool), unreportedUsage: make(map[string]bool),
 		queueCounts: newQueueCounts(), tallyAt: make(map[string]time.Time),
 	}
@@ -276,6 +278,9 @@
 			p.learner.Forget(id)
 		}
 	}
+	for _, e := range v.endpoints {
+		e.Leaving = e.Leaving || v.leaving.IsLeaving(e.start())
+	}
 	v.forgetStaleLimits()
 	v.updateVersions(now)
 	v.assignAllEndpoints()
