entry/direct: an endpoint that asks for a rest gets no requests until its end

Cause: the header was read nowhere.

core/rest keeps, for this entry and for peers whose requests it places, which starts of endpoints rest. core/admit uses them for nothing and says when the first is back if all usable ones rest: requests whose target allows wait in the queue, the others are refused at once and told that time, which the door no longer cuts to a third of the deadline. Slots and callers come back over a second. A request is checked again just before it is sent. It is not counted as a failure, and a time that is negative, unreadable or longer than ten minutes changes nothing. Tallies carry the rests in a last field where owners of shards place requests.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -35,6 +35,9 @@
 	// Bias is a number from 0 to 1 that differs between entries. The smaller it is, the
 	// more this entry prefers the endpoint.
 	Bias float64
+	// RestLeft is the time for which the endpoint must get no requests because it has asked
+	// for a rest.
+	RestLeft time.Duration
 	// YieldSlots is set if free slots at the endpoint are left to requests that wait at
 	// other entries.
 	YieldSlots bool
@@ -101,7 +104,10 @@
 	// SlotInterval is, for a refused request, the average time between two slots becoming
 	// free, over all endpoints.
 	SlotInterval time.Duration
-	Reason       Reason
+	// RestWait is, for a refused request, the time until the first endpoint ends its rest,
+	// if all usable endpoints rest.
+	RestWait time.Duration
+	Reason   Reason
 }
 
 // Reason says why a request was refused.
@@ -112,8 +118,8 @@
 	Admitted Reason = iota
 	// NoEndpoint means that no endpoint is known or usable.
 	NoEndpoint
-	// Full means that the request would wait too long for a slot or because of the rate
-	// limit, or that it has to leave free slots to other requests.
+	// Full means that the request would wait too long for a slot, because of the rate limit
+	// or for the end of a rest, or that it has to leave free slots to other requests.
 	Full
 	// Late means that the first event would come too late.
 	Late
@@ -170,7 +176,7 @@
 // Decide chooses an endpoint for a request or refuses it.
 func Decide(r Request, endpoints []Endpoint) Decision {
 	skipUnusable := anyUsable(r, endpoints)
-	var cheapest, cheapestRefused candidate
+	var cheapest, cheapestRefused, firstRested candidate
 	for i := range endpoints {
 		e := &endpoints[i]
 		if i == r.AvoidEndpoint && len(endpoints) > 1 || skipUnusable && !e.Usable {
@@ -178,15 +184,23 @@
 		}
 		c := e.evaluate(r)
 		c.endpoint = i
-		if c.reason == Admitted {
+		switch {
+		case e.RestLeft > 0:
+			firstRested.keepCheaper(candidate{set: true, cost: e.RestLeft, firstEvent: e.RestLeft + c.firstEvent, slotWait: e.RestLeft + c.slotWait})
+		case c.reason == Admitted:
 			cheapest.keepCheaper(c)
-		} else {
+		default:
 			cheapestRefused.keepCheaper(c)
 		}
 	}
 	switch {
 	case cheapest.set:
 		return Decision{Endpoint: cheapest.endpoint, FirstEvent: cheapest.firstEvent, SlotWait: cheapest.slotWait}
+	case !cheapestRefused.set && firstRested.set:
+		return Decision{
+			Endpoint: -1, FirstEvent: firstRested.firstEvent, SlotWait: firstRested.slotWait, RetryAfter: max(firstRested.cost, minRetryAfter), SlotInterval: slotInterval(endpoints),
+			RestWait: firstRested.cost, Reason: Full,
+		}
 	case !cheapestRefused.set:
 		return Decision{Endpoint: -1, RetryAfter: noEndpointRetryAfter, Reason: NoEndpoint}
 	}
@@ -266,8 +280,11 @@
 }
 
 // freeSlots returns the number of slots that appear to be free and that the rate limit
-// allows to use.
+// allows to use. An endpoint that rests has none.
 func (e *Endpoint) freeSlots() int {
+	if e.RestLeft > 0 {
+		return 0
+	}
 	n := max(e.Slots-e.Requests, 0)
 	if e.Limited {
 		n = min(n, e.AllowedNow)
@@ -282,7 +299,7 @@
 	for i := range endpoints {
 		e := &endpoints[i]
 		switch {
-		case !e.Usable:
+		case !e.Usable || e.RestLeft > 0:
 		case e.Limited:
 			n += min(e.Slots, e.Requests+e.freeSlots())
 		default:
--- a/core/admit/admit_test.go
+++ b/core/admit/admit_test.go
@@ -215,3 +215,37 @@
 		t.Errorf("%d of %d slots are free, want 1 of 1", free, slots)
 	}
 }
+
+// Guards against a request that is sent to an endpoint during its rest because no other is
+// usable, and against a refusal that names another time than the end of the first rest.
+func TestRestingEndpointIsNotUsed(t *testing.T) {
+	resting := func(left time.Duration) Endpoint {
+		return Endpoint{SameZone: true, Usable: true, Slots: 10, RestLeft: left, Pace: Pace{FirstEvent: 50 * time.Millisecond}}
+	}
+	full := Endpoint{Usable: true, Slots: 1, Requests: 50, OutputTokens: 50000, Pace: Pace{PerOutputToken: time.Second}}
+	r := Request{Target: time.Second, UntilTarget: time.Second, UntilDeadline: time.Minute, AvoidEndpoint: -1, TierCount: 1}
+	for name, tt := range map[string]struct {
+		endpoints []Endpoint
+		restWait  time.Duration
+	}{
+		"alone":              {[]Endpoint{resting(2 * time.Second)}, 2 * time.Second},
+		"all rest":           {[]Endpoint{resting(2 * time.Second), resting(time.Second)}, time.Second},
+		"next to a failed":   {[]Endpoint{resting(time.Second), {Slots: 10}}, time.Second},
+		"next to a full one": {[]Endpoint{resting(time.Second), full}, 0},
+		"after a failed one": {[]Endpoint{{Slots: 10}, resting(time.Second)}, time.Second},
+	} {
+		dec := Decide(r, tt.endpoints)
+		if dec.Endpoint >= 0 || dec.Reason != Full || dec.RestWait != tt.restWait || dec.RetryAfter < tt.restWait {
+			t.Errorf("%s: %+v", name, dec)
+		}
+		if tt.restWait > 0 && dec.FirstEvent-dec.SlotWait != 50*time.Millisecond {
+			t.Errorf("%s: %v of work is expected, want 50ms", name, dec.FirstEvent-dec.SlotWait)
+		}
+	}
+	if dec := Decide(r, []Endpoint{resting(time.Second), {Usable: true, Slots: 10}}); dec.Endpoint != 1 {
+		t.Errorf("sent to %d, %v", dec.Endpoint, dec.Reason)
+	}
+	if free, slots := FreeSlots([]Endpoint{resting(1)}), UsableSlots([]Endpoint{resting(1)}); free != 0 || slots != 0 {
+		t.Errorf("%d of %d slots of a resting endpoint are free", free, slots)
+	}
+}
--- a/core/drain/drain.go
+++ b/core/drain/drain.go
@@ -8,7 +8,11 @@
 // The package uses no network, clock or random source. A Tracker is owned by one goroutine.
 package drain
 
-import "lycheepond/core/recent"
+import (
+	"strconv"
+
+	"lycheepond/core/recent"
+)
 
 const (
 	// maxEndpoints bounds the memory of a Tracker. The endpoints that have not been looked
@@ -25,6 +29,14 @@
 	Incarnation int64
 }
 
+// ID returns the start as one string.
+func (s Start) ID() string {
+	if s.Incarnation == 0 {
+		return s.Endpoint
+	}
+	return s.Endpoint + "@" + strconv.FormatInt(s.Incarnation, 10)
+}
+
 // Tracker tracks which starts of endpoints are leaving.
 type Tracker struct {
 	// latest holds, by endpoint, the latest start that is leaving. All earlier ones have
--- a/core/logs/event.go
+++ b/core/logs/event.go
@@ -27,6 +27,7 @@
 	EventOwnerLate        Event = "owner_late"
 	EventEndpointMoved    Event = "endpoint_moved"
 	EventEndpointLeaving  Event = "endpoint_leaving"
+	EventEndpointRests    Event = "endpoint_rests"
 	EventPeerRecovered    Event = "peer_heard"
 	EventLinesDropped     Event = "lines_dropped"
 	EventEntryForgotten   Event = "entry_forgotten"
--- a/core/wire/tally.go
+++ b/core/wire/tally.go
@@ -46,12 +46,14 @@
 	// Leaving holds endpoints that stated in answers to the sender that they are
 	// leaving.
 	Leaving []LeavingEndpoint
+	// Rests holds the rests that endpoints have asked the sender for, if they changed.
+	Rests []Rest
 }
 
 // HasChanges reports whether the tally contains anything besides the information that
 // its sender is alive.
 func (t *Tally) HasChanges() bool {
-	return len(t.Customers)+len(t.Endpoints)+len(t.Queues)+len(t.Freshness)+len(t.Suspects)+len(t.Limits)+len(t.Rollouts)+len(t.Leaving) > 0
+	return len(t.Customers)+len(t.Endpoints)+len(t.Queues)+len(t.Freshness)+len(t.Suspects)+len(t.Limits)+len(t.Rollouts)+len(t.Leaving)+len(t.Rests) > 0
 }
 
 // Suspect is the sender's report on a request that may have crashed endpoints. Its
@@ -150,6 +152,15 @@
 	Incarnation int64
 }
 
+// Rest is a rest that an endpoint has asked the sender for: it wants no requests from it.
+type Rest struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	// Start identifies a start of an endpoint. LeftMS is what was left of the rest when
+	// the tally was sent, in milliseconds.
+	Start  string
+	LeftMS uint32
+}
+
 // Relay forwards the tallies of other entries.
 type Relay struct {
 	_msgpack struct{} `msgpack:",as_array"`
--- a/core/wire/tallycode.go
+++ b/core/wire/tallycode.go
@@ -10,7 +10,7 @@
 const (
 	// tallyFields is the number of fields of a tally when readers required exactly
 	// this number. The others are the numbers of fields with UptimeMS and Freshness,
-	// Capacity, Suspects, Limits, Rollouts and Leaving appended in turn.
+	// Capacity, Suspects, Limits, Rollouts, Leaving and Rests appended in turn.
 	tallyFields     = 10
 	freshnessFields = tallyFields + 2
 	capacityFields  = freshnessFields + 1
@@ -18,6 +18,7 @@
 	limitsFields    = suspectFields + 1
 	rolloutFields   = limitsFields + 1
 	leavingFields   = rolloutFields + 1
+	restFields      = leavingFields + 1
 	// moreFieldsMark is added to the names in MissingFrom by a sender that reads
 	// tallies with more than tallyFields fields. No entry has this name, and readers
 	// that require exactly tallyFields only search the list for their own name.
@@ -42,6 +43,8 @@
 	fields := []any{t.Addr, t.ConfigRevision, t.RosterRevision, t.Customers, t.Endpoints, t.Entries, t.Seq, t.Full, t.MissingFrom, t.Queues}
 	n := tallyFields
 	switch {
+	case len(t.Rests) > 0:
+		n = restFields
 	case len(t.Leaving) > 0:
 		n = leavingFields
 	case len(t.Rollouts) > 0:
@@ -81,7 +84,10 @@
 	if err := e.Encode(t.Rollouts); err != nil || n < leavingFields {
 		return err
 	}
-	return e.Encode(t.Leaving)
+	if err := e.Encode(t.Leaving); err != nil || n < restFields {
+		return err
+	}
+	return e.Encode(t.Rests)
 }
 
 // DecodeMsgpack also reads a tally of an older version, which lacks fields after
@@ -133,7 +139,13 @@
 	if err := d.Decode(&t.Leaving); err != nil {
 		return err
 	}
-	for range n - leavingFields {
+	if n < restFields {
+		return nil
+	}
+	if err := d.Decode(&t.Rests); err != nil {
+		return err
+	}
+	for range n - restFields {
 		if err := d.Skip(); err != nil {
 			return err
 		}
--- a/entry/direct/attempt.go
+++ b/entry/direct/attempt.go
@@ -43,8 +43,8 @@
 	needsRoom bool
 	// shard is the shard to place the job in, nil for the whole pool.
 	shard *poolShard
-	// zone is the zone of the entry for which a shard's owner places the job.
-	zone string
+	// from is the entry for which a shard's owner places the job.
+	from sender
 }
 
 // placeJob chooses an endpoint for a job and counts the job there. If it refuses the job, the
@@ -58,9 +58,9 @@
 	if j.Pool.Engine {
 		req.OutputTokens = opts.outputTokens
 	}
-	endpoints, zone := p.endpoints, d.view.zone
+	endpoints, from := p.endpoints, sender{zone: d.view.zone}
 	if opts.shard != nil {
-		endpoints, zone = opts.shard.endpoints, opts.zone
+		endpoints, from = opts.shard.endpoints, opts.from
 	}
 	for i, e := range endpoints {
 		if e.ID == opts.avoidID {
@@ -75,7 +75,7 @@
 			req.Target = math.MaxInt64
 		}
 	}
-	candidates := d.view.describeEndpoints(p, endpoints, zone, j.Pool, now, d.sinceStart(now))
+	candidates := d.view.describeEndpoints(p, endpoints, from, j.Pool, now, d.sinceStart(now))
 	for i, e := range endpoints {
 		candidates[i].Bias = waitq.FixedDraw(d.cfg.Addr, e.ID)
 		candidates[i].YieldSlots = d.yieldsSlot(e, candidates[i].Slots-candidates[i].Requests, opts.entryShare, now)
--- a/entry/direct/canary.go
+++ b/entry/direct/canary.go
@@ -110,7 +110,7 @@
 	if !d.view.rollouts.AdmitToTrial(d.sinceStart(now), p.name, q) {
 		return nil, admit.Decision{}, false
 	}
-	candidates := d.view.describeEndpoints(p, []*endpoint{e}, d.view.zone, j.Pool, now, d.sinceStart(now))
+	candidates := d.view.describeEndpoints(p, []*endpoint{e}, sender{zone: d.view.zone}, j.Pool, now, d.sinceStart(now))
 	dec := admit.Decide(req, candidates)
 	if dec.Endpoint < 0 {
 		d.view.rollouts.ReturnTrial(p.name, e.Version)
@@ -134,7 +134,7 @@
 	offset := d.view.rollouts.PreferredEndpoint(since, p.name, len(p.trialEndpoints))
 	for i := range p.trialEndpoints {
 		e := p.trialEndpoints[(offset+i)%len(p.trialEndpoints)]
-		if e.ownWork.requests+e.peerWork.requests < maxRequests && e.warmAt <= since && d.view.health.Usable(since, e.ID) && !e.hasMoved(now) {
+		if e.ownWork.requests+e.peerWork.requests < maxRequests && e.warmAt <= since && d.view.health.Usable(since, e.ID) && !e.hasMoved(now) && (d.view.rests.Empty() || d.view.rests.Left(since, e.startID()) == 0) {
 			return e
 		}
 	}
--- a/entry/direct/direct.go
+++ b/entry/direct/direct.go
@@ -171,6 +171,7 @@
 	d.mergeLimits(peer, t.Limits)
 	d.mergeRollouts(peer, restarted, t.Rollouts)
 	d.mergeLeaving(peer, t.Leaving)
+	d.mergeRests(peer, restarted, t.Rests)
 	d.dispatchAllQueued()
 }
 
@@ -286,7 +287,7 @@
 		case <-sweepTicker.C:
 			d.cfg.Client.CloseExpired()
 		case <-probeTicker.C:
-			d.dispatchLimited()
+			d.dispatchTimed()
 			d.evaluateRollouts()
 			if owners := d.shardOwners(); len(owners) > 0 {
 				d.cfg.Peers.KeepLinks(owners)
--- a/entry/direct/job.go
+++ b/entry/direct/job.go
@@ -106,6 +106,9 @@
 	Outcome Outcome
 	// RetryAfter is the time after which a refused caller should retry.
 	RetryAfter time.Duration
+	// RefusedUntilRetry is set if every earlier retry would be refused too. Otherwise
+	// RetryAfter is an estimate, and a caller with little time left may return earlier.
+	RefusedUntilRetry bool
 	// Reason describes the cause in a few words, for logs.
 	Reason string
 	// Placement describes the last placement.
@@ -154,6 +157,10 @@
 	NotRun bool
 	// WrongEndpoint is set if another endpoint has the address now.
 	WrongEndpoint bool
+	// HasRest is set if the endpoint has turned the request away and asks for a rest: to get
+	// no requests from this entry for the time Rest.
+	HasRest bool
+	Rest    time.Duration
 	// Leaving is set if the endpoint says that it is leaving.
 	Leaving bool
 	// Signed is set if the answer carries the endpoint's signature.
--- a/entry/direct/leaving.go
+++ b/entry/direct/leaving.go
@@ -26,8 +26,11 @@
 func (d *Director) checkSendable(a *attempt) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.view.leaving.IsLeaving(a.start) {
+	switch {
+	case d.view.leaving.IsLeaving(a.start):
 		return errLeaving
+	case !d.view.rests.Empty() && d.view.rests.Left(d.sinceStart(time.Now()), a.start.ID()) > 0:
+		return errResting
 	}
 	return nil
 }
@@ -36,11 +39,12 @@
 // about the endpoint that sent it.
 func (d *Director) observeHead(a *attempt, answer *hop.Answer) {
 	m := d.cfg.ReadMeta(answer)
-	if !m.Leaving || m.WrongEndpoint {
+	if m.WrongEndpoint || !m.Leaving && !m.HasRest {
 		return
 	}
 	d.mu.Lock()
-	isNew := d.view.leaving.Record(a.start)
+	d.observeRest(a, m)
+	isNew := m.Leaving && d.view.leaving.Record(a.start)
 	if isNew {
 		d.applyLeaving(a.start, "")
 	}
--- a/entry/direct/limit.go
+++ b/entry/direct/limit.go
@@ -81,13 +81,16 @@
 	}
 }
 
-// dispatchLimited dispatches queued requests to rate-limited endpoints that have tokens again.
-func (d *Director) dispatchLimited() {
+// dispatchTimed dispatches queued requests to endpoints that have room again because time has
+// passed: rate-limited ones with new tokens, and those whose rest has ended.
+func (d *Director) dispatchTimed() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if !d.view.limits.Empty() {
-		d.dispatchAllQueued()
+	if d.view.limits.Empty() && d.view.rests.Empty() && len(d.view.peerRests) == 0 {
+		return
 	}
+	d.dispatchAllQueued()
+	d.view.sweepRests(d.sinceStart(time.Now()))
 }
 
 // limitReports returns the rate limit reports for a tally: the changed ones, and with resend
--- a/entry/direct/place.go
+++ b/entry/direct/place.go
@@ -144,7 +144,7 @@
 			continue
 		}
 		l := shard.Load{Key: k}
-		candidates := d.view.describeEndpoints(p, s.endpoints, d.view.zone, j.Pool, now, d.sinceStart(now))
+		candidates := d.view.describeEndpoints(p, s.endpoints, sender{zone: d.view.zone}, j.Pool, now, d.sinceStart(now))
 		l.Slots, l.FreeSlots = admit.UsableSlots(candidates), admit.FreeSlots(candidates)
 		l.RequestsAhead = d.view.queueCounts.countAhead(o, poolTier{j.Pool.Name, j.Tier}, o == d.cfg.Peers.Self)
 		out = append(out, l)
@@ -194,7 +194,7 @@
 	if s == nil {
 		return nil, admit.Decision{}, false
 	}
-	a, dec := d.placeOrWait(ctx, j, p, queueOptions{shard: s, zone: d.view.zone, mayQueue: mayQueue})
+	a, dec := d.placeOrWait(ctx, j, p, queueOptions{shard: s, from: sender{zone: d.view.zone}, mayQueue: mayQueue})
 	return a, dec, true
 }
 
@@ -253,7 +253,7 @@
 }
 
 // applyGrant turns an owner's answer into an attempt or a refusal. It returns false if the
-// owner could not decide or does not know yet that the endpoint is leaving. The caller holds
+// owner could not decide or does not know yet that the endpoint is leaving or rests. The caller holds
 // d.mu.
 func (d *Director) applyGrant(j *Job, p *pool, owner string, reply *wire.PlaceReply) (*attempt, admit.Decision, bool) {
 	if !reply.Decided {
@@ -270,6 +270,9 @@
 	}
 	e := d.view.endpoints[reply.Endpoint]
 	switch {
+	case e != nil && !d.view.rests.Empty() && d.view.rests.Left(d.sinceStart(time.Now()), e.startID()) > 0:
+		d.cfg.Peers.Send(owner, &wire.PlaceReport{ID: reply.ID, Outcome: wire.PlaceDropped})
+		return nil, admit.Decision{}, false
 	case e != nil && !e.Leaving && e.Pool == j.Pool.Name && d.view.rollouts.RoleOf(e.Pool, e.Version) == canary.InService:
 	case e == nil && reply.RosterRevision > d.view.roster.Revision && !d.view.rollouts.HasOpenOrder(j.Pool.Name) && !d.view.leaving.IsLeaving(drain.Start{Endpoint: reply.Endpoint}):
 		e = &endpoint{Endpoint: route.Endpoint{ID: reply.Endpoint, Addr: reply.Addr, Pool: j.Pool.Name, Slots: reply.Slots}}
--- a/entry/direct/place_test.go
+++ b/entry/direct/place_test.go
@@ -67,7 +67,7 @@
 		return d
 	}
 	p.requester, p.owner = entry("asker"), entry("owner")
-	p.session = p.owner.NewSession(t.Context(), "z", func(m wire.Message) error {
+	p.session = p.owner.NewSession(t.Context(), "asker", "z", func(m wire.Message) error {
 		if !p.linkDown.Load() {
 			go p.requester.HandlePlaceReply("owner", m.(*wire.PlaceReply))
 		}
--- a/entry/direct/poison.go
+++ b/entry/direct/poison.go
@@ -1,7 +1,6 @@
 package direct
 
 import (
-	"strconv"
 	"time"
 
 	"lycheepond/core/logs"
@@ -11,12 +10,7 @@
 )
 
 // startID identifies one start of an endpoint.
-func (e *endpoint) startID() string {
-	if e.Incarnation == 0 {
-		return e.ID
-	}
-	return e.ID + "@" + strconv.FormatInt(e.Incarnation, 10)
-}
+func (e *endpoint) startID() string { return e.start().ID() }
 
 // probeDelayStep is how much later an entry may send a probe than the entry ranked before it.
 // It is longer than reports take to reach the later entry.
@@ -50,7 +44,7 @@
 
 // quarantineResult returns the result of a job in quarantine.
 func quarantineResult(retry time.Duration) Result {
-	return Result{Outcome: Quarantined, RetryAfter: retry, Reason: "quarantined: it crashed endpoints"}
+	return Result{Outcome: Quarantined, RetryAfter: retry, RefusedUntilRetry: true, Reason: "quarantined: it crashed endpoints"}
 }
 
 // isSuspect reports whether retries of a job are left to its caller because it may crash
@@ -142,12 +136,13 @@
 	d.applyQuarantineChanges()
 }
 
-// AddReports adds reports on suspect requests, rate limits, rollouts and leaving endpoints to
-// a tally: the changed ones, and with resend also those that a new peer needs.
+// AddReports adds reports on suspect requests, rate limits, rollouts, leaving endpoints and
+// rests to a tally: the changed ones, and with resend also those that a new peer needs.
 func (d *Director) AddReports(t *wire.Tally, resend bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	t.Suspects, t.Limits, t.Rollouts, t.Leaving = d.suspectReports(resend), d.limitReports(resend), d.rolloutReports(resend), d.leavingReports(resend)
+	t.Suspects, t.Limits, t.Rollouts = d.suspectReports(resend), d.limitReports(resend), d.rolloutReports(resend)
+	t.Leaving, t.Rests = d.leavingReports(resend), d.restReports(resend)
 }
 
 // suspectReports returns the reports on suspect requests for a tally. The caller holds d.mu.
--- a/entry/direct/rig_test.go
+++ b/entry/direct/rig_test.go
@@ -208,3 +208,15 @@
 	}
 	return true
 }
+
+// contextWithRun runs the periodic work of a director until stop is called.
+func contextWithRun(t *testing.T, d *Director) (ctx context.Context, stop func()) {
+	t.Helper()
+	runCtx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- d.Run(runCtx) }()
+	return t.Context(), func() {
+		cancel()
+		<-ended
+	}
+}
--- a/entry/direct/send.go
+++ b/entry/direct/send.go
@@ -100,6 +100,9 @@
 	case errors.Is(err, errLeaving):
 		a.withdraw()
 		return attemptResult{result: Result{Reason: "endpoint is leaving"}}
+	case errors.Is(err, errResting):
+		a.withdraw()
+		return attemptResult{result: Result{Reason: "endpoint rests"}}
 	case errors.Is(err, hop.ErrNotSent):
 		a.returnReservations()
 		if t.ctx.Err() == nil {
--- a/entry/direct/serve.go
+++ b/entry/direct/serve.go
@@ -50,7 +50,9 @@
 	}
 	if dec.Endpoint < 0 {
 		d.refund(j)
-		return Result{Outcome: Refused, RetryAfter: dec.RetryAfter, Reason: dec.Reason.String(), Placement: a.placement}
+		res := d.refusal(j, dec.RetryAfter, dec.Reason.String())
+		res.Placement = a.placement
+		return res
 	}
 	if retry := d.admitQuarantined(j); retry > 0 {
 		// The quarantine began while the job was queued.
--- a/entry/direct/session.go
+++ b/entry/direct/session.go
@@ -21,7 +21,7 @@
 // called by one goroutine.
 type Session struct {
 	d     *Director
-	zone  string
+	peer  sender
 	reply func(m wire.Message) error
 	// ctx ends with the session.
 	ctx  context.Context
@@ -37,8 +37,8 @@
 
 // NewSession returns a session that places requests for a peer in a zone. reply sends a
 // message to the peer.
-func (d *Director) NewSession(ctx context.Context, zone string, reply func(m wire.Message) error) *Session {
-	s := &Session{d: d, zone: zone, reply: reply, placements: make(map[uint64]*attempt), cancelWaits: make(map[uint64]context.CancelFunc)}
+func (d *Director) NewSession(ctx context.Context, peer, zone string, reply func(m wire.Message) error) *Session {
+	s := &Session{d: d, peer: sender{peer, zone}, reply: reply, placements: make(map[uint64]*attempt), cancelWaits: make(map[uint64]context.CancelFunc)}
 	s.ctx, s.stop = context.WithCancel(ctx)
 	return s
 }
@@ -84,7 +84,7 @@
 		return
 	}
 	j := jobFromRequest(m, cfg)
-	a, dec, w := s.d.placeOrEnqueue(j, p, queueOptions{shard: target, zone: s.zone, mayQueue: m.MayQueue})
+	a, dec, w := s.d.placeOrEnqueue(j, p, queueOptions{shard: target, from: s.peer, mayQueue: m.MayQueue})
 	if w == nil {
 		s.sendDecision(m.ID, a, dec)
 		return
--- a/entry/direct/size_test.go
+++ b/entry/direct/size_test.go
@@ -153,7 +153,7 @@
 	if l == nil {
 		l = new(connection)
 		n.connections[[2]string{from, to}] = l
-		l.session = n.directors[to].NewSession(n.ctx, n.zones[from], func(m wire.Message) error {
+		l.session = n.directors[to].NewSession(n.ctx, from, n.zones[from], func(m wire.Message) error {
 			l.inbound.send(func() { n.directors[from].HandlePlaceReply(to, m.(*wire.PlaceReply)) })
 			return nil
 		})
--- a/entry/direct/task.go
+++ b/entry/direct/task.go
@@ -102,7 +102,11 @@
 	if missing := t.missingForRetry(t.runCount, t.sendCount); missing != "" {
 		return nil, missing
 	}
-	return t.d.reserve(t.job, a, placementOptions{avoidID: a.id, outputTokens: t.remainingOutput(), entryShare: 1}, !got.wasReceived)
+	next, missing := t.d.reserve(t.job, a, placementOptions{avoidID: a.id, outputTokens: t.remainingOutput(), entryShare: 1}, !got.wasReceived)
+	if next == nil && t.runCount == 0 && t.d.restWait(t.job) > 0 {
+		next = t.reserveAfterRest(a, !got.wasReceived)
+	}
+	return next, missing
 }
 
 // missingForRetry returns what a job lacks for another attempt, apart from a retry in the
@@ -140,7 +144,7 @@
 	case t.runCount > 0:
 		return Result{Outcome: Unknown, Reason: reason}
 	}
-	return Result{Outcome: Refused, RetryAfter: busyRetryAfter, Reason: reason}
+	return t.d.refusal(t.job, busyRetryAfter, reason)
 }
 
 // runAttempt sends the job to one endpoint.
--- a/entry/direct/view.go
+++ b/entry/direct/view.go
@@ -12,6 +12,7 @@
 	"lycheepond/core/limit"
 	"lycheepond/core/poison"
 	"lycheepond/core/quota"
+	"lycheepond/core/rest"
 	"lycheepond/core/retry"
 	"lycheepond/core/route"
 	"lycheepond/core/shard"
@@ -55,6 +56,10 @@
 	quota     *quota.Limiter
 	rollouts  *canary.Controller
 	leaving   *drain.Tracker
+	// rests holds the rests that endpoints have asked this entry for, peerRests those that
+	// they have asked peers for, as far as these have reported them.
+	rests     rest.Tracker
+	peerRests map[string]*rest.Tracker
 	// peerLoads holds the work in flight that the peers have reported, by peer and endpoint.
 	peerLoads map[string]map[string]wire.EndpointLoad
 	// tallyAt is when each peer's last tally arrived.
@@ -173,7 +178,7 @@
 func newView(zone string, rule canary.Limit) *view {
 	return &view{
 		zone: zone, table: route.NewTable(route.Config{}), endpoints: make(map[string]*endpoint),
-		pools: make(map[string]*pool), health: health.New(), poison: poison.New(), limits: limit.New(), quota: quota.New(), rollouts: canary.New(rule), leaving: drain.New(),
+		pools: make(map[string]*pool), health: health.New(), poison: poison.New(), limits: limit.New(), quota: quota.New(), rollouts: canary.New(rule), leaving: drain.New(), peerRests: make(map[string]*rest.Tracker),
 		peerLoads: make(map[string]map[string]wire.EndpointLoad), unreportedWork: make(map[string]bool), unreportedUsage: make(map[string]bool),
 		queueCounts: newQueueCounts(), tallyAt: make(map[string]time.Time),
 	}
@@ -282,6 +287,7 @@
 		e.Leaving = e.Leaving || v.leaving.IsLeaving(e.start())
 	}
 	v.forgetStaleLimits()
+	v.sweepRests(now)
 	v.updateVersions(now)
 	v.assignAllEndpoints()
 	v.recountPeerWork()
@@ -368,24 +374,33 @@
 
 // describePool returns the state of a pool's endpoints as the argument of a decision.
 func (v *view) describePool(p *pool, cfg *route.Pool, now time.Time, sinceStart time.Duration) []admit.Endpoint {
-	return v.describeEndpoints(p, p.endpoints, v.zone, cfg, now, sinceStart)
+	return v.describeEndpoints(p, p.endpoints, sender{zone: v.zone}, cfg, now, sinceStart)
 }
 
-// describeEndpoints is like describePool for the given endpoints of the pool, as an entry in the
-// given zone sees them. The result is valid until the next call for the pool.
-func (v *view) describeEndpoints(p *pool, endpoints []*endpoint, zone string, cfg *route.Pool, now time.Time, sinceStart time.Duration) []admit.Endpoint {
+// sender is the entry that sends a request. peer is empty for this entry.
+type sender struct{ peer, zone string }
+
+// describeEndpoints is like describePool for the given endpoints of the pool and a request that
+// an entry sends. The result is valid until the next call for the pool.
+func (v *view) describeEndpoints(p *pool, endpoints []*endpoint, from sender, cfg *route.Pool, now time.Time, sinceStart time.Duration) []admit.Endpoint {
 	out := p.scratch[:0]
 	silenceBound := serviceSilenceBound
 	if cfg.Engine {
 		silenceBound = engineSilenceBound
 	}
+	rests := v.restsOf(from.peer)
 	for _, e := range endpoints {
+		slots, restLeft := e.slots(cfg), time.Duration(0)
+		if !rests.Empty() {
+			slots, restLeft = rests.Slots(sinceStart, e.startID(), slots), rests.Left(sinceStart, e.startID())
+		}
 		sum := e.peerWork
 		sum.add(e.ownWork, 1)
 		sum.requests += e.uncountedRequests(now)
 		out = append(out, admit.Endpoint{
 			RateLimit: v.endpointLimit(e, sinceStart),
-			SameZone:  e.Zone == zone, Usable: v.health.Usable(sinceStart, e.ID) && !e.isSilent(now, silenceBound) && !e.hasMoved(now), Slots: e.slots(cfg),
+			RestLeft:  restLeft,
+			SameZone:  e.Zone == from.zone, Usable: v.health.Usable(sinceStart, e.ID) && !e.isSilent(now, silenceBound) && !e.hasMoved(now), Slots: slots,
 			Requests: sum.requests, PromptTokens: sum.promptTokens, OutputTokens: sum.outputTokens,
 			KVTokensNeeded: sum.kvTokens, KVTokens: cfg.KVTokens, Pace: p.learner.Pace(e.ID),
 		})
--- a/entry/direct/wait.go
+++ b/entry/direct/wait.go
@@ -29,8 +29,8 @@
 type queueOptions struct {
 	// shard is nil for the whole pool.
 	shard *poolShard
-	// zone is the zone of the entry that sends the job.
-	zone string
+	// from is the entry that sends the job.
+	from sender
 	// mayQueue is set if the job may be queued.
 	mayQueue bool
 }
@@ -81,12 +81,12 @@
 	queue := p.queueOf(opts.shard)
 	requestsAhead := queue.CountAhead(position)
 	c := d.contention(1, p, j, opts)
-	a, dec := d.placeJob(j, placementOptions{outputTokens: j.OutputTokens, othersFirst: requestsAhead > 0 || c.Blocked(), entryShare: c.Share(), shard: opts.shard, zone: opts.zone})
+	a, dec := d.placeJob(j, placementOptions{outputTokens: j.OutputTokens, othersFirst: requestsAhead > 0 || c.Blocked(), entryShare: c.Share(), shard: opts.shard, from: opts.from})
 	if dec.Reason != admit.Full || !opts.mayQueue {
 		return a, dec, nil
 	}
-	maxWait := waitq.MaxWait(j.Route.Target, j.firstEventDue().Sub(now), dec.FirstEvent-dec.SlotWait)
-	if expectedWait := time.Duration(requestsAhead+c.HigherTierRequests+c.SameTierRequests+1) * dec.SlotInterval; expectedWait > maxWait {
+	maxWait := maxQueueTime(j, now, dec)
+	if expectedWait := dec.RestWait + time.Duration(requestsAhead+c.HigherTierRequests+c.SameTierRequests+1)*dec.SlotInterval; expectedWait > maxWait {
 		dec.RetryAfter = max(dec.RetryAfter, expectedWait)
 		return a, dec, nil
 	}
@@ -157,10 +157,11 @@
 	queue.SendInOrder(func(r *waitq.Request[*waiter]) (sent, more bool) {
 		j, opts := r.Value.job, r.Value.options
 		c := d.contention(0, p, j, opts)
-		a, dec := d.placeJob(j, placementOptions{outputTokens: j.OutputTokens, othersFirst: c.Blocked(), entryShare: c.Share(), shard: opts.shard, zone: opts.zone})
+		a, dec := d.placeJob(j, placementOptions{outputTokens: j.OutputTokens, othersFirst: c.Blocked(), entryShare: c.Share(), shard: opts.shard, from: opts.from})
 		if dec.Endpoint < 0 {
-			// A job that waits because of its prompt does not keep others from a slot.
-			return false, dec.Reason != admit.Full
+			// A job that waits because of its prompt, or because the endpoints rest for the
+			// entry that sends it, does not keep others from a slot.
+			return false, dec.Reason != admit.Full || dec.RestWait > 0 && opts.shard != nil
 		}
 		r.Value.attempt, r.Value.decision = a, dec
 		d.view.queueCounts.addOwn(poolTier{j.Pool.Name, j.Tier}, -1)
--- a/entry/door/answer.go
+++ b/entry/door/answer.go
@@ -63,7 +63,10 @@
 func (a *answer) serve(j *direct.Job) {
 	a.setDeadline(j.End().Add(writeGrace))
 	res := a.server.cfg.Serve(a.r.Context(), j, direct.Sink{Head: a.writeHead, Write: a.write, Flush: a.flush})
-	refusal := &Refusal{RetryAfter: min(res.RetryAfter, max(time.Until(j.Deadline)/3, 0)), Reason: res.Reason}
+	refusal := &Refusal{RetryAfter: res.RetryAfter, Reason: res.Reason}
+	if !res.RefusedUntilRetry {
+		refusal.RetryAfter = min(res.RetryAfter, max(time.Until(j.Deadline)/3, 0))
+	}
 	switch res.Outcome {
 	case direct.Complete:
 		a.finish()
@@ -74,11 +77,8 @@
 		panic(http.ErrAbortHandler)
 	case direct.Limited:
 		refusal.Status = http.StatusTooManyRequests
-	case direct.Refused:
+	case direct.Refused, direct.Quarantined:
 		refusal.Status = http.StatusServiceUnavailable
-	case direct.Quarantined:
-		// A retry within the deadline would be refused again.
-		refusal.Status, refusal.RetryAfter = http.StatusServiceUnavailable, res.RetryAfter
 	case direct.TimedOut:
 		refusal.Status = http.StatusGatewayTimeout
 	default:
--- a/entry/mesh/accept.go
+++ b/entry/mesh/accept.go
@@ -76,7 +76,7 @@
 				if m.cfg.ServePlacements == nil {
 					return
 				}
-				handlePlacement, endPlacements = m.cfg.ServePlacements(ctx, hello.Zone, link.Send)
+				handlePlacement, endPlacements = m.cfg.ServePlacements(ctx, hello.Name, hello.Zone, link.Send)
 				m.addPlacementLinks(1)
 			}
 			handlePlacement(t)
--- a/entry/mesh/mesh.go
+++ b/entry/mesh/mesh.go
@@ -78,7 +78,7 @@
 	// sends over a link. It returns a function that handles the peer's messages and
 	// one that ends the service. Both are called by the goroutine of the link. If
 	// nil, such messages are ignored.
-	ServePlacements func(ctx context.Context, zone string, reply func(m wire.Message) error) (handle func(m wire.Message), end func())
+	ServePlacements func(ctx context.Context, peer, zone string, reply func(m wire.Message) error) (handle func(m wire.Message), end func())
 	// OnPlaceReply handles a peer's reply to a placement message of this entry.
 	// OnLinkClosed is called when the link over which such messages were sent has
 	// ended. Both may be nil.
