A store that comes back with an older copy: eras order revisions, the operator's version decides

Cause: the store's revisions were taken for a clock that only rises. Entries held revision 26 of the configuration; the store went back to 20, and the versions that it acknowledged as 24 and 25 were dropped as older, while the checks that brought them counted as evidence that 26 was current. Evidence: knowledge_fresh at revision 26 without config_changed, whose next line has the first revision above 26. Besides, each entry read the lists up to 300 times a second meanwhile: the watch failed, and each list was put aside as older than the copy.

A new era alone leads to a whole read of every list; a list that is older without one is read with pauses. The operator's version decides about the configuration (route.Table.Merge): an older one at a newer revision leaves it, and entries that only have that are sent the newer one (ConfigAhead in tallies). core/roster defers removals, keeps endpoints that leave out, and those that were gone until their items change or stay for 6 s. core/canary: an order that was written again keeps its state, another one must stay for 3 s. Quarantines, and their removal, are written again; registrations and states of roll-outs follow from the lists.

--- a/core/canary/canary.go
+++ b/core/canary/canary.go
@@ -16,6 +16,8 @@
 
 import (
 	"time"
+
+	"lycheepond/core/epoch"
 )
 
 // Limit bounds the requests that may be sent to a new version, which may turn out to be
@@ -27,13 +29,18 @@
 	Share, Slack float64
 }
 
+// settleTime is how long an order of a new era must be stored before it replaces another one.
+// A platform that has come back with an older copy may hold an earlier order, or none, until
+// the operator has written the lost one again.
+const settleTime = 3 * time.Second
+
 // Order is an operator's order to move a pool to a version.
 type Order struct {
 	Pool, Target string
 	// Duration is the time that the operator allows for the rollout.
 	Duration time.Duration
-	// CreateRevision and Revision are revisions of the platform. CreateRevision is that of
-	// the first order with this name. Revision is one at which the platform held this
+	// CreateRevision and Revision are revisions of the platform, numbered as in package
+	// epoch. CreateRevision is that of the first order with this name. Revision is one at which the platform held this
 	// order; of two orders for a pool, the one with the higher Revision is the later one.
 	CreateRevision, Revision int64
 }
@@ -41,9 +48,18 @@
 // sameOrder reports whether o and p are the same order, possibly seen at different
 // revisions.
 func (o Order) sameOrder(p Order) bool {
-	return o.Pool == p.Pool && o.Target == p.Target && o.Duration == p.Duration && o.CreateRevision == p.CreateRevision
+	return o.sameContent(p) && o.CreateRevision == p.CreateRevision
+}
+
+// sameContent reports whether o and p ask for the same.
+func (o Order) sameContent(p Order) bool {
+	return o.Pool == p.Pool && o.Target == p.Target && o.Duration == p.Duration
 }
 
+// precedesEraOf reports whether the platform came back with an older copy between the revision
+// of o and the given one.
+func (o Order) precedesEraOf(revision int64) bool { return epoch.Era(revision) > epoch.Era(o.Revision) }
+
 // State is the state of an order.
 type State uint8
 
@@ -101,7 +117,19 @@
 	// platform last had no order for the pool.
 	rollout        *rollout
 	cancelRevision int64
-	baselines      map[string]*baseline
+	// unsettled is what the platform holds in place of that order since it came back with an
+	// older copy, or nil.
+	unsettled *unsettledOrder
+	baselines map[string]*baseline
+}
+
+// unsettledOrder is an order that takes effect at settlesAt unless the operator writes the one
+// in force again. Without a target it stands for no order.
+type unsettledOrder struct {
+	Order
+	age       time.Duration
+	stored    State
+	settlesAt time.Duration
 }
 
 // Change is a change of an order's state, for the log.
@@ -300,6 +328,15 @@
 		if o.Revision < r.Revision {
 			return
 		}
+		if r.precedesEraOf(o.Revision) {
+			if !r.sameContent(o) {
+				p.setUnsettled(now, o, age)
+				return
+			}
+			// The operator has written the order again, or the copy holds it.
+			r.CreateRevision, r.Revision, p.unsettled = o.CreateRevision, o.Revision, nil
+			return
+		}
 		if r.state == Running && r.Target != o.Target {
 			p.refused[r.Target] = true
 		}
@@ -328,6 +365,46 @@
 	if p == nil || p.rollout == nil || p.rollout.Revision > revision {
 		return
 	}
+	if p.rollout.precedesEraOf(revision) {
+		p.setUnsettled(now, Order{Pool: pool, Revision: revision}, 0)
+		return
+	}
+	c.cancelOrder(now, p, revision)
+}
+
+// setUnsettled records what the platform holds in a new era in place of the order in force.
+func (p *pool) setUnsettled(now time.Duration, o Order, age time.Duration) {
+	settlesAt := now + settleTime
+	if p.unsettled != nil && p.unsettled.sameOrder(o) {
+		settlesAt = p.unsettled.settlesAt
+	}
+	p.unsettled = &unsettledOrder{Order: o, age: age, settlesAt: settlesAt}
+}
+
+// settle puts what the platform has held since it came back in force once it is due.
+func (c *Controller) settle(now time.Duration, p *pool) {
+	u := p.unsettled
+	if u == nil || now < u.settlesAt {
+		return
+	}
+	p.unsettled = nil
+	if p.rollout == nil || !p.rollout.precedesEraOf(u.Revision) {
+		return
+	}
+	if u.Target == "" {
+		c.cancelOrder(now, p, u.Revision)
+		return
+	}
+	// The revision of the order that is replaced is of the era of its successor from here on.
+	p.rollout.Revision = u.Revision
+	c.AddOrder(now, u.Order, u.age)
+	// The stored state is of this order, not of the one that it replaces.
+	p.rollout.replacedRevision = 0
+	c.MergeStored(now, p.name, u.Target, u.stored, u.Revision)
+}
+
+// cancelOrder removes the order in force.
+func (c *Controller) cancelOrder(now time.Duration, p *pool, revision int64) {
 	p.cancelRevision = revision
 	if p.rollout.state == Running {
 		p.refused[p.rollout.Target] = true
@@ -346,6 +423,10 @@
 	if p == nil || p.rollout == nil {
 		return
 	}
+	if u := p.unsettled; u != nil && u.Target == target && u.Target != "" {
+		u.stored = s
+		return
+	}
 	r := p.rollout
 	r.storedState = s
 	if target != r.Target || revision <= r.replacedRevision {
--- a/core/canary/verdict.go
+++ b/core/canary/verdict.go
@@ -266,6 +266,7 @@
 func (c *Controller) Tick(now time.Duration, f Fleet) []StateWrite {
 	var out []StateWrite
 	for _, p := range c.pools {
+		c.settle(now, p)
 		r := p.rollout
 		if r == nil {
 			continue
@@ -273,7 +274,7 @@
 		if r.state == Running {
 			c.advanceOrder(now, p, f)
 		}
-		if w, ok := r.nextWrite(now, f.Rank); ok {
+		if w, ok := r.nextWrite(now, f.Rank); ok && p.unsettled == nil {
 			out = append(out, w)
 		}
 	}
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -8,6 +8,11 @@
 // times removals are applied immediately, because endpoints that leave must not receive new
 // requests.
 //
+// A platform that comes back with an older copy of the list, in a new era as package epoch
+// has it, may lack endpoints that run, so removals are deferred then too. The copy may also
+// list endpoints that had said that they leave, or were gone. The former keep leaving until
+// their items change; the latter are not used unless they are still listed some time later.
+//
 // The package uses no network, clock or random source. A Tracker is owned by one goroutine.
 package roster
 
@@ -16,6 +21,8 @@
 	"slices"
 	"time"
 
+	"lycheepond/core/epoch"
+	"lycheepond/core/recent"
 	"lycheepond/core/route"
 )
 
@@ -32,11 +39,23 @@
 	// maxHarmlessOutage is the longest outage in which no items of living endpoints expire.
 	// Items outlive two lost heartbeats.
 	maxHarmlessOutage = time.Second
+	// returnTime is how long an endpoint that was gone must be listed again in a new era
+	// before it is used. The platform removes the item of an endpoint that has ended within
+	// a few heartbeats.
+	returnTime = 6 * time.Second
+	// maxGone bounds the memory for endpoints that are gone.
+	maxGone = 1024
 )
 
 // Tracker tracks the instance list. The zero value is an empty list.
 type Tracker struct {
 	endpoints map[string]route.Endpoint
+	// changedAt holds the revision of the last change of each endpoint.
+	changedAt map[string]int64
+	// gone holds the starts of endpoints that were removed. returning holds those that a
+	// later era lists again, which are not used yet.
+	gone      *recent.Table[string, goneStart]
+	returning map[string]returningStart
 	// removalDueAt holds the time at which each deferred removal is to be applied.
 	removalDueAt map[string]time.Duration
 	revision     int64
@@ -51,6 +70,18 @@
 	hadOutage   bool
 }
 
+// goneStart is a start of an endpoint that was removed at a revision.
+type goneStart struct {
+	incarnation, removedAt int64
+}
+
+// returningStart is an endpoint that is to be used from dueAt on.
+type returningStart struct {
+	endpoint route.Endpoint
+	revision int64
+	dueAt    time.Duration
+}
+
 // RecordOutage records that the platform does not answer.
 func (t *Tracker) RecordOutage(now time.Duration) {
 	if !t.inOutage {
@@ -69,31 +100,75 @@
 // ReplaceAll replaces the list by the one of the given revision.
 func (t *Tracker) ReplaceAll(now time.Duration, revision int64, all []route.Endpoint) {
 	t.init()
+	t.noteEra(now, revision)
 	listed := make(map[string]bool, len(all))
 	for _, e := range all {
 		listed[e.ID] = true
-		t.endpoints[e.ID] = e
-		delete(t.removalDueAt, e.ID)
+		t.put(now, revision, e)
 	}
 	for id := range t.endpoints {
 		if !listed[id] {
 			t.removeOrDefer(now, id)
 		}
 	}
+	for id := range t.returning {
+		if !listed[id] {
+			delete(t.returning, id)
+		}
+	}
 	t.revision = max(t.revision, revision)
 }
 
-// Set adds or replaces an endpoint.
-func (t *Tracker) Set(revision int64, e route.Endpoint) {
+// Set adds or replaces an endpoint, whose item changed at a revision.
+func (t *Tracker) Set(now time.Duration, revision int64, e route.Endpoint) {
 	t.init()
-	t.endpoints[e.ID] = e
-	delete(t.removalDueAt, e.ID)
+	t.noteEra(now, revision)
+	t.put(now, revision, e)
 	t.revision = max(t.revision, revision)
 }
 
+// noteEra records that the platform has come back with an older copy if revision is of a new
+// era.
+func (t *Tracker) noteEra(now time.Duration, revision int64) {
+	if t.revision > 0 && epoch.Era(revision) > epoch.Era(t.revision) {
+		t.hadOutage, t.recoveredAt = true, now
+	}
+}
+
+// put adds or replaces an endpoint.
+func (t *Tracker) put(now time.Duration, revision int64, e route.Endpoint) {
+	delete(t.removalDueAt, e.ID)
+	if g := t.gone.Peek(e.ID); g != nil && g.incarnation == e.Incarnation && epoch.Era(revision) > epoch.Era(g.removedAt) {
+		if r, ok := t.returning[e.ID]; !ok || r.revision == revision {
+			dueAt := now + returnTime
+			if ok {
+				dueAt = r.dueAt
+			}
+			t.returning[e.ID] = returningStart{e, revision, dueAt}
+			return
+		}
+		// The item has changed since: the endpoint runs.
+	}
+	delete(t.returning, e.ID)
+	if old, ok := t.endpoints[e.ID]; ok && old.Incarnation == e.Incarnation && epoch.Era(revision) > epoch.Era(t.changedAt[e.ID]) {
+		e.Leaving = e.Leaving || old.Leaving
+	}
+	t.endpoints[e.ID], t.changedAt[e.ID] = e, revision
+}
+
+// remove removes an endpoint.
+func (t *Tracker) remove(id string) {
+	*t.gone.GetOrAdd(id) = goneStart{t.endpoints[id].Incarnation, t.revision}
+	delete(t.endpoints, id)
+	delete(t.changedAt, id)
+	delete(t.removalDueAt, id)
+}
+
 // Remove records that an endpoint is no longer listed.
 func (t *Tracker) Remove(now time.Duration, revision int64, id string) {
 	t.init()
+	t.noteEra(now, revision)
+	delete(t.returning, id)
 	if _, ok := t.endpoints[id]; ok {
 		t.removeOrDefer(now, id)
 	}
@@ -102,8 +177,7 @@
 
 func (t *Tracker) removeOrDefer(now time.Duration, id string) {
 	if !t.hadOutage || now-t.recoveredAt > deferWindow {
-		delete(t.endpoints, id)
-		delete(t.removalDueAt, id)
+		t.remove(id)
 		return
 	}
 	if len(t.removalDueAt) == 0 {
@@ -114,17 +188,21 @@
 	}
 }
 
-// ApplyDeferred applies the deferred removals that are due and reports whether there were
-// any.
+// ApplyDeferred applies the deferred changes that are due and reports whether there were any.
 func (t *Tracker) ApplyDeferred(now time.Duration) bool {
-	n := len(t.removalDueAt)
+	n := len(t.removalDueAt) + len(t.returning)
 	for id, dueAt := range t.removalDueAt {
 		if now >= dueAt {
-			delete(t.removalDueAt, id)
-			delete(t.endpoints, id)
+			t.remove(id)
+		}
+	}
+	for id, r := range t.returning {
+		if now >= r.dueAt {
+			delete(t.returning, id)
+			t.endpoints[id], t.changedAt[id] = r.endpoint, r.revision
 		}
 	}
-	return len(t.removalDueAt) < n
+	return len(t.removalDueAt)+len(t.returning) < n
 }
 
 // HasDeferred reports whether removals are deferred.
@@ -147,6 +225,7 @@
 
 func (t *Tracker) init() {
 	if t.endpoints == nil {
-		t.endpoints, t.removalDueAt = make(map[string]route.Endpoint), make(map[string]time.Duration)
+		t.endpoints, t.changedAt, t.removalDueAt = make(map[string]route.Endpoint), make(map[string]int64), make(map[string]time.Duration)
+		t.gone, t.returning = recent.New[string, goneStart](maxGone), make(map[string]returningStart)
 	}
 }
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"lycheepond/core/epoch"
 	"lycheepond/core/route"
 )
 
@@ -23,7 +24,7 @@
 	if n := len(tracker.Roster().Endpoints); n != 2 {
 		t.Fatalf("%d endpoints right after the return, want 2", n)
 	}
-	tracker.Set(13, route.Endpoint{ID: "a"})
+	tracker.Set(now, 13, route.Endpoint{ID: "a"})
 	if !tracker.ApplyDeferred(now + 3*time.Second) {
 		t.Fatal("the deferred removal was not applied")
 	}
@@ -42,7 +43,7 @@
 	}
 	tracker.RecordOutage(1500 * time.Millisecond)
 	tracker.RecordRecovery(2 * time.Second)
-	tracker.Set(11, route.Endpoint{ID: "c"})
+	tracker.Set(2*time.Second, 11, route.Endpoint{ID: "c"})
 	tracker.Remove(2100*time.Millisecond, 11, "c")
 	if n := len(tracker.Roster().Endpoints); n != 1 {
 		t.Fatalf("%d endpoints after one failed call, want 1", n)
@@ -76,15 +77,70 @@
 	tracker.ReplaceAll(0, 30, twoEndpoints())
 	tracker.RecordOutage(2 * time.Second)
 	tracker.RecordRecovery(11 * time.Second)
-	tracker.Set(36, route.Endpoint{ID: "c"})
+	tracker.Set(11*time.Second, 36, route.Endpoint{ID: "c"})
 	tracker.Remove(11*time.Second, 37, "a")
 	tracker.Remove(11*time.Second, 38, "b")
 	if r := tracker.Roster(); !tracker.HasDeferred() || r.Revision != 36 || len(r.Endpoints) != 3 {
 		t.Fatalf("revision %d with %d endpoints while removals are deferred, want 36 with 3", r.Revision, len(r.Endpoints))
 	}
-	tracker.Set(39, route.Endpoint{ID: "b"})
+	tracker.Set(13*time.Second, 39, route.Endpoint{ID: "b"})
 	tracker.ApplyDeferred(14 * time.Second)
 	if r := tracker.Roster(); tracker.HasDeferred() || r.Revision != 39 || len(r.Endpoints) != 2 {
 		t.Fatalf("revision %d with %d endpoints afterwards, want 39 with 2", r.Revision, len(r.Endpoints))
 	}
 }
+
+// Guards against an instance list from an older copy of the platform that takes endpoints that
+// run out of service, and puts those in service that leave or are gone.
+func TestListOfOlderCopy(t *testing.T) {
+	var tracker Tracker
+	start := func(id string, leaving bool) route.Endpoint {
+		return route.Endpoint{ID: id, Incarnation: 1, Leaving: leaving}
+	}
+	tracker.ReplaceAll(0, 10, []route.Endpoint{start("runs", false), start("leaves", false), start("gone", false), start("returns", false)})
+	tracker.Set(time.Second, 15, start("added", false))
+	tracker.Set(time.Second, 16, start("leaves", true))
+	tracker.Remove(time.Second, 17, "gone")
+	tracker.Remove(time.Second, 18, "returns")
+	restored := 10 * time.Second
+	item := func(n int64) int64 { return epoch.Join(1, n) }
+	for i, id := range []string{"runs", "leaves", "gone", "returns"} {
+		tracker.Set(restored, item(int64(4+i)), start(id, false))
+	}
+	tracker.Remove(restored, item(10), "added")
+	states := func() (out string) {
+		for _, e := range tracker.Roster().Endpoints {
+			out += e.ID
+			if e.Leaving {
+				out += " (leaving)"
+			}
+			out += " "
+		}
+		return out
+	}
+	if got, want := states(), "added leaves (leaving) runs "; got != want {
+		t.Errorf("right after the restore: %q, want %q", got, want)
+	}
+	tracker.Set(restored+time.Second, item(11), start("added", false))
+	tracker.Set(restored+time.Second, item(12), start("returns", false))
+	tracker.ApplyDeferred(restored + 3*time.Second)
+	if got, want := states(), "added leaves (leaving) returns runs "; got != want {
+		t.Errorf("after items were written again: %q, want %q", got, want)
+	}
+	tracker.ApplyDeferred(restored + returnTime)
+	if got, want := states(), "added gone leaves (leaving) returns runs "; got != want {
+		t.Errorf("an endpoint that stays listed must be used in the end: %q, want %q", got, want)
+	}
+	tracker.Remove(restored+returnTime, item(13), "gone")
+	later := restored + time.Minute
+	tracker.Set(later, epoch.Join(2, 4), start("gone", false))
+	tracker.Remove(later+time.Second, epoch.Join(2, 5), "gone")
+	tracker.ApplyDeferred(later + 2*returnTime)
+	if got, want := states(), "added leaves (leaving) returns runs "; got != want {
+		t.Errorf("after a second restore: %q, want %q", got, want)
+	}
+	tracker.Set(later, epoch.Join(2, 9), route.Endpoint{ID: "leaves", Incarnation: 2})
+	if got, want := states(), "added leaves returns runs "; got != want {
+		t.Errorf("the next start of an endpoint: %q, want %q", got, want)
+	}
+}
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -87,12 +87,18 @@
 // Config is one version of the operator's configuration.
 type Config struct {
 	_msgpack struct{} `msgpack:",as_array"`
-	// Revision orders the versions. The platform assigns it, and it only increases.
+	// Revision is the latest revision of the platform, numbered as in package epoch, at
+	// which it held nothing newer than this configuration.
 	Revision  int64
 	Routes    []Route
 	Pools     []Pool
 	Customers []Customer
 	Limits    Limits
+	// Version is the operator's version, which only increases; zero if it is not known.
+	// IsAhead is set if the platform held an older version at Revision. Both are encoded by
+	// Encode only.
+	Version int64 `msgpack:"-"`
+	IsAhead bool  `msgpack:"-"`
 }
 
 // Endpoint is one item of the instance list.
@@ -117,7 +123,7 @@
 // Roster is one version of the instance list.
 type Roster struct {
 	_msgpack struct{} `msgpack:",as_array"`
-	// Revision orders the versions.
+	// Revision orders the versions. It is numbered as in package epoch.
 	Revision  int64
 	Endpoints []Endpoint
 }
--- a/core/route/table.go
+++ b/core/route/table.go
@@ -46,6 +46,15 @@
 // Revision returns the revision of the configuration.
 func (t *Table) Revision() int64 { return t.cfg.Revision }
 
+// Ahead returns the operator's version if the platform held an older one at Revision, otherwise
+// zero.
+func (t *Table) Ahead() int64 {
+	if t.cfg.IsAhead {
+		return t.cfg.Version
+	}
+	return 0
+}
+
 // Find returns the route with the longest prefix that matches a host and path.
 func (t *Table) Find(host, path string) (*Route, bool) {
 	for _, r := range t.hosts[host] {
--- a/core/wire/tally.go
+++ b/core/wire/tally.go
@@ -9,7 +9,7 @@
 	// Addr is the sender's link address; only full tallies must contain it.
 	Addr string
 	// ConfigRevision and RosterRevision are the revisions of the configuration and of
-	// the instance list in force at the sender.
+	// the instance list in force at the sender, numbered as in package epoch.
 	ConfigRevision, RosterRevision int64
 	// Customers holds the customers whose total changed.
 	Customers []CustomerUsage
@@ -48,6 +48,9 @@
 	Leaving []LeavingEndpoint
 	// Rests holds the rests that endpoints have asked the sender for, if they changed.
 	Rests []Rest
+	// ConfigAhead is the operator's version of the configuration in force at the sender
+	// if the platform held an older one at ConfigRevision, otherwise zero.
+	ConfigAhead int64
 }
 
 // HasChanges reports whether the tally contains anything besides the information that
--- a/core/wire/tallycode.go
+++ b/core/wire/tallycode.go
@@ -10,7 +10,8 @@
 const (
 	// tallyFields is the number of fields of a tally when readers required exactly
 	// this number. The others are the numbers of fields with UptimeMS and Freshness,
-	// Capacity, Suspects, Limits, Rollouts, Leaving and Rests appended in turn.
+	// Capacity, Suspects, Limits, Rollouts, Leaving, Rests and ConfigAhead appended in
+	// turn.
 	tallyFields     = 10
 	freshnessFields = tallyFields + 2
 	capacityFields  = freshnessFields + 1
@@ -19,6 +20,7 @@
 	rolloutFields   = limitsFields + 1
 	leavingFields   = rolloutFields + 1
 	restFields      = leavingFields + 1
+	aheadFields     = restFields + 1
 	// moreFieldsMark is added to the names in MissingFrom by a sender that reads
 	// tallies with more than tallyFields fields. No entry has this name, and readers
 	// that require exactly tallyFields only search the list for their own name.
@@ -43,6 +45,8 @@
 	fields := []any{t.Addr, t.ConfigRevision, t.RosterRevision, t.Customers, t.Endpoints, t.Entries, t.Seq, t.Full, t.MissingFrom, t.Queues}
 	n := tallyFields
 	switch {
+	case t.ConfigAhead > 0:
+		n = aheadFields
 	case len(t.Rests) > 0:
 		n = restFields
 	case len(t.Leaving) > 0:
@@ -87,7 +91,10 @@
 	if err := e.Encode(t.Leaving); err != nil || n < restFields {
 		return err
 	}
-	return e.Encode(t.Rests)
+	if err := e.Encode(t.Rests); err != nil || n < aheadFields {
+		return err
+	}
+	return e.EncodeInt(t.ConfigAhead)
 }
 
 // DecodeMsgpack also reads a tally of an older version, which lacks fields after
@@ -145,7 +152,13 @@
 	if err := d.Decode(&t.Rests); err != nil {
 		return err
 	}
-	for range n - restFields {
+	if n < aheadFields {
+		return nil
+	}
+	if err := d.Decode(&t.ConfigAhead); err != nil {
+		return err
+	}
+	for range n - aheadFields {
 		if err := d.Skip(); err != nil {
 			return err
 		}
--- a/entry/direct/direct.go
+++ b/entry/direct/direct.go
@@ -105,19 +105,19 @@
 	return d.view.table
 }
 
-// SetConfig puts a configuration in force if it is newer than the current one, and reports
-// whether it did.
-func (d *Director) SetConfig(c route.Config) bool {
+// SetConfig puts a configuration in force if it is newer than the current one, and returns
+// what became of it.
+func (d *Director) SetConfig(c route.Config) route.Merge {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if c.Revision <= d.view.table.Revision() {
-		return false
-	}
-	d.view.table = route.NewTable(c)
-	for name, p := range d.view.pools {
-		p.tiers = d.view.table.Tiers(name)
+	table, m := d.view.table.Merge(c)
+	d.view.table = table
+	if m == route.Replaced {
+		for name, p := range d.view.pools {
+			p.tiers = table.Tiers(name)
+		}
 	}
-	return true
+	return m
 }
 
 // Roster returns the instance list in force.
@@ -206,7 +206,7 @@
 	defer d.mu.Unlock()
 	v := d.view
 	v.quota.SetEntries(reachableEntries, knownEntries)
-	t := &wire.Tally{ConfigRevision: v.table.Revision(), RosterRevision: v.roster.Revision, Queues: v.queueCounts.report(full)}
+	t := &wire.Tally{ConfigRevision: v.table.Revision(), ConfigAhead: v.table.Ahead(), RosterRevision: v.roster.Revision, Queues: v.queueCounts.report(full)}
 	if full {
 		t.Addr = d.cfg.Addr
 	}
--- a/entry/follow/calls.go
+++ b/entry/follow/calls.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"time"
+
+	"lycheepond/core/epoch"
 )
 
 // minIdle and maxIdle bound the time until the follower checks again whether a call
@@ -25,7 +27,8 @@
 	// nextCheckIn is the last result of Config.NextCheck.
 	nextCheckIn time.Duration
 	// historyLost is set while the platform no longer has the changes since
-	// f.since, so that only a check can find what changed.
+	// f.since, or counts its revisions anew, so that only a check can find what
+	// changed.
 	historyLost bool
 	// cancelWatch cancels the pending watch; it is nil if there is none.
 	// nextWatchAt is when the next one is due. watches counts the watches sent.
@@ -78,6 +81,10 @@
 // sendDueCalls sends the calls that are due.
 func (f *Follower[T]) sendDueCalls(ctx context.Context) {
 	now := time.Now()
+	if !f.historyLost && f.cfg.Era != nil && f.cfg.Era() > epoch.Era(max(f.since, f.verifiedRevision)) {
+		f.historyLost = true
+		f.restartWatch(0)
+	}
 	if f.failures == 0 && !f.historyLost && f.cancelWatch == nil && !now.Before(f.nextWatchAt) {
 		f.startWatch(ctx)
 	}
@@ -174,6 +181,9 @@
 	default:
 		f.restartWatch(0)
 	}
+	if a.err == nil && !a.isWatch() && f.historyLost && a.revision < f.since {
+		a.err = errOlder
+	}
 	if a.err != nil {
 		f.handleFailure(ctx, a)
 		return
--- a/entry/follow/follow.go
+++ b/entry/follow/follow.go
@@ -22,6 +22,10 @@
 // requested revision.
 var ErrHistory = errors.New("follow: the platform has dropped these changes: read the whole list")
 
+// errOlder reports a list that is older than the local copy although the platform no longer
+// has the changes since then.
+var errOlder = errors.New("follow: the platform lost changes without stating a new era: if it was set up anew, restart the entries")
+
 const (
 	// watchGrace is added to the wait of a watch to obtain its timeout. The
 	// platform's answers may take sixty times their usual few milliseconds.
@@ -46,7 +50,7 @@
 	Removed bool
 	// Item is the zero value if Removed is set.
 	Item T
-	// Revision is the platform's revision of the change.
+	// Revision is the platform's revision of the change, numbered as in package epoch.
 	Revision int64
 }
 
@@ -69,6 +73,9 @@
 	// Watch returns the changes since a revision and the revision to continue from.
 	// It waits up to wait for the first change.
 	Watch func(ctx context.Context, since int64, wait time.Duration) ([]Change[T], int64, error)
+	// Era returns the platform's latest era, as far as any answer has stated it.
+	// If nil, the era never changes.
+	Era func() int64
 	// WatchTime returns how long the next watch waits for a change.
 	WatchTime func() time.Duration
 	// NextCheck returns the time until the next check is due, or until NextCheck
--- a/entry/follow/quarantine.go
+++ b/entry/follow/quarantine.go
@@ -54,14 +54,23 @@
 type Quarantines struct {
 	cfg     QuarantinesConfig
 	changes chan poison.Change
-	// writtenUntilMS holds the end of each quarantine that this entry stored, in
-	// Unix milliseconds. Only Run uses it.
-	writtenUntilMS map[string]int64
+	// restored holds one value while the platform may have lost what was written.
+	restored chan struct{}
+	// written holds what this entry has stored and removed, by name, until it is
+	// outdated. Only Run uses it.
+	written map[string]writtenQuarantine
+}
+
+// writtenQuarantine is an object as this entry wrote it. isRemoved is set if the entry removed
+// it, because the quarantine was released.
+type writtenQuarantine struct {
+	object    QuarantineObject
+	isRemoved bool
 }
 
 // NewQuarantines returns a Quarantines that does nothing before Run is called.
 func NewQuarantines(cfg QuarantinesConfig) *Quarantines {
-	return &Quarantines{cfg: cfg, changes: make(chan poison.Change, maxQueuedWrites), writtenUntilMS: make(map[string]int64)}
+	return &Quarantines{cfg: cfg, changes: make(chan poison.Change, maxQueuedWrites), restored: make(chan struct{}, 1), written: make(map[string]writtenQuarantine)}
 }
 
 // Store queues a change to be stored, if this entry has lost an attempt of the
@@ -77,6 +86,15 @@
 	}
 }
 
+// NoteRestored records that the platform has come back with an older copy, so that what this
+// entry wrote is written again. It does not block.
+func (q *Quarantines) NoteRestored() {
+	select {
+	case q.restored <- struct{}{}:
+	default:
+	}
+}
+
 // Run restores the stored quarantines and then stores changes until ctx ends.
 func (q *Quarantines) Run(ctx context.Context) error {
 	_ = retry(ctx, 0, q.cfg.Random, q.restore)
@@ -91,6 +109,8 @@
 			if err != nil && ctx.Err() == nil {
 				logs.Warn(q.cfg.Log, logs.EventFailed, zap.String("what", "storing a quarantine; a restart of all entries would lose it"), zap.Error(err))
 			}
+		case <-q.restored:
+			q.writeAgain(ctx)
 		case <-tick.C:
 			q.removeOutdated(ctx)
 		}
@@ -126,35 +146,56 @@
 // write stores a quarantine, or removes its object if it was released.
 func (q *Quarantines) write(ctx context.Context, c poison.Change) error {
 	name := c.Fingerprint.String()
+	now := q.cfg.Wall()
 	if c.Released {
-		delete(q.writtenUntilMS, name)
+		q.written[name] = writtenQuarantine{QuarantineObject{UntilMS: now.UnixMilli()}, true}
 		return q.cfg.Remove(ctx, name)
 	}
-	now := q.cfg.Wall()
 	o := QuarantineObject{SinceMS: now.UnixMilli(), UntilMS: now.Add(c.Duration).UnixMilli(), Quarantines: c.Quarantines}
-	err := q.cfg.Create(ctx, name, o)
-	if errors.Is(err, ErrExists) {
-		// Another entry has stored the first quarantine.
-		err = nil
-		if c.Quarantines > 1 {
-			err = q.cfg.Replace(ctx, name, o)
-		}
-	}
+	err := q.store(ctx, name, o)
 	if err == nil {
-		q.writtenUntilMS[name] = o.UntilMS
+		q.written[name] = writtenQuarantine{object: o}
 	}
 	return err
 }
 
+// store writes the object of a quarantine.
+func (q *Quarantines) store(ctx context.Context, name string, o QuarantineObject) error {
+	err := q.cfg.Create(ctx, name, o)
+	if !errors.Is(err, ErrExists) {
+		return err
+	}
+	if o.Quarantines > 1 {
+		return q.cfg.Replace(ctx, name, o)
+	}
+	// Another entry has stored the first quarantine.
+	return nil
+}
+
+// writeAgain writes and removes again what the platform may have lost.
+func (q *Quarantines) writeAgain(ctx context.Context) {
+	for name, w := range q.written {
+		err := retry(ctx, maxWriteAttempts, q.cfg.Random, func(ctx context.Context) error {
+			if w.isRemoved {
+				return q.cfg.Remove(ctx, name)
+			}
+			return q.store(ctx, name, w.object)
+		})
+		if err != nil && ctx.Err() == nil {
+			logs.Warn(q.cfg.Log, logs.EventFailed, zap.String("what", "storing a quarantine again; a restart of all entries would lose it"), zap.String("fingerprint", name), zap.Error(err))
+		}
+	}
+}
+
 // removeOutdated removes the outdated objects that this entry stored.
 func (q *Quarantines) removeOutdated(ctx context.Context) {
 	now := q.cfg.Wall().UnixMilli()
-	for name, until := range q.writtenUntilMS {
-		if !isOutdated(until, now) {
+	for name, w := range q.written {
+		if !isOutdated(w.object.UntilMS, now) {
 			continue
 		}
-		if call(ctx, func(ctx context.Context) error { return q.cfg.Remove(ctx, name) }) == nil {
-			delete(q.writtenUntilMS, name)
+		if w.isRemoved || call(ctx, func(ctx context.Context) error { return q.cfg.Remove(ctx, name) }) == nil {
+			delete(q.written, name)
 		}
 	}
 }
--- a/entry/mesh/accept.go
+++ b/entry/mesh/accept.go
@@ -196,7 +196,7 @@
 	if t.Addr != "" {
 		p.addr = t.Addr
 	}
-	p.config, p.roster = t.ConfigRevision, t.RosterRevision
+	p.config, p.configAhead, p.roster = t.ConfigRevision, t.ConfigAhead, t.RosterRevision
 	if newProcess || t.Capacity > 0 {
 		p.capacity = t.Capacity
 	}
--- a/entry/mesh/forward.go
+++ b/entry/mesh/forward.go
@@ -107,7 +107,7 @@
 		t := m.cfg.FullTally(o.name)
 		m.mu.Lock()
 		p := m.peer(o.name)
-		t.Addr, t.ConfigRevision, t.RosterRevision, t.Seq, t.Full = p.addr, p.config, p.roster, p.seq, true
+		t.Addr, t.ConfigRevision, t.ConfigAhead, t.RosterRevision, t.Seq, t.Full = p.addr, p.config, p.configAhead, p.roster, p.seq, true
 		if p.readsExtensions {
 			t.SetAcceptsMoreFields()
 		}
--- a/entry/mesh/mesh.go
+++ b/entry/mesh/mesh.go
@@ -62,8 +62,10 @@
 	// what has changed since the last call, and if all is set also the state that a
 	// new peer needs. It may be nil.
 	Extend func(t *wire.Tally, all bool)
-	// Revisions returns the revisions in force, zero where there is none.
-	Revisions func() (config, roster int64)
+	// Revisions returns the revisions in force, zero where there is none. ConfigAhead
+	// returns wire.Tally.ConfigAhead for them; nil returns zero.
+	Revisions   func() (config, roster int64)
+	ConfigAhead func() int64
 	// Snapshot returns the encoded version in force of the given content, such as
 	// wire.SnapshotConfig.
 	Snapshot func(content uint8) (*wire.Snapshot, error)
@@ -135,9 +137,11 @@
 	// extendAll is set if Config.Extend must add the full state to the next tally,
 	// for a new peer. Only the sendTallies goroutine uses it.
 	extendAll bool
-	// snapshots holds the version that was encoded last, by content. Only the
-	// sendTallies goroutine uses it.
-	snapshots map[uint8]*wire.Snapshot
+	// snapshots holds the version that was encoded last, by content, and encodedAhead
+	// the ConfigAhead of the configuration there. Only the sendTallies goroutine uses
+	// them.
+	snapshots    map[uint8]*wire.Snapshot
+	encodedAhead int64
 	// ended receives one value from each goroutine that has returned. running
 	// counts the goroutines whose value wait has not yet received.
 	ended   chan struct{}
@@ -173,11 +177,11 @@
 	// gapReportedAt is when the peer last reported that it lacks tallies of this
 	// entry.
 	gapReportedAt time.Time
-	// config and roster are the revisions that the peer last reported. staleSince
-	// is the time from which they count as older than this entry's, zero if they
-	// are current.
-	config, roster int64
-	staleSince     time.Time
+	// config, configAhead and roster are what the peer last reported. staleSince is
+	// the time from which they count as older than this entry's, zero if they are
+	// current.
+	config, configAhead, roster int64
+	staleSince                  time.Time
 }
 
 // New returns a mesh that does nothing before Run is called.
--- a/entry/mesh/mesh_test.go
+++ b/entry/mesh/mesh_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -30,6 +31,10 @@
 	peerTotals map[string]float64
 	lost       map[string]bool
 	config     int64
+	// ahead is the version of the configuration if that is newer than the platform's, received
+	// counts the snapshots that peers sent.
+	ahead    int64
+	received int
 	// fresh is the evidence for the next tally. receivedRefreshIDs holds the refresh
 	// IDs of the evidence that peers sent.
 	fresh              []wire.Freshness
@@ -59,10 +64,11 @@
 	e.mesh = New(Config{
 		Self: wire.Hello{Role: wire.RoleEntry, Name: name, Zone: zone, Incarnation: rand.Uint64()}, Listen: addr, Seeds: seeds, Open: func(string) (net.Listener, error) { return ln, nil }, Keys: wire.OneKey([]byte("a key for tests")),
 		Tally: e.tally, Freshness: e.evidence, Revisions: func() (int64, int64) { e.mu.Lock(); defer e.mu.Unlock(); return e.config, 0 },
+		ConfigAhead: func() int64 { e.mu.Lock(); defer e.mu.Unlock(); return e.ahead },
 		Snapshot: func(content uint8) (*wire.Snapshot, error) {
 			e.mu.Lock()
 			defer e.mu.Unlock()
-			return &wire.Snapshot{Content: content, Revision: e.config}, nil
+			return &wire.Snapshot{Content: content, Revision: e.config, Body: binary.AppendVarint(nil, e.ahead)}, nil
 		},
 		OnTally: func(received PeerTally) {
 			e.withLock(func() {
@@ -80,7 +86,10 @@
 			defer e.mu.Unlock()
 			return &wire.Tally{Customers: []wire.CustomerUsage{{Customer: "c", Total: e.peerTotals[peer]}}}
 		},
-		OnSnapshot: func(s *wire.Snapshot) { e.withLock(func() { e.config = max(e.config, s.Revision) }) },
+		OnSnapshot: func(s *wire.Snapshot) {
+			ahead, _ := binary.Varint(s.Body)
+			e.withLock(func() { e.config, e.ahead, e.received = max(e.config, s.Revision), max(e.ahead, ahead), e.received+1 })
+		},
 		OnPeerLost: func(peer string) { e.withLock(func() { e.lost[peer] = true }) }, Log: zap.NewNop(),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -114,7 +123,7 @@
 func (e *entry) tally(all bool) *wire.Tally {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	t := &wire.Tally{Addr: e.addr, ConfigRevision: e.config}
+	t := &wire.Tally{Addr: e.addr, ConfigRevision: e.config, ConfigAhead: e.ahead}
 	if e.changed || all && e.usedTotal > 0 {
 		t.Customers = []wire.CustomerUsage{{Customer: "c", Total: e.usedTotal}}
 	}
@@ -182,6 +191,24 @@
 	await(t, "the next snapshot", func() bool { b.mu.Lock(); defer b.mu.Unlock(); return b.config == 9 })
 }
 
+// Guards against an entry that keeps the older configuration which the platform came back with,
+// because its peers, which have a newer one, know it at the same revision.
+func TestSnapshotAheadOfPlatformIsSentToPeers(t *testing.T) {
+	a := start(t, "a")
+	b := start(t, "b", a.addr)
+	a.withLock(func() { a.config, a.ahead = 7, 25 })
+	b.withLock(func() { b.config = 7 })
+	await(t, "the snapshot", func() bool { b.mu.Lock(); defer b.mu.Unlock(); return b.ahead == 25 })
+	time.Sleep(2 * turnIntervals * maxTallyInterval)
+	a.mu.Lock()
+	b.mu.Lock()
+	defer a.mu.Unlock()
+	defer b.mu.Unlock()
+	if a.received > 0 || b.received > 2 {
+		t.Errorf("the entry that is ahead received %d snapshots, the other one %d", a.received, b.received)
+	}
+}
+
 // One of eight entries missed a large configuration. If the seven others all sent
 // it at once, it would cross the entry's network link seven times while callers'
 // requests wait behind it. They must take turns, each late enough to learn that the
@@ -197,7 +224,7 @@
 			}
 		}
 		stale := &peer{isReachable: true, config: 3, roster: 7}
-		wait := m.snapshotWait("e0", stale, 7, 7)
+		wait := m.snapshotWait("e0", stale, 7, 0, 7)
 		if before, isTaken := entryByWait[wait]; isTaken {
 			t.Errorf("%s and %s both send after %v", before, self, wait)
 		}
@@ -213,10 +240,10 @@
 	for _, other := range names[1:] {
 		*m.peer(other) = peer{isReachable: other < "e4", config: 5, roster: 7}
 	}
-	if got := m.snapshotWait("e0", &peer{isReachable: true, config: 3, roster: 7}, 7, 7); got != snapshotDelay {
+	if got := m.snapshotWait("e0", &peer{isReachable: true, config: 3, roster: 7}, 7, 0, 7); got != snapshotDelay {
 		t.Errorf("the one entry that has the version waits %v", got)
 	}
-	if got := m.snapshotWait("e0", &peer{isReachable: true}, 7, 7); got != 0 {
+	if got := m.snapshotWait("e0", &peer{isReachable: true}, 7, 0, 7); got != 0 {
 		t.Errorf("an entry without any version waits %v for it", got)
 	}
 }
--- a/entry/mesh/version.go
+++ b/entry/mesh/version.go
@@ -69,20 +69,34 @@
 // Only the sendTallies goroutine calls it.
 func (m *Mesh) snapshot(content uint8) (*wire.Snapshot, error) {
 	config, roster := m.cfg.Revisions()
-	revision := config
+	revision, ahead := config, m.configAhead()
 	if content == wire.SnapshotRoster {
-		revision = roster
+		revision, ahead = roster, m.encodedAhead
 	}
-	if s := m.snapshots[content]; s != nil && s.Revision == revision {
+	if s := m.snapshots[content]; s != nil && s.Revision == revision && ahead == m.encodedAhead {
 		return s, nil
 	}
 	s, err := m.cfg.Snapshot(content)
 	if err == nil {
-		m.snapshots[content] = s
+		m.snapshots[content], m.encodedAhead = s, ahead
 	}
 	return s, err
 }
 
+// configAhead returns Config.ConfigAhead.
+func (m *Mesh) configAhead() int64 {
+	if m.cfg.ConfigAhead == nil {
+		return 0
+	}
+	return m.cfg.ConfigAhead()
+}
+
+// hasConfig reports whether the peer has a configuration at least as new as one of the given
+// revision. ahead is that one's wire.Tally.ConfigAhead.
+func (p *peer) hasConfig(revision, ahead int64) bool {
+	return p.config > revision || p.config == revision && p.configAhead >= ahead
+}
+
 // transferTime estimates how long sending a version takes, from the size of the one
 // encoded last. A peer without any revision serves no requests until it has one, so
 // its limit is startDelay.
@@ -102,11 +116,12 @@
 // and schedules when they may be sent again.
 func (m *Mesh) dueSnapshots() []snapshotSend {
 	config, roster := m.cfg.Revisions()
+	ahead := m.configAhead()
 	var out []snapshotSend
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for name, p := range m.peers {
-		staleConfig, staleRoster := p.config < config, p.roster < roster
+		staleConfig, staleRoster := !p.hasConfig(config, ahead), p.roster < roster
 		if !p.isReachable || !staleConfig && !staleRoster {
 			p.staleSince = time.Time{}
 			continue
@@ -122,7 +137,7 @@
 			transfer = max(transfer, m.transferTime(wire.SnapshotConfig, p.config))
 		}
 		d := m.dials[p.addr]
-		if d == nil || d.link == nil || time.Since(p.staleSince) < m.snapshotWait(name, p, config, roster)+transfer {
+		if d == nil || d.link == nil || time.Since(p.staleSince) < m.snapshotWait(name, p, config, ahead, roster)+transfer {
 			continue
 		}
 		// Wait until the peer has had time to report the new revision.
@@ -143,11 +158,11 @@
 // a large configuration that a few peers missed would cross each of their links
 // once for every entry, and callers' requests would wait behind it. It is called
 // with mu held.
-func (m *Mesh) snapshotWait(name string, p *peer, config, roster int64) time.Duration {
+func (m *Mesh) snapshotWait(name string, p *peer, config, ahead, roster int64) time.Duration {
 	to := p.entry(name)
 	ownOrder, turnsAhead := turnOrder(name, m.cfg.Self.Name), 0
 	for other, o := range m.peers {
-		isCurrent := o.isReachable && o.config >= config && o.roster >= roster
+		isCurrent := o.isReachable && o.hasConfig(config, ahead) && o.roster >= roster
 		if other != name && isCurrent && m.plan.HasLink(o.entry(other), to) && turnOrder(name, other) < ownOrder {
 			turnsAhead++
 		}
--- a/entry/mesh/version_test.go
+++ b/entry/mesh/version_test.go
@@ -53,11 +53,11 @@
 		m.replan()
 		stale := m.peer(entry(19).Name)
 		stale.config, stale.roster = 3, 3
-		if m.snapshotWait(entry(19).Name, stale, 7, 7) < m.turnDuration() {
+		if m.snapshotWait(entry(19).Name, stale, 7, 0, 7) < m.turnDuration() {
 			sendAtOnce++
 		}
 		stale.config, stale.roster = 0, 0
-		switch wait := m.snapshotWait(entry(19).Name, stale, 7, 7); {
+		switch wait := m.snapshotWait(entry(19).Name, stale, 7, 0, 7); {
 		case wait < startDelay:
 			startAtOnce++
 		case wait < time.Second:
