agent/slot: an endpoint that asks for a rest is sent no requests until its end

Cause: the header was passed on and read by nobody. The owner now keeps the rest with core/rest, claims and starts nothing until its end, and tells entries that it is slow; what was granted before is returned after the usual wait.

--- a/agent/call/call.go
+++ b/agent/call/call.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"lycheepond/core/ident"
+	"lycheepond/core/rest"
 	"lycheepond/core/wire"
 )
 
@@ -47,7 +48,11 @@
 	Complete bool
 	// Status is the HTTP status of the answer, zero if no answer arrived.
 	Status int
-	Usage  wire.Usage
+	// HasRest is set if the endpoint turned the request away and asks for a rest:
+	// to get no requests for the time Rest.
+	HasRest bool
+	Rest    time.Duration
+	Usage   wire.Usage
 	// Err is the reason why the answer is incomplete.
 	Err error
 	// Crashed is set if the endpoint accepted no connection after its answer
@@ -55,6 +60,15 @@
 	Crashed bool
 }
 
+// NewResult returns the result of a call whose response has begun to arrive.
+func NewResult(resp *http.Response) Result {
+	res := Result{Sent: true, Status: resp.StatusCode}
+	if resp.StatusCode == http.StatusServiceUnavailable {
+		res.Rest, res.HasRest = rest.Parse(resp.Header.Get("Retry-After"), time.Now())
+	}
+	return res
+}
+
 // Progress is the state of a running call. Other goroutines may read it while
 // the call runs. Times are in nanoseconds since the start of the call; zero
 // means that nothing has arrived yet.
--- a/agent/engine/engine.go
+++ b/agent/engine/engine.go
@@ -102,7 +102,7 @@
 
 func (a *relay) readResponse(ctx context.Context, resp *http.Response) call.Result {
 	defer resp.Body.Close()
-	res := call.Result{Sent: true, Status: resp.StatusCode}
+	res := call.NewResult(resp)
 	a.sink.Head(resp.StatusCode, call.EndToEndHeaders(resp.Header))
 	if strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
 		a.isStream = true
--- a/agent/plain/plain.go
+++ b/agent/plain/plain.go
@@ -25,7 +25,7 @@
 		return call.Result{Sent: sent, Err: err}
 	}
 	defer resp.Body.Close()
-	res := call.Result{Sent: true, Status: resp.StatusCode}
+	res := call.NewResult(resp)
 	sink.Head(resp.StatusCode, call.EndToEndHeaders(resp.Header))
 	res.Err = call.Copy(ctx, resp.Body, sink, p, nil)
 	res.Complete = res.Err == nil
--- a/agent/slot/claim.go
+++ b/agent/slot/claim.go
@@ -17,7 +17,7 @@
 // dispatch starts granted requests and claims queued ones while slots are free.
 func (o *Owner) dispatch(now time.Duration) {
 	o.startReady(now)
-	for !o.isLeaving && !o.isDown && !o.isStalled {
+	for !o.isLeaving && !o.isDown && !o.isStalled && !o.isResting(now) {
 		it, ok := o.queue.PopFitting(now, func(it queue.Item) queue.Fit { return o.checkFit(now, it) })
 		if ok {
 			o.sendClaim(now, o.records[it.ID])
@@ -188,7 +188,7 @@
 			o.returnRequest(now, r, reason)
 			continue
 		}
-		if sum, _ := o.committedWork(runningOnly); o.isStalled || !o.bound.CanDispatch(now, sum, r.work) {
+		if sum, _ := o.committedWork(runningOnly); o.isStalled || o.isResting(now) || !o.bound.CanDispatch(now, sum, r.work) {
 			i++
 			continue
 		}
--- a/agent/slot/load.go
+++ b/agent/slot/load.go
@@ -6,9 +6,11 @@
 
 	"go.uber.org/zap"
 
+	"lycheepond/agent/call"
 	"lycheepond/agent/engine"
 	"lycheepond/core/bound"
 	"lycheepond/core/logs"
+	"lycheepond/core/rest"
 	"lycheepond/core/wire"
 )
 
@@ -47,7 +49,7 @@
 	}
 	l.ShedLevel = o.strictestLevel(now)
 	l.Leaving = o.isLeaving
-	l.Slow = o.isStalled || o.isDown || o.bound.Slow()
+	l.Slow = o.isStalled || o.isDown || o.isResting(o.cfg.Now()) || o.bound.Slow()
 	if old := o.load.Load(); old == nil || *old != l {
 		o.load.Store(&l)
 	}
@@ -72,6 +74,16 @@
 	}
 }
 
+// isResting reports whether the endpoint has asked to get no requests now.
+func (o *Owner) isResting(now time.Duration) bool { return o.rests.Left(now, "") > 0 }
+
+// observeRest records the rest that the answer of a run asks for.
+func (o *Owner) observeRest(now time.Duration, res call.Result) {
+	if res.HasRest && o.rests.Ask(now, "", res.Rest, 0) == rest.Begun {
+		logs.Info(o.log, logs.EventEndpointRests, zap.Duration("asked", res.Rest), zap.Duration("left", o.rests.Left(now, "")))
+	}
+}
+
 // updateServed records what the endpoint serves and informs every entry of a
 // change.
 func (o *Owner) updateServed(model, version string) {
--- a/agent/slot/owner.go
+++ b/agent/slot/owner.go
@@ -29,6 +29,7 @@
 	"lycheepond/core/homes"
 	"lycheepond/core/ident"
 	"lycheepond/core/queue"
+	"lycheepond/core/rest"
 	"lycheepond/core/ring"
 	"lycheepond/core/spec"
 	"lycheepond/core/wire"
@@ -165,6 +166,8 @@
 	// reports fail to arrive.
 	isDown    bool
 	isStalled bool
+	// rests holds the rest that the endpoint has asked for, under an empty ID.
+	rests rest.Tracker
 	// missedReports is the number of consecutive missed load reports.
 	missedReports int
 	// nextStatusAt is when the status is published next.
--- a/agent/slot/run.go
+++ b/agent/slot/run.go
@@ -62,6 +62,7 @@
 		o.queue.ChargeActual(r.offer.Customer, r.offer.Tier, r.work.Cost, runTime)
 	}
 	o.observe(now, r, res.Usage)
+	o.observeRest(now, res)
 	reason := r.stopReason
 	if !res.Complete && reason == wire.ReasonNone {
 		reason = brokenReason(res)
