entry/direct: callers of higher tiers return first after a rest

Found on a second reading: where all endpoints of a pool rest, refused callers came back at a random time within the second in which the slots come back, whatever their tier. The second is now divided among the tiers in use, the highest first. Tests of core/rest check the order.

--- a/core/rest/rest.go
+++ b/core/rest/rest.go
@@ -116,8 +116,12 @@
 }
 
 // ReturnDelay returns how much later than the end of a rest a refused caller is to return, so
-// that callers come back as slots do. draw is a number from 0 to 1 that differs between them.
-func ReturnDelay(draw float64) time.Duration { return time.Duration(draw * float64(rampTime)) }
+// that callers come back as slots do, those of higher tiers first. tierRank is the index of the
+// caller's tier among tierCount tiers, zero for the highest, and draw a number from 0 to 1 that
+// differs between callers.
+func ReturnDelay(tierRank, tierCount int, draw float64) time.Duration {
+	return time.Duration((float64(tierRank) + draw) / float64(max(tierCount, 1)) * float64(rampTime))
+}
 
 // Sweep forgets the rests that have ended and those of starts for which listed returns false.
 func (t *Tracker) Sweep(now time.Duration, listed func(id string) bool) {
--- a/core/rest/rest_test.go
+++ b/core/rest/rest_test.go
@@ -73,9 +73,12 @@
 	if gap := tracker.Left(0, "b") - tracker.Left(0, "a"); gap != 400*time.Millisecond {
 		t.Errorf("entries asked together return within %v", gap)
 	}
-	if ReturnDelay(0) != 0 || ReturnDelay(0.999) >= rampTime {
+	if ReturnDelay(0, 1, 0) != 0 || ReturnDelay(2, 3, 0.999) >= rampTime || ReturnDelay(0, 0, 0.999) >= rampTime {
 		t.Error("callers return after the ramp")
 	}
+	if ReturnDelay(0, 3, 0.999) >= ReturnDelay(1, 3, 0) {
+		t.Error("a lower tier returns before a higher one")
+	}
 }
 
 // Guards against a tally for each request that a resting endpoint turns away.
--- a/entry/direct/place.go
+++ b/entry/direct/place.go
@@ -253,8 +253,8 @@
 }
 
 // applyGrant turns an owner's answer into an attempt or a refusal. It returns false if the
-// owner could not decide or does not know yet that the endpoint is leaving or rests. The caller holds
-// d.mu.
+// owner could not decide or does not know yet that the endpoint is leaving or rests. The caller
+// holds d.mu.
 func (d *Director) applyGrant(j *Job, p *pool, owner string, reply *wire.PlaceReply) (*attempt, admit.Decision, bool) {
 	if !reply.Decided {
 		return nil, admit.Decision{}, false
--- a/entry/direct/rest.go
+++ b/entry/direct/rest.go
@@ -68,26 +68,26 @@
 // retryAfter, or later if all usable endpoints of the pool rest.
 func (d *Director) refusal(j *Job, retryAfter time.Duration, reason string) Result {
 	res := Result{Outcome: Refused, RetryAfter: retryAfter, Reason: reason}
-	if wait := d.restWait(j); wait > 0 {
-		// Callers return one after the other, as the endpoints get their slots back.
-		wait += rest.ReturnDelay(waitq.FixedDraw(j.ID, ""))
-		res.RetryAfter, res.RefusedUntilRetry = max(retryAfter, wait), true
+	if wait, returnDelay := d.restWait(j); wait > 0 {
+		res.RetryAfter, res.RefusedUntilRetry = max(retryAfter, wait+returnDelay), true
 	}
 	return res
 }
 
 // restWait returns the time until the first endpoint ends its rest if all usable endpoints of
-// a job's pool rest, zero if they do not.
-func (d *Director) restWait(j *Job) time.Duration {
+// a job's pool rest, zero if they do not, and how much later than that its caller is to return.
+func (d *Director) restWait(j *Job) (wait, returnDelay time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.view.rests.Empty() {
-		return 0
+		return 0, 0
 	}
 	now := time.Now()
 	_, knownEntries := d.cfg.EntryCounts()
 	p := d.view.pool(j.Pool.Name, d.cfg.RetryBudget, knownEntries)
-	return admit.Decide(d.placementRequest(j, p, now), d.view.describePool(p, j.Pool, now, d.sinceStart(now))).RestWait
+	r := d.placementRequest(j, p, now)
+	dec := admit.Decide(r, d.view.describePool(p, j.Pool, now, d.sinceStart(now)))
+	return dec.RestWait, rest.ReturnDelay(r.TierRank, r.TierCount, waitq.FixedDraw(j.ID, ""))
 }
 
 // maxQueueTime returns how long a job may be queued for which dec found no room. A rest ends
--- a/entry/direct/task.go
+++ b/entry/direct/task.go
@@ -103,8 +103,10 @@
 		return nil, missing
 	}
 	next, missing := t.d.reserve(t.job, a, placementOptions{avoidID: a.id, outputTokens: t.remainingOutput(), entryShare: 1}, !got.wasReceived)
-	if next == nil && t.runCount == 0 && t.d.restWait(t.job) > 0 {
-		next = t.reserveAfterRest(a, !got.wasReceived)
+	if next == nil && t.runCount == 0 {
+		if wait, _ := t.d.restWait(t.job); wait > 0 {
+			next = t.reserveAfterRest(a, !got.wasReceived)
+		}
 	}
 	return next, missing
 }
