--- a/entry/mesh/mesh.go
+++ b/entry/mesh/mesh.go
@@ -137,11 +137,10 @@
 	// extendAll is set if Config.Extend must add the full state to the next tally,
 	// for a new peer. Only the sendTallies goroutine uses it.
 	extendAll bool
-	// snapshots holds the version that was encoded last, by content, and encodedAhead
-	// the ConfigAhead of the configuration there. Only the sendTallies goroutine uses
-	// them.
-	snapshots    map[uint8]*wire.Snapshot
-	encodedAhead int64
+	// snapshots holds the version that was encoded last, by content, and encoded which
+	// one that is. Only the sendTallies goroutine uses them.
+	snapshots map[uint8]*wire.Snapshot
+	encoded   map[uint8]snapshotVersion
 	// ended receives one value from each goroutine that has returned. running
 	// counts the goroutines whose value wait has not yet received.
 	ended   chan struct{}
@@ -188,7 +187,7 @@
 func New(cfg Config) *Mesh {
 	return &Mesh{
 		cfg: cfg, start: time.Now(), silenceCheckedAt: time.Now(), peers: make(map[string]*peer), dials: make(map[string]*dial), requestedLinks: make(map[string]time.Time),
-		seq: 1, snapshots: make(map[uint8]*wire.Snapshot), ended: make(chan struct{}, 1), sendSoon: make(chan struct{}, 1), relaySoon: make(chan struct{}, 1),
+		seq: 1, snapshots: make(map[uint8]*wire.Snapshot), encoded: make(map[uint8]snapshotVersion), ended: make(chan struct{}, 1), sendSoon: make(chan struct{}, 1), relaySoon: make(chan struct{}, 1),
 	}
 }
 
--- a/entry/mesh/version.go
+++ b/entry/mesh/version.go
@@ -69,20 +69,23 @@
 // Only the sendTallies goroutine calls it.
 func (m *Mesh) snapshot(content uint8) (*wire.Snapshot, error) {
 	config, roster := m.cfg.Revisions()
-	revision, ahead := config, m.configAhead()
-	if content == wire.SnapshotRoster {
-		revision, ahead = roster, m.encodedAhead
+	version := snapshotVersion{revision: roster}
+	if content == wire.SnapshotConfig {
+		version = snapshotVersion{config, m.configAhead()}
 	}
-	if s := m.snapshots[content]; s != nil && s.Revision == revision && ahead == m.encodedAhead {
+	if s := m.snapshots[content]; s != nil && m.encoded[content] == version {
 		return s, nil
 	}
 	s, err := m.cfg.Snapshot(content)
 	if err == nil {
-		m.snapshots[content], m.encodedAhead = s, ahead
+		m.snapshots[content], m.encoded[content] = s, version
 	}
 	return s, err
 }
 
+// snapshotVersion tells apart the versions of one content.
+type snapshotVersion struct{ revision, ahead int64 }
+
 // configAhead returns Config.ConfigAhead.
 func (m *Mesh) configAhead() int64 {
 	if m.cfg.ConfigAhead == nil {
