--- a/core/canary/canary.go
+++ b/core/canary/canary.go
@@ -17,7 +17,7 @@
 import (
 	"time"
 
-	"lycheepond/core/epoch"
+	"lycheepond/core/eras"
 )
 
 // Limit bounds the requests that may be sent to a new version, which may turn out to be
@@ -59,7 +59,7 @@
 
 // precedesEraOf reports whether the platform came back with an older copy between the revision
 // of o and the given one.
-func (o Order) precedesEraOf(revision int64) bool { return epoch.Era(revision) > epoch.Era(o.Revision) }
+func (o Order) precedesEraOf(revision int64) bool { return eras.Era(revision) > eras.Era(o.Revision) }
 
 // State is the state of an order.
 type State uint8
--- a/core/canary/restored_test.go
+++ b/core/canary/restored_test.go
@@ -4,7 +4,7 @@
 	"testing"
 	"time"
 
-	"lycheepond/core/epoch"
+	"lycheepond/core/eras"
 )
 
 // restoredPool returns a controller with a pool whose order to move to v2 has ended with a
@@ -35,9 +35,9 @@
 func TestOrderWrittenAgainKeepsItsState(t *testing.T) {
 	for _, end := range []State{Running, Complete, RolledBack} {
 		c, o := restoredPool(t, end)
-		c.CancelOrder(time.Second, "p", epoch.Join(1, 12))
+		c.CancelOrder(time.Second, "p", eras.Join(1, 12))
 		tick(c, 2*time.Second)
-		o.CreateRevision, o.Revision = epoch.Join(1, 15), epoch.Join(1, 15)
+		o.CreateRevision, o.Revision = eras.Join(1, 15), eras.Join(1, 15)
 		c.AddOrder(2*time.Second, o, 0)
 		c.MergeStored(2*time.Second, "p", "", 0, o.Revision)
 		writes := tick(c, 2*time.Minute)
@@ -53,12 +53,12 @@
 // Guards against a pool that goes back to the target of an earlier order because the platform
 // came back with it, or that forgets its order.
 func TestOrderOfOlderCopyTakesEffectOnlyIfItStays(t *testing.T) {
-	older := Order{Pool: "p", Target: "v1", Duration: time.Minute, CreateRevision: epoch.Join(1, 5), Revision: epoch.Join(1, 9)}
+	older := Order{Pool: "p", Target: "v1", Duration: time.Minute, CreateRevision: eras.Join(1, 5), Revision: eras.Join(1, 9)}
 	for _, cancelled := range []bool{false, true} {
 		c, o := restoredPool(t, Complete)
 		apply := func(now time.Duration) {
 			if cancelled {
-				c.CancelOrder(now, "p", epoch.Join(1, 12))
+				c.CancelOrder(now, "p", eras.Join(1, 12))
 				return
 			}
 			c.AddOrder(now, older, 0)
@@ -70,7 +70,7 @@
 			t.Errorf("cancelled %v: v2 is %v while the copy is unsettled, writes %v", cancelled, c.RoleOf("p", "v2"), writes)
 		}
 		again := o
-		again.CreateRevision, again.Revision = epoch.Join(1, 14), epoch.Join(1, 14)
+		again.CreateRevision, again.Revision = eras.Join(1, 14), eras.Join(1, 14)
 		c.AddOrder(3*time.Second, again, 0)
 		tick(c, time.Minute)
 		if c.RoleOf("p", "v2") != InService || c.pools["p"].rollout.Target != "v2" {
--- a/core/epoch/epoch.go
+++ b/core/eras/eras.go
@@ -1,4 +1,4 @@
-// Package epoch orders the revisions of a store that may come back with an older copy.
+// Package eras orders the revisions of a store that may come back with an older copy.
 //
 // A store numbers its changes with revisions that only rise, until it loses some of them and
 // comes back with a copy from before. Then it gives revisions out again. It counts how often
@@ -8,7 +8,7 @@
 // is in era 0, where the numbers are the store's own revisions.
 //
 // The package uses no network, clock or random source.
-package epoch
+package eras
 
 // revisionsPerEra is the number of revisions that an era has room for. As a power of ten it
 // keeps era and revision readable in logs: 2000000000017 is revision 17 of era 2.
--- a/core/epoch/epoch_test.go
+++ b/core/eras/eras_test.go
@@ -1,4 +1,4 @@
-package epoch
+package eras
 
 import (
 	"math"
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -8,7 +8,7 @@
 // times removals are applied immediately, because endpoints that leave must not receive new
 // requests.
 //
-// A platform that comes back with an older copy of the list, in a new era as package epoch
+// A platform that comes back with an older copy of the list, in a new era as package eras
 // has it, may lack endpoints that run, so removals are deferred then too. The copy may also
 // list endpoints that had said that they leave, or were gone. The former keep leaving until
 // their items change; the latter are not used unless they are still listed some time later.
@@ -21,7 +21,7 @@
 	"slices"
 	"time"
 
-	"lycheepond/core/epoch"
+	"lycheepond/core/eras"
 	"lycheepond/core/recent"
 	"lycheepond/core/route"
 )
@@ -130,7 +130,7 @@
 // noteEra records that the platform has come back with an older copy if revision is of a new
 // era.
 func (t *Tracker) noteEra(now time.Duration, revision int64) {
-	if t.revision > 0 && epoch.Era(revision) > epoch.Era(t.revision) {
+	if t.revision > 0 && eras.Era(revision) > eras.Era(t.revision) {
 		t.hadOutage, t.recoveredAt = true, now
 	}
 }
@@ -138,7 +138,7 @@
 // put adds or replaces an endpoint.
 func (t *Tracker) put(now time.Duration, revision int64, e route.Endpoint) {
 	delete(t.removalDueAt, e.ID)
-	if g := t.gone.Peek(e.ID); g != nil && g.incarnation == e.Incarnation && epoch.Era(revision) > epoch.Era(g.removedAt) {
+	if g := t.gone.Peek(e.ID); g != nil && g.incarnation == e.Incarnation && eras.Era(revision) > eras.Era(g.removedAt) {
 		if r, ok := t.returning[e.ID]; !ok || r.revision == revision {
 			dueAt := now + returnTime
 			if ok {
@@ -150,7 +150,7 @@
 		// The item has changed since: the endpoint runs.
 	}
 	delete(t.returning, e.ID)
-	if old, ok := t.endpoints[e.ID]; ok && old.Incarnation == e.Incarnation && epoch.Era(revision) > epoch.Era(t.changedAt[e.ID]) {
+	if old, ok := t.endpoints[e.ID]; ok && old.Incarnation == e.Incarnation && eras.Era(revision) > eras.Era(t.changedAt[e.ID]) {
 		e.Leaving = e.Leaving || old.Leaving
 	}
 	t.endpoints[e.ID], t.changedAt[e.ID] = e, revision
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -4,7 +4,7 @@
 	"testing"
 	"time"
 
-	"lycheepond/core/epoch"
+	"lycheepond/core/eras"
 	"lycheepond/core/route"
 )
 
@@ -103,7 +103,7 @@
 	tracker.Remove(time.Second, 17, "gone")
 	tracker.Remove(time.Second, 18, "returns")
 	restored := 10 * time.Second
-	item := func(n int64) int64 { return epoch.Join(1, n) }
+	item := func(n int64) int64 { return eras.Join(1, n) }
 	for i, id := range []string{"runs", "leaves", "gone", "returns"} {
 		tracker.Set(restored, item(int64(4+i)), start(id, false))
 	}
@@ -133,13 +133,13 @@
 	}
 	tracker.Remove(restored+returnTime, item(13), "gone")
 	later := restored + time.Minute
-	tracker.Set(later, epoch.Join(2, 4), start("gone", false))
-	tracker.Remove(later+time.Second, epoch.Join(2, 5), "gone")
+	tracker.Set(later, eras.Join(2, 4), start("gone", false))
+	tracker.Remove(later+time.Second, eras.Join(2, 5), "gone")
 	tracker.ApplyDeferred(later + 2*returnTime)
 	if got, want := states(), "added leaves (leaving) returns runs "; got != want {
 		t.Errorf("after a second restore: %q, want %q", got, want)
 	}
-	tracker.Set(later, epoch.Join(2, 9), route.Endpoint{ID: "leaves", Incarnation: 2})
+	tracker.Set(later, eras.Join(2, 9), route.Endpoint{ID: "leaves", Incarnation: 2})
 	if got, want := states(), "added leaves returns runs "; got != want {
 		t.Errorf("the next start of an endpoint: %q, want %q", got, want)
 	}
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -87,7 +87,7 @@
 // Config is one version of the operator's configuration.
 type Config struct {
 	_msgpack struct{} `msgpack:",as_array"`
-	// Revision is the latest revision of the platform, numbered as in package epoch, at
+	// Revision is the latest revision of the platform, numbered as in package eras, at
 	// which it held nothing newer than this configuration.
 	Revision  int64
 	Routes    []Route
@@ -123,7 +123,7 @@
 // Roster is one version of the instance list.
 type Roster struct {
 	_msgpack struct{} `msgpack:",as_array"`
-	// Revision orders the versions. It is numbered as in package epoch.
+	// Revision orders the versions. It is numbered as in package eras.
 	Revision  int64
 	Endpoints []Endpoint
 }
--- a/core/route/version_test.go
+++ b/core/route/version_test.go
@@ -5,13 +5,13 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
-	"lycheepond/core/epoch"
+	"lycheepond/core/eras"
 )
 
 // Guards against a configuration that goes back to an older version of the operator's, or is
 // missed, when the platform comes back with an older copy.
 func TestMergeFollowsOperatorVersion(t *testing.T) {
-	before, restored := epoch.Join(0, 26), epoch.Join(1, 20)
+	before, restored := eras.Join(0, 26), eras.Join(1, 20)
 	held := NewTable(Config{Revision: before, Version: 23})
 	for _, tt := range []struct {
 		name                         string
--- a/core/wire/tally.go
+++ b/core/wire/tally.go
@@ -9,7 +9,7 @@
 	// Addr is the sender's link address; only full tallies must contain it.
 	Addr string
 	// ConfigRevision and RosterRevision are the revisions of the configuration and of
-	// the instance list in force at the sender, numbered as in package epoch.
+	// the instance list in force at the sender, numbered as in package eras.
 	ConfigRevision, RosterRevision int64
 	// Customers holds the customers whose total changed.
 	Customers []CustomerUsage
--- a/entry/follow/calls.go
+++ b/entry/follow/calls.go
@@ -5,7 +5,7 @@
 	"errors"
 	"time"
 
-	"lycheepond/core/epoch"
+	"lycheepond/core/eras"
 )
 
 // minIdle and maxIdle bound the time until the follower checks again whether a call
@@ -81,7 +81,7 @@
 // sendDueCalls sends the calls that are due.
 func (f *Follower[T]) sendDueCalls(ctx context.Context) {
 	now := time.Now()
-	if !f.historyLost && f.cfg.Era != nil && f.cfg.Era() > epoch.Era(max(f.since, f.verifiedRevision)) {
+	if !f.historyLost && f.cfg.Era != nil && f.cfg.Era() > eras.Era(max(f.since, f.verifiedRevision)) {
 		f.historyLost = true
 		f.restartWatch(0)
 	}
--- a/entry/follow/era_test.go
+++ b/entry/follow/era_test.go
@@ -8,7 +8,7 @@
 
 	"go.uber.org/zap"
 
-	"lycheepond/core/epoch"
+	"lycheepond/core/eras"
 )
 
 // startEraFollower runs a follower without checks of a platform in an era. It returns the
@@ -47,14 +47,14 @@
 func TestNewEraLeadsToWholeList(t *testing.T) {
 	var era atomic.Int64
 	list := func(context.Context) ([]Change[int], int64, error) {
-		n := epoch.Join(era.Load(), 20-era.Load())
+		n := eras.Join(era.Load(), 20-era.Load())
 		return []Change[int]{{Name: "x", Revision: n}}, n, nil
 	}
 	learned, lists := startEraFollower(t, era.Load, list, heldWatch)
 	await(t, learned, 20)
 	for e := int64(1); e < 3; e++ {
 		era.Store(e)
-		await(t, learned, epoch.Join(e, 20-e))
+		await(t, learned, eras.Join(e, 20-e))
 	}
 	time.Sleep(50 * time.Millisecond)
 	if n := lists.Load(); n != 3 {
@@ -65,7 +65,7 @@
 // Guards against a new era without changes that leads to one read after the other.
 func TestNewEraOfEmptyList(t *testing.T) {
 	var era atomic.Int64
-	_, lists := startEraFollower(t, era.Load, func(context.Context) ([]Change[int], int64, error) { return nil, epoch.Join(era.Load(), 9), nil }, heldWatch)
+	_, lists := startEraFollower(t, era.Load, func(context.Context) ([]Change[int], int64, error) { return nil, eras.Join(era.Load(), 9), nil }, heldWatch)
 	time.Sleep(50 * time.Millisecond)
 	era.Store(1)
 	time.Sleep(1500 * time.Millisecond)
--- a/entry/follow/follow.go
+++ b/entry/follow/follow.go
@@ -50,7 +50,7 @@
 	Removed bool
 	// Item is the zero value if Removed is set.
 	Item T
-	// Revision is the platform's revision of the change, numbered as in package epoch.
+	// Revision is the platform's revision of the change, numbered as in package eras.
 	Revision int64
 }
 
