--- a/entry/direct/leaving.go
+++ b/entry/direct/leaving.go
@@ -9,7 +9,6 @@
 	"lycheepond/core/drain"
 	"lycheepond/core/logs"
 	"lycheepond/core/wire"
-	"lycheepond/entry/hop"
 )
 
 // errLeaving reports that a request was placed at an endpoint before it was known to be
@@ -21,39 +20,6 @@
 	return drain.Start{Endpoint: e.ID, Incarnation: e.Incarnation}
 }
 
-// checkSendable returns an error if the endpoint of an attempt must not get its request any
-// more.
-func (d *Director) checkSendable(a *attempt) error {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	switch {
-	case d.view.leaving.IsLeaving(a.start):
-		return errLeaving
-	case !d.view.rests.Empty() && d.view.rests.Left(d.sinceStart(time.Now()), a.start.ID()) > 0:
-		return errResting
-	}
-	return nil
-}
-
-// observeHead records what the head of any answer, also of one that is not forwarded, states
-// about the endpoint that sent it.
-func (d *Director) observeHead(a *attempt, answer *hop.Answer) {
-	m := d.cfg.ReadMeta(answer)
-	if m.WrongEndpoint || !m.Leaving && !m.HasRest {
-		return
-	}
-	d.mu.Lock()
-	d.observeRest(a, m)
-	isNew := m.Leaving && d.view.leaving.Record(a.start)
-	if isNew {
-		d.applyLeaving(a.start, "")
-	}
-	d.mu.Unlock()
-	if isNew {
-		d.cfg.Client.CloseIdle(a.sentAddr)
-	}
-}
-
 // mergeLeaving merges a peer's reports on endpoints that are leaving. The caller holds d.mu.
 func (d *Director) mergeLeaving(peer string, reports []wire.LeavingEndpoint) {
 	for _, r := range reports {
--- /dev/null
+++ b/entry/direct/stated.go
@@ -0,0 +1,40 @@
+package direct
+
+import (
+	"time"
+
+	"lycheepond/entry/hop"
+)
+
+// checkSendable returns an error if the endpoint of an attempt must not get its request any
+// more.
+func (d *Director) checkSendable(a *attempt) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	switch {
+	case d.view.leaving.IsLeaving(a.start):
+		return errLeaving
+	case !d.view.rests.Empty() && d.view.rests.Left(d.sinceStart(time.Now()), a.start.ID()) > 0:
+		return errResting
+	}
+	return nil
+}
+
+// observeHead records what the head of any answer, also of one that is not forwarded, states
+// about the endpoint that sent it.
+func (d *Director) observeHead(a *attempt, answer *hop.Answer) {
+	m := d.cfg.ReadMeta(answer)
+	if m.WrongEndpoint || !m.Leaving && !m.HasRest {
+		return
+	}
+	d.mu.Lock()
+	d.observeRest(a, m)
+	isNew := m.Leaving && d.view.leaving.Record(a.start)
+	if isNew {
+		d.applyLeaving(a.start, "")
+	}
+	d.mu.Unlock()
+	if isNew {
+		d.cfg.Client.CloseIdle(a.sentAddr)
+	}
+}
