core/rest: a rest outlasts a gap in the instance list

A rest was forgotten when its endpoint was missing from a list, as after an outage of the store, and the endpoint got requests again once it was listed. Rests end by time only now, and their number is bounded.

TestRestOutlastsGapInInstanceList failed before (two requests, one allowed).

--- a/core/rest/rest.go
+++ b/core/rest/rest.go
@@ -23,6 +23,8 @@
 	// entries that were asked together do not return together.
 	maxSpread      = 400 * time.Millisecond
 	maxSpreadShare = 0.2
+	// maxRests bounds the memory of a Tracker.
+	maxRests = 4096
 	// minReportedGain is by how much the end of a rest must have moved to be reported
 	// again. Each request that an endpoint turns away moves it a little.
 	minReportedGain = 250 * time.Millisecond
@@ -31,6 +33,7 @@
 // Tracker tracks the rests that endpoints have asked one entry for. The zero value tracks
 // none.
 type Tracker struct {
+	// rests has at most maxRests elements.
 	rests map[string]*rest
 }
 
@@ -49,7 +52,8 @@
 const (
 	// Rejected means that the time is negative or longer than MaxTime.
 	Rejected Change = iota
-	// Unchanged means that the endpoint has asked for a rest as long already.
+	// Unchanged means that the endpoint has asked for a rest as long already, or that too
+	// many others rest.
 	Unchanged
 	// Prolonged means that its rest ends later, Begun that it had none.
 	Prolonged
@@ -76,7 +80,7 @@
 func (t *Tracker) extend(now time.Duration, id string, endsAt time.Duration) Change {
 	r := t.rests[id]
 	switch {
-	case endsAt <= now || r != nil && endsAt <= r.endsAt:
+	case endsAt <= now || r != nil && endsAt <= r.endsAt || r == nil && len(t.rests) >= maxRests:
 		return Unchanged
 	case r == nil:
 		if t.rests == nil {
@@ -123,10 +127,10 @@
 	return time.Duration((float64(tierRank) + draw) / float64(max(tierCount, 1)) * float64(rampTime))
 }
 
-// Sweep forgets the rests that have ended and those of starts for which listed returns false.
-func (t *Tracker) Sweep(now time.Duration, listed func(id string) bool) {
+// Sweep forgets the rests that have ended.
+func (t *Tracker) Sweep(now time.Duration) {
 	for id, r := range t.rests {
-		if now >= r.endsAt+rampTime || !listed(id) {
+		if now >= r.endsAt+rampTime {
 			delete(t.rests, id)
 		}
 	}
--- a/entry/direct/rest.go
+++ b/entry/direct/rest.go
@@ -48,17 +48,9 @@
 
 // sweepRests forgets rests that have ended. The caller holds d.mu.
 func (v *view) sweepRests(now time.Duration) {
-	if v.rests.Empty() && len(v.peerRests) == 0 {
-		return
-	}
-	starts := make(map[string]bool, len(v.endpoints))
-	for _, e := range v.endpoints {
-		starts[e.startID()] = true
-	}
-	listed := func(id string) bool { return starts[id] }
-	v.rests.Sweep(now, listed)
+	v.rests.Sweep(now)
 	for peer, r := range v.peerRests {
-		if r.Sweep(now, listed); r.Empty() {
+		if r.Sweep(now); r.Empty() {
 			delete(v.peerRests, peer)
 		}
 	}
--- a/entry/direct/rest_test.go
+++ b/entry/direct/rest_test.go
@@ -84,6 +84,24 @@
 	}
 }
 
+// Guards against a rest that is forgotten because the instance list lacks the endpoint for a
+// moment, as after an outage.
+func TestRestOutlastsGapInInstanceList(t *testing.T) {
+	var ask atomic.Int64
+	ask.Store(int64(time.Minute))
+	h, resting := newRestHarness(t, time.Second, &ask, 1)
+	h.send(t.Context(), "x", callerAnswer{})
+	roster := h.d.Roster()
+	for _, endpoints := range [][]route.Endpoint{roster.Endpoints[1:], roster.Endpoints} {
+		roster.Revision++
+		h.d.SetRoster(route.Roster{Revision: roster.Revision, Endpoints: endpoints})
+	}
+	h.send(t.Context(), "x", callerAnswer{})
+	if n := resting.runs.Load(); n != 1 {
+		t.Errorf("%d requests reached the endpoint, want 1", n)
+	}
+}
+
 // Guards against refusals of requests that could wait for the end of a rest, and against
 // callers that are told to return during it.
 func TestRequestsWaitForEndOfRest(t *testing.T) {
--- a/entry/direct/view.go
+++ b/entry/direct/view.go
@@ -287,7 +287,6 @@
 		e.Leaving = e.Leaving || v.leaving.IsLeaving(e.start())
 	}
 	v.forgetStaleLimits()
-	v.sweepRests(now)
 	v.updateVersions(now)
 	v.assignAllEndpoints()
 	v.recountPeerWork()
