core/roster: a list that defers removals keeps the revision of the list before

Cause, by reading: an entry that comes back defers removals for 2.2 s and marks its list with a revision from before them, so that no other entry takes it for a newer one. But the list that it reads brings newer items before the removals, in one answer, and the revision of those was used: peers that had applied the removal took the list as newer and used the endpoint again. The list now keeps the revision of the one returned before.

--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -59,8 +59,9 @@
 	// removalDueAt holds the time at which each deferred removal is to be applied.
 	removalDueAt map[string]time.Duration
 	revision     int64
-	// revisionBeforeDeferred is the revision before the first deferred removal.
-	revisionBeforeDeferred int64
+	// returnedRevision is the revision of the list that Roster returned last, which is older
+	// than all removals since. While removals are deferred it stays as it is.
+	returnedRevision int64
 	// inOutage is set while the platform does not answer. The outage began at outageSince.
 	inOutage    bool
 	outageSince time.Duration
@@ -180,9 +181,6 @@
 		t.remove(id)
 		return
 	}
-	if len(t.removalDueAt) == 0 {
-		t.revisionBeforeDeferred = t.revision
-	}
 	if _, ok := t.removalDueAt[id]; !ok {
 		t.removalDueAt[id] = t.recoveredAt + deferTime
 	}
@@ -208,14 +206,15 @@
 // HasDeferred reports whether removals are deferred.
 func (t *Tracker) HasDeferred() bool { return len(t.removalDueAt) > 0 }
 
-// Roster returns the current list, ordered by ID. While removals are deferred, it has the
-// revision from before the first of them. With a newer revision, entries that have applied
-// the removals would treat it as a newer list and use endpoints again that have left.
+// Roster returns the current list, ordered by ID. While removals are deferred, it keeps the
+// revision of the list returned before. With a newer one, entries that have applied the
+// removals would treat it as a newer list and use endpoints again that have left. The revisions
+// of removals don't tell: after an outage they are that of the whole list.
 func (t *Tracker) Roster() route.Roster {
-	r := route.Roster{Revision: t.revision}
-	if t.HasDeferred() {
-		r.Revision = t.revisionBeforeDeferred
+	if !t.HasDeferred() {
+		t.returnedRevision = t.revision
 	}
+	r := route.Roster{Revision: t.returnedRevision}
 	for _, e := range t.endpoints {
 		r.Endpoints = append(r.Endpoints, e)
 	}
