core/roster: an entry that comes back goes on from the list that peers sent it

At the end of an outage the tracker takes over the list in force if that is newer. What the peer knows to be gone is not deferred, the rest is, and changes take effect at once.

TestListOfPeerIsKeptAfterOutage checks it on the tracker; with the calls as they were it could not be written, so it was not seen failing. Calls in other tests have the new parameter.

--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -90,14 +90,35 @@
 	}
 }
 
-// RecordRecovery records that the platform answers.
-func (t *Tracker) RecordRecovery(now time.Duration) {
+// RecordRecovery records that the platform answers. inForce is the list in force at the entry.
+// If that is newer, because a peer sent it during the outage, it replaces the list: what the
+// peer knows to be gone is not deferred.
+func (t *Tracker) RecordRecovery(now time.Duration, inForce route.Roster) {
 	if t.inOutage && now-t.outageSince > maxHarmlessOutage {
+		if inForce.Revision > t.revision && !t.HasDeferred() {
+			t.adopt(inForce)
+		}
 		t.hadOutage, t.recoveredAt = true, now
 	}
 	t.inOutage = false
 }
 
+// adopt replaces the list by one that a peer sent.
+func (t *Tracker) adopt(r route.Roster) {
+	t.init()
+	listed := make(map[string]bool, len(r.Endpoints))
+	for _, e := range r.Endpoints {
+		listed[e.ID] = true
+		t.endpoints[e.ID], t.changedAt[e.ID] = e, r.Revision
+	}
+	for id := range t.endpoints {
+		if !listed[id] {
+			t.remove(id)
+		}
+	}
+	t.revision, t.returnedRevision = r.Revision, r.Revision
+}
+
 // ReplaceAll replaces the list by the one of the given revision.
 func (t *Tracker) ReplaceAll(now time.Duration, revision int64, all []route.Endpoint) {
 	t.init()
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -17,7 +17,7 @@
 	var tracker Tracker
 	tracker.ReplaceAll(0, 10, twoEndpoints())
 	tracker.RecordOutage(10 * time.Second)
-	tracker.RecordRecovery(20 * time.Second)
+	tracker.RecordRecovery(20*time.Second, route.Roster{})
 	now := 20*time.Second + 100*time.Millisecond
 	tracker.Remove(now, 11, "a")
 	tracker.ReplaceAll(now, 12, nil)
@@ -42,7 +42,7 @@
 		t.Fatalf("%d endpoints, want 1", n)
 	}
 	tracker.RecordOutage(1500 * time.Millisecond)
-	tracker.RecordRecovery(2 * time.Second)
+	tracker.RecordRecovery(2*time.Second, route.Roster{})
 	tracker.Set(2*time.Second, 11, route.Endpoint{ID: "c"})
 	tracker.Remove(2100*time.Millisecond, 11, "c")
 	if n := len(tracker.Roster().Endpoints); n != 1 {
@@ -61,7 +61,7 @@
 	var tracker Tracker
 	tracker.ReplaceAll(0, 10, twoEndpoints())
 	tracker.RecordOutage(10 * time.Second)
-	tracker.RecordRecovery(20 * time.Second)
+	tracker.RecordRecovery(20*time.Second, route.Roster{})
 	tracker.Remove(22*time.Second, 11, "a")
 	if n := len(tracker.Roster().Endpoints); n != 1 {
 		t.Fatalf("%d endpoints, want 1", n)
@@ -77,7 +77,7 @@
 	tracker.ReplaceAll(0, 30, twoEndpoints())
 	tracker.Roster()
 	tracker.RecordOutage(2 * time.Second)
-	tracker.RecordRecovery(11 * time.Second)
+	tracker.RecordRecovery(11*time.Second, route.Roster{})
 	tracker.Set(11*time.Second, 36, route.Endpoint{ID: "c"})
 	tracker.Remove(11*time.Second, 37, "a")
 	tracker.Remove(11*time.Second, 38, "b")
@@ -99,7 +99,7 @@
 	tracker.ReplaceAll(0, 140, twoEndpoints())
 	before := tracker.Roster().Revision
 	tracker.RecordOutage(2 * time.Second)
-	tracker.RecordRecovery(10 * time.Second)
+	tracker.RecordRecovery(10*time.Second, route.Roster{})
 	// The endpoint left at revision 147. The answer states only that of the whole list.
 	tracker.Set(10*time.Second, 157, route.Endpoint{ID: "c"})
 	tracker.Remove(10*time.Second, 160, "a")
@@ -116,6 +116,28 @@
 	}
 }
 
+// Guards against an entry that puts an endpoint back in service, or ignores what the platform
+// tells it, since it has a peer's list from an outage and defers removals.
+func TestListOfPeerIsKeptAfterOutage(t *testing.T) {
+	var tracker Tracker
+	tracker.ReplaceAll(0, 140, []route.Endpoint{{ID: "a"}, {ID: "b"}, {ID: "c"}})
+	tracker.Roster()
+	tracker.RecordOutage(2 * time.Second)
+	// Meanwhile a peer reported that a has left.
+	tracker.RecordRecovery(10*time.Second, route.Roster{Revision: 157, Endpoints: []route.Endpoint{{ID: "b"}, {ID: "c"}}})
+	tracker.Set(10*time.Second, 159, route.Endpoint{ID: "c", Leaving: true})
+	tracker.Remove(10*time.Second, 160, "a")
+	tracker.Remove(10*time.Second, 160, "b")
+	r := tracker.Roster()
+	if r.Revision != 157 || len(r.Endpoints) != 2 || r.Endpoints[0].ID != "b" || !r.Endpoints[1].Leaving {
+		t.Errorf("%+v, want b, whose removal is deferred, and c, which leaves, at revision 157", r)
+	}
+	tracker.ApplyDeferred(13 * time.Second)
+	if r := tracker.Roster(); r.Revision != 160 || len(r.Endpoints) != 1 {
+		t.Errorf("%+v, want c at revision 160", r)
+	}
+}
+
 // Guards against an instance list from an older copy of the platform that takes endpoints that
 // run out of service, and puts those in service that leave or are gone.
 func TestListOfOlderCopy(t *testing.T) {
