core/sigs: SIGTERM during the start ends a process with status 0

Seen by callers and operators: an entry that is stopped in the first milliseconds after its start (20 ms in a race build, more beside load) ended with "signal: terminated", which a supervisor takes for a crash and which fails the soak's check of planned stops.

Cause: until signal.Notify is called SIGTERM has its default action, and the Go runtime's own handler ends the process by the signal as well. The constructor of core/sigs covered SIGHUP alone.

Why it works: the constructor installs a handler that ends the process with status 0 while it starts. Go keeps it as the one to forward to and calls it for a signal that the program does not receive. It also unblocks the signals, so that a starter that blocks them (sigs.Start) closes the time before the constructor. trial/procs starts its processes so. The line starting tells whether the build has the constructor.

--- a/core/sigs/hangup.go
+++ /dev/null
@@ -1,5 +0,0 @@
-//go:build cgo
-
-package sigs
-
-import "C" // for hangup.c
--- /dev/null
+++ b/core/sigs/launch.go
@@ -0,0 +1,52 @@
+package sigs
+
+import (
+	"os/exec"
+	"runtime"
+	"syscall"
+	"unsafe"
+)
+
+// Start starts cmd with the signals blocked that this package handles. A program that
+// imports the package unblocks them once it handles them, so that none sent to it after
+// Start ends it before that. Another program may keep them blocked.
+func Start(cmd *exec.Cmd) error {
+	// The child inherits the mask of the thread that starts it.
+	runtime.LockOSThread()
+	defer runtime.UnlockOSThread()
+	blocked := signalSet(syscall.SIGHUP, syscall.SIGTERM, syscall.SIGINT)
+	var old uint64
+	if err := setMask(sigBlock, &blocked, &old); err != nil {
+		return err
+	}
+	err := cmd.Start()
+	if restoreErr := setMask(sigSetMask, &old, nil); err == nil {
+		err = restoreErr
+	}
+	return err
+}
+
+// Values of how in rt_sigprocmask, and the size in bytes of the kernel's signal set.
+const (
+	sigBlock      = 0
+	sigSetMask    = 2
+	signalSetSize = 8
+)
+
+// signalSet returns the kernel's set of the given signals.
+func signalSet(signals ...syscall.Signal) (set uint64) {
+	for _, s := range signals {
+		set |= 1 << (s - 1)
+	}
+	return set
+}
+
+// setMask changes the signal mask of the calling thread and stores the one before in old,
+// unless that is nil.
+func setMask(how uintptr, set, old *uint64) error {
+	_, _, errno := syscall.RawSyscall6(syscall.SYS_RT_SIGPROCMASK, how, uintptr(unsafe.Pointer(set)), uintptr(unsafe.Pointer(old)), signalSetSize, 0, 0)
+	if errno != 0 {
+		return errno
+	}
+	return nil
+}
--- a/core/sigs/sigs.go
+++ b/core/sigs/sigs.go
@@ -4,8 +4,13 @@
 // A signal that arrives before signal.Notify is called ends the process. That call in main
 // is too late on a busy machine: the runtime and the packages that main imports are
 // initialized before it, which takes tens of milliseconds there. A program that imports this
-// package registers for the signals while it is initialized. Where cgo is available, SIGHUP is
-// also ignored from before the start of the Go runtime, which keeps it ignored until then.
+// package registers for the signals while it is initialized. Where cgo is available, a C
+// constructor covers the time before: SIGHUP is ignored, because the settings have not been
+// read yet, and SIGTERM and an interrupt end the process with status 0, because it has served
+// nothing.
+//
+// Between execve and the constructor the process has executed no instruction of its own. Only
+// its starter can keep a signal from ending it then, by blocking the signal as Start does.
 package sigs
 
 import (
@@ -25,6 +30,7 @@
 func notifyEarly() chan os.Signal {
 	c := make(chan os.Signal, 8)
 	signal.Notify(c, syscall.SIGHUP, syscall.SIGTERM, os.Interrupt)
+	endStart()
 	return c
 }
 
--- a/entry/node.go
+++ b/entry/node.go
@@ -20,6 +20,7 @@
 	"lycheepond/core/logs"
 	"lycheepond/core/meter"
 	"lycheepond/core/plat"
+	"lycheepond/core/sigs"
 	"lycheepond/core/store"
 	"lycheepond/core/wire"
 	"lycheepond/entry/admin"
@@ -95,7 +96,7 @@
 // run serves until ctx ends, then stops the parts in order.
 func (n *node) run(ctx context.Context) error {
 	work, end := context.WithCancel(context.Background())
-	logs.Info(n.log, logs.EventStarting)
+	logs.Info(n.log, logs.EventStarting, zap.Bool("signals_from_start", sigs.FromStart))
 	var err error
 	if n.certs, err = certs.NewLogged(certs.Files(n.cfg.TLS), n.log); err != nil {
 		end()
--- a/trial/procs/proc.go
+++ b/trial/procs/proc.go
@@ -14,6 +14,8 @@
 	"strings"
 	"syscall"
 	"time"
+
+	"lycheepond/core/sigs"
 )
 
 // ErrEnded is returned for a signal to a process that has ended.
@@ -189,7 +191,7 @@
 func (f *forker) run() {
 	runtime.LockOSThread()
 	for req := range f.requests {
-		req.done <- req.cmd.Start()
+		req.done <- sigs.Start(req.cmd)
 	}
 }
 
