entry/follow: a late answer to a check counts

Callers: a revoked key was accepted for 2.5 to 2.8 s by 3 of 14 entries, 2 s allowed (KNOWN-RED, TestKeyIsRevokedWhenTheStoreForgetsWatches), and for as long as the store answers slowly in general.

Cause: an entry cancelled a check after 0.3 of the freshness bound, 0.6 s, and sent another. If each answer takes a little longer, none is ever used. When the store has forgotten the watches as well, no change is learned.

Why it works: a late check still counts as failed and the next one is sent, but the answer is used when it arrives, as evidence of when the check was sent. Connections are dropped when a check is late, so a dead one costs no more than before.

--- a/entry/follow/calls.go
+++ b/entry/follow/calls.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"lycheepond/core/eras"
@@ -21,9 +22,14 @@
 type calls[T any] struct {
 	answers chan answer[T]
 	// pending counts all calls without an answer, including cancelled ones.
-	// isChecking is set while one of them is a check.
-	pending    int
-	isChecking bool
+	pending int
+	// checks holds the checks without an answer, oldest first, and sentChecks counts
+	// those sent. All are late, except the last one while isChecking is set: it was
+	// sent at checkSentAt and is late at checkLateAt.
+	checks                   []check
+	sentChecks               int
+	isChecking               bool
+	checkSentAt, checkLateAt time.Time
 	// nextCheckIn is the last result of Config.NextCheck.
 	nextCheckIn time.Duration
 	// historyLost is set while the platform no longer has the changes since
@@ -37,11 +43,24 @@
 	watches     int
 }
 
+// check is a check without an answer.
+type check struct {
+	number int
+	cancel context.CancelFunc
+}
+
+// maxChecks is the largest number of checks without an answer.
+const maxChecks = 3
+
+// errCheckLate reports that a check has no answer in time.
+var errCheckLate = errors.New("follow: the platform has not answered a check in time: see whether it is slow or cannot be reached")
+
 // answer is the answer to one call.
 type answer[T any] struct {
-	// watch is the number of the watch, from one on, or zero for a check. For a
-	// check, changes holds all items.
+	// watch is the number of the watch, from one on, or zero for a check, check the
+	// number of the check. For a check, changes holds all items.
 	watch    int
+	check    int
 	since    int64
 	sentAt   time.Time
 	changes  []Change[T]
@@ -65,6 +84,7 @@
 		case a := <-f.answers:
 			f.handleAnswer(ctx, a)
 		case <-time.After(f.idleTime()):
+			f.noteLateCheck(ctx)
 		}
 	}
 }
@@ -75,7 +95,7 @@
 		<-f.answers
 		f.pending--
 	}
-	f.isChecking, f.cancelWatch = false, nil
+	f.checks, f.isChecking, f.cancelWatch = nil, false, nil
 }
 
 // sendDueCalls sends the calls that are due.
@@ -89,15 +109,50 @@
 		f.startWatch(ctx)
 	}
 	if f.isCheckDue(now) {
-		f.isChecking = true
-		f.startCall(ctx, answer[T]{}, 0, f.checkTimeout())
+		f.startCheck(ctx, now)
+	}
+}
+
+// startCheck sends a check. It cancels the oldest one if maxChecks have no answer.
+func (f *Follower[T]) startCheck(ctx context.Context, now time.Time) {
+	if len(f.checks) == maxChecks {
+		f.cancelChecks(1)
+	}
+	timeout := f.checkTimeout()
+	f.sentChecks++
+	ctx, cancel := context.WithCancel(ctx)
+	f.checks = append(f.checks, check{f.sentChecks, cancel})
+	f.isChecking, f.checkSentAt, f.checkLateAt = true, now, now.Add(timeout)
+	f.startCall(ctx, answer[T]{check: f.sentChecks}, 0, timeout+CallTimeout)
+}
+
+// cancelChecks cancels the n oldest checks.
+func (f *Follower[T]) cancelChecks(n int) {
+	for _, c := range f.checks[:n] {
+		c.cancel()
+	}
+	f.checks = slices.Delete(f.checks, 0, n)
+}
+
+// noteLateCheck counts the current check as failed once it is late. Its answer still counts
+// if it arrives: a platform that always answers too late would otherwise never be heard.
+func (f *Follower[T]) noteLateCheck(ctx context.Context) {
+	if !f.isChecking || time.Now().Before(f.checkLateAt) {
+		return
+	}
+	f.isChecking = false
+	if f.cfg.OnLate != nil {
+		f.cfg.OnLate()
+	}
+	if !f.checkSentAt.Before(f.lastSuccessAt) {
+		f.noteFailure(ctx, errCheckLate)
 	}
 }
 
 // isCheckDue reports whether to send a check, because it is this entry's turn or
 // because the last call failed. After a failure, a check shows sooner than a watch
 // that the platform is back, and its answer is evidence. Only one check is pending
-// at a time. Its timeout is short, because a second check may be answered although
+// that is not late. A check is late soon, because a second one may be answered although
 // the answer to the first is delayed.
 func (f *Follower[T]) isCheckDue(now time.Time) bool {
 	if f.isChecking {
@@ -159,6 +214,7 @@
 	now, idle := time.Now(), maxIdle
 	switch {
 	case f.isChecking:
+		idle = f.checkLateAt.Sub(now)
 	case f.failures > 0:
 		idle = f.retryAt.Sub(now)
 	case f.cfg.NextCheck != nil:
@@ -175,7 +231,9 @@
 	f.pending--
 	switch {
 	case !a.isWatch():
-		f.isChecking = false
+		if !f.takeCheck(a) {
+			return
+		}
 	case a.watch != f.watches || f.cancelWatch == nil:
 		return
 	default:
@@ -201,7 +259,26 @@
 	}
 }
 
-// handleFailure handles a failed call. A check that timed out counts as a failure,
+// takeCheck removes the check that an answer belongs to, and reports whether the answer
+// counts. One to a cancelled check does not, nor does a late one without news.
+func (f *Follower[T]) takeCheck(a answer[T]) bool {
+	i := slices.IndexFunc(f.checks, func(c check) bool { return c.number == a.check })
+	if i < 0 {
+		return false
+	}
+	isLate := i < len(f.checks)-1 || !f.isChecking
+	f.checks[i].cancel()
+	f.checks = slices.Delete(f.checks, i, i+1)
+	if !isLate {
+		f.isChecking = false
+	}
+	if a.err == nil {
+		f.cancelChecks(i)
+	}
+	return !isLate || a.err == nil && a.revision >= f.since
+}
+
+// handleFailure handles a failed call. A check that is late counts as a failure,
 // because that makes removals safer: the platform then counts as away from early on
 // in a period without answers, and not only from near its end. If only one check is
 // lost, the answer to the next one ends the outage before it is long enough to put
--- a/entry/follow/follow.go
+++ b/entry/follow/follow.go
@@ -95,6 +95,9 @@
 	// OnVerified is called when a call sent at a time has shown that the platform
 	// has nothing newer than a revision. It may be nil.
 	OnVerified func(revision int64, sent time.Time)
+	// OnLate is called when a check has no answer in time. Its connection may be dead,
+	// and other idle ones too. It may be nil.
+	OnLate func()
 	// OnAway and OnBack are called when the platform stops and resumes answering.
 	OnAway, OnBack func()
 	// Random returns a number in [0, 1).
--- a/entry/follow/wait.go
+++ b/entry/follow/wait.go
@@ -12,7 +12,7 @@
 	// decision that must take effect at once depends on the list.
 	maxEntriesWatchTime = 12 * time.Second
 	// checkTimeoutShare is the part of the freshness bound after which an
-	// unanswered check is cancelled. A check may be due at 0.6 of the bound, and
+	// unanswered check is late. A check may be due at 0.6 of the bound, and
 	// the next one must be answered in the time that is left.
 	checkTimeoutShare = 0.3
 	// itemsPerPage is the number of items that the platform puts on a page.
@@ -41,7 +41,7 @@
 
 // CheckTimeout returns how long a check of a list of items may take when changes
 // must be in force within bound. A list of many pages gets more than its share of
-// the bound, because an entry that cancels every check of it would never read it.
+// the bound, because its answer takes longer.
 func CheckTimeout(items int, bound time.Duration) time.Duration {
 	pages := time.Duration(items/itemsPerPage + 1)
 	return max(time.Duration(checkTimeoutShare*float64(bound)), pages*pageTimeout)
