core/conf: a key that is replaced during the start of a process is used

Effect: an entry or agent of the agents' door that starts while the fleet key is replaced keeps the old key until the settings file changes again, and its links are refused when the others use the new one only.

Cause: the modification time was taken after the file had been read. A change in between had that time already, and its SIGHUP came before Follow had subscribed.

Evidence: TestKeyChangedDuringStart failed before (old key in use after 5 s).

Why it works: NewLiveKeys takes the time and then reads the file, so a change is either read or seen by the next check.

--- a/core/conf/conf_test.go
+++ b/core/conf/conf_test.go
@@ -128,6 +128,39 @@
 	<-ended
 }
 
+// A key written between the first read of the settings and the start of LiveKeys stayed unknown
+// until the file changed again.
+func TestKeyChangedDuringStart(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "agent.yaml")
+	write := func(key string) {
+		text := strings.NewReplacer("${KEY}", key, "${TOKEN}", "t").Replace(goodAgent)
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write("0123456789abcdef-old")
+	initial, err := AgentKeys(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	write("0123456789abcdef-new")
+	live := NewLiveKeys(path, initial, AgentKeys)
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		live.Run(ctx, nil, 10*time.Millisecond, func(error) {})
+		close(ended)
+	}()
+	for end := time.Now().Add(5 * time.Second); string(live.Keys().Current) != "0123456789abcdef-new"; time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Errorf("the key is %s", live.Keys().Current)
+			break
+		}
+	}
+	stop()
+	<-ended
+}
+
 // FuzzParse checks that no settings file crashes Parse and that its errors are lists
 // of problems. The fixed corpus runs with every test.
 func FuzzParse(f *testing.F) {
--- a/core/conf/live.go
+++ b/core/conf/live.go
@@ -31,12 +31,14 @@
 	modTime time.Time
 }
 
-// NewLiveKeys returns the keys of the settings that were read from path. read is
-// EntryKeys or AgentKeys.
+// NewLiveKeys returns the keys in the settings file at path. read is EntryKeys or AgentKeys.
+// The file may have changed since initial was read from it, so it is read again; initial is
+// used if that fails.
 func NewLiveKeys(path string, initial wire.Keys, read func(path string) (wire.Keys, error)) *LiveKeys {
 	l := &LiveKeys{path: path, read: read}
 	l.keys.Store(&initial)
-	if info, err := os.Stat(path); err == nil {
+	// A change after Stat makes Run read the file once more.
+	if info, err := os.Stat(path); err == nil && l.Reload() == nil {
 		l.modTime = info.ModTime()
 	}
 	return l
