entry/mesh: ended links leave no goroutines behind

Effect: each link that ended, and each connection that was refused, kept one blocked goroutine until the entry stopped.

Cause: a goroutine reports its end on a channel with room for one, and Run read that channel only after its own loop had ended.

Evidence: TestEndedLinksLeaveNoGoroutines: after 50 connections 25 and more goroutines were still counted as running after 10 s; now they are gone.

Why it works: the loop that sends tallies is one of the counted goroutines, so Run reads the channel all the time.

--- a/entry/mesh/mesh.go
+++ b/entry/mesh/mesh.go
@@ -141,8 +141,8 @@
 	// one that is. Only the sendTallies goroutine uses them.
 	snapshots map[uint8]*wire.Snapshot
 	encoded   map[uint8]snapshotVersion
-	// ended receives one value from each goroutine that has returned. running
-	// counts the goroutines whose value wait has not yet received.
+	// ended receives one value from each goroutine started with spawn, when it returns. Run
+	// reads it all the time. running counts the goroutines whose value it has not received.
 	ended   chan struct{}
 	running int
 }
@@ -203,7 +203,7 @@
 	for _, addr := range m.cfg.Seeds {
 		m.startDial(ctx, addr)
 	}
-	m.sendTallies(ctx)
+	m.spawn(func() { m.sendTallies(ctx) })
 	m.wait()
 	return ctx.Err()
 }
@@ -227,7 +227,7 @@
 	}()
 }
 
-// wait returns when every goroutine started with spawn has ended.
+// wait receives the ends of the goroutines started with spawn, and returns when none runs.
 func (m *Mesh) wait() {
 	for {
 		m.mu.Lock()
--- a/entry/mesh/mesh_test.go
+++ b/entry/mesh/mesh_test.go
@@ -248,6 +248,27 @@
 	}
 }
 
+// Each link that ended left a goroutine behind until the entry stopped.
+func TestEndedLinksLeaveNoGoroutines(t *testing.T) {
+	a := start(t, "a")
+	connect := func() {
+		conn, err := net.Dial("tcp", a.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		conn.Close()
+	}
+	const links = 50
+	for range links {
+		connect()
+	}
+	await(t, "the goroutines of ended links to return", func() bool {
+		a.mesh.mu.Lock()
+		defer a.mesh.mu.Unlock()
+		return a.mesh.running < links/2
+	})
+}
+
 // An entry dies and comes back under the same name. While it is away, its requests
 // in flight must not count. After its return, its tallies must be accepted.
 func TestSilentPeerIsLostAndReturns(t *testing.T) {
