core/launch: the start of programs in a package of its own

A program that imports core/sigs registers for SIGTERM while it is initialized and is expected to call sigs.Context. trial/procs imported it for Start alone, so trial lost a SIGTERM that came before its own signal.Notify. The start now stands in a package without that effect.

--- a/core/sigs/launch.go
+++ b/core/launch/launch.go
@@ -1,4 +1,6 @@
-package sigs
+// Package launch starts programs so that a signal sent to one at once does not end it before
+// it can receive signals.
+package launch
 
 import (
 	"os/exec"
@@ -7,9 +9,9 @@
 	"unsafe"
 )
 
-// Start starts cmd with the signals blocked that this package handles. A program that
-// imports the package unblocks them once it handles them, so that none sent to it after
-// Start ends it before that. Another program may keep them blocked.
+// Start starts cmd with SIGHUP, SIGTERM and SIGINT blocked. They stay pending until the program
+// receives them: one that imports package sigs from before the start of the Go runtime, another
+// Go program once it calls signal.Notify for them.
 func Start(cmd *exec.Cmd) error {
 	// The child inherits the mask of the thread that starts it.
 	runtime.LockOSThread()
--- a/core/sigs/sigs.go
+++ b/core/sigs/sigs.go
@@ -10,7 +10,7 @@
 // nothing.
 //
 // Between execve and the constructor the process has executed no instruction of its own. Only
-// its starter can keep a signal from ending it then, by blocking the signal as Start does.
+// its starter can keep a signal from ending it then, by blocking the signal as package launch does.
 package sigs
 
 import (
--- a/core/sigs/start_test.go
+++ b/core/sigs/start_test.go
@@ -11,6 +11,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"lycheepond/core/launch"
 )
 
 // roleEnv tells a child process, which runs the test binary, what to do in main.
@@ -34,14 +36,14 @@
 	}
 }
 
-// startChild starts the test binary in a role, with the signals blocked as by Start.
+// startChild starts the test binary in a role, with the signals blocked as by launch.Start.
 func startChild(t *testing.T, role string) (*exec.Cmd, *strings.Builder) {
 	t.Helper()
 	var out strings.Builder
 	cmd := exec.Command(os.Args[0])
 	cmd.Env = append(os.Environ(), roleEnv+"="+role)
 	cmd.Stdout = &out
-	if err := Start(cmd); err != nil {
+	if err := launch.Start(cmd); err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { cmd.Process.Kill() })
@@ -89,7 +91,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := Start(cmd); err != nil {
+	if err := launch.Start(cmd); err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { cmd.Process.Kill() })
--- a/trial/procs/proc.go
+++ b/trial/procs/proc.go
@@ -15,7 +15,7 @@
 	"syscall"
 	"time"
 
-	"lycheepond/core/sigs"
+	"lycheepond/core/launch"
 )
 
 // ErrEnded is returned for a signal to a process that has ended.
@@ -191,7 +191,7 @@
 func (f *forker) run() {
 	runtime.LockOSThread()
 	for req := range f.requests {
-		req.done <- sigs.Start(req.cmd)
+		req.done <- launch.Start(req.cmd)
 	}
 }
 
