trial/procs: an ended process is not reported as killed; stacks of one that is

TestEntryKilledOrPaused (KNOWN-RED): "the stand-in platform did not stop within the grace". The grace of Set.Close covers all processes, and the stand-in is the last one waited for. If the others used the grace up, both the expired timer and its end were ready, and select picked one at random.

--- a/trial/procs/proc.go
+++ b/trial/procs/proc.go
@@ -116,15 +116,17 @@
 	return p.waitOrKill(grace)
 }
 
-// waitOrKill waits until the process is reaped. After grace it kills the
-// process and returns an error.
+// stackTime is how long a process that is about to be killed may take to write its stacks.
+const stackTime = time.Second
+
+// waitOrKill waits until the process is reaped. After grace it has the process write
+// its stacks to its log, kills it and returns an error.
 func (p *Proc) waitOrKill(grace time.Duration) error {
-	timer := time.NewTimer(max(grace, 0))
-	defer timer.Stop()
-	select {
-	case <-p.done:
+	if p.isDoneWithin(grace) {
 		return nil
-	case <-timer.C:
+	}
+	if p.Signal(syscall.SIGQUIT) == nil {
+		p.isDoneWithin(stackTime)
 	}
 	if err := p.Kill(); err != nil && !errors.Is(err, ErrEnded) && !errors.Is(err, os.ErrProcessDone) {
 		return err
@@ -132,6 +134,25 @@
 	return fmt.Errorf("procs: %s did not stop within its grace time and was killed: read %s", p.name, p.logPath)
 }
 
+// isDoneWithin waits until the process is reaped, and reports false if that takes longer
+// than d.
+func (p *Proc) isDoneWithin(d time.Duration) bool {
+	timer := time.NewTimer(max(d, 0))
+	defer timer.Stop()
+	select {
+	case <-p.done:
+		return true
+	case <-timer.C:
+	}
+	// Both may have been ready.
+	select {
+	case <-p.done:
+		return true
+	default:
+		return false
+	}
+}
+
 // pollInterval is the interval between requests to a process that is not ready.
 const pollInterval = 20 * time.Millisecond
 
--- a/trial/procs/procs_test.go
+++ b/trial/procs/procs_test.go
@@ -76,6 +76,23 @@
 	}
 }
 
+// A process that had ended in time was reported as killed if others had used up the grace.
+func TestEndedProcessIsNotReportedAsKilled(t *testing.T) {
+	s := newSet(t, buildTrial(t))
+	p, err := s.Start("platform", "trial", "platform")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := p.Kill(); err != nil {
+		t.Fatal(err)
+	}
+	for range 100 {
+		if err := p.waitOrKill(0); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
 // A program that ends at once, for instance because of invalid settings, prints
 // no ready line. Ready must return an error that names the log file instead of
 // waiting until its context ends.
--- a/trial/proof/rig_test.go
+++ b/trial/proof/rig_test.go
@@ -126,6 +126,7 @@
 			r.logTails()
 		}
 		if err := set.Close(grace); err != nil && !t.Failed() {
+			r.logTails()
 			t.Error(err)
 		}
 		cancel()
