core/launch, entry/follow, core/canary: comments say what is so

A blocked signal stays pending until the program unblocks it; a Go program with cgo and without core/sigs may do so before it handles the signal. The package of revisions is eras.

--- a/core/canary/canary.go
+++ b/core/canary/canary.go
@@ -35,7 +35,7 @@
 	// Duration is the time that the operator allows for the rollout.
 	Duration time.Duration
 	// CreateRevision and Revision are revisions of the platform, numbered as in package
-	// epoch. CreateRevision is that of the first order with this name. Revision is one at
+	// eras. CreateRevision is that of the first order with this name. Revision is one at
 	// which the platform held this order; of two orders for a pool, the one with the higher
 	// Revision is the later one.
 	CreateRevision, Revision int64
--- a/core/launch/launch.go
+++ b/core/launch/launch.go
@@ -10,8 +10,8 @@
 )
 
 // Start starts cmd with SIGHUP, SIGTERM and SIGINT blocked. They stay pending until the program
-// receives them: one that imports package sigs from before the start of the Go runtime, another
-// Go program once it calls signal.Notify for them.
+// unblocks them, which one that imports package sigs does as soon as it handles them. When
+// another program does so is up to it and its runtime.
 func Start(cmd *exec.Cmd) error {
 	// The child inherits the mask of the thread that starts it.
 	runtime.LockOSThread()
--- a/entry/follow/calls.go
+++ b/entry/follow/calls.go
@@ -260,7 +260,8 @@
 }
 
 // takeCheck removes the check that an answer belongs to, and reports whether the answer
-// counts. One to a cancelled check does not, nor does a late one without news.
+// counts. One to a cancelled check does not, nor does a late one that is an error or older
+// than the local copy.
 func (f *Follower[T]) takeCheck(a answer[T]) bool {
 	i := slices.IndexFunc(f.checks, func(c check) bool { return c.number == a.check })
 	if i < 0 {
