entry: logs say how an answer ended, metrics what passed a refused request

A line of a request now has the framing of its last answer (length, chunks, connection) and the size of an unfinished event at its end, which tell an answer that ended with its connection from one that the endpoint framed short. queue_passed counts what got a slot of the same tier while a refused request waited: the order of the queue against want of room.

--- a/entry/direct/job.go
+++ b/entry/direct/job.go
@@ -6,6 +6,7 @@
 
 	"lycheepond/core/poison"
 	"lycheepond/core/route"
+	"lycheepond/entry/hop"
 )
 
 // Job is one request of a caller.
@@ -140,6 +141,10 @@
 	// attempt ended. SilenceBound is the longest wait before the entry may give up the
 	// attempt, zero if it may not.
 	Silence, SilenceBound time.Duration
+	// Framing is the framing of the last answer. UnfinishedBytes is the size of the unfinished
+	// event with which it ended, if it was a stream.
+	Framing         hop.Framing
+	UnfinishedBytes int
 }
 
 // AttemptInfo is what the endpoint gets to know about an attempt in addition to the caller's
--- a/entry/direct/relay.go
+++ b/entry/direct/relay.go
@@ -51,6 +51,9 @@
 				continue
 			}
 		}
+		if err == io.EOF {
+			a.placement.UnfinishedBytes = len(part) - wholeEvents(part)
+		}
 		rest, werr := t.forwardEvents(part, a, err == io.EOF)
 		part = append(part[:0], rest...)
 		if werr != nil {
@@ -107,13 +110,10 @@
 func (t *task) forwardEvents(part []byte, a *attempt, atEnd bool) ([]byte, error) {
 	n := len(part)
 	if !atEnd {
-		n = bytes.LastIndex(part, eventEnd) + len(eventEnd)
-		if n < len(eventEnd) {
-			return part, nil
-		}
+		n = wholeEvents(part)
 	}
 	if n == 0 {
-		return nil, nil
+		return part, nil
 	}
 	events := t.countEvents(part[:n])
 	tokens := events * max(t.job.Pool.EventTokens, 1)
@@ -130,6 +130,14 @@
 	eventID  = []byte("id:")
 )
 
+// wholeEvents returns the length of the whole events at the start of part.
+func wholeEvents(part []byte) int {
+	if n := bytes.LastIndex(part, eventEnd); n >= 0 {
+		return n + len(eventEnd)
+	}
+	return 0
+}
+
 // countEvents counts the events of part and keeps the ID of the last one.
 func (t *task) countEvents(part []byte) int {
 	n := 0
--- a/entry/direct/send.go
+++ b/entry/direct/send.go
@@ -128,6 +128,7 @@
 		return got
 	}
 	defer answer.Close()
+	a.placement.Framing = answer.Framing
 	if t.job.Route.Stream && answer.Status == http.StatusOK {
 		return t.relayStream(answer, a, w)
 	}
--- a/entry/direct/view.go
+++ b/entry/direct/view.go
@@ -92,6 +92,8 @@
 	// scratch is the argument of the last decision, kept to avoid allocation.
 	scratch []admit.Endpoint
 	queue   waitq.Queue[*waiter]
+	// dispatched counts the requests that have left the queues for an endpoint, by tier.
+	dispatched map[route.Tier]int
 }
 
 // poolShard is a shard of a pool.
@@ -188,7 +190,7 @@
 func (v *view) pool(name string, budget RetryBudget, entries int) *pool {
 	p := v.pools[name]
 	if p == nil {
-		p = &pool{name: name, learner: admit.NewLearner(), budget: retry.New(retry.Config{
+		p = &pool{name: name, dispatched: make(map[route.Tier]int), learner: admit.NewLearner(), budget: retry.New(retry.Config{
 			Ratio: budget.Ratio * retryRatioShare,
 			Burst: max(int(budget.Slack*retrySlackShare)/max(entries, minSlackEntries), 1),
 		})}
--- a/entry/direct/wait.go
+++ b/entry/direct/wait.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"lycheepond/core/admit"
+	"lycheepond/core/meter"
 	"lycheepond/core/waitq"
 )
 
@@ -23,6 +24,9 @@
 	dispatched chan struct{}
 	attempt    *attempt
 	decision   admit.Decision
+	// dispatchedBefore is how many requests of its tier had been dispatched from the queues
+	// of the pool when this one was queued.
+	dispatchedBefore int
 }
 
 // queueOptions says where a job is placed, and whether it may be queued.
@@ -90,7 +94,7 @@
 		dec.RetryAfter = max(dec.RetryAfter, expectedWait)
 		return a, dec, nil
 	}
-	w := &waiter{job: j, options: opts, queuedAt: now, maxWait: maxWait, dispatched: make(chan struct{}), attempt: a, decision: dec}
+	w := &waiter{job: j, options: opts, queuedAt: now, maxWait: maxWait, dispatched: make(chan struct{}), attempt: a, decision: dec, dispatchedBefore: p.dispatched[j.Tier]}
 	w.request = queue.Add(w, position)
 	d.view.queueCounts.addOwn(poolTier{j.Pool.Name, j.Tier}, 1)
 	return nil, admit.Decision{}, w
@@ -111,6 +115,8 @@
 	if p.queueOf(w.options.shard).Remove(w.request) {
 		d.view.queueCounts.addOwn(poolTier{w.job.Pool.Name, w.job.Tier}, -1)
 		w.attempt.placement.QueuedFor = time.Since(w.queuedAt)
+		passed := p.dispatched[w.job.Tier] - w.dispatchedBefore
+		d.cfg.Metrics.Histogram("queue_passed", meter.Label{Key: "pool", Value: p.name}).Update(int64(passed))
 	} else {
 		w.attempt.placement.QueuedFor = w.attempt.sentAt.Sub(w.queuedAt)
 	}
@@ -165,6 +171,7 @@
 		}
 		r.Value.attempt, r.Value.decision = a, dec
 		d.view.queueCounts.addOwn(poolTier{j.Pool.Name, j.Tier}, -1)
+		p.dispatched[j.Tier]++
 		close(r.Value.dispatched)
 		return true, true
 	})
--- a/entry/hop/conn.go
+++ b/entry/hop/conn.go
@@ -97,7 +97,7 @@
 		return nil, errors.Join(ErrUnknown, cancelCause(ctx, err))
 	}
 	return &Answer{
-		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength,
+		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Framing: framingOf(resp),
 		conn: k, body: resp.Body, closesConn: resp.Close, bodyWritten: bodyWritten, stopCancel: stopCancel,
 		replaceErr: func(err error) error { return cancelCause(ctx, err) },
 	}, nil
@@ -150,12 +150,40 @@
 	return b.Bytes()
 }
 
+// Framing says how the end of an answer's body is marked.
+type Framing uint8
+
+// The framings of a body.
+const (
+	ByLength Framing = iota
+	ByChunks
+	// ByConnection means that the body ends with its connection. An endpoint that fails may end
+	// the connection in the same way, so such a body is not known to be complete.
+	ByConnection
+)
+
+var framingNames = [...]string{"length", "chunks", "connection"}
+
+// String returns the framing as logs spell it.
+func (f Framing) String() string { return framingNames[f] }
+
+func framingOf(resp *http.Response) Framing {
+	switch {
+	case len(resp.TransferEncoding) > 0:
+		return ByChunks
+	case resp.ContentLength < 0:
+		return ByConnection
+	}
+	return ByLength
+}
+
 // Answer is the answer of an endpoint. Close must be called once.
 type Answer struct {
 	Status int
 	Header http.Header
 	// Length is the length of the body in bytes, -1 if it is not known.
-	Length int64
+	Length  int64
+	Framing Framing
 
 	conn *conn
 	body io.Reader
