--- a/entry/direct/crowd_test.go
+++ b/entry/direct/crowd_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"sync"
 	"testing"
@@ -50,6 +51,9 @@
 	duration          time.Duration
 	// retriesRefused is set if refused callers retry after their retry delay.
 	retriesRefused bool
+	// estimateSpread is the standard deviation of the logarithm of the real output divided by
+	// the estimate. With zero the estimates are exact.
+	estimateSpread float64
 }
 
 // requestResult is the result of one request.
@@ -61,6 +65,8 @@
 	metTarget bool
 	// isRetry is set for a request that was refused before.
 	isRetry bool
+	// size is the real number of prompt tokens plus ten times that of output tokens.
+	size int
 }
 
 const (
@@ -163,18 +169,23 @@
 			AcceptedAt: now, Deadline: now.Add(5 * time.Second),
 			PromptTokens: int(size * float64(w.kinds[k].prompt)), OutputTokens: max(int(size*float64(w.kinds[k].output)), 10),
 		}
+		actual := *j
+		if w.estimateSpread > 0 {
+			actual.OutputTokens = max(int(float64(j.OutputTokens)*math.Exp(rnd.NormFloat64()*w.estimateSpread)), 10)
+		}
+		actualSize := actual.PromptTokens + 10*actual.OutputTokens
 		running.Go(func() {
 			a, dec := d.admitJob(context.Background(), j)
-			r := requestResult{decidedAt: time.Since(start), tier: w.kinds[k].tier, refused: dec.Endpoint < 0}
+			r := requestResult{decidedAt: time.Since(start), tier: w.kinds[k].tier, refused: dec.Endpoint < 0, size: actualSize}
 			if r.refused && w.retriesRefused {
 				time.Sleep(dec.RetryAfter)
 				again := *j
 				again.AcceptedAt = time.Now()
 				a, dec = d.admitJob(context.Background(), &again)
-				r = requestResult{decidedAt: time.Since(start), tier: r.tier, refused: dec.Endpoint < 0, isRetry: true}
+				r = requestResult{decidedAt: time.Since(start), tier: r.tier, refused: dec.Endpoint < 0, isRetry: true, size: actualSize}
 			}
 			if !r.refused {
-				serve(a, j)
+				serve(a, &actual)
 				r.metTarget = !a.firstAt.IsZero() && a.firstAt.Sub(now) <= replayTarget
 			}
 			record(r)
