entry/direct: a stream that ends inside an event is broken, however it is framed

Cause: an answer may have neither a length nor chunks and end with its connection. The orderly end of that connection was taken for the proof that the body is whole, and at the end whatever was left was written. Class: the end of the transport taken for the end of the message.

core/events decides by the events themselves: only whole events (lines may end with LF, CRLF or CR) are forwarded and count for Last-Event-Id, and a stream that ends inside one is the endpoint's failure like a reset, for health, roll-outs, quarantine, budget and resumption. Comments and blank lines at the end are no break. With CRLF nothing was forwarded before the end; it is now. An answer of another type on a stream's route is forwarded as it arrives.

A plain body without framing that ends in order can't be told from a whole one, nor can a stream that ends between two events.

--- a/entry/direct/relay.go
+++ b/entry/direct/relay.go
@@ -1,11 +1,14 @@
 package direct
 
 import (
-	"bytes"
+	"errors"
 	"fmt"
 	"io"
+	"mime"
+	"net/http"
 	"time"
 
+	"lycheepond/core/events"
 	"lycheepond/core/health"
 	"lycheepond/entry/hop"
 )
@@ -23,6 +26,17 @@
 	minSilenceBound = time.Second
 )
 
+// errInsideEvent reports that a stream has ended inside an event, in order or with its
+// connection. The rest of the event will never come.
+var errInsideEvent = errors.New("the stream ended inside an event")
+
+// isEventStream reports whether the body of an answer is a stream of events. Endpoints that state
+// no type are assumed to answer a stream's route as they should.
+func isEventStream(h http.Header) bool {
+	mediaType, _, err := mime.ParseMediaType(h.Get("Content-Type"))
+	return err != nil || mediaType == "text/event-stream"
+}
+
 // relayStream forwards a stream as it arrives, in whole events only.
 func (t *task) relayStream(answer *hop.Answer, a *attempt, w *watchdog) attemptResult {
 	if !t.headSent {
@@ -51,10 +65,7 @@
 				continue
 			}
 		}
-		if err == io.EOF {
-			a.placement.UnfinishedBytes = len(part) - wholeEvents(part)
-		}
-		rest, werr := t.forwardEvents(part, a, err == io.EOF)
+		rest, werr := t.forwardEvents(part, a)
 		part = append(part[:0], rest...)
 		if werr != nil {
 			a.abandon()
@@ -64,9 +75,7 @@
 		case err == nil && len(part) <= maxEventBytes:
 			continue
 		case err == io.EOF:
-			a.recordCompletion()
-			a.finish(health.Success)
-			return finalResult(Complete, "")
+			return t.endStream(part, a)
 		}
 		return t.handleBrokenAnswer(a, err)
 	}
@@ -105,18 +114,17 @@
 	return attemptResult{wasReceived: true, mayHaveRun: true, result: Result{Reason: reason}}
 }
 
-// forwardEvents writes the complete events of part and returns the rest. At the end of a whole
-// stream it writes all of part.
-func (t *task) forwardEvents(part []byte, a *attempt, atEnd bool) ([]byte, error) {
-	n := len(part)
-	if !atEnd {
-		n = wholeEvents(part)
-	}
+// forwardEvents writes the whole events at the start of part and returns the rest.
+func (t *task) forwardEvents(part []byte, a *attempt) ([]byte, error) {
+	n := events.Whole(part)
 	if n == 0 {
 		return part, nil
 	}
-	events := t.countEvents(part[:n])
-	tokens := events * max(t.job.Pool.EventTokens, 1)
+	count, lastID := events.IDs(part[:n])
+	if count > 0 {
+		t.lastEventID = lastID
+	}
+	tokens := count * max(t.job.Pool.EventTokens, 1)
 	t.sentTokens += tokens
 	a.recordProgress(tokens)
 	if err := t.sink.Write(part[:n]); err != nil {
@@ -125,29 +133,20 @@
 	return part[n:], t.sink.Flush()
 }
 
-var (
-	eventEnd = []byte("\n\n")
-	eventID  = []byte("id:")
-)
-
-// wholeEvents returns the length of the whole events at the start of part.
-func wholeEvents(part []byte) int {
-	if n := bytes.LastIndex(part, eventEnd); n >= 0 {
-		return n + len(eventEnd)
+// endStream ends an attempt whose stream has ended in order with rest, which follows its last
+// whole event.
+func (t *task) endStream(rest []byte, a *attempt) attemptResult {
+	if events.IsUnfinished(rest) {
+		a.placement.UnfinishedBytes = len(rest)
+		return t.handleBrokenAnswer(a, errInsideEvent)
 	}
-	return 0
-}
-
-// countEvents counts the events of part and keeps the ID of the last one.
-func (t *task) countEvents(part []byte) int {
-	n := 0
-	for len(part) > 0 {
-		line, rest, _ := bytes.Cut(part, []byte("\n"))
-		part = rest
-		if id, ok := bytes.CutPrefix(line, eventID); ok {
-			t.lastEventID = string(bytes.TrimSpace(id))
-			n++
+	if len(rest) > 0 {
+		if err := errors.Join(t.sink.Write(rest), t.sink.Flush()); err != nil {
+			a.abandon()
+			return t.writeErrorResult(err)
 		}
 	}
-	return n
+	a.recordCompletion()
+	a.finish(health.Success)
+	return finalResult(Complete, "")
 }
--- a/entry/direct/send.go
+++ b/entry/direct/send.go
@@ -52,13 +52,11 @@
 	a.recordHead(m)
 	switch {
 	case m.WrongEndpoint:
-		io.Copy(io.Discard, io.LimitReader(answer, maxBufferedBytes))
-		answer.Close()
+		discard(answer)
 		a.handleMoved()
 		return nil, attemptResult{wasReceived: true, result: Result{Reason: "another endpoint has the address"}}
 	case m.NotRun:
-		io.Copy(io.Discard, io.LimitReader(answer, maxBufferedBytes))
-		answer.Close()
+		discard(answer)
 		a.handleDecline(m.Requests)
 		return nil, attemptResult{wasReceived: true, result: Result{Reason: "endpoint did not run it"}}
 	case answer.Status < 300 && !m.Signed:
@@ -85,8 +83,7 @@
 	if next == nil {
 		return answer, attemptResult{}
 	}
-	io.Copy(io.Discard, io.LimitReader(answer, maxBufferedBytes))
-	answer.Close()
+	discard(answer)
 	a.finish(health.ServerError)
 	return nil, attemptResult{wasReceived: true, mayHaveRun: true, next: next, result: Result{Reason: "endpoint answered with an error"}}
 }
@@ -129,16 +126,29 @@
 	}
 	defer answer.Close()
 	a.placement.Framing = answer.Framing
-	if t.job.Route.Stream && answer.Status == http.StatusOK {
+	isStream := t.job.Route.Stream && answer.Status == http.StatusOK
+	if isStream && isEventStream(answer.Header) {
 		return t.relayStream(answer, a, w)
 	}
 	if t.headSent {
 		a.finish(health.Broken)
 		return attemptResult{wasReceived: true, mayHaveRun: true, result: Result{Reason: "the stream was not resumed"}}
 	}
+	if isStream {
+		return t.sendLongAnswer(answer, a, nil)
+	}
 	return t.sendWholeAnswer(answer, a)
 }
 
+// discard reads the rest of an answer, so that its connection is kept, and closes it. An answer
+// that ends with its connection is only closed.
+func discard(answer *hop.Answer) {
+	if answer.Framing != hop.ByConnection {
+		io.Copy(io.Discard, io.LimitReader(answer, maxBufferedBytes))
+	}
+	answer.Close()
+}
+
 // impliesNotRun reports whether a status tells callers that a request has not run.
 func impliesNotRun(status int) bool {
 	switch status {
--- a/entry/door/answer.go
+++ b/entry/door/answer.go
@@ -40,6 +40,9 @@
 	// bodyRead is set once the body was read, either to its end or until a read deadline that
 	// stays in force.
 	bodyRead bool
+	// endsWithConn is set if the answer ends with its connection: it has no length, and the
+	// caller's version of HTTP has no chunks.
+	endsWithConn bool
 	// loggedNotRead is set once the log says that the caller did not read the answer.
 	loggedNotRead bool
 }
@@ -93,6 +96,9 @@
 	a.announceClose()
 	if length >= 0 {
 		a.w.Header().Set("Content-Length", strconv.FormatInt(length, 10))
+	} else if !a.r.ProtoAtLeast(1, 1) {
+		a.endsWithConn = true
+		a.server.conns.ResetOnClose(a.r, true)
 	}
 	a.w.WriteHeader(status)
 }
@@ -124,9 +130,12 @@
 	if t := time.Now().Add(minWriteTime); t.After(a.deadline) {
 		a.setDeadline(t)
 	}
-	if a.w.Header().Get("Content-Length") != "" {
+	if a.w.Header().Get("Content-Length") != "" || a.endsWithConn {
 		a.logNotRead(a.rc.Flush())
 	}
+	if a.endsWithConn {
+		a.server.conns.ResetOnClose(a.r, false)
+	}
 }
 
 // logNotRead records in the log and the metrics that the caller did not read in time, if that
--- a/entry/hop/conn.go
+++ b/entry/hop/conn.go
@@ -114,6 +114,8 @@
 	return err
 }
 
+var errForeignAnswer = errors.New("hop: answer to another request")
+
 // readAnswer reads answers until one belongs to r. An endpoint may send a second answer to an
 // earlier request, early or late, where the answer to r is expected.
 func (k *conn) readAnswer(r *Request) (*http.Response, error) {
@@ -129,8 +131,11 @@
 		if r.IsAnswer(resp.StatusCode, resp.Header) {
 			return resp, nil
 		}
-		if _, err := io.Copy(io.Discard, resp.Body); err != nil || resp.Close {
-			return nil, errors.Join(errors.New("hop: answer to another request"), err)
+		if resp.Close {
+			return nil, errForeignAnswer
+		}
+		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+			return nil, errors.Join(errForeignAnswer, err)
 		}
 		skipped++
 	}
--- a/entry/kept/kept.go
+++ b/entry/kept/kept.go
@@ -173,6 +173,21 @@
 	return c.beganDuringStop
 }
 
+// ResetOnClose determines whether the connection of a request is reset when it is closed, by this
+// process or by its end. A caller whose version of HTTP has no chunks can't tell a broken answer
+// without a length from a whole one in any other way.
+func (s *Set) ResetOnClose(r *http.Request, reset bool) {
+	c, ok := r.Context().Value(connKey{}).(*conn)
+	if !ok {
+		return
+	}
+	linger := -1
+	if reset {
+		linger = 0
+	}
+	_ = c.SetLinger(linger)
+}
+
 // recordClosed records in the log and the metrics that a connection was closed.
 func (s *Set) recordClosed(c *conn, reason Reason, age, bound time.Duration) {
 	s.cfg.Metrics.Counter("connections_closed", reason.label()).Inc(1)
