--- a/trial/proof/once_test.go
+++ b/trial/proof/once_test.go
@@ -236,9 +236,17 @@
 // for a complete one: without streaming it must get outcome unknown, and a stream
 // must end with an error, unless the answer is completed after all.
 func TestTruncatedAnswers(t *testing.T) {
-	t.Parallel()
+	for _, unframed := range []bool{false, true} {
+		t.Run(fmt.Sprint("unframed ", unframed), func(t *testing.T) {
+			t.Parallel()
+			testTruncatedAnswers(t, unframed)
+		})
+	}
+}
+
+func testTruncatedAnswers(t *testing.T, unframed bool) {
 	r := newRig(t, rigConfig{engines: []simeng.Config{fastEngine()}, services: 1, entries: 1})
-	r.must(r.fleet.Unit("engine-1").SetFault(r.ctx, simeng.Fault{TruncateNext: 4}))
+	r.must(r.fleet.Unit("engine-1").SetFault(r.ctx, simeng.Fault{TruncateNext: 4, Unframed: unframed}))
 	var b requestBatch
 	for i := range 4 {
 		r.send(&b, 0, modelJob(1, fmt.Sprintf("cut-%d", i), 20, i%2 == 0))
--- a/trial/simeng/batch.go
+++ b/trial/simeng/batch.go
@@ -35,6 +35,8 @@
 	stepTokens int
 	// truncate makes the answer break off halfway.
 	truncate bool
+	// unframed makes a stream end with its connection.
+	unframed bool
 	digest   string
 	isChat   bool
 }
--- a/trial/simeng/config.go
+++ b/trial/simeng/config.go
@@ -62,6 +62,9 @@
 	// TruncateNext is the number of upcoming requests whose answers are truncated
 	// halfway.
 	TruncateNext int `json:"truncate_next"`
+	// Unframed makes streams end with their connection instead of a last chunk. A truncated
+	// one then ends inside an event.
+	Unframed bool `json:"unframed"`
 	// Delay is the time for which a request is held back before it is submitted.
 	Delay spec.Duration `json:"delay"`
 }
--- a/trial/simeng/http.go
+++ b/trial/simeng/http.go
@@ -80,7 +80,7 @@
 		return
 	}
 	s := e.newSequence(req, kind, r)
-	s.truncate = f.TruncateNext > 0
+	s.truncate, s.unframed = f.TruncateNext > 0, f.Unframed
 	if e.batch.blocksFor(s.promptTokens+s.answerTokens+1) > e.cfg.KVBlocks {
 		http.Error(w, "prompt and answer are longer than the KV memory", http.StatusBadRequest)
 		return
--- a/trial/simeng/simeng_test.go
+++ b/trial/simeng/simeng_test.go
@@ -131,6 +131,22 @@
 	}
 }
 
+// Guards against a stand-in that breaks off unframed streams only where every client notices.
+func TestUnframedStreamEndsInsideEvent(t *testing.T) {
+	e, srv := startEngine(t, func(c *Config) { c.DecodeTPS = 200 })
+	e.SetFault(Fault{TruncateNext: 1, Unframed: true})
+	for _, truncated := range []bool{true, false} {
+		resp := post(t, srv.URL+"/v1/completions", "r"+itoa(len(e.Records())), CompletionRequest{Model: "roster", Prompt: makePrompt(20, "xy"), MaxTokens: 20, Stream: true})
+		b, err := io.ReadAll(resp.Body)
+		if err != nil || resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 {
+			t.Errorf("truncated %v: %v, length %d, %v", truncated, err, resp.ContentLength, resp.TransferEncoding)
+		}
+		if bytes.HasSuffix(b, []byte("\n\n")) == truncated {
+			t.Errorf("truncated %v: the stream ends with %q", truncated, b[max(len(b)-40, 0):])
+		}
+	}
+}
+
 func itoa(n int) string {
 	b, _ := json.Marshal(n)
 	return string(b)
--- a/trial/simeng/sse.go
+++ b/trial/simeng/sse.go
@@ -28,11 +28,16 @@
 }
 
 // streamAnswer writes the events of the answer, from number next to the last, as
-// they become available. If truncate is set, it closes the connection halfway.
+// they become available. If truncate is set, it closes the connection halfway, inside an event
+// if the stream is unframed.
 func (s *sequence) streamAnswer(w http.ResponseWriter, r *http.Request, next int, truncate bool) {
 	ch := s.progress.addReader()
 	defer s.progress.removeReader(ch)
 	w.Header().Set("Content-Type", "text/event-stream")
+	if s.unframed {
+		// The server then neither uses chunks nor keeps the connection.
+		w.Header().Set("Transfer-Encoding", "identity")
+	}
 	controller := http.NewResponseController(w)
 	var buf []byte
 	for {
@@ -55,6 +60,11 @@
 			}
 		}
 		if truncate && next > s.answerTokens/2 {
+			if s.unframed {
+				event := s.appendTokenEvent(buf[:0], next)
+				w.Write(event[:len(event)/2])
+				return
+			}
 			panic(http.ErrAbortHandler)
 		}
 		if next >= s.answerTokens+extraEvents {
