core/waitq: each size of request is owed a share of the service of its class

Cause: the order by target plus 1.25 of the expected hold time, together with a wait of at most a tenth of the target. A request of 8 s stands behind everything that comes in the next 10 s and leaves after 50 ms: the order is served only if the queue empties. Class: an order without aging or a floor.

Why this works: the fix bounds what the order may do to any size, whatever the estimates. Requests are binned by hold time; a bin that has had less than 0.6 of the rate of its class (tier and target) goes first within its tier, and no more of it than is owed, since a claim counts at once. As each bin has the bound, so has every set of requests, also by real size. It needs no agreement: each queue, at an entry or at the owner of a shard, keeps its own. A second attempt is in the bin of the first and so loses no place.

--- a/core/waitq/waitq.go
+++ b/core/waitq/waitq.go
@@ -26,10 +26,13 @@
 	seq      uint64
 }
 
-// Priority determines a request's position in a queue: the highest tier first, then the
-// earliest target.
+// Priority determines a request's position in a queue: the highest tier first, then requests
+// whose size is owed service, then the earliest target.
 type Priority struct {
 	Tier route.Tier
+	// Owed is set if Floor.Claim returned true for the request when it was queued. Its hold time
+	// then does not count.
+	Owed bool
 	// TargetAt is the time at which the request's first event is wanted.
 	TargetAt time.Duration
 	// HoldTime is how long the request is expected to hold its slot.
@@ -38,15 +41,30 @@
 
 // Compare orders priorities, the first to be served first.
 func (p Priority) Compare(o Priority) int {
-	return cmp.Or(p.Tier.Compare(o.Tier), cmp.Compare(p.orderKey(), o.orderKey()))
+	return cmp.Or(p.Tier.Compare(o.Tier), compareFirst(p.Owed, o.Owed), cmp.Compare(p.orderKey(), o.orderKey()))
+}
+
+// compareFirst orders true before false.
+func compareFirst(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return -1
+	}
+	return 1
 }
 
 // holdTimeWeight is the weight of the hold time in the order: the target of a request
 // counts as later by this multiple of its hold time.
 const holdTimeWeight = 1.25
 
-// orderKey orders the requests of one tier, the smallest first.
+// orderKey orders the requests of one tier that are owed service, and the others, the smallest
+// first.
 func (p Priority) orderKey() time.Duration {
+	if p.Owed {
+		return p.TargetAt
+	}
 	return p.TargetAt + time.Duration(holdTimeWeight*float64(p.HoldTime))
 }
 
--- a/entry/direct/view.go
+++ b/entry/direct/view.go
@@ -92,6 +92,8 @@
 	// scratch is the argument of the last decision, kept to avoid allocation.
 	scratch []admit.Endpoint
 	queue   waitq.Queue[*waiter]
+	// floor keeps the order of the queues from starving large requests.
+	floor waitq.Floor
 	// dispatched counts the requests that have left the queues for an endpoint, by tier.
 	dispatched map[route.Tier]int
 }
--- a/entry/direct/wait.go
+++ b/entry/direct/wait.go
@@ -82,16 +82,19 @@
 func (d *Director) placeOrEnqueue(j *Job, p *pool, opts queueOptions) (*attempt, admit.Decision, *waiter) {
 	now := time.Now()
 	position := d.queuePosition(j, p)
+	position.Owed = p.floor.Claim(queueClass(j), position.HoldTime)
 	queue := p.queueOf(opts.shard)
 	requestsAhead := queue.CountAhead(position)
 	c := d.contention(1, p, j, opts)
 	a, dec := d.placeJob(j, placementOptions{outputTokens: j.OutputTokens, othersFirst: requestsAhead > 0 || c.Blocked(), entryShare: c.Share(), shard: opts.shard, from: opts.from})
 	if dec.Reason != admit.Full || !opts.mayQueue {
+		p.recordService(j, position, dec.Endpoint >= 0)
 		return a, dec, nil
 	}
 	maxWait := maxQueueTime(j, now, dec)
 	if expectedWait := dec.RestWait + time.Duration(requestsAhead+c.HigherTierRequests+c.SameTierRequests+1)*dec.SlotInterval; expectedWait > maxWait {
 		dec.RetryAfter = max(dec.RetryAfter, expectedWait)
+		p.recordService(j, position, false)
 		return a, dec, nil
 	}
 	w := &waiter{job: j, options: opts, queuedAt: now, maxWait: maxWait, dispatched: make(chan struct{}), attempt: a, decision: dec, dispatchedBefore: p.dispatched[j.Tier]}
@@ -109,12 +112,22 @@
 	return position
 }
 
+// queueClass returns the class of a job, within which sizes are compared. Owners of shards know
+// no routes, but the routes of a tier differ by their targets.
+func queueClass(j *Job) waitq.Class { return waitq.Class{Tier: j.Tier, Target: j.Route.Target} }
+
+// recordService counts for the pool's floor that a job was served or refused.
+func (p *pool) recordService(j *Job, position waitq.Priority, served bool) {
+	p.floor.Record(queueClass(j), position.HoldTime, position.Owed, served)
+}
+
 // leaveQueue removes a job from the queue, if it is still there, and returns the outcome of
 // its wait. The caller holds d.mu.
 func (d *Director) leaveQueue(w *waiter, p *pool) (*attempt, admit.Decision) {
 	if p.queueOf(w.options.shard).Remove(w.request) {
 		d.view.queueCounts.addOwn(poolTier{w.job.Pool.Name, w.job.Tier}, -1)
 		w.attempt.placement.QueuedFor = time.Since(w.queuedAt)
+		p.recordService(w.job, w.request.Priority(), false)
 		passed := p.dispatched[w.job.Tier] - w.dispatchedBefore
 		d.cfg.Metrics.Histogram("queue_passed", meter.Label{Key: "pool", Value: p.name}).Update(int64(passed))
 	} else {
@@ -172,6 +185,7 @@
 		r.Value.attempt, r.Value.decision = a, dec
 		d.view.queueCounts.addOwn(poolTier{j.Pool.Name, j.Tier}, -1)
 		p.dispatched[j.Tier]++
+		p.recordService(j, r.Priority(), true)
 		close(r.Value.dispatched)
 		return true, true
 	})
