--- a/entry/direct/attempt.go
+++ b/entry/direct/attempt.go
@@ -109,7 +109,7 @@
 		d: d, pool: p, endpoint: e, id: e.ID, start: e.start(), sentAddr: e.Addr, isOnlyEndpoint: len(p.endpoints) < 2, sentAt: now,
 		hadFreeSlot: chosen.Requests < chosen.Slots, promptAhead: chosen.PromptTokens + req.PromptTokens,
 		predictedWait: dec.SlotWait, predictedService: dec.FirstEvent - dec.SlotWait,
-		placement: Placement{Endpoint: e.ID, PredictedFirst: dec.FirstEvent, PredictedWait: dec.SlotWait, RequestsAhead: chosen.Requests, PromptTokensAhead: chosen.PromptTokens + req.PromptTokens, ReachableEntries: reachableEntries, KnownEntries: knownEntries},
+		placement: Placement{Endpoint: e.ID, Version: e.Version, PredictedFirst: dec.FirstEvent, PredictedWait: dec.SlotWait, RequestsAhead: chosen.Requests, PromptTokensAhead: chosen.PromptTokens + req.PromptTokens, ReachableEntries: reachableEntries, KnownEntries: knownEntries},
 		work:      jobWork(j, req.OutputTokens), fingerprint: j.fingerprint, route: j.Route.Name, version: e.Version,
 	}
 	a.placement.PeerReportAge = d.view.peerReportAge(e.ID, now)
--- a/entry/direct/job.go
+++ b/entry/direct/job.go
@@ -119,6 +119,8 @@
 // Placement describes what a placement was based on and how it turned out.
 type Placement struct {
 	Endpoint string
+	// Version is the version of the endpoint's software.
+	Version string
 	// PredictedFirst and TimeToFirst are the predicted and the actual time from the sending of
 	// the request to the first part of the answer's body. PredictedWait is the part of
 	// PredictedFirst that is the wait for a slot.
--- a/entry/direct/serve.go
+++ b/entry/direct/serve.go
@@ -107,7 +107,7 @@
 		fields = append(fields, zap.String("customer", j.Customer.Name))
 	}
 	if p := res.Placement; p.KnownEntries > 0 {
-		fields = append(fields, zap.String("endpoint", p.Endpoint), zap.Duration("predicted", p.PredictedFirst), zap.Duration("wait", p.PredictedWait), zap.Duration("first", p.TimeToFirst), zap.Duration("target", j.Route.Target), zap.Duration("stood", p.QueuedFor),
+		fields = append(fields, zap.String("endpoint", p.Endpoint), zap.String("version", p.Version), zap.Duration("predicted", p.PredictedFirst), zap.Duration("wait", p.PredictedWait), zap.Duration("first", p.TimeToFirst), zap.Duration("target", j.Route.Target), zap.Duration("stood", p.QueuedFor),
 			zap.Int("ahead", p.RequestsAhead), zap.Int("prompt", p.PromptTokensAhead), zap.Int("heard", p.ReachableEntries), zap.Int("known", p.KnownEntries), zap.Duration("age", p.PeerReportAge), zap.String("owner", p.Owner),
 			zap.Stringer("framing", p.Framing), zap.Int("unfinished", p.UnfinishedBytes))
 	}
--- a/entry/direct/task.go
+++ b/entry/direct/task.go
@@ -89,7 +89,7 @@
 		return nil, missing
 	}
 	logs.Info(t.d.cfg.Log, logs.EventRequestReturned, zap.String("request_id", t.job.ID), zap.String("why", got.result.Reason), zap.Stringer("fingerprint", t.job.fingerprint),
-		zap.String("from", a.id), zap.String("to", next.id), zap.Duration("silent", a.placement.Silence), zap.Duration("bound", a.placement.SilenceBound))
+		zap.String("from", a.id), zap.String("to", next.id), zap.String("from_version", a.version), zap.String("to_version", next.version), zap.Duration("silent", a.placement.Silence), zap.Duration("bound", a.placement.SilenceBound))
 	return next, ""
 }
 
