entry/direct: a stream goes on only at the version that began it

Cause: nothing knew which version began a stream. Placement, replacement of a silent attempt and resumption ignored the version, and nothing read whose stream a caller takes up. Class: a continuation that is placed like a new request.

core/origin: the entry that forwards the first event records pool and version and tells two keepers, derived from the stream's hash (all entries in a fleet of up to eight); while a pool has had one version only nothing is sent. Taken up, a stream goes on at its version, or is refused as not run. Within an answer the version is fixed by the first event.

A stream's request is matched to the pool by the request that began it: with a split route the next one could have gone to another pool.

--- a/core/canary/canary.go
+++ b/core/canary/canary.go
@@ -291,6 +291,18 @@
 	return OutOfService
 }
 
+// MayGoOn reports whether the endpoints of a version may get streams that began there. Those of a
+// version on trial get only what AdmitToTrial admits.
+func (c *Controller) MayGoOn(pool, version string) bool {
+	switch c.RoleOf(pool, version) {
+	case InService:
+		return true
+	case OutOfService:
+		return !c.pools[pool].refused[version]
+	}
+	return false
+}
+
 // HasOpenOrder reports whether a pool has a running order.
 func (c *Controller) HasOpenOrder(pool string) bool {
 	p := c.pools[pool]
--- a/core/wire/frame_test.go
+++ b/core/wire/frame_test.go
@@ -33,6 +33,7 @@
 		&PlaceRequest{ID: 7, Pool: "p", Zone: "z1", ShardIndex: 2, RouteTier: 1, TargetUS: 600000, TargetLeftUS: 580000, DeadlineLeftUS: 3000000, PromptTokens: 1800, OutputTokens: 28, MayQueue: true},
 		&PlaceReply{ID: 7, Decided: true, Endpoint: "e", Addr: "a", Slots: 7, RosterRevision: 4, FirstEventUS: 90000, RequestsAhead: 3, PromptTokens: 2400, HadFreeSlot: true},
 		&PlaceReport{ID: 7, OutputTokens: 14, Outcome: PlaceResult},
+		&StreamOrigins{Streams: []StreamOrigin{{Key: 1 << 60, Pool: "p", Version: "v1"}}}, &OriginQuery{ID: 8, Pool: "p", Key: 1 << 60}, &OriginReply{ID: 8, Known: true, Pool: "p", Version: "v1"},
 	}
 }
 
--- a/core/wire/kind.go
+++ b/core/wire/kind.go
@@ -35,6 +35,9 @@
 	KindPlaceRequest
 	KindPlaceReply
 	KindPlaceReport
+	KindStreamOrigins
+	KindOriginQuery
+	KindOriginReply
 	// kindLimit is one more than the largest kind.
 	kindLimit
 )
@@ -49,6 +52,7 @@
 	KindHandover: "handover", KindHandoverAck: "hand-ack",
 	KindTally: "tally", KindSnapshot: "snapshot", KindRelay: "relay",
 	KindPlaceRequest: "place-ask", KindPlaceReply: "place-ack", KindPlaceReport: "place-note",
+	KindStreamOrigins: "origins", KindOriginQuery: "origin-ask", KindOriginReply: "origin-ack",
 }
 
 // String returns the name of the kind as docs/PROTOCOL.md spells it.
@@ -130,6 +134,12 @@
 		return new(PlaceReply)
 	case KindPlaceReport:
 		return new(PlaceReport)
+	case KindStreamOrigins:
+		return new(StreamOrigins)
+	case KindOriginQuery:
+		return new(OriginQuery)
+	case KindOriginReply:
+		return new(OriginReply)
 	}
 	return nil
 }
--- a/core/wire/tallycode.go
+++ b/core/wire/tallycode.go
@@ -25,6 +25,9 @@
 	// tallies with more than tallyFields fields. No entry has this name, and readers
 	// that require exactly tallyFields only search the list for their own name.
 	moreFieldsMark = "+"
+	// originsMark is added in the same way by a sender that reads the messages about streams'
+	// origins. A message of a kind that the receiver does not know ends the link.
+	originsMark = "++"
 )
 
 var errTallyFields = errors.New("wire: a tally lacks fields: run the same version on both ends")
@@ -39,6 +42,14 @@
 	t.MissingFrom = append(slices.Clip(t.MissingFrom), moreFieldsMark)
 }
 
+// ReadsOrigins reports whether the sender reads StreamOrigins, OriginQuery and OriginReply.
+func (t *Tally) ReadsOrigins() bool { return slices.Contains(t.MissingFrom, originsMark) }
+
+// SetReadsOrigins marks the sender as one that reads these messages.
+func (t *Tally) SetReadsOrigins() {
+	t.MissingFrom = append(slices.Clip(t.MissingFrom), originsMark)
+}
+
 // EncodeMsgpack writes the tally as an array. It omits as many of the fields after
 // Queues as possible: trailing fields without a value are left out.
 func (t *Tally) EncodeMsgpack(e *msgpack.Encoder) error {
--- a/entry/direct/attempt.go
+++ b/entry/direct/attempt.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"cmp"
 	"math"
 	"time"
 
@@ -32,6 +33,8 @@
 type placementOptions struct {
 	// avoidID is the endpoint that has failed the job, empty if there is none.
 	avoidID string
+	// version is the version at which the job must run, unless the job itself has one.
+	version boundVersion
 	// outputTokens is how many output tokens are still expected.
 	outputTokens int
 	// entryShare is this entry's share of the queued requests.
@@ -62,6 +65,10 @@
 	if opts.shard != nil {
 		endpoints, from = opts.shard.endpoints, opts.from
 	}
+	version := cmp.Or(j.version, opts.version)
+	if version.isSet {
+		endpoints = d.view.endpointsAt(p.name, version.version)
+	}
 	for i, e := range endpoints {
 		if e.ID == opts.avoidID {
 			req.AvoidEndpoint = i
@@ -88,7 +95,9 @@
 	if dec.Endpoint < 0 {
 		return &attempt{placement: Placement{PredictedFirst: dec.FirstEvent, PredictedWait: dec.SlotWait, ReachableEntries: reachableEntries, KnownEntries: knownEntries}}, dec
 	}
-	return d.startAttempt(j, p, endpoints[dec.Endpoint], candidates[dec.Endpoint], req, dec, now), dec
+	a := d.startAttempt(j, p, endpoints[dec.Endpoint], candidates[dec.Endpoint], req, dec, now)
+	a.required = version
+	return a, dec
 }
 
 // placementRequest returns what placement needs to know of a job.
@@ -238,6 +247,13 @@
 	// route is the name of the job's route, empty for a job of another entry. version is the
 	// endpoint's version when the attempt was sent.
 	route, version string
+	// required is the version at which the request must run. isBound is set once bindVersion has
+	// checked the endpoint's version, isConfirmed once it has done so after listDelay.
+	required             boundVersion
+	isBound, isConfirmed bool
+	// wasUnlisted is set if the endpoint was not in the instance list when it was chosen, so
+	// that its version was not known.
+	wasUnlisted bool
 }
 
 // recordHead records that the answer's head has arrived.
--- a/entry/direct/direct.go
+++ b/entry/direct/direct.go
@@ -84,13 +84,22 @@
 	// ownerBackoff holds, for owners that did not answer, until when they get no placement
 	// requests.
 	ownerBackoff map[string]time.Time
+	// owners holds the entries that owned shards at ownersAt.
+	owners   map[string]bool
+	ownersAt time.Time
+	// lastOriginQuery is the ID of the latest query about a stream's origin, originQueries
+	// holds the channels for the answers to those that are open. unsentOrigins holds the
+	// records of pools with one version only.
+	lastOriginQuery uint64
+	originQueries   map[uint64]chan *wire.OriginReply
+	unsentOrigins   []unsentOrigin
 }
 
 // New returns a director without a configuration.
 func New(cfg Config) *Director {
 	d := &Director{
 		cfg: cfg, start: time.Now(), view: newView(cfg.Zone, cfg.RolloutRule),
-		pendingPlacements: make(map[uint64]*pendingPlacement), ownerAttempts: make(map[string]map[uint64]*attempt), ownerBackoff: make(map[string]time.Time),
+		pendingPlacements: make(map[uint64]*pendingPlacement), ownerAttempts: make(map[string]map[uint64]*attempt), ownerBackoff: make(map[string]time.Time), originQueries: make(map[uint64]chan *wire.OriginReply),
 		answerTimes: cfg.Metrics.CustomerHistograms("customer_answer_ms"), retryTimes: cfg.Metrics.CustomerHistograms("customer_retry_ms"),
 	}
 	d.view.limitShare = d.limitShare
@@ -112,6 +121,7 @@
 	defer d.mu.Unlock()
 	table, m := d.view.table.Merge(c)
 	d.view.table = table
+	d.view.setStreamAge()
 	if m == route.Replaced {
 		for name, p := range d.view.pools {
 			p.tiers = table.Tiers(name)
@@ -286,11 +296,13 @@
 			return ctx.Err()
 		case <-sweepTicker.C:
 			d.cfg.Client.CloseExpired()
+			d.sweepOrigins()
 		case <-probeTicker.C:
 			d.dispatchTimed()
 			d.evaluateRollouts()
-			if owners := d.shardOwners(); len(owners) > 0 {
-				d.cfg.Peers.KeepLinks(owners)
+			d.sendUnsentOrigins()
+			if entries := d.linkedEntries(); len(entries) > 0 {
+				d.cfg.Peers.KeepLinks(entries)
 			}
 			for id, addr := range d.endpointsToProbe() {
 				probes.Go(func() { d.probeEndpoint(ctx, id, addr) })
--- a/entry/direct/job.go
+++ b/entry/direct/job.go
@@ -34,6 +34,11 @@
 	Units float64
 	// LastEventID is the ID of the last stream event that the caller has seen.
 	LastEventID string
+	// BeganAs is the ID of the request that brought the first event of the stream that this job
+	// takes up after LastEventID; empty if the caller does not say.
+	BeganAs string
+	// version is the version at which the job must run; Serve sets it.
+	version boundVersion
 	// fingerprint identifies what the request asks for; Serve sets it.
 	fingerprint poison.Fingerprint
 }
--- a/entry/direct/place.go
+++ b/entry/direct/place.go
@@ -51,6 +51,9 @@
 	KeepLinks func(entries []string)
 	// Send sends a message to an entry; it reports false if there is no link to it.
 	Send func(entry string, m wire.Message) bool
+	// SendOrigins is like Send for messages about streams' origins. If nil, this entry tells
+	// nobody where streams began and asks nobody.
+	SendOrigins func(entry string, m wire.Message) bool
 }
 
 // ownerPlacement is the placement of an attempt that another entry counts.
@@ -111,27 +114,41 @@
 	return p.owners[k]
 }
 
-// shardOwners returns the other entries that own shards of the configured pools.
-func (d *Director) shardOwners() []string {
+// linkedEntries returns the other entries to which this one needs links: the owners of shards and
+// the keepers of streams' origins.
+func (d *Director) linkedEntries() []string {
 	_, knownEntries := d.cfg.EntryCounts()
 	if !d.usesShardOwners(knownEntries) {
 		return nil
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	now := time.Now()
-	seen := make(map[string]bool)
 	var out []string
+	for _, e := range d.keeperCandidates() {
+		if e.Name != d.cfg.Peers.Self {
+			out = append(out, e.Name)
+		}
+	}
+	return out
+}
+
+// ownersOfShards returns the entries that own shards of the configured pools. The caller holds
+// d.mu.
+func (d *Director) ownersOfShards(knownEntries int) map[string]bool {
+	now := time.Now()
+	if d.owners != nil && now.Sub(d.ownersAt) <= ownerCacheTTL {
+		return d.owners
+	}
+	d.owners, d.ownersAt = make(map[string]bool), now
 	for _, c := range d.view.table.Config().Pools {
 		p := d.view.pool(c.Name, d.cfg.RetryBudget, knownEntries)
 		for k := range p.shards {
-			if o := d.shardOwner(c.Name, p, k, now); o != "" && o != d.cfg.Peers.Self && !seen[o] {
-				seen[o] = true
-				out = append(out, o)
+			if o := d.shardOwner(c.Name, p, k, now); o != "" {
+				d.owners[o] = true
 			}
 		}
 	}
-	return out
+	return d.owners
 }
 
 // shardLoads returns the known loads of those shards of a job's pool that have an owner which
@@ -276,6 +293,7 @@
 	case e != nil && !e.Leaving && e.Pool == j.Pool.Name && d.view.rollouts.RoleOf(e.Pool, e.Version) == canary.InService:
 	case e == nil && reply.RosterRevision > d.view.roster.Revision && !d.view.rollouts.HasOpenOrder(j.Pool.Name) && !d.view.leaving.IsLeaving(drain.Start{Endpoint: reply.Endpoint}):
 		e = &endpoint{Endpoint: route.Endpoint{ID: reply.Endpoint, Addr: reply.Addr, Pool: j.Pool.Name, Slots: reply.Slots}}
+		a.wasUnlisted = true
 	default:
 		d.cfg.Peers.Send(owner, &wire.PlaceReport{ID: reply.ID, Outcome: wire.PlaceDropped})
 		return nil, admit.Decision{}, false
--- a/entry/direct/relay.go
+++ b/entry/direct/relay.go
@@ -67,6 +67,10 @@
 		}
 		rest, werr := t.forwardEvents(part, a)
 		part = append(part[:0], rest...)
+		if errors.Is(werr, errOtherVersion) {
+			a.abandon()
+			return attemptResult{wasReceived: true, mayHaveRun: true, result: Result{Reason: "endpoint has another version than the one that began the stream"}}
+		}
 		if werr != nil {
 			a.abandon()
 			return t.writeErrorResult(werr)
@@ -120,6 +124,9 @@
 	if n == 0 {
 		return part, nil
 	}
+	if err := t.bindVersion(a); err != nil {
+		return nil, err
+	}
 	count, lastID := events.IDs(part[:n])
 	if count > 0 {
 		t.lastEventID = lastID
--- a/entry/direct/send.go
+++ b/entry/direct/send.go
@@ -100,6 +100,9 @@
 	case errors.Is(err, errResting):
 		a.withdraw()
 		return attemptResult{result: Result{Reason: "endpoint rests"}}
+	case errors.Is(err, errOtherVersion):
+		a.withdraw()
+		return attemptResult{result: Result{Reason: "endpoint has another version than the one that began the stream"}}
 	case errors.Is(err, hop.ErrNotSent):
 		a.returnReservations()
 		if t.ctx.Err() == nil {
--- a/entry/direct/serve.go
+++ b/entry/direct/serve.go
@@ -35,6 +35,10 @@
 	if !ok {
 		return Result{Outcome: Limited, RetryAfter: wait, Reason: "customer over its limit"}
 	}
+	if !d.bindToOrigin(ctx, j) {
+		d.refund(j)
+		return d.refusal(j, originRetryAfter, "not known which version began the stream")
+	}
 	a, dec := d.admitJob(ctx, j)
 	if ctx.Err() != nil {
 		if dec.Endpoint >= 0 {
@@ -79,7 +83,7 @@
 		headWritten = true
 		writeHead(status, h, length)
 	}
-	t := &task{d: d, job: j, sink: s, caller: ctx, ctx: work}
+	t := &task{d: d, job: j, sink: s, caller: ctx, ctx: work, version: j.version}
 	res := t.run(a)
 	if res.Outcome == ClosedByEntry && !headWritten && isEnding(ctx) {
 		// The job has left the queue, so it may have run.
--- a/entry/direct/stated.go
+++ b/entry/direct/stated.go
@@ -17,6 +17,9 @@
 	case !d.view.rests.Empty() && d.view.rests.Left(d.sinceStart(time.Now()), a.start.ID()) > 0:
 		return errResting
 	}
+	if version, ok := d.versionAt(a); a.required.isSet && (!ok || version != a.required.version) {
+		return errOtherVersion
+	}
 	return nil
 }
 
--- a/entry/direct/task.go
+++ b/entry/direct/task.go
@@ -34,6 +34,8 @@
 	lastEventID string
 	// sentTokens counts the output tokens that were forwarded.
 	sentTokens int
+	// version is the version at which the stream must go on, once it has begun.
+	version boundVersion
 }
 
 // attemptResult is what the end of an attempt means for the job.
@@ -102,7 +104,10 @@
 	if missing := t.missingForRetry(t.runCount, t.sendCount); missing != "" {
 		return nil, missing
 	}
-	next, missing := t.d.reserve(t.job, a, placementOptions{avoidID: a.id, outputTokens: t.remainingOutput(), entryShare: 1}, !got.wasReceived)
+	if t.version.isUnknown {
+		return nil, "not known which version began the stream"
+	}
+	next, missing := t.d.reserve(t.job, a, placementOptions{avoidID: a.id, version: t.version, outputTokens: t.remainingOutput(), entryShare: 1}, !got.wasReceived)
 	if next == nil && t.runCount == 0 {
 		if wait, _ := t.d.restWait(t.job); wait > 0 {
 			next = t.reserveAfterRest(a, !got.wasReceived)
--- a/entry/direct/view.go
+++ b/entry/direct/view.go
@@ -10,6 +10,7 @@
 	"lycheepond/core/drain"
 	"lycheepond/core/health"
 	"lycheepond/core/limit"
+	"lycheepond/core/origin"
 	"lycheepond/core/poison"
 	"lycheepond/core/quota"
 	"lycheepond/core/rest"
@@ -60,6 +61,11 @@
 	// they have asked peers for, as far as these have reported them.
 	rests     rest.Tracker
 	peerRests map[string]*rest.Tracker
+	// origins holds where streams began, versions which versions each pool has had. Origins are
+	// kept for streamAge.
+	origins   origin.Records
+	versions  map[string]*origin.Versions
+	streamAge time.Duration
 	// peerLoads holds the work in flight that the peers have reported, by peer and endpoint.
 	peerLoads map[string]map[string]wire.EndpointLoad
 	// tallyAt is when each peer's last tally arrived.
@@ -184,7 +190,7 @@
 		zone: zone, table: route.NewTable(route.Config{}), endpoints: make(map[string]*endpoint),
 		pools: make(map[string]*pool), health: health.New(), poison: poison.New(), limits: limit.New(), quota: quota.New(), rollouts: canary.New(rule), leaving: drain.New(), peerRests: make(map[string]*rest.Tracker),
 		peerLoads: make(map[string]map[string]wire.EndpointLoad), unreportedWork: make(map[string]bool), unreportedUsage: make(map[string]bool),
-		queueCounts: newQueueCounts(), tallyAt: make(map[string]time.Time),
+		versions: make(map[string]*origin.Versions), streamAge: minStreamAge, queueCounts: newQueueCounts(), tallyAt: make(map[string]time.Time),
 	}
 }
 
@@ -290,6 +296,7 @@
 	for _, e := range v.endpoints {
 		e.Leaving = e.Leaving || v.leaving.IsLeaving(e.start())
 	}
+	v.noteVersions(now)
 	v.forgetStaleLimits()
 	v.updateVersions(now)
 	v.assignAllEndpoints()
--- a/entry/direct/wait.go
+++ b/entry/direct/wait.go
@@ -53,6 +53,10 @@
 	defer d.mu.Unlock()
 	_, knownEntries := d.cfg.EntryCounts()
 	p := d.view.pool(j.Pool.Name, d.cfg.RetryBudget, knownEntries)
+	if j.version.isSet {
+		// Owners of shards choose among all versions.
+		return d.placeOrWait(ctx, j, p, queueOptions{mayQueue: true})
+	}
 	if a, dec, ok := d.placeOnTrial(j, p); ok {
 		return a, dec
 	}
@@ -178,9 +182,9 @@
 		c := d.contention(0, p, j, opts)
 		a, dec := d.placeJob(j, placementOptions{outputTokens: j.OutputTokens, othersFirst: c.Blocked(), entryShare: c.Share(), shard: opts.shard, from: opts.from})
 		if dec.Endpoint < 0 {
-			// A job that waits because of its prompt, or because the endpoints rest for the
-			// entry that sends it, does not keep others from a slot.
-			return false, dec.Reason != admit.Full || dec.RestWait > 0 && opts.shard != nil
+			// A job that waits because of its prompt or its version, or because the endpoints
+			// rest for the entry that sends it, does not keep others from a slot.
+			return false, dec.Reason != admit.Full || j.version.isSet || dec.RestWait > 0 && opts.shard != nil
 		}
 		r.Value.attempt, r.Value.decision = a, dec
 		d.view.queueCounts.addOwn(poolTier{j.Pool.Name, j.Tier}, -1)
--- a/entry/direct/watch.go
+++ b/entry/direct/watch.go
@@ -45,6 +45,8 @@
 	waitStart                time.Time
 	bound                    time.Duration
 	expectedOutput           int
+	// version is the version at which the stream had to go on at the start of the wait.
+	version boundVersion
 	// isWaiting is set from startWait to endWait.
 	isWaiting bool
 	// firstCheckDone is set between the first and the second check of the timer.
@@ -73,6 +75,7 @@
 	defer w.mu.Unlock()
 	w.waitStart, w.bound, w.awaitingHead, w.isWaiting = time.Now(), bound, awaitingHead, true
 	w.firstCheckDone, w.silenceConfirmed = false, false
+	w.version = w.task.version
 	if bound <= 0 || w.replacement != nil {
 		return
 	}
@@ -140,7 +143,11 @@
 func (w *watchdog) reserveReplacement(opts placementOptions) (*attempt, string) {
 	w.mu.Lock()
 	runCount, sendCount := w.runCount, w.sendCount
+	opts.version = w.version
 	w.mu.Unlock()
+	if opts.version.isUnknown {
+		return nil, "not known which version began the stream"
+	}
 	if missing := w.task.missingForRetry(runCount, sendCount); missing != "" {
 		return nil, missing
 	}
--- a/entry/mesh/accept.go
+++ b/entry/mesh/accept.go
@@ -89,6 +89,10 @@
 			}
 		case *wire.Snapshot:
 			m.cfg.OnSnapshot(t)
+		case *wire.StreamOrigins, *wire.OriginQuery:
+			if m.cfg.OnOrigins != nil {
+				m.cfg.OnOrigins(t, link.Send)
+			}
 		}
 	})
 }
@@ -201,7 +205,7 @@
 		p.capacity = t.Capacity
 	}
 	if t.Full {
-		p.readsExtensions = t.AcceptsMoreFields()
+		p.readsExtensions, p.readsOrigins = t.AcceptsMoreFields(), t.ReadsOrigins()
 	}
 	for _, e := range t.Entries {
 		m.noteNamed(e, now)
--- a/entry/mesh/ask.go
+++ b/entry/mesh/ask.go
@@ -57,11 +57,28 @@
 // handleReply handles a message that a peer sends over a link that this entry
 // dialled.
 func (m *Mesh) handleReply(peer string, msg wire.Message) {
-	if reply, ok := msg.(*wire.PlaceReply); ok && m.cfg.OnPlaceReply != nil {
-		m.cfg.OnPlaceReply(peer, reply)
+	switch t := msg.(type) {
+	case *wire.PlaceReply:
+		if m.cfg.OnPlaceReply != nil {
+			m.cfg.OnPlaceReply(peer, t)
+		}
+	case *wire.OriginReply:
+		if m.cfg.OnOriginReply != nil {
+			m.cfg.OnOriginReply(t)
+		}
 	}
 }
 
+// SendOrigins is like Send for messages about streams' origins, which peers of older versions
+// can't read.
+func (m *Mesh) SendOrigins(peer string, msg wire.Message) bool {
+	m.mu.Lock()
+	p := m.peers[peer]
+	reads := p != nil && p.readsOrigins
+	m.mu.Unlock()
+	return reads && m.Send(peer, msg)
+}
+
 // addPlacementLinks adds n to the number of links over which peers request
 // placements from this entry.
 func (m *Mesh) addPlacementLinks(n int) {
--- a/entry/mesh/forward.go
+++ b/entry/mesh/forward.go
@@ -111,6 +111,9 @@
 		if p.readsExtensions {
 			t.SetAcceptsMoreFields()
 		}
+		if p.readsOrigins {
+			t.SetReadsOrigins()
+		}
 		m.mu.Unlock()
 		if body := m.encode(t); body != nil {
 			out.Tallies = append(out.Tallies, o.relayedTally(body))
--- a/entry/mesh/mesh.go
+++ b/entry/mesh/mesh.go
@@ -86,6 +86,10 @@
 	// ended. Both may be nil.
 	OnPlaceReply func(peer string, m *wire.PlaceReply)
 	OnLinkClosed func(peer string)
+	// OnOrigins handles a message of a peer about streams' origins, and OnOriginReply a peer's
+	// reply to one of this entry. Both may be nil.
+	OnOrigins     func(m wire.Message, reply func(m wire.Message) error)
+	OnOriginReply func(m *wire.OriginReply)
 	// OnPeerLost is called when a peer has become silent.
 	OnPeerLost func(peer string)
 	Log        *zap.Logger
@@ -170,6 +174,8 @@
 	// readsExtensions is set if the peer reads tallies with fields that older
 	// versions lack.
 	readsExtensions bool
+	// readsOrigins is set if the peer reads messages about streams' origins.
+	readsOrigins bool
 	// isReachable is set while the peer's tallies arrive. hasGap is set while one
 	// of its tallies is missing.
 	isReachable, hasGap bool
--- a/entry/mesh/send.go
+++ b/entry/mesh/send.go
@@ -193,6 +193,7 @@
 	t.Seq, t.MissingFrom = m.seq, m.entriesWithGaps()
 	m.mu.Unlock()
 	t.SetAcceptsMoreFields()
+	t.SetReadsOrigins()
 	m.sendFull(gapLinks, t, now)
 	// A peer that has just connected may know no other entry.
 	known := *t
