--- a/core/origin/origin.go
+++ b/core/origin/origin.go
@@ -48,57 +48,80 @@
 	maxCopiedToAll = 8
 )
 
-// Keepers returns up to n of the entries in the order in which they hold copies of a record. Those
-// that come first in their availability zone precede the others. In a small fleet Keepers returns
-// all entries.
-func Keepers(k Key, entries []relay.Entry, n int) []string {
-	type ranked struct {
-		relay.Entry
-		// inZone is the position within the zone.
-		inZone int
-		rank   uint64
-	}
-	all := make([]ranked, 0, len(entries))
-	for _, e := range entries {
-		all = append(all, ranked{Entry: e, rank: bitmix.Mix(uint64(k) ^ hash(e.Name))})
-	}
-	slices.SortFunc(all, func(a, b ranked) int { return cmp.Or(cmp.Compare(b.rank, a.rank), cmp.Compare(a.Name, b.Name)) })
-	zones := make(map[string]int)
-	for i, e := range all {
-		all[i].inZone = zones[e.Zone]
-		zones[e.Zone]++
-	}
-	slices.SortStableFunc(all, func(a, b ranked) int { return cmp.Compare(a.inZone, b.inZone) })
-	if len(all) > maxCopiedToAll {
-		all = all[:min(n, len(all))]
-	}
-	out := make([]string, len(all))
-	for i, e := range all {
-		out[i] = e.Name
-	}
-	return out
+// Candidate is an entry that may keep records.
+type Candidate struct {
+	Name, Zone string
+	hash       uint64
 }
 
 // minCandidates is the smallest number of entries among which the keepers are chosen.
 const minCandidates = 8
 
 // Candidates returns the entries among which keepers are chosen: those that are linked to all
-// entries anyway, and if they are few, others that every entry derives alike.
-func Candidates(entries []relay.Entry, linked map[string]bool) []relay.Entry {
-	sorted := slices.SortedFunc(slices.Values(entries), func(a, b relay.Entry) int {
-		if linked[a.Name] != linked[b.Name] {
-			if linked[a.Name] {
-				return -1
+// entries anyway, and if they are few, others that every entry derives alike. If linked is nil, all
+// entries are candidates.
+func Candidates(entries []relay.Entry, linked map[string]bool) []Candidate {
+	var out, others []Candidate
+	for _, e := range entries {
+		c := Candidate{e.Name, e.Zone, hash(e.Name)}
+		if linked == nil || linked[e.Name] {
+			out = append(out, c)
+		} else {
+			others = append(others, c)
+		}
+	}
+	slices.SortFunc(others, func(a, b Candidate) int { return cmp.Or(cmp.Compare(b.hash, a.hash), cmp.Compare(a.Name, b.Name)) })
+	return append(out, others[:min(max(minCandidates-len(out), 0), len(others))]...)
+}
+
+// Keepers returns up to n of the candidates in the order in which they hold copies of a record,
+// without the entry self. Those that come first in their availability zone precede the others. In
+// a small fleet Keepers returns all.
+func Keepers(k Key, candidates []Candidate, self string, n int) []string {
+	if len(candidates) <= maxCopiedToAll {
+		n = len(candidates)
+	}
+	// best holds up to n candidates of each zone, the highest rank first.
+	best := make(map[string][]ranked)
+	for _, c := range candidates {
+		if c.Name == self {
+			continue
+		}
+		r, zone := ranked{c.Name, bitmix.Mix(uint64(k) ^ c.hash)}, best[c.Zone]
+		i, _ := slices.BinarySearchFunc(zone, r, ranked.compare)
+		if i < n {
+			zone = slices.Insert(zone, i, r)
+			best[c.Zone] = zone[:min(n, len(zone))]
+		}
+	}
+	var out []string
+	for position := 0; len(out) < n; position++ {
+		var row []ranked
+		for _, zone := range best {
+			if position < len(zone) {
+				row = append(row, zone[position])
 			}
-			return 1
 		}
-		return cmp.Or(cmp.Compare(hash(b.Name), hash(a.Name)), cmp.Compare(a.Name, b.Name))
-	})
-	n := 0
-	for n < len(sorted) && (n < minCandidates || linked[sorted[n].Name]) {
-		n++
+		if len(row) == 0 {
+			break
+		}
+		slices.SortFunc(row, ranked.compare)
+		for _, r := range row[:min(n-len(out), len(row))] {
+			out = append(out, r.name)
+		}
 	}
-	return sorted[:n]
+	return out
+}
+
+// ranked is a candidate with its rank for one record.
+type ranked struct {
+	name string
+	rank uint64
+}
+
+// compare orders candidates, the highest rank first.
+func (r ranked) compare(o ranked) int {
+	return cmp.Or(cmp.Compare(o.rank, r.rank), cmp.Compare(r.name, o.name))
 }
 
 // maxRecords bounds the memory of Records: some ten megabytes.
--- a/entry/direct/direct.go
+++ b/entry/direct/direct.go
@@ -19,6 +19,7 @@
 	"lycheepond/core/canary"
 	"lycheepond/core/health"
 	"lycheepond/core/meter"
+	"lycheepond/core/origin"
 	"lycheepond/core/poison"
 	"lycheepond/core/quota"
 	"lycheepond/core/route"
@@ -84,9 +85,9 @@
 	// ownerBackoff holds, for owners that did not answer, until when they get no placement
 	// requests.
 	ownerBackoff map[string]time.Time
-	// owners holds the entries that owned shards at ownersAt.
-	owners   map[string]bool
-	ownersAt time.Time
+	// candidates holds the entries that could keep records of streams at candidatesAt.
+	candidates   []origin.Candidate
+	candidatesAt time.Time
 	// lastOriginQuery is the ID of the latest query about a stream's origin, originQueries
 	// holds the channels for the answers to those that are open. unsentOrigins holds the
 	// records of pools with one version only.
--- a/entry/direct/origin.go
+++ b/entry/direct/origin.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -11,7 +10,6 @@
 	"lycheepond/core/logs"
 	"lycheepond/core/meter"
 	"lycheepond/core/origin"
-	"lycheepond/core/relay"
 	"lycheepond/core/wire"
 )
 
@@ -199,19 +197,22 @@
 	if d.cfg.Peers.SendOrigins == nil {
 		return nil
 	}
-	others := slices.DeleteFunc(d.keeperCandidates(), func(e relay.Entry) bool { return e.Name == d.cfg.Peers.Self })
-	return origin.Keepers(key, others, n)
+	return origin.Keepers(key, d.keeperCandidates(), d.cfg.Peers.Self, n)
 }
 
 // keeperCandidates returns the entries among which the keepers of records are chosen. All entries
 // have links to the owners of shards, if there are any. The caller holds d.mu.
-func (d *Director) keeperCandidates() []relay.Entry {
-	entries := d.cfg.Peers.Entries()
-	_, known := d.cfg.EntryCounts()
-	if !d.usesShardOwners(known) {
-		return entries
+func (d *Director) keeperCandidates() []origin.Candidate {
+	now := time.Now()
+	if d.candidates != nil && now.Sub(d.candidatesAt) <= ownerCacheTTL {
+		return d.candidates
 	}
-	return origin.Candidates(entries, d.ownersOfShards(known))
+	var owners map[string]bool
+	if _, known := d.cfg.EntryCounts(); d.usesShardOwners(known) {
+		owners = d.ownersOfShards(known, now)
+	}
+	d.candidates, d.candidatesAt = origin.Candidates(d.cfg.Peers.Entries(), owners), now
+	return d.candidates
 }
 
 // HandleOrigins processes a peer's message about streams' origins.
--- a/entry/direct/place.go
+++ b/entry/direct/place.go
@@ -134,21 +134,17 @@
 
 // ownersOfShards returns the entries that own shards of the configured pools. The caller holds
 // d.mu.
-func (d *Director) ownersOfShards(knownEntries int) map[string]bool {
-	now := time.Now()
-	if d.owners != nil && now.Sub(d.ownersAt) <= ownerCacheTTL {
-		return d.owners
-	}
-	d.owners, d.ownersAt = make(map[string]bool), now
+func (d *Director) ownersOfShards(knownEntries int, now time.Time) map[string]bool {
+	owners := make(map[string]bool)
 	for _, c := range d.view.table.Config().Pools {
 		p := d.view.pool(c.Name, d.cfg.RetryBudget, knownEntries)
 		for k := range p.shards {
 			if o := d.shardOwner(c.Name, p, k, now); o != "" {
-				d.owners[o] = true
+				owners[o] = true
 			}
 		}
 	}
-	return d.owners
+	return owners
 }
 
 // shardLoads returns the known loads of those shards of a job's pool that have an owner which
