entry/direct: the only version is known only while the instance list is current

An entry that is cut off from the store and its peers does not hear of another version, and would have taken the one that it knows for the one that began a stream. It now asks, and refuses, while its list may be too old; records go to their keepers meanwhile. The ID that a caller names is cut in the log. Test of core/canary: which versions streams go on at while an order runs and after.

--- a/core/canary/canary_test.go
+++ b/core/canary/canary_test.go
@@ -317,3 +317,25 @@
 		c.Observe(second, Sample{Pool: "p", Version: "v1", Route: "r", Endpoint: "e"})
 	}
 }
+
+// Guards against streams that go on at a version on trial without its admission, at one that was
+// rolled back, or at the old version after the order is complete, when its endpoints end.
+func TestStreamsGoOnAtTheirVersion(t *testing.T) {
+	c := newTestController()
+	check := func(when, version string, want bool) {
+		t.Helper()
+		if got := c.MayGoOn("p", version); got != want {
+			t.Errorf("%s: %s may go on: %v, want %v", when, version, got, want)
+		}
+	}
+	check("on trial", "v1", true)
+	check("on trial", "v2", false)
+	sendLoad(c, second, 12*second, neverFails)
+	check("complete", "v2", true)
+	check("complete", "v1", false)
+	bad := newTestController()
+	sendLoad(bad, second, 12*second, func(int) bool { return true })
+	c = bad
+	check("rolled back", "v1", true)
+	check("rolled back", "v2", false)
+}
--- a/entry/direct/direct.go
+++ b/entry/direct/direct.go
@@ -45,6 +45,9 @@
 	// EntryCounts returns how many entries this one can reach and how many may be running.
 	EntryCounts func() (reachable, known int)
 	Peers       Peers
+	// RosterIsCurrent reports whether the instance list is known not to be too old. It must not
+	// block; nil stands for a list that is always current.
+	RosterIsCurrent func() bool
 	// StampHeaders sets the headers that describe the attempt to the endpoint.
 	StampHeaders func(r *hop.Request, o AttemptInfo)
 	// IsAnswerTo reports whether the head of an answer belongs to the request with the given
--- a/entry/direct/origin.go
+++ b/entry/direct/origin.go
@@ -23,6 +23,8 @@
 	// take to reach this entry. Endpoints do not state their version, so an event of a stream
 	// that goes on is forwarded only after that.
 	listDelay = 100 * time.Millisecond
+	// maxLoggedID bounds how many bytes of an ID that a caller names are logged.
+	maxLoggedID = 64
 	// minStreamAge and streamAgeTimeouts determine how long the origin of a stream is kept: a
 	// multiple of the longest timeout of the resumable routes, since a caller may take a stream
 	// up more than once.
@@ -67,7 +69,7 @@
 		return true
 	}
 	o, source := d.findOrigin(ctx, j)
-	logs.Info(d.cfg.Log, logs.EventStreamTakenUp, zap.String("request_id", j.ID), zap.String("stream", j.BeganAs), zap.String("pool", j.Pool.Name),
+	logs.Info(d.cfg.Log, logs.EventStreamTakenUp, zap.String("request_id", j.ID), zap.String("stream", j.BeganAs[:min(len(j.BeganAs), maxLoggedID)]), zap.String("pool", j.Pool.Name),
 		zap.String("began_in", o.Pool), zap.String("version", o.Version), zap.String("source", source))
 	d.cfg.Metrics.Counter("streams_taken_up", meter.Label{Key: "source", Value: source}).Inc(1)
 	if o.Pool != j.Pool.Name {
@@ -99,19 +101,20 @@
 	if o, ok := d.view.origins.Find(key); ok {
 		return o, "record"
 	}
-	if version, ok := d.view.onlyVersion(pool, d.sinceStart(time.Now())); ok {
+	if version, ok := d.onlyVersion(pool); ok {
 		return origin.Origin{Pool: pool, Version: version}, "only version"
 	}
 	return origin.Origin{}, ""
 }
 
-// onlyVersion returns the version of a pool that began every stream which may still go on.
-func (v *view) onlyVersion(pool string, now time.Duration) (version string, ok bool) {
-	h := v.versions[pool]
-	if h == nil {
+// onlyVersion returns the version of a pool that began every stream which may still go on. The
+// caller holds d.mu.
+func (d *Director) onlyVersion(pool string) (version string, ok bool) {
+	h := d.view.versions[pool]
+	if h == nil || d.cfg.RosterIsCurrent != nil && !d.cfg.RosterIsCurrent() {
 		return "", false
 	}
-	return h.Only(now, v.streamAge)
+	return h.Only(d.sinceStart(time.Now()), d.view.streamAge)
 }
 
 // noteVersions records which versions the pools have.
@@ -249,13 +252,13 @@
 	at     time.Duration
 }
 
-// recordOrigin records where a stream began or went on. Keepers are told at once if the pool has
-// more than one version; otherwise every entry knows the origin, and they are told when another
-// version appears. The caller holds d.mu.
+// recordOrigin records where a stream began or went on. Keepers are told at once, unless the pool
+// has one version only: every entry then knows the origin, and keepers are told when that changes.
+// The caller holds d.mu.
 func (d *Director) recordOrigin(key origin.Key, o origin.Origin) {
 	now := d.sinceStart(time.Now())
 	d.view.origins.Add(now, key, o)
-	if _, ok := d.view.onlyVersion(o.Pool, now); ok || !d.sendOrigin(key, o) {
+	if _, ok := d.onlyVersion(o.Pool); ok || !d.sendOrigin(key, o) {
 		d.unsentOrigins = append(d.unsentOrigins, unsentOrigin{key, o, now})
 	}
 }
@@ -280,11 +283,15 @@
 	defer d.mu.Unlock()
 	now := d.sinceStart(time.Now())
 	unsent := d.unsentOrigins[:0]
+	hasOnlyVersion := make(map[string]bool)
 	for _, u := range d.unsentOrigins {
 		if now-u.at > d.view.streamAge {
 			continue
 		}
-		if _, ok := d.view.onlyVersion(u.origin.Pool, now); ok || !d.sendOrigin(u.key, u.origin) {
+		if _, known := hasOnlyVersion[u.origin.Pool]; !known {
+			_, hasOnlyVersion[u.origin.Pool] = d.onlyVersion(u.origin.Pool)
+		}
+		if hasOnlyVersion[u.origin.Pool] || !d.sendOrigin(u.key, u.origin) {
 			unsent = append(unsent, u)
 		}
 	}
--- a/entry/follow/age.go
+++ b/entry/follow/age.go
@@ -43,6 +43,7 @@
 		k.update(l, revision)
 		if l.any {
 			k.recordAge(l, now-l.verifiedAt, revision)
+			l.isCurrent.Store(!k.cfg.Policy.IsTooOld(now - l.verifiedAt))
 		}
 	}
 }
--- a/entry/follow/knowledge.go
+++ b/entry/follow/knowledge.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -66,8 +67,10 @@
 	any        bool
 	// isOld is set while verifiedAt is longer ago than the bound. worstAge is the
 	// largest age during that time.
-	isOld        bool
-	worstAge     time.Duration
+	isOld    bool
+	worstAge time.Duration
+	// isCurrent is set while the list is known not to be too old, as of the last sample.
+	isCurrent    atomic.Bool
 	ageHistogram metrics.Histogram
 	// oldRequests counts the requests that were received while the list was too
 	// old.
@@ -220,6 +223,9 @@
 	return min(policy.CheckAge(fresh.Rank(k.cfg.Self, reachable, c.CheckID), len(reachable)+1)-age, policy.StepTime())
 }
 
+// IsCurrent reports whether a list is known not to be too old, as of at most sampleInterval ago.
+func (k *Knowledge) IsCurrent(content uint8) bool { return k.lists[content].isCurrent.Load() }
+
 // CountRequest counts a request that was just received, for each list that is too
 // old at that moment.
 func (k *Knowledge) CountRequest() {
