--- a/core/origin/origin.go
+++ b/core/origin/origin.go
@@ -213,6 +213,7 @@
 		return "", false
 	}
 	for version = range v.lastListed {
+		ok = true
 	}
-	return version, true
+	return version, ok
 }
