--- a/core/waitq/waitq.go
+++ b/core/waitq/waitq.go
@@ -5,7 +5,8 @@
 // arrival, so a request sent to a full engine is ahead of all later ones, whatever their
 // tiers, and a caller refused because of a queue of some ten milliseconds returns after its
 // target has passed. A request that waits at the entry instead takes the next free slot of
-// any endpoint, and the highest tier goes first. The caller's target bounds the wait. A
+// any endpoint, and the highest tier goes first. Within a tier short requests go first, as far
+// as Floor allows. The caller's target bounds the wait. A
 // request is refused as soon as its target can no longer be met.
 //
 // The package uses no network, clock or random source. A Queue is owned by one goroutine.
