entry/direct: logs say which requests a crash took, and the parts of their prompts

The logs could not tell whether evidence was kept under too narrow a key, came too late, or was missing because crashes were not taken for crashes: no line said that an endpoint had crashed or how it was known, and no line named the parts of a prompt.

No logic changes.

--- a/core/logs/event.go
+++ b/core/logs/event.go
@@ -68,6 +68,7 @@
 	EventAnswerNotRead    Event = "answer_not_taken"
 	EventHandlerPanicked  Event = "handler_panicked"
 	EventServerMessage    Event = "server_told"
+	EventEndpointCrashed  Event = "endpoint_crashed"
 	EventQuarantined      Event = "quarantined"
 	EventQuarantineLifted Event = "quarantine_lifted"
 	EventLimitChanged     Event = "limit_changed"
--- a/core/poison/poison.go
+++ b/core/poison/poison.go
@@ -69,8 +69,10 @@
 	completed *recent.Table[Fingerprint, time.Duration]
 	// endpoints holds the endpoints with lost runs and those that crashed.
 	endpoints *recent.Table[string, endpoint]
-	// changes holds the changes that TakeChanges has not returned yet.
+	// changes holds the changes that TakeChanges has not returned yet, crashes the crashes
+	// that TakeCrashes has not returned yet.
 	changes []Change
+	crashes []Crash
 }
 
 // suspect is a request that was running on a crashed endpoint.
@@ -205,6 +207,7 @@
 	if now-e.lostAt > crashConfirmTimeout {
 		return
 	}
+	t.noteCrash(id, lostRequests)
 	for _, f := range lostRequests {
 		t.addCrash(now, f, id)
 	}
@@ -213,6 +216,35 @@
 	}
 }
 
+// Crash is a crash of an endpoint on which this entry lost runs.
+type Crash struct {
+	Endpoint string
+	// Requests is how many requests were lost, and FirstOffenders how many of them had not been
+	// running during a crash before.
+	Requests, FirstOffenders int
+}
+
+// noteCrash adds a crash for TakeCrashes, if requests were lost.
+func (t *Tracker) noteCrash(id string, lost []Fingerprint) {
+	if len(lost) == 0 {
+		return
+	}
+	c := Crash{Endpoint: id, Requests: len(lost)}
+	for _, f := range lost {
+		if s := t.suspects[f]; s == nil || len(s.crashes) == 0 {
+			c.FirstOffenders++
+		}
+	}
+	t.crashes = append(t.crashes, c)
+}
+
+// TakeCrashes returns the crashes since the last call.
+func (t *Tracker) TakeCrashes() []Crash {
+	out := t.crashes
+	t.crashes = nil
+	return out
+}
+
 // MayHaveCrashed reports whether runs were recently lost on an endpoint that is not known
 // to have crashed.
 func (t *Tracker) MayHaveCrashed(now time.Duration, id string) bool {
--- a/entry/direct/attempt.go
+++ b/entry/direct/attempt.go
@@ -412,7 +412,7 @@
 	a.releaseWork(a.work)
 	a.reportToOwner(now, 0, wire.PlaceMoved)
 	a.endpoint.movedAt = now
-	a.d.recordCrash(a.endpoint)
+	a.d.recordCrash(a.endpoint, "another endpoint has its address")
 	logs.Warn(a.d.cfg.Log, logs.EventEndpointMoved, zap.String("endpoint", a.id), zap.String("remote", a.sentAddr))
 	a.d.dispatchQueued(a.pool)
 }
--- a/entry/direct/direct.go
+++ b/entry/direct/direct.go
@@ -151,7 +151,7 @@
 		return false
 	}
 	staleAddrs := d.view.setRoster(r, d.sinceStart(time.Now()))
-	d.applyQuarantineChanges()
+	d.applyQuarantineChanges("missing from the instance list")
 	d.dispatchAllQueued()
 	d.mu.Unlock()
 	for _, addr := range staleAddrs {
@@ -181,7 +181,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.view.applyTally(peer, restarted, t)
-	d.mergeSuspects(t.Suspects)
+	d.mergeSuspects(peer, t.Suspects)
 	d.mergeLimits(peer, t.Limits)
 	d.mergeRollouts(peer, restarted, t.Rollouts)
 	d.mergeLeaving(peer, t.Leaving)
@@ -347,7 +347,7 @@
 	if now := d.sinceStart(time.Now()); err != nil {
 		d.view.health.RecordResult(now, id, health.Unreachable)
 		if e := d.view.endpoints[id]; e != nil && e.Addr == addr && hop.IsRefused(err) {
-			d.recordCrash(e)
+			d.recordCrash(e, "connection refused")
 		}
 	} else {
 		d.view.health.RecordConnected(now, id)
--- a/entry/direct/job.go
+++ b/entry/direct/job.go
@@ -30,6 +30,9 @@
 	AcceptedAt, Deadline time.Time
 	// PromptTokens and OutputTokens are token counts, as far as the caller states them.
 	PromptTokens, OutputTokens int
+	// Parts holds the IDs of the parts of the prompt that other requests may share, without
+	// repetitions.
+	Parts []string
 	// Units is what the request counts against the customer's limit.
 	Units float64
 	// LastEventID is the ID of the last stream event that the caller has seen.
--- a/entry/direct/poison.go
+++ b/entry/direct/poison.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"go.uber.org/zap"
+
 	"lycheepond/core/logs"
 	"lycheepond/core/poison"
 	"lycheepond/core/wire"
@@ -62,7 +64,7 @@
 		return
 	}
 	a.d.view.poison.RecordLostRun(a.d.sinceStart(time.Now()), a.fingerprint, a.endpoint.startID())
-	a.d.applyQuarantineChanges()
+	a.d.applyQuarantineChanges("")
 }
 
 // recordCompletion records that the attempt got a complete answer.
@@ -73,7 +75,7 @@
 	a.d.mu.Lock()
 	defer a.d.mu.Unlock()
 	a.d.view.poison.RecordCompleted(a.d.sinceStart(time.Now()), a.fingerprint, a.endpoint.startID())
-	a.d.applyQuarantineChanges()
+	a.d.applyQuarantineChanges("")
 }
 
 // recordRefusedConnection records a crash of the endpoint if err says that nothing listens at
@@ -85,18 +87,18 @@
 	a.d.mu.Lock()
 	defer a.d.mu.Unlock()
 	if a.endpoint.Addr == a.sentAddr {
-		a.d.recordCrash(a.endpoint)
+		a.d.recordCrash(a.endpoint, "connection refused")
 	}
 }
 
-// recordCrash records that an endpoint has crashed, unless it is shutting down. The caller
-// holds d.mu.
-func (d *Director) recordCrash(e *endpoint) {
+// recordCrash records that an endpoint has crashed, unless it is shutting down. evidence says
+// what shows it. The caller holds d.mu.
+func (d *Director) recordCrash(e *endpoint, evidence string) {
 	if e.Leaving {
 		return
 	}
 	d.view.poison.RecordCrash(d.sinceStart(time.Now()), e.startID())
-	d.applyQuarantineChanges()
+	d.applyQuarantineChanges(evidence)
 }
 
 // addUnverified adds the addresses of the endpoints that may have crashed to out, by ID. The
@@ -114,8 +116,12 @@
 	}
 }
 
-// applyQuarantineChanges logs and reports the changes of quarantines. The caller holds d.mu.
-func (d *Director) applyQuarantineChanges() {
+// applyQuarantineChanges logs the crashes of endpoints, which evidence shows, and logs and
+// reports the changes of quarantines. The caller holds d.mu.
+func (d *Director) applyQuarantineChanges(evidence string) {
+	for _, c := range d.view.poison.TakeCrashes() {
+		logs.Warn(d.cfg.Log, logs.EventEndpointCrashed, zap.String("endpoint", c.Endpoint), zap.String("why", evidence), zap.Int("requests", c.Requests), zap.Int("first_offenders", c.FirstOffenders))
+	}
 	for _, c := range d.view.poison.TakeChanges() {
 		logs.LogQuarantine(d.cfg.Log, c)
 		if !c.Released {
@@ -133,7 +139,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.view.poison.Restore(d.sinceStart(time.Now()), f, age, left, quarantines)
-	d.applyQuarantineChanges()
+	d.applyQuarantineChanges("")
 }
 
 // AddReports adds reports on suspect requests, rate limits, rollouts, leaving endpoints and
@@ -162,7 +168,7 @@
 }
 
 // mergeSuspects merges a peer's reports on suspect requests. The caller holds d.mu.
-func (d *Director) mergeSuspects(reports []wire.Suspect) {
+func (d *Director) mergeSuspects(peer string, reports []wire.Suspect) {
 	now := d.sinceStart(time.Now())
 	for _, s := range reports {
 		r := poison.Report{
@@ -177,7 +183,7 @@
 		}
 		d.view.poison.Merge(now, r)
 	}
-	d.applyQuarantineChanges()
+	d.applyQuarantineChanges("told by " + peer)
 }
 
 func toMS(d time.Duration) uint32 { return uint32(max(d.Milliseconds(), 0)) }
--- a/entry/direct/serve.go
+++ b/entry/direct/serve.go
@@ -119,9 +119,12 @@
 	case Complete, CallerLeft:
 		logs.Info(d.cfg.Log, logs.EventRequestDone, fields...)
 	case Limited, Refused, Quarantined:
+		if res.Outcome == Quarantined {
+			fields = append(fields, zap.Strings("parts", j.Parts))
+		}
 		logs.Info(d.cfg.Log, logs.EventRequestRefused, append(fields, zap.Duration("retry", res.RetryAfter), zap.Duration("left", time.Until(j.End())))...)
 	default:
-		logs.Warn(d.cfg.Log, logs.EventRequestUnknown, append(fields, zap.Duration("silent", res.Placement.Silence), zap.Duration("bound", res.Placement.SilenceBound))...)
+		logs.Warn(d.cfg.Log, logs.EventRequestUnknown, append(fields, zap.Strings("parts", j.Parts), zap.Duration("silent", res.Placement.Silence), zap.Duration("bound", res.Placement.SilenceBound))...)
 	}
 }
 
--- a/lychee/trace/trace.go
+++ b/lychee/trace/trace.go
@@ -97,7 +97,7 @@
 var stateEvents = map[string]bool{
 	"endpoint_away": true, "endpoint_back": true, "platform_away": true, "platform_back": true,
 	"peer_silent": true, "peer_heard": true, "link_lost": true, "config_changed": true, "config_from_peers": true,
-	"roster_changed": true, "starting": true, "leaving": true, "quarantined": true, "quarantine_lifted": true, "limit_changed": true, "rollout": true,
+	"roster_changed": true, "starting": true, "leaving": true, "quarantined": true, "endpoint_crashed": true, "quarantine_lifted": true, "limit_changed": true, "rollout": true,
 }
 
 // Trace holds what the logs say about one request.
