--- a/core/logs/quarantine.go
+++ b/core/logs/quarantine.go
@@ -8,10 +8,14 @@
 
 // LogQuarantine writes one line for the beginning or the early end of a quarantine.
 func LogQuarantine(l *zap.Logger, c poison.Change) {
+	fields := []zap.Field{zap.Stringer("fingerprint", c.Fingerprint)}
+	if c.Part != "" {
+		fields = append(fields, zap.String("part", c.Part), zap.String("customer", c.Customer))
+	}
 	if c.Released {
-		Info(l, EventQuarantineLifted, zap.Stringer("fingerprint", c.Fingerprint))
+		Info(l, EventQuarantineLifted, fields...)
 		return
 	}
-	Warn(l, EventQuarantined, zap.Stringer("fingerprint", c.Fingerprint), zap.Duration("left", c.Duration),
-		zap.Int("quarantines", c.Quarantines), zap.Strings("endpoints", c.Endpoints), zap.Bool("local", c.Local))
+	Warn(l, EventQuarantined, append(fields, zap.Duration("left", c.Duration), zap.Int("quarantines", c.Quarantines),
+		zap.Strings("endpoints", c.Endpoints), zap.Strings("peers", c.Peers), zap.Bool("local", c.Local))...)
 }
--- a/core/poison/fleet_test.go
+++ b/core/poison/fleet_test.go
@@ -95,7 +95,7 @@
 // send sends a request unless the entry has it in quarantine, and reports whether it was
 // sent.
 func (f *simFleet) send(entry int, fingerprint Fingerprint, attempts int) bool {
-	if f.trackers[entry].Admit(f.now, fingerprint, f.probeDelay(entry)) > 0 {
+	if f.trackers[entry].Admit(f.now, whole(fingerprint), f.probeDelay(entry)) > 0 {
 		return false
 	}
 	for range 10 {
@@ -109,7 +109,7 @@
 		f.runs = append(f.runs, simRun{entry: entry, endpoint: i, id: f.endpointIDs[i], attempts: attempts, fingerprint: fingerprint, endsAt: f.now + time.Duration(50+f.rnd.IntN(100))*time.Millisecond*4})
 		return true
 	}
-	f.trackers[entry].RecordNotRun(fingerprint)
+	f.trackers[entry].RecordNotRun(whole(fingerprint))
 	return false
 }
 
@@ -133,14 +133,14 @@
 		tracker := f.trackers[r.entry]
 		switch {
 		case r.lostAt > 0 && f.now >= r.lostAt:
-			tracker.RecordLostRun(f.now, r.fingerprint, r.id)
+			tracker.RecordLostRun(f.now, whole(r.fingerprint), r.id, true)
 			tracker.RecordCrash(f.now, r.id)
 			f.storeChanges(tracker)
-			if r.attempts > 1 && !tracker.IsSuspect(f.now, r.fingerprint) {
+			if r.attempts > 1 && !tracker.IsSuspect(f.now, whole(r.fingerprint)) {
 				f.send(r.entry, r.fingerprint, r.attempts-1)
 			}
 		case r.lostAt == 0 && f.now >= r.endsAt:
-			tracker.RecordCompleted(f.now, r.fingerprint, r.id)
+			tracker.RecordCompleted(f.now, whole(r.fingerprint), r.id, true)
 			if r.fingerprint == popularRequest && f.now > simDuration*2/3 {
 				f.popularServed++
 			}
@@ -195,7 +195,7 @@
 			f.inTransit[n] = m
 			n++
 		case f.now >= f.cutUntil[m.from] && f.now >= f.cutUntil[m.to]:
-			f.trackers[m.to].Merge(f.now, m.report)
+			f.trackers[m.to].Merge(f.now, fmt.Sprint(m.from), m.report)
 			f.storeChanges(f.trackers[m.to])
 		}
 	}
@@ -219,7 +219,7 @@
 func (f *simFleet) restart(entry int) {
 	f.trackers[entry], f.connectedSince[entry] = New(), f.now
 	for fingerprint, quarantine := range f.store {
-		f.trackers[entry].Restore(f.now, fingerprint, f.now-quarantine.storedAt, quarantine.until-f.now, quarantine.quarantines)
+		f.trackers[entry].Restore(f.now, fingerprint, "", "", f.now-quarantine.storedAt, quarantine.until-f.now, quarantine.quarantines)
 	}
 	f.exchangeAllReports(entry)
 }
--- a/core/poison/gossip.go
+++ b/core/poison/gossip.go
@@ -1,6 +1,10 @@
 package poison
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 // clockSkew bounds the difference between the times at which entries record the same
 // quarantine.
@@ -14,6 +18,9 @@
 // differ between processes.
 type Report struct {
 	Fingerprint Fingerprint
+	// Part is a part of prompts as Customer sends it. Both are empty for a whole request, and
+	// Fingerprint is not used for a part.
+	Part, Customer string
 	// CompletedAge is the age of the last completion, negative if there is none.
 	CompletedAge time.Duration
 	Crashes      []CrashReport
@@ -43,12 +50,23 @@
 			s.dirty = s.dirty || s.quarantineCount > 0 || s.local && len(s.crashes) >= retryCrashLimit
 		}
 	}
+	t.evaluateParts()
+	// Quarantines go first, so that no customer's invented requests delay them.
+	var dirty []*suspect
+	for _, s := range t.suspects {
+		if s.dirty {
+			dirty = append(dirty, s)
+		}
+	}
+	slices.SortFunc(dirty, func(a, b *suspect) int {
+		return cmp.Or(-cmp.Compare(a.quarantineCount, b.quarantineCount), cmp.Compare(a.changedAt, b.changedAt))
+	})
 	var out []Report
-	for f, s := range t.suspects {
-		if !s.dirty || len(out) >= maxReports {
-			continue
+	for _, s := range dirty[:min(len(dirty), maxReports)] {
+		r := Report{Fingerprint: s.fingerprint, CompletedAge: -1, ProbeAge: -1, Quarantines: s.quarantineCount, ProbeAborted: s.probeAborted}
+		if s.part != "" {
+			r.Part, r.Customer = s.part, s.customer
 		}
-		r := Report{Fingerprint: f, CompletedAge: -1, ProbeAge: -1, Quarantines: s.quarantineCount, ProbeAborted: s.probeAborted}
 		s.dirty, s.probeAborted = false, false
 		if s.hasCompleted {
 			r.CompletedAge = now - s.completedAt
@@ -67,21 +85,26 @@
 	return out
 }
 
-// Merge merges a peer's report. Reports may be late, duplicated or lost.
-func (t *Tracker) Merge(now time.Duration, r Report) {
-	s := t.suspects[r.Fingerprint]
+// Merge merges a report that came from a peer. Reports may be late, duplicated or lost.
+func (t *Tracker) Merge(now time.Duration, peer string, r Report) {
+	subj := subject{fingerprint: r.Fingerprint}
+	if r.Part != "" {
+		subj = newPart(r.Customer, r.Part)
+	}
+	s := t.suspects[subj.fingerprint]
 	if s == nil {
 		if len(r.Crashes) == 0 && r.Quarantines == 0 {
 			return
 		}
-		s = t.suspectFor(now, r.Fingerprint)
+		s = t.suspectFor(now, subj)
 	}
 	if completedAt := now - r.CompletedAge; r.CompletedAge >= 0 && (!s.hasCompleted || completedAt > s.completedAt) {
-		t.clear(now, completedAt, r.Fingerprint, s)
+		t.clear(now, completedAt, subj.fingerprint, s)
 	}
-	dirty := s.dirty
+	// A peer that gets few requests with a part must hear that others got past it.
+	dirty := s.dirty || s.part != "" && s.isProven(now) && (r.CompletedAge < 0 || r.CompletedAge > provenTTL/2)
 	for _, c := range r.Crashes[:min(len(r.Crashes), maxCrashRecords)] {
-		s.recordCrash(now, crash{c.Endpoint, now - c.Age})
+		s.recordCrash(now, crash{c.Endpoint, now - c.Age, peer})
 		// Requests of this entry that broke off on the same endpoint become suspects as
 		// well.
 		t.RecordCrash(now, c.Endpoint)
@@ -89,7 +112,7 @@
 	// The peer sends its report to all entries, so these changes need no report.
 	s.dirty = dirty
 	if r.Quarantines > 0 {
-		t.adoptQuarantine(now, r.Fingerprint, s, now-r.QuarantineAge, r.QuarantineLeft, r.Quarantines)
+		t.adoptQuarantine(now, s, now-r.QuarantineAge, r.QuarantineLeft, r.Quarantines)
 	}
 	switch {
 	case s.quarantineCount == 0 || s.quarantineCount != r.Quarantines:
@@ -98,27 +121,39 @@
 	case r.ProbeAge >= 0 && !s.probing:
 		s.probedAt, s.probing = now-r.ProbeAge, true
 	}
+	if s.part != "" {
+		t.requestEvaluation(now)
+		return
+	}
 	t.evaluate(now, r.Fingerprint)
 }
 
 // adoptQuarantine records a quarantine that began at another entry, unless the request has
 // completed since then or a later quarantine is known.
-func (t *Tracker) adoptQuarantine(now time.Duration, f Fingerprint, s *suspect, quarantinedAt, left time.Duration, quarantines int) {
+func (t *Tracker) adoptQuarantine(now time.Duration, s *suspect, quarantinedAt, left time.Duration, quarantines int) {
 	if s.hasCompleted && quarantinedAt <= s.completedAt {
 		return
 	}
 	if quarantines < s.quarantineCount || quarantines == s.quarantineCount && quarantinedAt <= s.quarantinedAt+clockSkew {
 		return
 	}
-	left = min(left, maxQuarantine)
+	if s.part == "" {
+		left = min(left, maxQuarantine)
+	}
+	left = min(left, partTTL)
 	if quarantines > s.quarantineCount {
-		t.changes = append(t.changes, Change{Fingerprint: f, Duration: left, Quarantines: quarantines, Local: s.local})
+		t.changes = append(t.changes, s.change(Change{Duration: left, Quarantines: quarantines}))
 	}
 	s.quarantinedAt, s.quarantinedUntil, s.quarantineCount, s.probing, s.changedAt = quarantinedAt, now+left, quarantines, false, now
 }
 
 // Restore restores a quarantine that began before this entry was started. If it has ended,
-// the next request is a probe.
-func (t *Tracker) Restore(now time.Duration, f Fingerprint, age, left time.Duration, quarantines int) {
-	t.adoptQuarantine(now, f, t.suspectFor(now, f), now-age, max(left, 0), max(quarantines, 1))
+// the next request is a probe. customer and part are empty for a whole request.
+func (t *Tracker) Restore(now time.Duration, f Fingerprint, customer, part string, age, left time.Duration, quarantines int) {
+	subj := subject{fingerprint: f}
+	if part != "" {
+		subj = newPart(customer, part)
+		t.requestEvaluation(now)
+	}
+	t.adoptQuarantine(now, t.suspectFor(now, subj), now-age, max(left, 0), max(quarantines, 1))
 }
--- a/core/poison/poison_test.go
+++ b/core/poison/poison_test.go
@@ -10,12 +10,15 @@
 	return NewFingerprint("POST", "h", "/", "customer", []byte(name))
 }
 
+// whole returns a request without parts.
+func whole(f Fingerprint) Request { return NewRequest(f, "customer", nil) }
+
 func noDelay() time.Duration { return 0 }
 
 // crashDuring crashes an endpoint while it is running the given requests.
 func crashDuring(tracker *Tracker, now time.Duration, id string, all ...Fingerprint) {
 	for _, f := range all {
-		tracker.RecordLostRun(now, f, id)
+		tracker.RecordLostRun(now, whole(f), id, true)
 	}
 	tracker.RecordCrash(now, id)
 }
@@ -24,14 +27,14 @@
 func TestQuarantineAfterThreeCrashes(t *testing.T) {
 	tracker, bad := New(), fingerprint("bad")
 	for i := range crashLimit {
-		if wait := tracker.Wait(time.Second, bad, noDelay); wait > 0 {
+		if wait := tracker.Wait(time.Second, whole(bad), noDelay); wait > 0 {
 			t.Fatalf("quarantined for %v after %d crashes", wait, i)
 		}
 		crashDuring(tracker, time.Second, fmt.Sprint("e", i), bad)
 		// One crash may be noticed in several ways.
 		crashDuring(tracker, time.Second, fmt.Sprint("e", i), bad)
 	}
-	if wait := tracker.Wait(time.Second, bad, noDelay); wait != firstQuarantine {
+	if wait := tracker.Wait(time.Second, whole(bad), noDelay); wait != firstQuarantine {
 		t.Errorf("quarantined for %v, want %v", wait, firstQuarantine)
 	}
 	if got := tracker.TakeChanges(); len(got) != 1 || got[0].Fingerprint != bad || len(got[0].Endpoints) != crashLimit || !got[0].Local {
@@ -45,16 +48,16 @@
 	now := time.Second
 	for i := range 20 {
 		id := fmt.Sprint("e", i%4)
-		tracker.RecordLostRun(now, f, id)
-		tracker.RecordCompleted(now+time.Second, fingerprint("other"), id)
+		tracker.RecordLostRun(now, whole(f), id, true)
+		tracker.RecordCompleted(now+time.Second, whole(fingerprint("other")), id, true)
 		now += 2 * time.Second
 	}
 	for i := range 4 {
 		tracker.RecordCrash(now, fmt.Sprint("e", i))
 	}
-	tracker.RecordLostRun(now, f, "e9")
+	tracker.RecordLostRun(now, whole(f), "e9", true)
 	tracker.RecordCrash(now+2*crashConfirmTimeout, "e9")
-	if tracker.IsSuspect(now, f) {
+	if tracker.IsSuspect(now, whole(f)) {
 		t.Error("a request is suspect because of truncated answers")
 	}
 }
@@ -63,22 +66,22 @@
 // long as it also completes.
 func TestPopularRequestDuringCrashesIsNotQuarantined(t *testing.T) {
 	tracker, bad, popular := New(), fingerprint("bad"), fingerprint("popular")
-	tracker.RecordCompleted(0, popular, "e")
+	tracker.RecordCompleted(0, whole(popular), "e", true)
 	for i := range crashLimit {
 		crashDuring(tracker, time.Second, fmt.Sprint("e", i), popular, bad)
 	}
 	crashDuring(tracker, 2*time.Second, "e8", popular)
 	crashDuring(tracker, 2*time.Second, "e9", popular)
-	if tracker.Wait(2*time.Second, bad, noDelay) == 0 {
+	if tracker.Wait(2*time.Second, whole(bad), noDelay) == 0 {
 		t.Error("the poison request is not quarantined")
 	}
-	if tracker.Wait(2*time.Second, popular, noDelay) > 0 {
+	if tracker.Wait(2*time.Second, whole(popular), noDelay) > 0 {
 		t.Error("the popular request is quarantined for crashes that the other one caused")
 	}
 	for i := range provenCrashLimit {
 		crashDuring(tracker, 3*time.Second, fmt.Sprint("f", i), popular)
 	}
-	if tracker.Wait(3*time.Second, popular, noDelay) == 0 {
+	if tracker.Wait(3*time.Second, whole(popular), noDelay) == 0 {
 		t.Error("a request that completed once may crash endpoints without limit")
 	}
 }
@@ -90,32 +93,32 @@
 	for i := range crashLimit {
 		crashDuring(tracker, 0, fmt.Sprint("e", i), bad, good)
 	}
-	if tracker.Wait(firstQuarantine, good, func() time.Duration { return probeDelay }) != probeDelay {
+	if tracker.Wait(firstQuarantine, whole(good), func() time.Duration { return probeDelay }) != probeDelay {
 		t.Error("the delay of the entry is not added")
 	}
-	if tracker.Admit(firstQuarantine, bad, noDelay) > 0 {
+	if tracker.Admit(firstQuarantine, whole(bad), noDelay) > 0 {
 		t.Fatal("no probe after the first quarantine")
 	}
-	if tracker.Admit(firstQuarantine, bad, noDelay) == 0 || tracker.Admit(firstQuarantine, good, noDelay) == 0 {
+	if tracker.Admit(firstQuarantine, whole(bad), noDelay) == 0 || tracker.Admit(firstQuarantine, whole(good), noDelay) == 0 {
 		t.Error("two probes run at the same time")
 	}
-	if !tracker.IsSuspect(firstQuarantine, bad) {
+	if !tracker.IsSuspect(firstQuarantine, whole(bad)) {
 		t.Error("the entry would retry the probe")
 	}
 	crashDuring(tracker, firstQuarantine+1, "e7", bad)
-	if wait := tracker.Wait(firstQuarantine+1, bad, noDelay); wait != nextQuarantine {
+	if wait := tracker.Wait(firstQuarantine+1, whole(bad), noDelay); wait != nextQuarantine {
 		t.Errorf("quarantined for %v after the probe crashed an endpoint, want %v", wait, nextQuarantine)
 	}
-	if tracker.Admit(firstQuarantine+1, good, noDelay) > 0 {
+	if tracker.Admit(firstQuarantine+1, whole(good), noDelay) > 0 {
 		t.Fatal("the other request is not probed")
 	}
-	tracker.RecordCompleted(firstQuarantine+2, good, "e8")
-	if tracker.Wait(firstQuarantine+2, good, noDelay) > 0 || tracker.IsSuspect(firstQuarantine+2, good) {
+	tracker.RecordCompleted(firstQuarantine+2, whole(good), "e8", true)
+	if tracker.Wait(firstQuarantine+2, whole(good), noDelay) > 0 || tracker.IsSuspect(firstQuarantine+2, whole(good)) {
 		t.Error("completing does not clear a request")
 	}
 	for range 20 {
 		now := tracker.suspects[bad].quarantinedUntil
-		if tracker.Admit(now, bad, noDelay) > 0 {
+		if tracker.Admit(now, whole(bad), noDelay) > 0 {
 			t.Fatal("no probe")
 		}
 		crashDuring(tracker, now+1, fmt.Sprint("f", now), bad)
@@ -134,14 +137,14 @@
 		crashDuring(a, 0, fmt.Sprint("e", i), f)
 	}
 	sendReports(a, b, firstQuarantine)
-	a.Admit(firstQuarantine, f, noDelay)
+	a.Admit(firstQuarantine, whole(f), noDelay)
 	sendReports(a, b, firstQuarantine)
-	if b.Wait(firstQuarantine, f, noDelay) == 0 {
+	if b.Wait(firstQuarantine, whole(f), noDelay) == 0 {
 		t.Error("the other entry may probe at the same time")
 	}
-	a.RecordNotRun(f)
+	a.RecordNotRun(whole(f))
 	sendReports(a, b, firstQuarantine)
-	if a.Wait(firstQuarantine, f, noDelay) > 0 || b.Wait(firstQuarantine, f, noDelay) > 0 {
+	if a.Wait(firstQuarantine, whole(f), noDelay) > 0 || b.Wait(firstQuarantine, whole(f), noDelay) > 0 {
 		t.Error("a probe that did not run blocks the next one")
 	}
 }
@@ -149,7 +152,7 @@
 // sendReports merges the reports of a into b.
 func sendReports(a, b *Tracker, now time.Duration) {
 	for _, r := range a.Reports(now, false) {
-		b.Merge(now, r)
+		b.Merge(now, "peer", r)
 	}
 }
 
@@ -162,14 +165,14 @@
 	}
 	for i := range 50 * maxSuspects {
 		f := fingerprint(fmt.Sprint("invented", i))
-		tracker.RecordCompleted(time.Second, f, "e")
+		tracker.RecordCompleted(time.Second, whole(f), "e", true)
 		crashDuring(tracker, time.Second, fmt.Sprint("f", i%(4*maxEndpoints)), f)
-		tracker.Merge(time.Second, Report{Fingerprint: fingerprint(fmt.Sprint("reported", i)), CompletedAge: -1, ProbeAge: -1, Crashes: []CrashReport{{Endpoint: fmt.Sprint("g", i)}}})
+		tracker.Merge(time.Second, "peer", Report{Fingerprint: fingerprint(fmt.Sprint("reported", i)), CompletedAge: -1, ProbeAge: -1, Crashes: []CrashReport{{Endpoint: fmt.Sprint("g", i)}}})
 	}
 	if len(tracker.suspects) > maxSuspects || tracker.completed.Len() > maxCompleted || tracker.endpoints.Len() > maxEndpoints {
 		t.Errorf("%d suspects, %d completed, %d endpoints", len(tracker.suspects), tracker.completed.Len(), tracker.endpoints.Len())
 	}
-	if tracker.Wait(time.Second, bad, noDelay) == 0 {
+	if tracker.Wait(time.Second, whole(bad), noDelay) == 0 {
 		t.Error("invented requests evicted a quarantine")
 	}
 }
@@ -177,15 +180,15 @@
 // Quarantines must survive a restart of all entries.
 func TestQuarantineIsRestored(t *testing.T) {
 	tracker, f := New(), fingerprint("c")
-	tracker.Restore(0, f, time.Minute, time.Minute, 2)
-	if wait := tracker.Wait(time.Second, f, noDelay); wait != time.Minute-time.Second {
+	tracker.Restore(0, f, "", "", time.Minute, time.Minute, 2)
+	if wait := tracker.Wait(time.Second, whole(f), noDelay); wait != time.Minute-time.Second {
 		t.Errorf("quarantined for %v", wait)
 	}
-	if tracker.Admit(time.Minute, f, noDelay) > 0 {
+	if tracker.Admit(time.Minute, whole(f), noDelay) > 0 {
 		t.Fatal("no probe")
 	}
 	crashDuring(tracker, time.Minute+1, "e", f)
-	if wait := tracker.Wait(time.Minute+1, f, noDelay); wait != 2*nextQuarantine {
+	if wait := tracker.Wait(time.Minute+1, whole(f), noDelay); wait != 2*nextQuarantine {
 		t.Errorf("quarantined for %v after one more crash, want %v", wait, 2*nextQuarantine)
 	}
 }
--- a/core/wire/tally.go
+++ b/core/wire/tally.go
@@ -51,12 +51,14 @@
 	// ConfigAhead is the operator's version of the configuration in force at the sender
 	// if the platform held an older one at ConfigRevision, otherwise zero.
 	ConfigAhead int64
+	// Parts holds parts of prompts that may have crashed endpoints.
+	Parts []SuspectPart
 }
 
 // HasChanges reports whether the tally contains anything besides the information that
 // its sender is alive.
 func (t *Tally) HasChanges() bool {
-	return len(t.Customers)+len(t.Endpoints)+len(t.Queues)+len(t.Freshness)+len(t.Suspects)+len(t.Limits)+len(t.Rollouts)+len(t.Leaving)+len(t.Rests) > 0
+	return len(t.Customers)+len(t.Endpoints)+len(t.Queues)+len(t.Freshness)+len(t.Suspects)+len(t.Limits)+len(t.Rollouts)+len(t.Leaving)+len(t.Rests)+len(t.Parts) > 0
 }
 
 // Suspect is the sender's report on a request that may have crashed endpoints. Its
@@ -79,6 +81,16 @@
 	ProbeAborted bool
 }
 
+// SuspectPart is the sender's report on a part of prompts, as one customer sends it.
+type SuspectPart struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	Customer string
+	Part     string
+	// Suspect has no fingerprint. Its completion is that of a request with the part that got
+	// past its beginning.
+	Suspect Suspect
+}
+
 // Crash is a crash of an endpoint while the suspect request was running on it.
 type Crash struct {
 	_msgpack struct{} `msgpack:",as_array"`
--- a/entry/caller/accept.go
+++ b/entry/caller/accept.go
@@ -24,6 +24,10 @@
 	maxDeadline = time.Hour
 	// maxKeyBytes is the longest idempotency key in bytes.
 	maxKeyBytes = 255
+	// maxParts is the largest number of parts of a prompt, and maxPartBytes the longest ID of
+	// one in bytes.
+	maxParts     = 64
+	maxPartBytes = 64
 )
 
 // accept checks what all requests have in common and returns the job with the
@@ -47,7 +51,7 @@
 	if e := readDeadline(r, j); e != nil {
 		return j, e
 	}
-	return j, nil
+	return j, readPromptParts(r, j)
 }
 
 // bearer returns the key in the Authorization header, empty if there is none.
@@ -97,6 +101,23 @@
 	return nil
 }
 
+// readPromptParts sets the IDs of the parts of the prompt that other requests may share.
+func readPromptParts(r *http.Request, j *sched.Job) *fault.Error {
+	values := r.Header.Values(headerPromptParts)
+	if len(values) == 0 {
+		return nil
+	}
+	for id := range strings.SplitSeq(strings.Join(values, ","), ",") {
+		if id = strings.TrimSpace(id); id == "" || len(id) > maxPartBytes || len(j.Parts) == maxParts {
+			return fault.New(fault.BadRequest, "bad "+headerPromptParts+": list the IDs of the parts that other requests share, at most 64 of 1 to 64 bytes, separated by commas")
+		}
+		if !slices.Contains(j.Parts, id) {
+			j.Parts = append(j.Parts, id)
+		}
+	}
+	return nil
+}
+
 // readIdempotency reads the headers that forbid or allow a second run, and the
 // idempotency key. safe is set if a request of this kind may be cancelled and
 // repeated.
@@ -200,7 +221,7 @@
 // headers they are not forwarded.
 var droppedHeaders = map[string]bool{
 	"Authorization": true, "Proxy-Authorization": true, "Host": true, "X-Request-Id": true, "Expect": true, "Accept-Encoding": true,
-	headerClass: true, headerNonIdempotent: true, headerRepeatable: true, headerDeadline: true, headerID: true, headerOutcome: true,
+	headerClass: true, headerNonIdempotent: true, headerRepeatable: true, headerDeadline: true, headerPromptParts: true, headerID: true, headerOutcome: true,
 }
 
 // forwardedHeaders returns the headers of a request to send to the endpoint.
--- a/entry/caller/server.go
+++ b/entry/caller/server.go
@@ -20,6 +20,7 @@
 // Names of the headers that the entry and its callers exchange.
 const (
 	headerClass         = "Lychee-Class"
+	headerPromptParts   = "Lychee-Prompt-Parts"
 	headerKey           = "Idempotency-Key"
 	headerNonIdempotent = "Lychee-Non-Idempotent"
 	headerRepeatable    = "Lychee-Repeatable"
--- a/entry/direct/attempt.go
+++ b/entry/direct/attempt.go
@@ -119,7 +119,7 @@
 		hadFreeSlot: chosen.Requests < chosen.Slots, promptAhead: chosen.PromptTokens + req.PromptTokens,
 		predictedWait: dec.SlotWait, predictedService: dec.FirstEvent - dec.SlotWait,
 		placement: Placement{Endpoint: e.ID, Version: e.Version, PredictedFirst: dec.FirstEvent, PredictedWait: dec.SlotWait, RequestsAhead: chosen.Requests, PromptTokensAhead: chosen.PromptTokens + req.PromptTokens, ReachableEntries: reachableEntries, KnownEntries: knownEntries},
-		work:      jobWork(j, req.OutputTokens), fingerprint: j.fingerprint, route: j.Route.Name, version: e.Version,
+		work:      jobWork(j, req.OutputTokens), suspect: j.suspect, route: j.Route.Name, version: e.Version,
 	}
 	a.placement.PeerReportAge = d.view.peerReportAge(e.ID, now)
 	a.tookToken = chosen.Limited
@@ -239,8 +239,10 @@
 	exchange *exchange
 	// ownerPlacement is set while another entry counts the attempt.
 	ownerPlacement *ownerPlacement
-	// fingerprint is the job's, zero for a job of another entry.
-	fingerprint poison.Fingerprint
+	// suspect is the job's, zero for a job of another entry. hasPassed is set once the run has
+	// got past its beginning.
+	suspect   poison.Request
+	hasPassed bool
 	// tookToken is set if the attempt has taken a token of the endpoint's rate limit, isTrial
 	// if the endpoint's version is on trial.
 	tookToken, isTrial bool
@@ -294,6 +296,7 @@
 		a.laterTokens += tokens
 	}
 	a.lastAt = now
+	a.recordPassed(now)
 	a.releaseWork(inFlight{outputTokens: min(tokens, a.work.outputTokens)})
 }
 
--- a/entry/direct/direct.go
+++ b/entry/direct/direct.go
@@ -181,7 +181,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.view.applyTally(peer, restarted, t)
-	d.mergeSuspects(peer, t.Suspects)
+	d.mergeSuspects(peer, t.Suspects, t.Parts)
 	d.mergeLimits(peer, t.Limits)
 	d.mergeRollouts(peer, restarted, t.Rollouts)
 	d.mergeLeaving(peer, t.Leaving)
--- a/entry/direct/job.go
+++ b/entry/direct/job.go
@@ -42,16 +42,16 @@
 	BeganAs string
 	// version is the version at which the job must run; Serve sets it.
 	version boundVersion
-	// fingerprint identifies what the request asks for; Serve sets it.
-	fingerprint poison.Fingerprint
+	// suspect identifies what the request asks for; Serve sets it.
+	suspect poison.Request
 }
 
-func (j *Job) setFingerprint() {
+func (j *Job) setSuspect() {
 	customer := ""
 	if j.Customer != nil {
 		customer = j.Customer.Name
 	}
-	j.fingerprint = poison.NewFingerprint(j.Method, j.Host, j.Target, customer, j.Body)
+	j.suspect = poison.NewRequest(poison.NewFingerprint(j.Method, j.Host, j.Target, customer, j.Body), customer, j.Parts)
 }
 
 // firstEventDue returns the time by which the first event should arrive to meet the route's
@@ -120,6 +120,9 @@
 	RefusedUntilRetry bool
 	// Reason describes the cause in a few words, for logs.
 	Reason string
+	// Culprit is the fingerprint of what is quarantined: the request or a part of its prompt. It
+	// is zero unless Outcome is Quarantined.
+	Culprit poison.Fingerprint
 	// Placement describes the last placement.
 	Placement Placement
 }
--- a/entry/direct/place.go
+++ b/entry/direct/place.go
@@ -298,7 +298,7 @@
 	a.d, a.pool, a.endpoint, a.id, a.start, a.sentAddr = d, p, e, e.ID, e.start(), e.Addr
 	a.isOnlyEndpoint, a.sentAt, a.hadFreeSlot, a.promptAhead, a.predictedWait, a.predictedService = len(p.endpoints) < 2, time.Now(), reply.HadFreeSlot, int(reply.PromptTokens), dec.SlotWait, dec.FirstEvent-dec.SlotWait
 	a.placement.Version = e.Version
-	a.work, a.fingerprint, a.route, a.version = jobWork(j, j.OutputTokens), j.fingerprint, j.Route.Name, e.Version
+	a.work, a.suspect, a.route, a.version = jobWork(j, j.OutputTokens), j.suspect, j.Route.Name, e.Version
 	a.ownerPlacement = &ownerPlacement{owner: owner, id: reply.ID, expectedOutput: a.work.outputTokens}
 	if d.ownerAttempts[owner] == nil {
 		d.ownerAttempts[owner] = make(map[uint64]*attempt)
--- a/entry/direct/plain.go
+++ b/entry/direct/plain.go
@@ -84,7 +84,7 @@
 // recordAnswer records a complete answer for the endpoint.
 func (a *attempt) recordAnswer(answer *hop.Answer) {
 	if !impliesNotRun(answer.Status) && answer.Status != http.StatusGatewayTimeout {
-		a.recordCompletion()
+		a.recordCompletion(answer.Status, answer.Framing)
 	}
 	if answer.Status >= http.StatusInternalServerError {
 		a.finish(health.ServerError)
--- a/entry/direct/poison.go
+++ b/entry/direct/poison.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"net/http"
 	"time"
 
 	"go.uber.org/zap"
@@ -22,21 +23,21 @@
 func (d *Director) quarantineWait(j *Job) time.Duration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.view.poison.Wait(d.sinceStart(time.Now()), j.fingerprint, d.probeDelay)
+	return d.view.poison.Wait(d.sinceStart(time.Now()), j.suspect, d.probeDelay)
 }
 
 // admitQuarantined is like quarantineWait, for a job that is sent if it returns zero.
 func (d *Director) admitQuarantined(j *Job) time.Duration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.view.poison.Admit(d.sinceStart(time.Now()), j.fingerprint, d.probeDelay)
+	return d.view.poison.Admit(d.sinceStart(time.Now()), j.suspect, d.probeDelay)
 }
 
 // recordNotRun records that no endpoint has run a job.
 func (d *Director) recordNotRun(j *Job) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.view.poison.RecordNotRun(j.fingerprint)
+	d.view.poison.RecordNotRun(j.suspect)
 }
 
 // probeDelay returns how much later than the first entry this one may send a probe.
@@ -45,8 +46,15 @@
 }
 
 // quarantineResult returns the result of a job in quarantine.
-func quarantineResult(retry time.Duration) Result {
-	return Result{Outcome: Quarantined, RetryAfter: retry, RefusedUntilRetry: true, Reason: "quarantined: it crashed endpoints"}
+func (d *Director) quarantineResult(j *Job, retry time.Duration) Result {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	f, part := d.view.poison.Culprit(d.sinceStart(time.Now()), j.suspect)
+	res := Result{Outcome: Quarantined, RetryAfter: retry, RefusedUntilRetry: true, Reason: "quarantined: it crashed endpoints", Culprit: f}
+	if part != "" {
+		res.Reason = "quarantined: requests with part " + part + " of its prompt crashed endpoints"
+	}
+	return res
 }
 
 // isSuspect reports whether retries of a job are left to its caller because it may crash
@@ -54,27 +62,44 @@
 func (d *Director) isSuspect(j *Job) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.view.poison.IsSuspect(d.sinceStart(time.Now()), j.fingerprint)
+	return d.view.poison.IsSuspect(d.sinceStart(time.Now()), j.suspect)
 }
 
 // recordLostRun records that the attempt broke off, unless its endpoint is shutting down. The
 // caller holds d.mu.
 func (a *attempt) recordLostRun() {
-	if a.fingerprint == (poison.Fingerprint{}) || a.endpoint.Leaving {
+	if !a.suspect.IsTracked() || a.endpoint.Leaving {
 		return
 	}
-	a.d.view.poison.RecordLostRun(a.d.sinceStart(time.Now()), a.fingerprint, a.endpoint.startID())
+	a.d.view.poison.RecordLostRun(a.d.sinceStart(time.Now()), a.suspect, a.endpoint.startID(), a.hasPassed)
 	a.d.applyQuarantineChanges("")
 }
 
-// recordCompletion records that the attempt got a complete answer.
-func (a *attempt) recordCompletion() {
-	if a.fingerprint == (poison.Fingerprint{}) {
+// recordPassed records that the attempt has got past its beginning if it has gone on for long
+// enough after its first event. The caller holds d.mu.
+func (a *attempt) recordPassed(now time.Time) {
+	if a.hasPassed || now.Sub(a.firstAt) < poison.PassTime {
+		return
+	}
+	a.hasPassed = true
+	a.d.view.poison.RecordPassed(a.d.sinceStart(now), a.suspect)
+	a.d.applyQuarantineChanges("")
+}
+
+// recordCompletion records that the attempt got a complete answer with a status. An answer that
+// ends with its connection may have been cut off by a crash.
+func (a *attempt) recordCompletion(status int, framing hop.Framing) {
+	if !a.suspect.IsTracked() {
 		return
 	}
 	a.d.mu.Lock()
 	defer a.d.mu.Unlock()
-	a.d.view.poison.RecordCompleted(a.d.sinceStart(time.Now()), a.fingerprint, a.endpoint.startID())
+	now := a.d.sinceStart(time.Now())
+	isWhole := framing != hop.ByConnection || a.hasPassed
+	a.d.view.poison.RecordCompleted(now, a.suspect, a.endpoint.startID(), isWhole && status < http.StatusMultipleChoices)
+	if !isWhole && !a.endpoint.Leaving {
+		a.d.view.poison.RecordEndedRun(now, a.suspect, a.endpoint.startID())
+	}
 	a.d.applyQuarantineChanges("")
 }
 
@@ -135,10 +160,11 @@
 
 // RestoreQuarantine restores a quarantine that began before this entry was started: age ago,
 // with the time left remaining. quarantines is how often the request has been quarantined.
-func (d *Director) RestoreQuarantine(f poison.Fingerprint, age, left time.Duration, quarantines int) {
+// customer and part are empty for a whole request.
+func (d *Director) RestoreQuarantine(f poison.Fingerprint, customer, part string, age, left time.Duration, quarantines int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.view.poison.Restore(d.sinceStart(time.Now()), f, age, left, quarantines)
+	d.view.poison.Restore(d.sinceStart(time.Now()), f, customer, part, age, left, quarantines)
 	d.applyQuarantineChanges("")
 }
 
@@ -147,45 +173,62 @@
 func (d *Director) AddReports(t *wire.Tally, resend bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	t.Suspects, t.Limits, t.Rollouts = d.suspectReports(resend), d.limitReports(resend), d.rolloutReports(resend)
+	t.Suspects, t.Parts = d.suspectReports(resend)
+	t.Limits, t.Rollouts = d.limitReports(resend), d.rolloutReports(resend)
 	t.Leaving, t.Rests = d.leavingReports(resend), d.restReports(resend)
 }
 
-// suspectReports returns the reports on suspect requests for a tally. The caller holds d.mu.
-func (d *Director) suspectReports(resend bool) []wire.Suspect {
-	var out []wire.Suspect
+// suspectReports returns the reports on suspect requests and parts for a tally. The caller holds
+// d.mu.
+func (d *Director) suspectReports(resend bool) (requests []wire.Suspect, parts []wire.SuspectPart) {
 	for _, r := range d.view.poison.Reports(d.sinceStart(time.Now()), resend) {
 		s := wire.Suspect{
-			Fingerprint: r.Fingerprint[:], CompletedAgoMS: ageMS(r.CompletedAge), QuarantinedAgoMS: toMS(r.QuarantineAge), QuarantineLeftMS: toMS(r.QuarantineLeft),
+			CompletedAgoMS: ageMS(r.CompletedAge), QuarantinedAgoMS: toMS(r.QuarantineAge), QuarantineLeftMS: toMS(r.QuarantineLeft),
 			Quarantines: uint16(r.Quarantines), ProbedAgoMS: ageMS(r.ProbeAge), ProbeAborted: r.ProbeAborted,
 		}
 		for _, c := range r.Crashes {
 			s.Crashes = append(s.Crashes, wire.Crash{Endpoint: c.Endpoint, AgeMS: toMS(c.Age)})
 		}
-		out = append(out, s)
+		if r.Part != "" {
+			parts = append(parts, wire.SuspectPart{Customer: r.Customer, Part: r.Part, Suspect: s})
+			continue
+		}
+		s.Fingerprint = r.Fingerprint[:]
+		requests = append(requests, s)
 	}
-	return out
+	return requests, parts
 }
 
-// mergeSuspects merges a peer's reports on suspect requests. The caller holds d.mu.
-func (d *Director) mergeSuspects(peer string, reports []wire.Suspect) {
+// mergeSuspects merges a peer's reports on suspect requests and parts. The caller holds d.mu.
+func (d *Director) mergeSuspects(peer string, requests []wire.Suspect, parts []wire.SuspectPart) {
 	now := d.sinceStart(time.Now())
-	for _, s := range reports {
-		r := poison.Report{
-			CompletedAge: fromMS(s.CompletedAgoMS), QuarantineAge: fromMS(s.QuarantinedAgoMS), QuarantineLeft: fromMS(s.QuarantineLeftMS),
-			Quarantines: int(s.Quarantines), ProbeAge: fromMS(s.ProbedAgoMS), ProbeAborted: s.ProbeAborted,
+	for _, s := range requests {
+		r := newReport(s)
+		if copy(r.Fingerprint[:], s.Fingerprint) == len(r.Fingerprint) {
+			d.view.poison.Merge(now, peer, r)
 		}
-		if copy(r.Fingerprint[:], s.Fingerprint) < len(r.Fingerprint) {
-			continue
-		}
-		for _, c := range s.Crashes {
-			r.Crashes = append(r.Crashes, poison.CrashReport{Endpoint: c.Endpoint, Age: fromMS(c.AgeMS)})
+	}
+	for _, p := range parts {
+		r := newReport(p.Suspect)
+		if r.Part, r.Customer = p.Part, p.Customer; r.Part != "" {
+			d.view.poison.Merge(now, peer, r)
 		}
-		d.view.poison.Merge(now, r)
 	}
 	d.applyQuarantineChanges("told by " + peer)
 }
 
+// newReport returns a peer's report without what it is about.
+func newReport(s wire.Suspect) poison.Report {
+	r := poison.Report{
+		CompletedAge: fromMS(s.CompletedAgoMS), QuarantineAge: fromMS(s.QuarantinedAgoMS), QuarantineLeft: fromMS(s.QuarantineLeftMS),
+		Quarantines: int(s.Quarantines), ProbeAge: fromMS(s.ProbedAgoMS), ProbeAborted: s.ProbeAborted,
+	}
+	for _, c := range s.Crashes {
+		r.Crashes = append(r.Crashes, poison.CrashReport{Endpoint: c.Endpoint, Age: fromMS(c.AgeMS)})
+	}
+	return r
+}
+
 func toMS(d time.Duration) uint32 { return uint32(max(d.Milliseconds(), 0)) }
 
 // ageMS returns an age in milliseconds, and -1 for a negative one, which means that there is
--- a/entry/direct/relay.go
+++ b/entry/direct/relay.go
@@ -153,7 +153,7 @@
 			return t.writeErrorResult(err)
 		}
 	}
-	a.recordCompletion()
+	a.recordCompletion(http.StatusOK, a.placement.Framing)
 	a.finish(health.Success)
 	return finalResult(Complete, "")
 }
--- a/entry/direct/replace.go
+++ b/entry/direct/replace.go
@@ -124,7 +124,7 @@
 	if !got.wasReceived {
 		w.task.d.returnRetry(replacement)
 	}
-	logs.Info(w.task.d.cfg.Log, logs.EventRequestReturned, zap.String("request_id", w.task.job.ID), zap.String("why", got.result.Reason), zap.Stringer("fingerprint", w.task.job.fingerprint),
+	logs.Info(w.task.d.cfg.Log, logs.EventRequestReturned, zap.String("request_id", w.task.job.ID), zap.String("why", got.result.Reason), zap.Stringer("fingerprint", w.task.job.suspect.Fingerprint()),
 		zap.String("from", replacement.id), zap.String("to", w.attempt.id), zap.Duration("silent", time.Since(w.waitStart)), zap.Duration("bound", w.bound))
 }
 
--- a/entry/direct/serve.go
+++ b/entry/direct/serve.go
@@ -15,7 +15,7 @@
 func (d *Director) Serve(ctx context.Context, j *Job, s Sink) Result {
 	d.addRunning(1)
 	defer d.addRunning(-1)
-	j.setFingerprint()
+	j.setSuspect()
 	res := d.serve(ctx, j, s)
 	d.logResult(j, res)
 	return res
@@ -29,7 +29,7 @@
 
 func (d *Director) serve(ctx context.Context, j *Job, s Sink) Result {
 	if retry := d.quarantineWait(j); retry > 0 {
-		return quarantineResult(retry)
+		return d.quarantineResult(j, retry)
 	}
 	wait, ok := d.charge(j)
 	if !ok {
@@ -62,7 +62,7 @@
 		// The quarantine began while the job was queued.
 		a.withdraw()
 		d.refund(j)
-		return quarantineResult(retry)
+		return d.quarantineResult(j, retry)
 	}
 	d.earnRetry(a)
 	end, cancel := context.WithDeadlineCause(context.WithoutCancel(ctx), j.End(), errTimeUp)
@@ -102,7 +102,7 @@
 	d.recordMetrics(j, res, took)
 	fields := []zap.Field{
 		zap.String("request_id", j.ID), zap.String("route", j.Route.Name), zap.String("outcome", res.Outcome.String()), zap.Stringer("tier", j.Tier),
-		zap.Duration("took", took), zap.String("why", res.Reason), zap.Stringer("fingerprint", j.fingerprint), zap.Int64("config", d.Table().Revision()),
+		zap.Duration("took", took), zap.String("why", res.Reason), zap.Stringer("fingerprint", j.suspect.Fingerprint()), zap.Int64("config", d.Table().Revision()),
 	}
 	if j.OutputTokens > 0 {
 		fields = append(fields, zap.Int("input", j.PromptTokens), zap.Int("output", j.OutputTokens))
@@ -120,7 +120,7 @@
 		logs.Info(d.cfg.Log, logs.EventRequestDone, fields...)
 	case Limited, Refused, Quarantined:
 		if res.Outcome == Quarantined {
-			fields = append(fields, zap.Strings("parts", j.Parts))
+			fields = append(fields, zap.Strings("parts", j.Parts), zap.Stringer("culprit", res.Culprit))
 		}
 		logs.Info(d.cfg.Log, logs.EventRequestRefused, append(fields, zap.Duration("retry", res.RetryAfter), zap.Duration("left", time.Until(j.End())))...)
 	default:
--- a/entry/direct/task.go
+++ b/entry/direct/task.go
@@ -90,7 +90,7 @@
 	if next == nil {
 		return nil, missing
 	}
-	logs.Info(t.d.cfg.Log, logs.EventRequestReturned, zap.String("request_id", t.job.ID), zap.String("why", got.result.Reason), zap.Stringer("fingerprint", t.job.fingerprint), zap.Strings("parts", t.job.Parts),
+	logs.Info(t.d.cfg.Log, logs.EventRequestReturned, zap.String("request_id", t.job.ID), zap.String("why", got.result.Reason), zap.Stringer("fingerprint", t.job.suspect.Fingerprint()), zap.Strings("parts", t.job.Parts),
 		zap.String("from", a.id), zap.String("to", next.id), zap.String("from_version", a.version), zap.String("to_version", next.version), zap.Duration("silent", a.placement.Silence), zap.Duration("bound", a.placement.SilenceBound))
 	return next, ""
 }
@@ -112,6 +112,14 @@
 		if wait, _ := t.d.restWait(t.job); wait > 0 {
 			next = t.reserveAfterRest(a, !got.wasReceived)
 		}
+		if next != nil && t.d.isSuspect(t.job) {
+			// It became suspect while it was queued.
+			next.withdraw()
+			if got.wasReceived {
+				t.d.returnRetry(next)
+			}
+			return nil, "it may crash endpoints"
+		}
 	}
 	return next, missing
 }
--- a/entry/follow/quarantine.go
+++ b/entry/follow/quarantine.go
@@ -31,6 +31,10 @@
 	UntilMS int64 `json:"until_ms"`
 	// Quarantines counts the quarantines of the fingerprint so far.
 	Quarantines int `json:"quarantines"`
+	// Part is the part of prompts that is quarantined, as Customer sends it. Both are empty
+	// for a whole request.
+	Part     string `json:"part,omitempty"`
+	Customer string `json:"customer,omitempty"`
 }
 
 // QuarantinesConfig holds the callbacks of a Quarantines.
@@ -41,7 +45,7 @@
 	Remove          func(ctx context.Context, name string) error
 	List            func(ctx context.Context) (map[string]QuarantineObject, error)
 	// Restore restores a quarantine that began before this entry was started.
-	Restore func(f poison.Fingerprint, age, left time.Duration, quarantines int)
+	Restore func(f poison.Fingerprint, o QuarantineObject, age, left time.Duration)
 	// Wall returns the time of day. The entries' clocks agree closely enough to
 	// compare periods of minutes.
 	Wall   func() time.Time
@@ -133,7 +137,7 @@
 			_ = q.cfg.Remove(ctx, name)
 		default:
 			ms := func(n int64) time.Duration { return time.Duration(max(n, 0)) * time.Millisecond }
-			q.cfg.Restore(f, ms(now-o.SinceMS), ms(o.UntilMS-now), o.Quarantines)
+			q.cfg.Restore(f, o, ms(now-o.SinceMS), ms(o.UntilMS-now))
 		}
 	}
 	return nil
@@ -151,7 +155,7 @@
 		q.written[name] = writtenQuarantine{QuarantineObject{UntilMS: now.UnixMilli()}, true}
 		return q.cfg.Remove(ctx, name)
 	}
-	o := QuarantineObject{SinceMS: now.UnixMilli(), UntilMS: now.Add(c.Duration).UnixMilli(), Quarantines: c.Quarantines}
+	o := QuarantineObject{SinceMS: now.UnixMilli(), UntilMS: now.Add(c.Duration).UnixMilli(), Quarantines: c.Quarantines, Part: c.Part, Customer: c.Customer}
 	err := q.store(ctx, name, o)
 	if err == nil {
 		q.written[name] = writtenQuarantine{object: o}
--- a/entry/sched/flight.go
+++ b/entry/sched/flight.go
@@ -51,13 +51,14 @@
 	job  *Job
 	sink *Sink
 	pool *pool
-	// fingerprint identifies the request in quarantines. It is zero for a request
-	// with an idempotency key.
-	fingerprint poison.Fingerprint
-	mailbox     *mailbox
-	once        *once.Request
-	answer      answer.Answer
-	estimate    cost.Estimate
+	// suspect identifies the request in quarantines. hasPassed is set once the current
+	// attempt has got past its beginning.
+	suspect   poison.Request
+	hasPassed bool
+	mailbox   *mailbox
+	once      *once.Request
+	answer    answer.Answer
+	estimate  cost.Estimate
 	// offeredTo holds the agents that have an offer with the current ID.
 	offeredTo peerSet
 	// holder is the agent to which the grant was sent, or that relays the answer of
@@ -92,12 +93,14 @@
 	// lastPieceAt is when the last piece arrived, grantedAt when the grant was
 	// sent.
 	lastPieceAt, grantedAt time.Duration
-	done                   bool
+	// firstPieceAt is when the first piece of the current attempt arrived, zero before.
+	firstPieceAt time.Duration
+	done         bool
 }
 
 func newFlight(s *Sched, j *Job, sink *Sink) *flight {
 	return &flight{
-		s: s, job: j, sink: sink, pool: s.pool(j.Pool), fingerprint: j.fingerprint(), mailbox: newMailbox(),
+		s: s, job: j, sink: sink, pool: s.pool(j.Pool), suspect: j.suspect(), mailbox: newMailbox(),
 		once: once.New(j.ID, j.Repeatable), poolReply: make(chan decision, 1),
 		trace: s.traces.newTrace(j),
 	}
--- a/entry/sched/job.go
+++ b/entry/sched/job.go
@@ -33,6 +33,9 @@
 	// Prompt is the part of Body that holds the prompt. The prefix hashes are
 	// computed from it.
 	Prompt []byte
+	// Parts holds the IDs of the parts of the prompt that other requests may share, as
+	// the caller states them.
+	Parts []string
 	// Cancellable is set if the request may be cancelled while it runs, once its
 	// caller has gone.
 	Cancellable bool
--- a/entry/sched/poison.go
+++ b/entry/sched/poison.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"sync"
 	"time"
 
@@ -35,21 +36,22 @@
 	return &quarantine{tracker: poison.New(), crashes: make(map[string]crashCount)}
 }
 
-// fingerprint returns the fingerprint of a job. It is zero for a job with an
-// idempotency key, because a retry of it gets the recorded answer and doesn't run
-// again.
-func (j *Job) fingerprint() poison.Fingerprint {
-	if j.Key != nil {
-		return poison.Fingerprint{}
+// suspect returns what a quarantine knows of a job. The fingerprint is zero for a job with
+// an idempotency key, because a retry of it gets the recorded answer and doesn't run again.
+// The parts of its prompt are those of other requests too.
+func (j *Job) suspect() poison.Request {
+	var f poison.Fingerprint
+	if j.Key == nil {
+		f = poison.NewFingerprint(j.Method, j.Pool, j.Path, j.Customer, j.Body)
 	}
-	return poison.NewFingerprint(j.Method, j.Pool, j.Path, j.Customer, j.Body)
+	return poison.NewRequest(f, j.Customer, j.Parts)
 }
 
 // admit returns an error if the flight's request is in quarantine.
 func (q *quarantine) admit(f *flight) *fault.Error {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	wait := q.tracker.Admit(f.now(), f.fingerprint, func() time.Duration { return 0 })
+	wait := q.tracker.Admit(f.now(), f.suspect, func() time.Duration { return 0 })
 	if wait == 0 {
 		return nil
 	}
@@ -61,12 +63,12 @@
 func (q *quarantine) isSuspect(f *flight) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.tracker.IsSuspect(f.now(), f.fingerprint)
+	return q.tracker.IsSuspect(f.now(), f.suspect)
 }
 
 // recordEnd records how the answer at the flight's holder has ended.
 func (q *quarantine) recordEnd(f *flight) {
-	if f.fingerprint == (poison.Fingerprint{}) {
+	if !f.suspect.IsTracked() {
 		return
 	}
 	now, agent := f.now(), f.holder.Name()
@@ -76,15 +78,28 @@
 	switch end := f.answer.End(); {
 	case end == nil:
 	case end.Complete:
-		q.tracker.RecordCompleted(now, f.fingerprint, endpointID(agent, c.count+1))
+		q.tracker.RecordCompleted(now, f.suspect, endpointID(agent, c.count+1), f.status < http.StatusMultipleChoices)
 	case end.Reason == wire.ReasonUnreachable:
 		if c.count == 0 || now-c.lastAt > crashWindow {
 			c = crashCount{c.count + 1, now}
 			q.crashes[agent] = c
 		}
-		q.tracker.RecordLostRun(now, f.fingerprint, endpointID(agent, c.count))
+		q.tracker.RecordLostRun(now, f.suspect, endpointID(agent, c.count), f.hasPassed)
 		q.tracker.RecordCrash(now, endpointID(agent, c.count))
 	}
+	q.logChanges(f)
+}
+
+// recordPassed records that the flight's current attempt has got past its beginning.
+func (q *quarantine) recordPassed(f *flight) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.tracker.RecordPassed(f.now(), f.suspect)
+	q.logChanges(f)
+}
+
+// logChanges logs the changes of quarantines. The caller holds q.mu.
+func (q *quarantine) logChanges(f *flight) {
 	for _, c := range q.tracker.TakeChanges() {
 		logs.LogQuarantine(f.s.cfg.Log, c)
 	}
@@ -94,7 +109,7 @@
 func (q *quarantine) recordNotRun(f *flight) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.tracker.RecordNotRun(f.fingerprint)
+	q.tracker.RecordNotRun(f.suspect)
 }
 
 // endpointID returns the ID of an agent's endpoint after its n-th start.
--- a/entry/sched/relay.go
+++ b/entry/sched/relay.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"lycheepond/core/once"
+	"lycheepond/core/poison"
 	"lycheepond/core/wire"
 	"lycheepond/entry/agents"
 	"lycheepond/entry/answer"
@@ -85,6 +86,7 @@
 		f.result.LongestPause = max(f.result.LongestPause, now-f.lastPieceAt)
 	}
 	f.lastPieceAt = now
+	f.recordPassed(now)
 	if !f.sink.IsStreaming || f.status >= 300 {
 		f.bufferData(data)
 		return
@@ -93,6 +95,19 @@
 	f.sink.Data(data)
 }
 
+// recordPassed records that the current attempt has got past its beginning if it has gone on for
+// long enough after the first piece of its answer.
+func (f *flight) recordPassed(now time.Duration) {
+	if f.firstPieceAt == 0 {
+		f.firstPieceAt = now
+	}
+	if f.hasPassed || now-f.firstPieceAt < poison.PassTime {
+		return
+	}
+	f.hasPassed = true
+	f.s.quarantine.recordPassed(f)
+}
+
 // bufferData keeps bytes until the answer is complete.
 func (f *flight) bufferData(data []byte) {
 	if len(f.body)+len(data) > maxBufferedAnswer {
@@ -220,7 +235,7 @@
 func (f *flight) resetAnswer() {
 	f.answer = answer.Answer{}
 	f.hasHead, f.status, f.header, f.earlyEvents, f.body = false, 0, nil, nil, f.body[:0]
-	f.holder, f.resumes, f.lastPieceAt = nil, 0, 0
+	f.holder, f.resumes, f.lastPieceAt, f.firstPieceAt, f.hasPassed = nil, 0, 0, 0, false
 	f.result.FirstByte, f.result.LongestPause = 0, 0
 	f.offeredTo.clear()
 }
--- a/lychee/trace/trace.go
+++ b/lychee/trace/trace.go
@@ -39,6 +39,9 @@
 	RetryObstacle string `json:"lacks"`
 	// Fingerprint identifies a request by its content.
 	Fingerprint string `json:"fingerprint"`
+	// Culprit is the fingerprint of what keeps a request in quarantine: of the whole
+	// request, or of a part of its prompt.
+	Culprit string `json:"culprit"`
 	// FromEndpoint and ToEndpoint are the endpoints of the failed attempt and of
 	// the next one.
 	FromEndpoint string `json:"from"`
@@ -180,7 +183,7 @@
 	}
 	processes, endpoints, fingerprints := make(map[string]bool), make(map[string]bool), map[string]bool{"": true}
 	for _, l := range requestLines {
-		processes[l.Process], fingerprints[l.Fingerprint] = true, true
+		processes[l.Process], fingerprints[l.Fingerprint], fingerprints[l.Culprit] = true, true, true
 		for _, endpoint := range []string{l.Endpoint, l.FromEndpoint, l.ToEndpoint} {
 			endpoints[endpoint] = endpoint != ""
 		}
@@ -215,6 +218,8 @@
 		fmt.Fprintf(&b, "refused it: the first event was predicted after %v at the best endpoint that had room, where %v are wanted; the caller was told to come back after %v", last.PredictedLatency, last.Target, last.RetryAfter)
 	case last.Outcome == "refused" && last.Why == "too long" && last.TimeLeft > 0:
 		fmt.Fprintf(&b, "refused it: the first event was predicted after %v, and the answer would not have been complete in the %v that the caller had left", last.PredictedLatency, last.TimeLeft)
+	case last.Outcome == "quarantined" && last.Culprit != "" && last.Culprit != last.Fingerprint:
+		fmt.Fprintf(&b, "refused it: %s (fingerprint %s), and the caller was told to come back after %v", strings.TrimPrefix(last.Why, "quarantined: "), last.Culprit, last.RetryAfter)
 	case last.Outcome == "quarantined":
 		fmt.Fprintf(&b, "refused it: requests with its fingerprint %s have crashed endpoints, and the caller was told to come back after %v, when one is let through as a probe", last.Fingerprint, last.RetryAfter)
 	case last.Event == "request_refused":
--- a/lychee/trace/trace_test.go
+++ b/lychee/trace/trace_test.go
@@ -160,3 +160,21 @@
 		t.Errorf("cause: %s", got.Cause)
 	}
 }
+
+// Guards against a trace that does not name the part of a prompt for which a request was refused.
+func TestQuarantineOfPart(t *testing.T) {
+	log := `{"time":"2026-01-01T00:00:01Z","event":"quarantined","process":"e","fingerprint":"p1","part":"5c1e","customer":"c","left":"2s","endpoints":["w-1"],"peers":["f"]}
+{"time":"2026-01-01T00:00:02Z","event":"quarantined","process":"e","fingerprint":"p2","part":"91bd","customer":"c","left":"2s"}
+{"time":"2026-01-01T00:00:03Z","event":"request_refused","process":"e","request_id":"r","outcome":"quarantined","why":"quarantined: requests with part 5c1e of its prompt crashed endpoints","fingerprint":"f1","culprit":"p1","retry":"9m58s"}
+`
+	got, err := Read("r", strings.NewReader(log))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(got.StateChanges) != 1 || got.StateChanges[0].Fingerprint != "p1" {
+		t.Errorf("state changes: %+v, want the quarantine of p1", got.StateChanges)
+	}
+	if !strings.Contains(got.Cause, "part 5c1e of its prompt crashed endpoints") || !strings.Contains(got.Cause, "9m58s") {
+		t.Errorf("cause: %s", got.Cause)
+	}
+}
