--- a/core/poison/fleet_test.go
+++ b/core/poison/fleet_test.go
@@ -44,6 +44,7 @@
 type storedQuarantine struct {
 	storedAt, until time.Duration
 	quarantines     int
+	part, customer  string
 }
 
 type message struct {
@@ -154,7 +155,7 @@
 func (f *simFleet) storeChanges(tracker *Tracker) {
 	for _, c := range tracker.TakeChanges() {
 		if c.Local && !c.Released {
-			f.store[c.Fingerprint] = storedQuarantine{f.now, f.now + c.Duration, c.Quarantines}
+			f.store[c.Fingerprint] = storedQuarantine{f.now, f.now + c.Duration, c.Quarantines, c.Part, c.Customer}
 		} else if c.Local {
 			delete(f.store, c.Fingerprint)
 		}
@@ -219,7 +220,7 @@
 func (f *simFleet) restart(entry int) {
 	f.trackers[entry], f.connectedSince[entry] = New(), f.now
 	for fingerprint, quarantine := range f.store {
-		f.trackers[entry].Restore(f.now, fingerprint, "", "", f.now-quarantine.storedAt, quarantine.until-f.now, quarantine.quarantines)
+		f.trackers[entry].Restore(f.now, Stored{Fingerprint: fingerprint, Part: quarantine.part, Customer: quarantine.customer, Age: f.now - quarantine.storedAt, Left: quarantine.until - f.now, Quarantines: quarantine.quarantines})
 	}
 	f.exchangeAllReports(entry)
 }
--- a/core/poison/gossip.go
+++ b/core/poison/gossip.go
@@ -144,16 +144,28 @@
 	if quarantines > s.quarantineCount {
 		t.changes = append(t.changes, s.change(Change{Duration: left, Quarantines: quarantines}))
 	}
-	s.quarantinedAt, s.quarantinedUntil, s.quarantineCount, s.probing, s.changedAt = quarantinedAt, now+left, quarantines, false, now
+	s.quarantinedAt, s.quarantinedUntil, s.quarantineCount, s.probing, s.changedAt, s.quarantineKnownAt = quarantinedAt, now+left, quarantines, false, now, now
+}
+
+// Stored is a quarantine that outlived the entries.
+type Stored struct {
+	Fingerprint Fingerprint
+	// Part is the part of prompts that is quarantined, as Customer sends it. Both are empty for
+	// a whole request, and Fingerprint is not used for a part.
+	Part, Customer string
+	// Age is the time since the quarantine began, Left its remaining duration.
+	Age, Left time.Duration
+	// Quarantines is the number of quarantines so far.
+	Quarantines int
 }
 
 // Restore restores a quarantine that began before this entry was started. If it has ended,
-// the next request is a probe. customer and part are empty for a whole request.
-func (t *Tracker) Restore(now time.Duration, f Fingerprint, customer, part string, age, left time.Duration, quarantines int) {
-	subj := subject{fingerprint: f}
-	if part != "" {
-		subj = newPart(customer, part)
+// the next request is a probe.
+func (t *Tracker) Restore(now time.Duration, q Stored) {
+	subj := subject{fingerprint: q.Fingerprint}
+	if q.Part != "" {
+		subj = newPart(q.Customer, q.Part)
 		t.requestEvaluation(now)
 	}
-	t.adoptQuarantine(now, t.suspectFor(now, subj), now-age, max(left, 0), max(quarantines, 1))
+	t.adoptQuarantine(now, t.suspectFor(now, subj), now-q.Age, max(q.Left, 0), max(q.Quarantines, 1))
 }
--- a/core/poison/parts.go
+++ b/core/poison/parts.go
@@ -291,13 +291,10 @@
 }
 
 // tellsApart reports whether the outcome of a request would tell s, which it holds, apart from
-// another quarantined part with the same crashes, which it does not hold.
+// another quarantined part that it does not hold and that may explain all crashes under s.
 func (t *Tracker) tellsApart(s *suspect, r Request) bool {
-	if len(s.crashes) == 0 {
-		return false
-	}
 	for _, o := range t.suspects {
-		if o == s || o.part == "" || o.customer != s.customer || o.quarantineCount == 0 || len(o.crashes) != len(s.crashes) || !s.ranOnAll(o) {
+		if o == s || o.part == "" || o.customer != s.customer || o.quarantineCount == 0 || !o.ranOnAll(s) {
 			continue
 		}
 		if !slices.ContainsFunc(r.parts, func(p subject) bool { return p.fingerprint == o.fingerprint }) {
--- a/core/poison/parts_test.go
+++ b/core/poison/parts_test.go
@@ -245,9 +245,19 @@
 // Guards against a quarantine of a part that all entries forget when they are restarted.
 func TestPartIsRestored(t *testing.T) {
 	tracker := New()
-	tracker.Restore(0, Fingerprint{}, "c", "deadly", time.Minute, time.Hour, 2)
-	expectRefused(t, tracker, time.Second, true, "a restored part", part("c", "deadly"))
+	for _, id := range []string{"deadly", "first"} {
+		tracker.Restore(0, Stored{Customer: "c", Part: id, Age: time.Minute, Left: time.Hour, Quarantines: 2})
+	}
+	expectRefused(t, tracker, time.Second, true, "restored parts", part("c", "first", "deadly"))
 	expectRefused(t, tracker, time.Second, false, "another customer's", part("d", "deadly"))
+	// They are told apart although their crashes are forgotten.
+	sound := part("c", "first", "other")
+	if wait := tracker.Admit(time.Second, sound, noDelay); wait > 0 {
+		t.Fatalf("a request that tells restored parts apart is refused for %v", wait)
+	}
+	tracker.RecordPassed(2*time.Second, sound)
+	expectRefused(t, tracker, 2*time.Second, false, "the restored first part", part("c", "first", "other"))
+	expectRefused(t, tracker, 2*time.Second, true, "the restored deadly part", part("c", "deadly"))
 	if tracker.Admit(time.Hour, part("c", "deadly"), noDelay) > 0 {
 		t.Fatal("no probe")
 	}
--- a/core/poison/poison.go
+++ b/core/poison/poison.go
@@ -108,6 +108,8 @@
 	// quarantineCount is above zero.
 	quarantinedAt, quarantinedUntil time.Duration
 	quarantineCount                 int
+	// quarantineKnownAt is when this entry learnt of the last quarantine.
+	quarantineKnownAt time.Duration
 	// probedAt is the time at which the probe was sent, after quarantinedUntil. It is valid
 	// while probing is set, until the probe has a result.
 	probedAt time.Duration
@@ -193,7 +195,7 @@
 // quarantined.
 func (s *suspect) probeStart(t *Tracker, r Request, delay time.Duration) time.Duration {
 	if s.part != "" && t.tellsApart(s, r) {
-		return s.quarantinedAt + delay
+		return s.quarantineKnownAt + delay
 	}
 	return s.quarantinedUntil + delay
 }
@@ -500,7 +502,7 @@
 // quarantine begins a quarantine and attributes to it the crashes that no other one explains.
 func (t *Tracker) quarantine(now time.Duration, s *suspect, duration time.Duration) {
 	s.quarantineCount++
-	s.quarantinedAt, s.quarantinedUntil, s.probing = now, now+duration, false
+	s.quarantinedAt, s.quarantinedUntil, s.quarantineKnownAt, s.probing = now, now+duration, now, false
 	s.dirty, s.changedAt = true, now
 	change := s.change(Change{Duration: duration, Quarantines: s.quarantineCount})
 	for _, c := range s.crashes {
--- a/core/poison/poison_test.go
+++ b/core/poison/poison_test.go
@@ -180,7 +180,7 @@
 // Quarantines must survive a restart of all entries.
 func TestQuarantineIsRestored(t *testing.T) {
 	tracker, f := New(), fingerprint("c")
-	tracker.Restore(0, f, "", "", time.Minute, time.Minute, 2)
+	tracker.Restore(0, Stored{Fingerprint: f, Age: time.Minute, Left: time.Minute, Quarantines: 2})
 	if wait := tracker.Wait(time.Second, whole(f), noDelay); wait != time.Minute-time.Second {
 		t.Errorf("quarantined for %v", wait)
 	}
--- a/entry/direct/poison.go
+++ b/entry/direct/poison.go
@@ -158,13 +158,11 @@
 	}
 }
 
-// RestoreQuarantine restores a quarantine that began before this entry was started: age ago,
-// with the time left remaining. quarantines is how often the request has been quarantined.
-// customer and part are empty for a whole request.
-func (d *Director) RestoreQuarantine(f poison.Fingerprint, customer, part string, age, left time.Duration, quarantines int) {
+// RestoreQuarantine restores a quarantine that began before this entry was started.
+func (d *Director) RestoreQuarantine(q poison.Stored) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.view.poison.Restore(d.sinceStart(time.Now()), f, customer, part, age, left, quarantines)
+	d.view.poison.Restore(d.sinceStart(time.Now()), q)
 	d.applyQuarantineChanges("")
 }
 
