--- a/entry/caller/poison_test.go
+++ b/entry/caller/poison_test.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
 
@@ -48,3 +49,32 @@
 		t.Errorf("%d grants before the quarantine", before)
 	}
 }
+
+// Guards against requests that are all different and share a part of their prompts that crashes
+// every endpoint.
+func TestRequestsWithPartThatCrashesEndpoints(t *testing.T) {
+	crash := func(_ *stub, l *wire.Link, m wire.Message) {
+		switch m := m.(type) {
+		case *wire.Offer:
+			l.Send(&wire.Claim{ID: m.ID, Load: idleLoad})
+		case *wire.Grant:
+			l.Send(&wire.End{ID: m.ID, Reason: wire.ReasonUnreachable, Load: idleLoad})
+		}
+	}
+	stubs := []*stub{newStub(t, "a", crash), newStub(t, "b", crash), newStub(t, "c", crash), newStub(t, "d", crash)}
+	f := newTestEntry(t, entryOptions{}, stubs...)
+	body := func(n int) string { return fmt.Sprintf(`{"model":%q,"prompt":"p%d"}`, stubPool, n) }
+	n := 0
+	for ; n < 100; n++ {
+		resp := f.post(t, "/v1/completions", body(n), headerPromptParts, "deadly")
+		resp.Body.Close()
+		if resp.StatusCode == http.StatusServiceUnavailable {
+			break
+		}
+	}
+	if n > 30 {
+		t.Errorf("%d requests were dispatched before the quarantine", n)
+	}
+	expect(t, f.post(t, "/v1/completions", body(200), headerPromptParts, "other, deadly"), http.StatusServiceUnavailable, "not-run", `"type":"quarantined"`)
+	expect(t, f.post(t, "/v1/completions", body(201), headerPromptParts, "a,,b"), http.StatusBadRequest, "not-run", headerPromptParts)
+}
