core/poison, platform: logs and metrics of parts bounded; deadly parts at workers that are slow to begin

Lines name 16 parts of a request at most; 512 suspects are kept instead of 256, as one crash now brings several for each request that had just begun. The agents' path names the part in its refusal.

--- a/core/poison/poison.go
+++ b/core/poison/poison.go
@@ -58,7 +58,7 @@
 
 // Memory bounds. Quarantined requests are evicted last.
 const (
-	maxSuspects     = 256
+	maxSuspects     = 512
 	maxCompleted    = 2048
 	maxEndpoints    = 256
 	maxLostRuns     = 256 // per endpoint and customer
--- a/entry/direct/job.go
+++ b/entry/direct/job.go
@@ -54,6 +54,12 @@
 	j.suspect = poison.NewRequest(poison.NewFingerprint(j.Method, j.Host, j.Target, customer, j.Body), customer, j.Parts)
 }
 
+// maxLoggedParts bounds how many parts of a prompt a line names.
+const maxLoggedParts = 16
+
+// loggedParts returns the parts of the prompt that lines about the job name.
+func (j *Job) loggedParts() []string { return j.Parts[:min(len(j.Parts), maxLoggedParts)] }
+
 // firstEventDue returns the time by which the first event should arrive to meet the route's
 // target.
 func (j *Job) firstEventDue() time.Time { return j.AcceptedAt.Add(j.Route.Target) }
--- a/entry/direct/poison.go
+++ b/entry/direct/poison.go
@@ -145,6 +145,7 @@
 // reports the changes of quarantines. The caller holds d.mu.
 func (d *Director) applyQuarantineChanges(evidence string) {
 	for _, c := range d.view.poison.TakeCrashes() {
+		d.cfg.Metrics.Counter("endpoint_crashes").Inc(1)
 		logs.Warn(d.cfg.Log, logs.EventEndpointCrashed, zap.String("endpoint", c.Endpoint), zap.String("why", evidence), zap.Int("requests", c.Requests), zap.Int("first_offenders", c.FirstOffenders))
 	}
 	for _, c := range d.view.poison.TakeChanges() {
--- a/entry/direct/serve.go
+++ b/entry/direct/serve.go
@@ -120,11 +120,11 @@
 		logs.Info(d.cfg.Log, logs.EventRequestDone, fields...)
 	case Limited, Refused, Quarantined:
 		if res.Outcome == Quarantined {
-			fields = append(fields, zap.Strings("parts", j.Parts), zap.Stringer("culprit", res.Culprit))
+			fields = append(fields, zap.Strings("parts", j.loggedParts()), zap.Stringer("culprit", res.Culprit))
 		}
 		logs.Info(d.cfg.Log, logs.EventRequestRefused, append(fields, zap.Duration("retry", res.RetryAfter), zap.Duration("left", time.Until(j.End())))...)
 	default:
-		logs.Warn(d.cfg.Log, logs.EventRequestUnknown, append(fields, zap.Strings("parts", j.Parts), zap.Duration("silent", res.Placement.Silence), zap.Duration("bound", res.Placement.SilenceBound))...)
+		logs.Warn(d.cfg.Log, logs.EventRequestUnknown, append(fields, zap.Strings("parts", j.loggedParts()), zap.Duration("silent", res.Placement.Silence), zap.Duration("bound", res.Placement.SilenceBound))...)
 	}
 }
 
--- a/entry/direct/task.go
+++ b/entry/direct/task.go
@@ -90,7 +90,7 @@
 	if next == nil {
 		return nil, missing
 	}
-	logs.Info(t.d.cfg.Log, logs.EventRequestReturned, zap.String("request_id", t.job.ID), zap.String("why", got.result.Reason), zap.Stringer("fingerprint", t.job.suspect.Fingerprint()), zap.Strings("parts", t.job.Parts),
+	logs.Info(t.d.cfg.Log, logs.EventRequestReturned, zap.String("request_id", t.job.ID), zap.String("why", got.result.Reason), zap.Stringer("fingerprint", t.job.suspect.Fingerprint()), zap.Strings("parts", t.job.loggedParts()),
 		zap.String("from", a.id), zap.String("to", next.id), zap.String("from_version", a.version), zap.String("to_version", next.version), zap.Duration("silent", a.placement.Silence), zap.Duration("bound", a.placement.SilenceBound))
 	return next, ""
 }
--- a/entry/sched/poison.go
+++ b/entry/sched/poison.go
@@ -55,7 +55,11 @@
 	if wait == 0 {
 		return nil
 	}
-	return fault.New(fault.Quarantined, "requests like this one crashed endpoints, so it was not run: mend the endpoint, or ask again when one is let through").WithRetryAfter(wait)
+	what := "requests like this one"
+	if _, part := q.tracker.Culprit(f.now(), f.suspect); part != "" {
+		what = fmt.Sprintf("requests with part %q of its prompt", part)
+	}
+	return fault.New(fault.Quarantined, what+" crashed endpoints, so it was not run: mend the endpoint, or ask again when one is let through").WithRetryAfter(wait)
 }
 
 // isSuspect reports whether the flight's request is suspect, so that retries are
