--- a/core/poison/parts_test.go
+++ b/core/poison/parts_test.go
@@ -266,3 +266,21 @@
 		t.Errorf("quarantined for %v after one more crash, want %v", wait, partTTL)
 	}
 }
+
+// BenchmarkRequestWithParts measures what a request with four shared parts costs while other parts
+// are suspects.
+func BenchmarkRequestWithParts(b *testing.B) {
+	tracker := New()
+	for i := range maxSuspects / 2 {
+		crashUnder(tracker, 0, fmt.Sprint("e", i%20), part("c", fmt.Sprint("suspect", i)))
+	}
+	f, parts := fingerprint("request"), []string{"first", "second", "third", "session"}
+	b.ReportAllocs()
+	for b.Loop() {
+		r := NewRequest(f, "c", parts)
+		if tracker.Admit(time.Second, r, noDelay) > 0 {
+			b.Fatal("refused")
+		}
+		tracker.RecordPassed(time.Second, r)
+	}
+}
