core/poison: a crash ends the probe that it answers

Sound requests that would tell quarantined parts apart were refused for up to 10 s: a probe that crashed an endpoint before its quarantine had ended still counted as running, at its entry and at all peers.

TestCrashEndsProbe failed before: refused for 9.998 s at both entries.

--- a/core/poison/parts_test.go
+++ b/core/poison/parts_test.go
@@ -74,6 +74,25 @@
 	expectRefused(t, tracker, 1600*time.Millisecond, true, "the deadly part afterwards", part("c", "first", "deadly"))
 }
 
+// Guards against a probe that has crashed an endpoint and keeps others waiting for its result.
+func TestCrashEndsProbe(t *testing.T) {
+	a, b := New(), New()
+	for i := range crashLimit {
+		crashUnder(a, 0, fmt.Sprint("e", i), part("c", "first", "deadly"), part("c", "first", "bystander"))
+	}
+	sendReports(a, b, 0)
+	probe := part("c", "first", "deadly")
+	if a.Admit(time.Millisecond, probe, noDelay) > 0 {
+		t.Fatal("no probe")
+	}
+	sendReports(a, b, time.Millisecond)
+	expectRefused(t, b, time.Millisecond, true, "a second probe", part("c", "first", "new"))
+	crashUnder(a, 2*time.Millisecond, "f", probe)
+	sendReports(a, b, 2*time.Millisecond)
+	expectRefused(t, a, 3*time.Millisecond, false, "the next probe", part("c", "first", "new"))
+	expectRefused(t, b, 3*time.Millisecond, false, "the next probe at a peer", part("c", "first", "new"))
+}
+
 // Guards against two deadly parts that hide each other.
 func TestTwoDeadlyParts(t *testing.T) {
 	for seed := range uint64(200) {
--- a/core/poison/poison.go
+++ b/core/poison/poison.go
@@ -75,9 +75,10 @@
 	endpoints *recent.Table[string, endpoint]
 	// passes holds, by customer, when a request with each part last got past its beginning.
 	passes *recent.Table[string, *recent.Table[Fingerprint, time.Duration]]
-	// barred holds the parts that several customers' quarantines name. It and unexplained
-	// evidence are current unless needsEvaluation is set, since evaluateAt.
-	barred          map[string]bool
+	// barred holds the parts that several customers' quarantines name.
+	barred map[string]bool
+	// needsEvaluation is set if the evidence against parts has changed since barred and the
+	// quarantines of parts were last updated. evaluateAt is when it changed last.
 	needsEvaluation bool
 	evaluateAt      time.Duration
 	// changes holds the changes that TakeChanges has not returned yet, crashes the crashes
@@ -477,6 +478,10 @@
 	}
 	s.crashes = append(s.crashes, newCrash)
 	s.dirty, s.changedAt = true, now
+	if s.probing && newCrash.crashedAt >= s.probedAt {
+		// The probe has its result.
+		s.probing = false
+	}
 }
 
 // evaluate quarantines a request if there is enough evidence against it.
