core/poison: a crash at an endpoint that was not listed yet counts once

An owner may place a request at an endpoint that the entry's list doesn't have yet. The entry then knows the endpoint's ID but not which start it is, so it told of the crash under another ID than its peers: evidence counted twice, and a part or a request was quarantined after two crashes.

TestCrashOfUnlistedEndpointCountsOnce fails without it: quarantined after two.

--- a/core/poison/parts_test.go
+++ b/core/poison/parts_test.go
@@ -93,6 +93,22 @@
 	expectRefused(t, b, 3*time.Millisecond, false, "the next probe at a peer", part("c", "first", "new"))
 }
 
+// Guards against one crash that counts twice, because an entry knew the endpoint before it was listed.
+func TestCrashOfUnlistedEndpointCountsOnce(t *testing.T) {
+	a, b := New(), New()
+	for i := range crashLimit - 1 {
+		crashUnder(a, 0, fmt.Sprint("e", i, "@1700"), part("c", "deadly"))
+		crashUnder(b, 0, fmt.Sprint("e", i), part("c", "deadly"))
+	}
+	sendReports(a, b, 0)
+	sendReports(b, a, 0)
+	expectRefused(t, a, 0, false, "after two crashes", part("c", "deadly"))
+	expectRefused(t, b, 0, false, "after two crashes, at the peer", part("c", "deadly"))
+	crashUnder(a, 0, "e10@1700", part("c", "deadly"))
+	crashUnder(a, 0, "e1@1701", part("c", "deadly"))
+	expectRefused(t, a, 0, true, "after starts of which one was seen before", part("c", "deadly"))
+}
+
 // Guards against two deadly parts that hide each other.
 func TestTwoDeadlyParts(t *testing.T) {
 	for seed := range uint64(200) {
--- a/core/poison/poison.go
+++ b/core/poison/poison.go
@@ -22,6 +22,7 @@
 import (
 	"cmp"
 	"slices"
+	"strings"
 	"time"
 
 	"lycheepond/core/recent"
@@ -469,7 +470,7 @@
 
 // recordCrash adds a crash unless it is known, too old, or older than the last completion.
 func (s *suspect) recordCrash(now time.Duration, newCrash crash) {
-	known := slices.ContainsFunc(s.crashes, func(c crash) bool { return c.endpoint == newCrash.endpoint })
+	known := slices.ContainsFunc(s.crashes, func(c crash) bool { return isSameStart(c.endpoint, newCrash.endpoint) })
 	if known || now-newCrash.crashedAt > crashTTL || s.hasCompleted && newCrash.crashedAt <= s.completedAt {
 		return
 	}
@@ -484,6 +485,16 @@
 	}
 }
 
+// isSameStart reports whether two IDs name the same start of an endpoint. An entry that was sent to
+// an endpoint before it was listed knows the endpoint's ID only, which an "@" ends in the other.
+func isSameStart(a, b string) bool {
+	if len(a) > len(b) {
+		a, b = b, a
+	}
+	rest, ok := strings.CutPrefix(b, a)
+	return ok && (rest == "" || rest[0] == '@')
+}
+
 // evaluate quarantines a request if there is enough evidence against it.
 func (t *Tracker) evaluate(now time.Duration, f Fingerprint) {
 	s := t.suspects[f]
