--- a/core/conf/direct.go
+++ b/core/conf/direct.go
@@ -43,6 +43,22 @@
 	Tolerance Tolerance `yaml:"tolerance"`
 	// Rollouts limits the requests that a bad version may receive during a rollout.
 	Rollouts Rollouts `yaml:"rollouts"`
+	// Overload switches decisions for the time in which a pool has less room than its
+	// callers ask for.
+	Overload Overload `yaml:"overload"`
+}
+
+// Overload switches decisions that owners of shards make while a pool is full. All are
+// off by default.
+type Overload struct {
+	// PlanReturns has refused callers told when there will be room, and serves them first
+	// at that time.
+	PlanReturns bool `yaml:"plan_returns"`
+	// ShareByCustomer divides the room within a tier between the customers.
+	ShareByCustomer bool `yaml:"share_by_customer"`
+	// MinOwnedEntries is the number of entries from which on shards have owners, zero for
+	// the default.
+	MinOwnedEntries int `yaml:"min_owned_entries"`
 }
 
 // Rollouts limits the requests that a bad version may receive: to Share of the pool's
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -32,6 +32,9 @@
 	Attempts int
 	// Shares is never empty, and the weights are positive.
 	Shares []Share
+	// MaxSilence is the longest time for which callers wait for the answer to begin. Zero
+	// means that only the deadline counts.
+	MaxSilence time.Duration
 }
 
 // Share is the share of a route's requests that one pool serves.
@@ -72,6 +75,8 @@
 	ByTokens    bool
 	// DefaultTokens is the number of tokens charged for a request without token counts.
 	DefaultTokens float64
+	// Weight is the customer's share of scarce room relative to others. Zero means one.
+	Weight float64
 }
 
 // Limits bounds what a caller may send.
--- a/core/wire/kind.go
+++ b/core/wire/kind.go
@@ -38,6 +38,8 @@
 	KindStreamOrigins
 	KindOriginQuery
 	KindOriginReply
+	KindPlaceHold
+	KindPlaceBookings
 	// kindLimit is one more than the largest kind.
 	kindLimit
 )
@@ -53,6 +55,7 @@
 	KindTally: "tally", KindSnapshot: "snapshot", KindRelay: "relay",
 	KindPlaceRequest: "place-ask", KindPlaceReply: "place-ack", KindPlaceReport: "place-note",
 	KindStreamOrigins: "origins", KindOriginQuery: "origin-ask", KindOriginReply: "origin-ack",
+	KindPlaceHold: "place-hold", KindPlaceBookings: "place-booked",
 }
 
 // String returns the name of the kind as docs/PROTOCOL.md spells it.
@@ -134,6 +137,10 @@
 		return new(PlaceReply)
 	case KindPlaceReport:
 		return new(PlaceReport)
+	case KindPlaceHold:
+		return new(PlaceHold)
+	case KindPlaceBookings:
+		return new(PlaceBookings)
 	case KindStreamOrigins:
 		return new(StreamOrigins)
 	case KindOriginQuery:
--- a/core/wire/place.go
+++ b/core/wire/place.go
@@ -20,6 +20,47 @@
 	PromptTokens, OutputTokens uint32
 	// MayQueue is set if the request may wait for a slot.
 	MayQueue bool
+	// Fingerprint identifies the request by its content, alike for all attempts of a
+	// caller; zero if the sender is of an older version. Customer is the name of the
+	// customer, empty if there is none.
+	Fingerprint uint64
+	Customer    string
+	// SilenceLeftUS is the time in microseconds after which the caller leaves unless
+	// the answer has begun; zero if it is not known.
+	SilenceLeftUS int64
+}
+
+// PlaceHold tells the sender of a PlaceRequest that its request waits for a slot for
+// longer than its target. The PlaceReply follows.
+type PlaceHold struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	ID       uint64
+	// MaxWaitUS is the time in microseconds after which the request is refused.
+	MaxWaitUS int64
+}
+
+// PlaceBookings tells the new owner of a shard which of the sender's refused callers
+// the previous owner expects back.
+type PlaceBookings struct {
+	_msgpack   struct{} `msgpack:",as_array"`
+	Pool       string
+	Zone       string
+	ShardIndex uint16
+	Bookings   []Booking
+}
+
+// Booking is a refused request that is expected to come back. Times are in microseconds
+// relative to the sending of the message.
+type Booking struct {
+	_msgpack    struct{} `msgpack:",as_array"`
+	Fingerprint uint64
+	// CustomerTier and RouteTier are the request's tier.
+	CustomerTier, RouteTier int
+	// AcceptedAgoUS is the time since the first attempt, DueUS the time until the caller
+	// is expected, negative if that has passed. TargetUS is the request's target.
+	AcceptedAgoUS, DueUS, TargetUS int64
+	// Plan is the resv.Plan that the caller was told.
+	Plan uint8
 }
 
 // PlaceReply answers a PlaceRequest. The placement then belongs to the sender of the
@@ -49,6 +90,8 @@
 	// HadFreeSlot is set if the endpoint had a free slot.
 	RequestsAhead, PromptTokens uint32
 	HadFreeSlot                 bool
+	// Plan is the resv.Plan of a refused request, zero if there is none.
+	Plan uint8
 }
 
 // The values of PlaceReport.Outcome. Values from PlaceResult on are the sum of
@@ -78,6 +121,19 @@
 	// EndpointRequests is the number of requests that the endpoint stated when it
 	// declined; zero if it stated none.
 	EndpointRequests uint32
+	// Load is what the endpoint has stated of its load since the last report, nil if
+	// nothing.
+	Load *StatedLoad
+}
+
+// StatedLoad is what an endpoint states of its load in the head of an answer.
+type StatedLoad struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	// Running, Waiting and Slots are numbers of requests.
+	Running, Waiting, Slots uint32
+	// SlowdownPercent is how long work takes at the endpoint at this moment, in hundredths of
+	// the usual time; zero if it is not stated.
+	SlowdownPercent uint32
 }
 
 // Kind returns KindPlaceRequest.
@@ -86,5 +142,11 @@
 // Kind returns KindPlaceReply.
 func (*PlaceReply) Kind() Kind { return KindPlaceReply }
 
+// Kind returns KindPlaceHold.
+func (*PlaceHold) Kind() Kind { return KindPlaceHold }
+
+// Kind returns KindPlaceBookings.
+func (*PlaceBookings) Kind() Kind { return KindPlaceBookings }
+
 // Kind returns KindPlaceReport.
 func (*PlaceReport) Kind() Kind { return KindPlaceReport }
--- a/entry/direct/direct.go
+++ b/entry/direct/direct.go
@@ -63,10 +63,23 @@
 	// OnQuarantine is called when a quarantine begins or is lifted. It must not block; it may
 	// be nil.
 	OnQuarantine func(c poison.Change)
+	Overload     Overload
 	Metrics      *meter.Set
 	Log          *zap.Logger
 }
 
+// Overload switches the decisions that owners of shards make while a pool has less room than
+// its callers ask for. The zero value makes none of them.
+type Overload struct {
+	// PlanReturns has refused callers told when there will be room.
+	PlanReturns bool
+	// ShareByCustomer divides the room within a tier between the customers.
+	ShareByCustomer bool
+	// MinOwnedEntries is the number of entries from which on shards have owners, zero for the
+	// default.
+	MinOwnedEntries int
+}
+
 // Director serves requests. It is safe for concurrent use.
 type Director struct {
 	cfg   Config
