resv, direct: owners of shards plan the returns of refused callers

With overload.plan_returns the owner of a shard tells each refused caller to return soon, later or not at all, recognises it by its fingerprint at any entry, and places late work in the room that requests within their targets leave.

--- /dev/null
+++ b/core/resv/late.go
@@ -0,0 +1,86 @@
+package resv
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// maxLateWait is the longest wait in the queue of late work. With 3 s, somewhat more
+	// requests were served in trials, but more callers waited in vain.
+	maxLateWait = time.Second
+	// maxWaitShare is the largest share of the time that a caller has left, after the expected
+	// duration of the answer, that may be spent waiting. The rest covers estimates that are
+	// too short.
+	maxWaitShare = 0.8
+	// minQueueTime is the time within which the slots that become free are enough for the
+	// queue, however little late work was placed recently. It keeps the queue from staying
+	// empty when there is room again.
+	minQueueTime = 50 * time.Millisecond
+	// shortWait is the longest expected wait for which a newcomer waits in the queue of late
+	// work instead of returning later: about the time that a return costs the caller.
+	shortWait = 200 * time.Millisecond
+	// reservedShare is the share of the usable slots that late work leaves free, so that a
+	// request within its target finds one at once.
+	reservedShare = 0.02
+	// rateWindow is the time constant of a Rate.
+	rateWindow = time.Second
+)
+
+// Late describes a request that would wait in the queue of late work.
+type Late struct {
+	// Ahead is how many requests are ahead of it, PlacedPerSecond the rate at which late work
+	// was placed in the last second.
+	Ahead           int
+	PlacedPerSecond float64
+	// SlotInterval is the average time between two slots becoming free, zero if it is not
+	// known.
+	SlotInterval time.Duration
+	// TimeLeft is the time until the caller leaves, HoldTime the expected duration of the
+	// answer.
+	TimeLeft, HoldTime time.Duration
+}
+
+// MaxWait returns the longest time for which the request may wait, zero if it should be refused
+// at once because it would probably wait in vain.
+func (l Late) MaxWait() time.Duration {
+	wait := min(time.Duration(maxWaitShare*float64(l.TimeLeft-l.HoldTime)), maxLateWait)
+	if wait <= 0 || l.Ahead > 0 && l.expectedWait() > wait && (l.SlotInterval <= 0 || time.Duration(l.Ahead)*l.SlotInterval >= minQueueTime) {
+		return 0
+	}
+	return wait
+}
+
+// IsShort reports whether late work was placed recently and the expected wait is so short that
+// a newcomer should wait too.
+func (l Late) IsShort() bool { return l.PlacedPerSecond >= 1 && l.expectedWait() <= shortWait }
+
+// expectedWait returns the time in which the requests ahead would be placed at the recent rate.
+func (l Late) expectedWait() time.Duration {
+	if l.PlacedPerSecond*rateWindow.Seconds() < 1 {
+		return math.MaxInt64
+	}
+	return time.Duration(float64(l.Ahead) / l.PlacedPerSecond * float64(time.Second))
+}
+
+// LateRoom returns how many slots late work may take of a shard's usable and free slots.
+func LateRoom(usableSlots, freeSlots int) int {
+	return max(freeSlots-int(reservedShare*float64(usableSlots)), 0)
+}
+
+// Rate measures how many events per second there were recently. The zero value has seen none.
+type Rate struct {
+	perSecond float64
+	at        time.Duration
+}
+
+// Add counts an event.
+func (r *Rate) Add(now time.Duration) {
+	r.perSecond = r.PerSecond(now) + 1/rateWindow.Seconds()
+	r.at = max(r.at, now)
+}
+
+// PerSecond returns the rate.
+func (r *Rate) PerSecond(now time.Duration) float64 {
+	return r.perSecond * math.Exp(-float64(max(now-r.at, 0))/float64(rateWindow))
+}
--- a/core/waitq/floor.go
+++ b/core/waitq/floor.go
@@ -83,6 +83,15 @@
 	*owed = min(max(*owed+minServiceShare*s.rate-got, -maxAhead), maxOwed)
 }
 
+// Rate returns the decayed fraction of the requests of a class that were served; one if none were
+// recorded.
+func (f *Floor) Rate(c Class) float64 {
+	if s := f.classes[c]; s != nil {
+		return s.rate
+	}
+	return 1
+}
+
 // sizeBin returns the bin of a hold time.
 func sizeBin(holdTime time.Duration) int {
 	if holdTime <= time.Millisecond {
--- a/core/wire/place.go
+++ b/core/wire/place.go
@@ -1,5 +1,7 @@
 package wire
 
+import "github.com/vmihailenco/msgpack/v5"
+
 // PlaceRequest asks the entry that owns a shard of a pool's endpoints to place a
 // request at one of them.
 type PlaceRequest struct {
@@ -46,7 +48,21 @@
 	Pool       string
 	Zone       string
 	ShardIndex uint16
-	Bookings   []Booking
+	Bookings   Bookings
+}
+
+// MaxBookings is the maximum number of bookings of one PlaceBookings: as many as an entry
+// keeps.
+const MaxBookings = 1024
+
+// Bookings is a list of at most MaxBookings bookings.
+type Bookings []Booking
+
+// DecodeMsgpack reads at most MaxBookings bookings and returns an error for a longer list.
+func (b *Bookings) DecodeMsgpack(d *msgpack.Decoder) error {
+	list, err := decodeList[Booking](d, MaxBookings)
+	*b = list
+	return err
 }
 
 // Booking is a refused request that is expected to come back. Times are in microseconds
@@ -92,6 +108,9 @@
 	HadFreeSlot                 bool
 	// Plan is the resv.Plan of a refused request, zero if there is none.
 	Plan uint8
+	// FirstAgoUS is the time since the first attempt of a caller that was recognised, in
+	// microseconds; zero for any other.
+	FirstAgoUS int64
 }
 
 // The values of PlaceReport.Outcome. Values from PlaceResult on are the sum of
--- a/core/wire/tallycode.go
+++ b/core/wire/tallycode.go
@@ -29,6 +29,8 @@
 	// originsMark is added in the same way by a sender that reads the messages about streams'
 	// origins. A message of a kind that the receiver does not know ends the link.
 	originsMark = "++"
+	// bookingsMark is added in the same way by a sender that reads PlaceBookings.
+	bookingsMark = "+++"
 )
 
 var errTallyFields = errors.New("wire: a tally lacks fields: run the same version on both ends")
@@ -51,6 +53,14 @@
 	t.MissingFrom = append(slices.Clip(t.MissingFrom), originsMark)
 }
 
+// ReadsBookings reports whether the sender reads PlaceBookings.
+func (t *Tally) ReadsBookings() bool { return slices.Contains(t.MissingFrom, bookingsMark) }
+
+// SetReadsBookings marks the sender as one that reads these messages.
+func (t *Tally) SetReadsBookings() {
+	t.MissingFrom = append(slices.Clip(t.MissingFrom), bookingsMark)
+}
+
 // EncodeMsgpack writes the tally as an array. It omits as many of the fields after
 // Queues as possible: trailing fields without a value are left out.
 func (t *Tally) EncodeMsgpack(e *msgpack.Encoder) error {
--- a/entry/direct/attempt.go
+++ b/entry/direct/attempt.go
@@ -48,6 +48,8 @@
 	shard *poolShard
 	// from is the entry for which a shard's owner places the job.
 	from sender
+	// late is set if the job can no longer meet its target. It is placed only in a free slot.
+	late bool
 }
 
 // placeJob chooses an endpoint for a job and counts the job there. If it refuses the job, the
@@ -74,6 +76,9 @@
 			req.AvoidEndpoint = i
 		}
 	}
+	if opts.late {
+		req.UntilTarget, req.Target = math.MaxInt64, 0
+	}
 	if opts.avoidID != "" {
 		// A job that was admitted once is not refused for its second attempt: its caller has
 		// waited already.
--- a/entry/direct/direct.go
+++ b/entry/direct/direct.go
@@ -101,6 +101,9 @@
 	// ownerBackoff holds, for owners that did not answer, until when they get no placement
 	// requests.
 	ownerBackoff map[string]time.Time
+	// ownBookings holds copies of the bookings of callers that this entry has refused, by
+	// fingerprint; at most maxOwnBookings.
+	ownBookings map[uint64]ownBooking
 	// candidates holds the entries that could keep records of streams at candidatesAt.
 	candidates   []origin.Candidate
 	candidatesAt time.Time
@@ -117,6 +120,7 @@
 	d := &Director{
 		cfg: cfg, start: time.Now(), view: newView(cfg.Zone, cfg.RolloutRule),
 		pendingPlacements: make(map[uint64]*pendingPlacement), ownerAttempts: make(map[string]map[uint64]*attempt), ownerBackoff: make(map[string]time.Time), originQueries: make(map[uint64]chan *wire.OriginReply),
+		ownBookings: make(map[uint64]ownBooking),
 		answerTimes: cfg.Metrics.CustomerHistograms("customer_answer_ms"), retryTimes: cfg.Metrics.CustomerHistograms("customer_retry_ms"),
 	}
 	d.view.limitShare = d.limitShare
@@ -316,6 +320,7 @@
 			d.sweepOrigins()
 		case <-probeTicker.C:
 			d.dispatchTimed()
+			d.sweepReturns()
 			d.evaluateRollouts()
 			d.sendUnsentOrigins()
 			if entries := d.linkedEntries(); len(entries) > 0 {
--- a/entry/direct/job.go
+++ b/entry/direct/job.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"lycheepond/core/poison"
+	"lycheepond/core/resv"
 	"lycheepond/core/route"
 	"lycheepond/entry/hop"
 )
@@ -44,6 +45,11 @@
 	version boundVersion
 	// suspect identifies what the request asks for; Serve sets it.
 	suspect poison.Request
+	// returnKey is the part of the fingerprint by which the caller is recognised when it
+	// returns, zero if it is not known. firstAt is the time of the caller's first attempt, set
+	// if the owner of a shard has recognised it.
+	returnKey uint64
+	firstAt   time.Time
 }
 
 func (j *Job) setSuspect() {
@@ -52,6 +58,7 @@
 		customer = j.Customer.Name
 	}
 	j.suspect = poison.NewRequest(poison.NewFingerprint(j.Method, j.Host, j.Target, customer, j.Body), customer, j.Parts)
+	j.setReturnKey()
 }
 
 // maxLoggedParts bounds how many parts of a prompt a line names.
@@ -61,8 +68,13 @@
 func (j *Job) loggedParts() []string { return j.Parts[:min(len(j.Parts), maxLoggedParts)] }
 
 // firstEventDue returns the time by which the first event should arrive to meet the route's
-// target.
-func (j *Job) firstEventDue() time.Time { return j.AcceptedAt.Add(j.Route.Target) }
+// target, which counts from the caller's first attempt if that is known.
+func (j *Job) firstEventDue() time.Time {
+	if !j.firstAt.IsZero() {
+		return j.firstAt.Add(j.Route.Target)
+	}
+	return j.AcceptedAt.Add(j.Route.Target)
+}
 
 // End returns the time by which the request must have its final answer: the caller's deadline
 // or the end of the route's timeout, whichever comes first.
@@ -148,8 +160,12 @@
 	// ReachableEntries and KnownEntries are the counts of Config.EntryCounts when the
 	// placement was made.
 	ReachableEntries, KnownEntries int
-	// QueuedFor is how long the request was queued.
-	QueuedFor time.Duration
+	// QueuedFor is how long the request was queued, Held the part of it spent as late work.
+	QueuedFor, Held time.Duration
+	// Plan is what the caller of a refused request is told about its return. Returned is the
+	// time since the first attempt of a caller that was recognised, zero for any other.
+	Plan     resv.Plan
+	Returned time.Duration
 	// Owner is the entry that granted the placement; empty if this entry decided, from what it
 	// knows of the others.
 	Owner string
--- a/entry/direct/place.go
+++ b/entry/direct/place.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -12,6 +13,7 @@
 	"lycheepond/core/drain"
 	"lycheepond/core/logs"
 	"lycheepond/core/relay"
+	"lycheepond/core/resv"
 	"lycheepond/core/route"
 	"lycheepond/core/shard"
 	"lycheepond/core/waitq"
@@ -51,6 +53,9 @@
 	KeepLinks func(entries []string)
 	// Send sends a message to an entry; it reports false if there is no link to it.
 	Send func(entry string, m wire.Message) bool
+	// SendBookings is like Send for bookings, which entries of older versions can't read. If nil,
+	// none are sent.
+	SendBookings func(entry string, m wire.Message) bool
 	// SendOrigins is like Send for messages about streams' origins. If nil, this entry tells
 	// nobody where streams began and asks nobody.
 	SendOrigins func(entry string, m wire.Message) bool
@@ -74,6 +79,8 @@
 	owner string
 	// answer receives the answer; it is closed if the link to the owner ends.
 	answer chan *wire.PlaceReply
+	// hold receives the longest wait of a request that the owner holds.
+	hold chan time.Duration
 }
 
 // reportToOwner reports the attempt's output or end to the owner of its placement, if there is
@@ -98,7 +105,8 @@
 
 // usesShardOwners reports whether placements are requested from the owners of shards.
 func (d *Director) usesShardOwners(knownEntries int) bool {
-	return d.cfg.Peers.Entries != nil && shard.HasOwners(knownEntries)
+	minOwned := d.cfg.Overload.MinOwnedEntries
+	return d.cfg.Peers.Entries != nil && (shard.HasOwners(knownEntries) || minOwned > 0 && knownEntries >= minOwned)
 }
 
 // shardOwner returns the entry that owns a shard; empty if there is none. The caller holds
@@ -174,7 +182,13 @@
 		a   *attempt
 		dec admit.Decision
 		ok  bool
+		// planned and plannedDec are the refusal with a plan for the caller's return, made at
+		// plannedAt. It stands unless another shard has room.
+		planned    *attempt
+		plannedDec admit.Decision
+		plannedAt  time.Time
 	)
+	plansReturn, home := d.plansReturns(j), p.homeShard(j.returnKey)
 	shardLimit := maxShards
 	if p.tierRank(j.Tier) == 0 {
 		shardLimit = maxShardsTopTier
@@ -184,12 +198,32 @@
 			break
 		}
 		i, mayQueue := shard.Choose(loads, d.view.zone, rand.Float64())
-		a, dec, ok = d.placeInShard(ctx, j, p, loads[i].Key, mayQueue || round > 0)
+		opts := queueOptions{mayQueue: mayQueue || round > 0}
+		if plansReturn && opts.mayQueue {
+			if h := slices.IndexFunc(loads, func(l shard.Load) bool { return l.Key == home }); h >= 0 {
+				i, opts.plansReturn = h, true
+			}
+		}
+		a, dec, ok = d.placeInShard(ctx, j, p, loads[i].Key, opts)
 		if !ok || dec.Endpoint >= 0 || dec.Reason != admit.Full || ctx.Err() != nil || time.Since(start) > immediateRefusal {
 			break
 		}
-		// This answer is newer than what was known of the shard.
-		loads[i].FreeSlots, loads[i].RequestsAhead = 0, loads[i].Slots
+		if !d.cfg.Overload.PlanReturns {
+			// This answer is newer than what was known of the shard.
+			loads[i].FreeSlots, loads[i].RequestsAhead = 0, loads[i].Slots
+			continue
+		}
+		if a.placement.Plan == resv.None || a.placement.Returned > 0 {
+			break
+		}
+		if a.placement.Plan.IsBooked() {
+			planned, plannedDec, plannedAt = a, dec, time.Now()
+		}
+		loads = slices.Delete(loads, i, i+1)
+	}
+	if ok && planned != nil && dec.Endpoint < 0 {
+		a, dec = planned, plannedDec
+		dec.RetryAfter -= time.Since(plannedAt)
 	}
 	if ok {
 		a.placement.QueuedFor = time.Since(start)
@@ -197,30 +231,37 @@
 	return a, dec, ok
 }
 
-// placeInShard has a job placed in a shard. The caller holds d.mu.
-func (d *Director) placeInShard(ctx context.Context, j *Job, p *pool, k shard.Key, mayQueue bool) (*attempt, admit.Decision, bool) {
+// placeInShard has a job placed in a shard; opts names no shard. The caller holds d.mu.
+func (d *Director) placeInShard(ctx context.Context, j *Job, p *pool, k shard.Key, opts queueOptions) (*attempt, admit.Decision, bool) {
 	owner := d.shardOwner(j.Pool.Name, p, k, time.Now())
 	if owner != d.cfg.Peers.Self {
-		return d.requestPlacement(ctx, j, p, k, owner, mayQueue)
+		return d.requestPlacement(ctx, j, p, k, owner, opts)
 	}
 	s := p.shards[k]
 	if s == nil {
 		return nil, admit.Decision{}, false
 	}
-	a, dec := d.placeOrWait(ctx, j, p, queueOptions{shard: s, from: sender{zone: d.view.zone}, mayQueue: mayQueue})
+	opts.shard, opts.from = s, sender{zone: d.view.zone}
+	a, dec := d.placeOrWait(ctx, j, p, opts)
 	return a, dec, true
 }
 
 // requestPlacement requests a placement from the owner of a shard. The caller holds d.mu,
 // which is released while the answer is awaited.
-func (d *Director) requestPlacement(ctx context.Context, j *Job, p *pool, k shard.Key, owner string, mayQueue bool) (*attempt, admit.Decision, bool) {
+func (d *Director) requestPlacement(ctx context.Context, j *Job, p *pool, k shard.Key, owner string, opts queueOptions) (*attempt, admit.Decision, bool) {
 	now := time.Now()
 	d.lastPlacementID++
 	id := d.lastPlacementID
-	pending := &pendingPlacement{owner: owner, answer: make(chan *wire.PlaceReply, 1)}
+	pending := &pendingPlacement{owner: owner, answer: make(chan *wire.PlaceReply, 1), hold: make(chan time.Duration, 1)}
 	m := &wire.PlaceRequest{
 		ID: id, Pool: j.Pool.Name, Zone: k.Zone, ShardIndex: k.Index, CustomerTier: j.Tier.Customer, RouteTier: j.Tier.Route,
-		TargetUS: j.Route.Target.Microseconds(), TargetLeftUS: j.firstEventDue().Sub(now).Microseconds(), DeadlineLeftUS: j.End().Sub(now).Microseconds(), MayQueue: mayQueue,
+		TargetUS: j.Route.Target.Microseconds(), TargetLeftUS: j.firstEventDue().Sub(now).Microseconds(), DeadlineLeftUS: j.End().Sub(now).Microseconds(), MayQueue: opts.mayQueue,
+	}
+	if opts.plansReturn {
+		m.Fingerprint = j.returnKey
+		if j.Route.MaxSilence > 0 {
+			m.SilenceLeftUS = j.silenceEnd().Sub(now).Microseconds()
+		}
 	}
 	if j.Pool.Engine {
 		m.PromptTokens, m.OutputTokens = uint32(max(j.PromptTokens, 0)), uint32(max(j.OutputTokens, 0))
@@ -230,18 +271,27 @@
 	}
 	d.pendingPlacements[id] = pending
 	wait := ownerAnswerTimeout
-	if mayQueue {
+	if opts.mayQueue {
 		wait += waitq.MaxWait(j.Route.Target, j.firstEventDue().Sub(now), 0)
 	}
 	d.mu.Unlock()
 	timer := time.NewTimer(wait)
-	var reply *wire.PlaceReply
+	var (
+		reply  *wire.PlaceReply
+		heldAt time.Time
+	)
 	timedOut := false
-	select {
-	case reply = <-pending.answer:
-	case <-ctx.Done():
-	case <-timer.C:
-		timedOut = true
+	for isWaiting := true; isWaiting; {
+		isWaiting = false
+		select {
+		case reply = <-pending.answer:
+		case hold := <-pending.hold:
+			wait, heldAt, isWaiting = hold+ownerAnswerTimeout, time.Now(), true
+			timer.Reset(wait)
+		case <-ctx.Done():
+		case <-timer.C:
+			timedOut = true
+		}
 	}
 	timer.Stop()
 	d.mu.Lock()
@@ -255,7 +305,11 @@
 	}
 	switch {
 	case reply != nil:
-		return d.applyGrant(j, p, owner, reply)
+		a, dec, ok := d.applyGrant(j, p, owner, reply)
+		if ok && !heldAt.IsZero() {
+			a.placement.Held = time.Since(heldAt)
+		}
+		return a, dec, ok
 	case ctx.Err() != nil:
 		return &attempt{}, admit.Decision{Endpoint: -1, Reason: admit.Full}, true
 	case timedOut:
@@ -277,6 +331,7 @@
 	dec := admit.Decision{Endpoint: -1, FirstEvent: us(reply.FirstEventUS), SlotWait: us(reply.WaitUS), RetryAfter: us(reply.RetryAfterUS), SlotInterval: us(reply.SlotIntervalUS), Reason: admit.Reason(reply.RefusalReason)}
 	a := &attempt{placement: Placement{
 		Endpoint: reply.Endpoint, PredictedFirst: dec.FirstEvent, PredictedWait: dec.SlotWait, RequestsAhead: int(reply.RequestsAhead), PromptTokensAhead: int(reply.PromptTokens), ReachableEntries: reachableEntries, KnownEntries: knownEntries, Owner: owner,
+		Plan: resv.Plan(reply.Plan), Returned: us(reply.FirstAgoUS),
 	}}
 	if reply.Endpoint == "" {
 		return a, dec, true
@@ -343,4 +398,5 @@
 		a.countWork(now)
 	}
 	delete(d.ownerAttempts, owner)
+	d.forgetBookingOwner(owner)
 }
--- a/entry/direct/serve.go
+++ b/entry/direct/serve.go
@@ -9,8 +9,12 @@
 
 	"lycheepond/core/logs"
 	"lycheepond/core/meter"
+	"lycheepond/core/resv"
 )
 
+// noReturnMargin is how long after its deadline a caller is told to return that need not return.
+const noReturnMargin = time.Second
+
 // Serve carries a job to its final answer. ctx ends when the caller leaves.
 func (d *Director) Serve(ctx context.Context, j *Job, s Sink) Result {
 	d.addRunning(1)
@@ -56,6 +60,9 @@
 		d.refund(j)
 		res := d.refusal(j, dec.RetryAfter, dec.Reason.String())
 		res.Placement = a.placement
+		if a.placement.Plan == resv.None {
+			res.RetryAfter, res.RefusedUntilRetry = max(res.RetryAfter, time.Until(j.Deadline)+noReturnMargin), true
+		}
 		return res
 	}
 	if retry := d.admitQuarantined(j); retry > 0 {
@@ -114,6 +121,12 @@
 		fields = append(fields, zap.String("endpoint", p.Endpoint), zap.String("version", p.Version), zap.Duration("predicted", p.PredictedFirst), zap.Duration("wait", p.PredictedWait), zap.Duration("first", p.TimeToFirst), zap.Duration("target", j.Route.Target), zap.Duration("stood", p.QueuedFor),
 			zap.Int("ahead", p.RequestsAhead), zap.Int("prompt", p.PromptTokensAhead), zap.Int("heard", p.ReachableEntries), zap.Int("known", p.KnownEntries), zap.Duration("age", p.PeerReportAge), zap.String("owner", p.Owner),
 			zap.Stringer("framing", p.Framing), zap.Int("unfinished", p.UnfinishedBytes))
+		if p.Held > 0 {
+			fields = append(fields, zap.Duration("held", p.Held))
+		}
+		if p.Returned > 0 {
+			fields = append(fields, zap.Duration("returned", p.Returned))
+		}
 	}
 	switch res.Outcome {
 	case Complete, CallerLeft:
@@ -122,6 +135,9 @@
 		if res.Outcome == Quarantined {
 			fields = append(fields, zap.Strings("parts", j.loggedParts()), zap.Stringer("culprit", res.Culprit))
 		}
+		if p := res.Placement.Plan; p != resv.Unplanned {
+			fields = append(fields, zap.Stringer("plan", p))
+		}
 		logs.Info(d.cfg.Log, logs.EventRequestRefused, append(fields, zap.Duration("retry", res.RetryAfter), zap.Duration("left", time.Until(j.End())))...)
 	default:
 		logs.Warn(d.cfg.Log, logs.EventRequestUnknown, append(fields, zap.Strings("parts", j.loggedParts()), zap.Duration("silent", res.Placement.Silence), zap.Duration("bound", res.Placement.SilenceBound))...)
--- a/entry/direct/session.go
+++ b/entry/direct/session.go
@@ -43,13 +43,15 @@
 	return s
 }
 
-// Handle processes a placement request or a placement report of the peer.
+// Handle processes a placement request, a placement report or bookings of the peer.
 func (s *Session) Handle(m wire.Message) {
 	switch m := m.(type) {
 	case *wire.PlaceRequest:
 		s.handleRequest(m)
 	case *wire.PlaceReport:
 		s.handleReport(m)
+	case *wire.PlaceBookings:
+		s.handleBookings(m)
 	}
 }
 
@@ -84,20 +86,28 @@
 		return
 	}
 	j := jobFromRequest(m, cfg)
-	a, dec, w := s.d.placeOrEnqueue(j, p, queueOptions{shard: target, from: s.peer, mayQueue: m.MayQueue})
+	a, dec, w := s.d.placeOrEnqueue(j, p, queueOptions{shard: target, from: s.peer, mayQueue: m.MayQueue, plansReturn: m.MayQueue && s.d.plansReturns(j)})
 	if w == nil {
 		s.sendDecision(m.ID, a, dec)
 		return
 	}
 	ctx, cancel := context.WithCancel(s.ctx)
 	s.cancelWaits[m.ID] = cancel
+	s.sendHold(m.ID, w)
 	s.waiters.Go(func() {
 		defer cancel()
 		w.awaitDispatch(ctx)
 		s.d.mu.Lock()
 		defer s.d.mu.Unlock()
+		a, dec, next := s.d.leaveQueue(w, p, ctx.Err() != nil)
+		for next != nil {
+			s.sendHold(m.ID, next)
+			s.d.mu.Unlock()
+			next.awaitDispatch(ctx)
+			s.d.mu.Lock()
+			a, dec, next = s.d.leaveQueue(next, p, ctx.Err() != nil)
+		}
 		delete(s.cancelWaits, m.ID)
-		a, dec := s.d.leaveQueue(w, p)
 		if ctx.Err() == nil {
 			s.sendDecision(m.ID, a, dec)
 		} else if dec.Endpoint >= 0 {
@@ -110,9 +120,14 @@
 func jobFromRequest(m *wire.PlaceRequest, cfg *route.Pool) *Job {
 	now := time.Now()
 	us := func(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
+	acceptedAt := now.Add(us(m.TargetLeftUS - m.TargetUS))
+	r := &route.Route{Target: us(m.TargetUS), Timeout: math.MaxInt64}
+	if m.SilenceLeftUS != 0 {
+		r.MaxSilence = max(now.Sub(acceptedAt)+us(m.SilenceLeftUS), 1)
+	}
 	return &Job{
-		Route: &route.Route{Target: us(m.TargetUS), Timeout: math.MaxInt64}, Pool: cfg, Tier: route.Tier{Customer: m.CustomerTier, Route: m.RouteTier},
-		AcceptedAt: now.Add(us(m.TargetLeftUS - m.TargetUS)), Deadline: now.Add(us(m.DeadlineLeftUS)), PromptTokens: int(m.PromptTokens), OutputTokens: int(m.OutputTokens),
+		Route: r, Pool: cfg, Tier: route.Tier{Customer: m.CustomerTier, Route: m.RouteTier},
+		AcceptedAt: acceptedAt, returnKey: m.Fingerprint, Deadline: now.Add(us(m.DeadlineLeftUS)), PromptTokens: int(m.PromptTokens), OutputTokens: int(m.OutputTokens),
 	}
 }
 
@@ -122,6 +137,7 @@
 	m := &wire.PlaceReply{
 		ID: id, Decided: true, RosterRevision: s.d.view.roster.Revision, RefusalReason: uint8(dec.Reason), RetryAfterUS: dec.RetryAfter.Microseconds(), SlotIntervalUS: dec.SlotInterval.Microseconds(),
 		FirstEventUS: dec.FirstEvent.Microseconds(), WaitUS: dec.SlotWait.Microseconds(), QueuedUS: p.QueuedFor.Microseconds(),
+		Plan: uint8(p.Plan), FirstAgoUS: p.Returned.Microseconds(),
 	}
 	if dec.Endpoint >= 0 {
 		m.Endpoint, m.Addr, m.Slots = a.id, a.sentAddr, a.endpoint.Slots
--- a/entry/direct/view.go
+++ b/entry/direct/view.go
@@ -111,6 +111,7 @@
 	// queue holds the requests that wait for a slot of the shard. It is empty unless
 	// this entry owns the shard.
 	queue waitq.Queue[*waiter]
+	late  lateWork
 }
 
 // endpoint is an endpoint with the work in flight there.
--- a/entry/direct/wait.go
+++ b/entry/direct/wait.go
@@ -37,6 +37,9 @@
 	from sender
 	// mayQueue is set if the job may be queued.
 	mayQueue bool
+	// plansReturn is set if the caller of a refused job is told when to return. late is set
+	// once the job waits as late work, wasHeld once that wait was in vain.
+	plansReturn, late, wasHeld bool
 }
 
 // queueOf returns the queue of the pool, or of the shard s if it is not nil.
@@ -62,6 +65,7 @@
 	}
 	if d.usesShardOwners(knownEntries) {
 		if a, dec, ok := d.placeInShards(ctx, j, p); ok {
+			d.keepBooking(j, p, a, dec)
 			return a, dec
 		}
 	}
@@ -72,18 +76,17 @@
 // holds d.mu, which is released while the job is queued.
 func (d *Director) placeOrWait(ctx context.Context, j *Job, p *pool, opts queueOptions) (*attempt, admit.Decision) {
 	a, dec, w := d.placeOrEnqueue(j, p, opts)
-	if w == nil {
-		return a, dec
+	for w != nil {
+		d.mu.Unlock()
+		w.awaitDispatch(ctx)
+		d.mu.Lock()
+		a, dec, w = d.leaveQueue(w, p, ctx.Err() != nil)
 	}
-	d.mu.Unlock()
-	w.awaitDispatch(ctx)
-	d.mu.Lock()
-	return d.leaveQueue(w, p)
+	return a, dec
 }
 
-// placeOrEnqueue places, refuses or queues a job; it returns the waiter of a queued one. The
-// caller holds d.mu.
-func (d *Director) placeOrEnqueue(j *Job, p *pool, opts queueOptions) (*attempt, admit.Decision, *waiter) {
+// placeForTarget is placeOrEnqueue for a job that can meet its target.
+func (d *Director) placeForTarget(j *Job, p *pool, opts queueOptions) (*attempt, admit.Decision, *waiter) {
 	now := time.Now()
 	position := d.queuePosition(j, p)
 	position.Owed = p.floor.Claim(queueClass(j), position.HoldTime)
@@ -126,18 +129,28 @@
 }
 
 // leaveQueue removes a job from the queue, if it is still there, and returns the outcome of
-// its wait. The caller holds d.mu.
-func (d *Director) leaveQueue(w *waiter, p *pool) (*attempt, admit.Decision) {
+// its wait: the placement, the refusal or the waiter of its next wait. callerLeft is set if
+// nobody waits for the outcome. The caller holds d.mu.
+func (d *Director) leaveQueue(w *waiter, p *pool, callerLeft bool) (*attempt, admit.Decision, *waiter) {
+	if w.options.late {
+		return d.leaveLateQueue(w, p, callerLeft)
+	}
 	if p.queueOf(w.options.shard).Remove(w.request) {
 		d.view.queueCounts.addOwn(poolTier{w.job.Pool.Name, w.job.Tier}, -1)
 		w.attempt.placement.QueuedFor = time.Since(w.queuedAt)
 		p.recordService(w.job, w.request.Priority(), false)
 		passed := p.dispatched[w.job.Tier] - w.dispatchedBefore
 		d.cfg.Metrics.Histogram("queue_passed", meter.Label{Key: "pool", Value: p.name}).Update(int64(passed))
-	} else {
-		w.attempt.placement.QueuedFor = w.attempt.sentAt.Sub(w.queuedAt)
+		if w.options.plansReturn && !callerLeft {
+			return d.planRefused(w.job, p, w.options, w.attempt, w.decision)
+		}
+		return w.attempt, w.decision, nil
+	}
+	w.attempt.placement.QueuedFor = w.attempt.sentAt.Sub(w.queuedAt)
+	if !w.job.firstAt.IsZero() {
+		d.recordServedReturn(w.job, p, w.attempt)
 	}
-	return w.attempt, w.decision
+	return w.attempt, w.decision, nil
 }
 
 // contention returns the requests that compete with a job for free slots. In a shard there are
@@ -171,6 +184,7 @@
 	d.dispatchFrom(p, &p.queue)
 	for _, s := range p.shards {
 		d.dispatchFrom(p, &s.queue)
+		d.dispatchLate(p, s)
 	}
 }
 
--- a/entry/mesh/accept.go
+++ b/entry/mesh/accept.go
@@ -71,7 +71,7 @@
 	}()
 	link.Run(ctx, func(msg wire.Message) {
 		switch t := msg.(type) {
-		case *wire.PlaceRequest, *wire.PlaceReport:
+		case *wire.PlaceRequest, *wire.PlaceReport, *wire.PlaceBookings:
 			if handlePlacement == nil {
 				if m.cfg.ServePlacements == nil {
 					return
@@ -205,7 +205,7 @@
 		p.capacity = t.Capacity
 	}
 	if t.Full {
-		p.readsExtensions, p.readsOrigins = t.AcceptsMoreFields(), t.ReadsOrigins()
+		p.readsExtensions, p.readsOrigins, p.readsBookings = t.AcceptsMoreFields(), t.ReadsOrigins(), t.ReadsBookings()
 	}
 	for _, e := range t.Entries {
 		m.noteNamed(e, now)
--- a/entry/mesh/ask.go
+++ b/entry/mesh/ask.go
@@ -62,6 +62,10 @@
 		if m.cfg.OnPlaceReply != nil {
 			m.cfg.OnPlaceReply(peer, t)
 		}
+	case *wire.PlaceHold:
+		if m.cfg.OnPlaceHold != nil {
+			m.cfg.OnPlaceHold(peer, t)
+		}
 	case *wire.OriginReply:
 		if m.cfg.OnOriginReply != nil {
 			m.cfg.OnOriginReply(t)
@@ -79,6 +83,15 @@
 	return reads && m.Send(peer, msg)
 }
 
+// SendBookings is like Send for bookings, which peers of older versions can't read.
+func (m *Mesh) SendBookings(peer string, msg wire.Message) bool {
+	m.mu.Lock()
+	p := m.peers[peer]
+	reads := p != nil && p.readsBookings
+	m.mu.Unlock()
+	return reads && m.Send(peer, msg)
+}
+
 // addPlacementLinks adds n to the number of links over which peers request
 // placements from this entry.
 func (m *Mesh) addPlacementLinks(n int) {
--- a/entry/mesh/forward.go
+++ b/entry/mesh/forward.go
@@ -114,6 +114,9 @@
 		if p.readsOrigins {
 			t.SetReadsOrigins()
 		}
+		if p.readsBookings {
+			t.SetReadsBookings()
+		}
 		m.mu.Unlock()
 		if body := m.encode(t); body != nil {
 			out.Tallies = append(out.Tallies, o.relayedTally(body))
--- a/entry/mesh/mesh.go
+++ b/entry/mesh/mesh.go
@@ -81,10 +81,12 @@
 	// one that ends the service. Both are called by the goroutine of the link. If
 	// nil, such messages are ignored.
 	ServePlacements func(ctx context.Context, peer, zone string, reply func(m wire.Message) error) (handle func(m wire.Message), end func())
-	// OnPlaceReply handles a peer's reply to a placement message of this entry.
-	// OnLinkClosed is called when the link over which such messages were sent has
-	// ended. Both may be nil.
+	// OnPlaceReply handles a peer's reply to a placement message of this entry, and
+	// OnPlaceHold what precedes the reply if the request waits for long. OnLinkClosed
+	// is called when the link over which such messages were sent has ended. All may
+	// be nil.
 	OnPlaceReply func(peer string, m *wire.PlaceReply)
+	OnPlaceHold  func(peer string, m *wire.PlaceHold)
 	OnLinkClosed func(peer string)
 	// OnOrigins handles a message of a peer about streams' origins, and OnOriginReply a peer's
 	// reply to one of this entry. Both may be nil.
@@ -176,6 +178,8 @@
 	readsExtensions bool
 	// readsOrigins is set if the peer reads messages about streams' origins.
 	readsOrigins bool
+	// readsBookings is set if the peer reads PlaceBookings.
+	readsBookings bool
 	// isReachable is set while the peer's tallies arrive. hasGap is set while one
 	// of its tallies is missing.
 	isReachable, hasGap bool
