--- a/core/conf/direct.go
+++ b/core/conf/direct.go
@@ -51,8 +51,8 @@
 // Overload switches decisions that owners of shards make while a pool is full. All are
 // off by default.
 type Overload struct {
-	// PlanReturns has refused callers told when there will be room, and serves them first
-	// at that time.
+	// PlanReturns has refused callers told when to return, and serves those that do in the
+	// room that requests within their targets leave.
 	PlanReturns bool `yaml:"plan_returns"`
 	// ShareByCustomer divides the room within a tier between the customers.
 	ShareByCustomer bool `yaml:"share_by_customer"`
--- a/core/resv/book.go
+++ b/core/resv/book.go
@@ -23,6 +23,9 @@
 	// request may differ. A request that is read late by a busy entry seems to have more time
 	// left than it has.
 	sameEnd = 250 * time.Millisecond
+	// dueInterval is the width of the intervals of due times in which bookings are counted: about
+	// as long as late work waits at most.
+	dueInterval = time.Second
 	// sweepInterval is the time between two searches for bookings that have ended.
 	sweepInterval = 250 * time.Millisecond
 )
@@ -58,11 +61,19 @@
 	records map[uint64]*record
 	// count is the number of bookings, at most maxBookings.
 	count int
-	// later is the number of bookings with the plan Later by tier, without zero counts.
-	later   map[route.Tier]int
+	// later is the number of bookings with the plan Later by tier and due time, without zero
+	// counts.
+	later   map[dueTier]int
 	sweptAt time.Duration
 }
 
+// dueTier identifies bookings of one tier that are due in one dueInterval.
+type dueTier struct {
+	tier route.Tier
+	// interval is the due time in multiples of dueInterval.
+	interval int
+}
+
 // record holds the bookings with one fingerprint. Requests of equal content cannot be told
 // apart, so they are counted and share the earliest times.
 type record struct {
@@ -83,13 +94,15 @@
 	r := b.records[booking.Fingerprint]
 	if r == nil {
 		if b.records == nil {
-			b.records, b.later = make(map[uint64]*record), make(map[route.Tier]int)
+			b.records, b.later = make(map[uint64]*record), make(map[dueTier]int)
 		}
 		r = &record{Booking: booking}
-		b.records[booking.Fingerprint] = r
 	}
+	// The due time of the record must not change while it is counted by that.
+	n := r.count
+	b.addCount(r, -n)
 	r.FirstAt, r.DueAt, r.lastDueAt = min(r.FirstAt, booking.FirstAt), min(r.DueAt, booking.DueAt), max(r.lastDueAt, booking.DueAt)
-	b.addCount(r, 1)
+	b.addCount(r, n+1)
 	if b.count > maxBookings {
 		b.evictLatest()
 	}
@@ -121,15 +134,19 @@
 	return r.Booking, Due
 }
 
-// LaterAhead returns how many requests of the same or a higher tier are booked for later.
-func (b *Book) LaterAhead(t route.Tier) int {
-	n := 0
-	for tier, count := range b.later {
-		if tier.Compare(t) <= 0 {
-			n += count
+// LaterAhead returns how many requests of the same or a higher tier are booked for later, and how
+// many of them for about the time dueAt.
+func (b *Book) LaterAhead(t route.Tier, dueAt time.Duration) (all, then int) {
+	for k, count := range b.later {
+		if k.tier.Compare(t) > 0 {
+			continue
+		}
+		all += count
+		if k.interval == int(dueAt/dueInterval) {
+			then += count
 		}
 	}
-	return n
+	return all, then
 }
 
 // Sweep drops the bookings that have ended unused and returns their number. It searches at most
@@ -152,13 +169,15 @@
 func (b *Book) addCount(r *record, n int) {
 	r.count += n
 	b.count += n
-	if r.Plan == Later {
-		if b.later[r.Tier] += n; b.later[r.Tier] == 0 {
-			delete(b.later, r.Tier)
+	if k := (dueTier{r.Tier, int(r.DueAt / dueInterval)}); r.Plan == Later {
+		if b.later[k] += n; b.later[k] == 0 {
+			delete(b.later, k)
 		}
 	}
 	if r.count == 0 {
 		delete(b.records, r.Fingerprint)
+	} else {
+		b.records[r.Fingerprint] = r
 	}
 }
 
--- a/core/resv/resv.go
+++ b/core/resv/resv.go
@@ -65,18 +65,26 @@
 	// SlotInterval is the average time between two slots of the shard becoming free, zero if
 	// it is not known.
 	SlotInterval time.Duration
-	// Booked is how many requests of the same or a higher tier are booked for later.
-	Booked int
+	// Booked is how many requests of the same or a higher tier are booked for later, BookedThen
+	// how many of them for about LatestReturn.
+	Booked, BookedThen int
+}
+
+// LatestReturn returns the longest time after which a caller returns that has timeLeft until its
+// deadline.
+func LatestReturn(timeLeft time.Duration) time.Duration {
+	return time.Duration(honouredShare * float64(timeLeft))
 }
 
 // Decide returns the plan for a refused request and, unless that is None, the time after which
-// the caller should return.
+// the caller should return. No more callers are booked than the shard frees slots, neither until
+// the deadline nor in the dueInterval of the return.
 func Decide(r Refusal) (plan Plan, wait time.Duration) {
-	latest := time.Duration(honouredShare * float64(r.TimeLeft))
+	latest := LatestReturn(r.TimeLeft)
 	switch {
 	case r.ServedRate >= minSoonRate && r.RetryAfter < r.UntilTarget && r.RetryAfter <= latest:
 		return Soon, r.RetryAfter
-	case latest <= 0 || time.Duration(r.Booked)*r.SlotInterval > r.TimeLeft:
+	case latest <= 0 || time.Duration(r.Booked)*r.SlotInterval > r.TimeLeft || time.Duration(r.BookedThen)*r.SlotInterval > dueInterval:
 		return None, 0
 	}
 	return Later, latest
--- /dev/null
+++ b/core/resv/resv_test.go
@@ -0,0 +1,128 @@
+package resv
+
+import (
+	"testing"
+	"time"
+
+	"lycheepond/core/route"
+)
+
+const ms = time.Millisecond
+
+// Guards against callers that are all sent into the same crowd again, that are told a time which
+// they cannot honour, and that are booked for room which the shard does not have.
+func TestDecide(t *testing.T) {
+	usual := Refusal{ServedRate: 0.1, RetryAfter: 100 * ms, UntilTarget: 400 * ms, TimeLeft: 12 * time.Second, SlotInterval: 4 * ms}
+	for _, tt := range []struct {
+		name string
+		set  func(r *Refusal)
+		plan Plan
+		wait time.Duration
+	}{
+		{"rarely served", func(*Refusal) {}, Later, 4 * time.Second},
+		{"often served", func(r *Refusal) { r.ServedRate = 0.3 }, Soon, 100 * ms},
+		{"target missed on return", func(r *Refusal) { r.ServedRate, r.UntilTarget = 0.9, 90*ms }, Later, 4 * time.Second},
+		{"deadline near", func(r *Refusal) { r.ServedRate, r.TimeLeft = 0.9, 240*ms }, Later, 80 * ms},
+		{"booked up to the deadline", func(r *Refusal) { r.Booked = 3001 }, None, 0},
+		{"booked up at the return", func(r *Refusal) { r.Booked, r.BookedThen = 251, 251 }, None, 0},
+		{"room at the return", func(r *Refusal) { r.Booked, r.BookedThen = 3000, 250 }, Later, 4 * time.Second},
+		{"past the deadline", func(r *Refusal) { r.TimeLeft = -1 }, None, 0},
+	} {
+		r := usual
+		tt.set(&r)
+		if plan, wait := Decide(r); plan != tt.plan || wait != tt.wait {
+			t.Errorf("%s: %v in %v", tt.name, plan, wait)
+		}
+	}
+}
+
+// Guards against late work that waits in vain behind a long queue, waits past what the caller
+// bears, or never begins to be placed again after a crowd.
+func TestMaxWait(t *testing.T) {
+	usual := Late{Ahead: 50, PlacedPerSecond: 100, SlotInterval: 4 * ms, TimeLeft: 4 * time.Second, HoldTime: time.Second}
+	for _, tt := range []struct {
+		name string
+		set  func(l *Late)
+		want time.Duration
+	}{
+		{"short queue", func(*Late) {}, time.Second},
+		{"queue of more than the wait", func(l *Late) { l.Ahead = 101 }, 0},
+		{"caller leaves soon", func(l *Late) { l.TimeLeft = 1700 * ms }, 560 * ms},
+		{"caller leaves before the queue is served", func(l *Late) { l.TimeLeft = 1600 * ms }, 0},
+		{"no time for the answer", func(l *Late) { l.TimeLeft = time.Second }, 0},
+		{"nothing placed, few ahead", func(l *Late) { l.PlacedPerSecond, l.Ahead = 0, 12 }, time.Second},
+		{"nothing placed, many ahead", func(l *Late) { l.PlacedPerSecond, l.Ahead = 0, 13 }, 0},
+		{"nothing known", func(l *Late) { *l = Late{TimeLeft: 4 * time.Second} }, time.Second},
+		{"nothing known, one ahead", func(l *Late) { *l = Late{Ahead: 1, TimeLeft: 4 * time.Second} }, 0},
+	} {
+		l := usual
+		tt.set(&l)
+		if got := l.MaxWait(); got != tt.want {
+			t.Errorf("%s: waits %v, want %v", tt.name, got, tt.want)
+		}
+	}
+}
+
+func booking(fingerprint uint64, due time.Duration) Booking {
+	return Booking{Fingerprint: fingerprint, Tier: route.Tier{Route: 1}, FirstAt: time.Second, DueAt: due, EndAt: 13 * time.Second, Plan: Later}
+}
+
+// Guards against a booking that is used twice, is lost to an early return or another request of
+// equal content, or keeps room after it has ended.
+func TestBookingIsUsedOnce(t *testing.T) {
+	var b Book
+	claim := func(at, end time.Duration, want Arrival) {
+		t.Helper()
+		if _, got := b.Claim(at, 7, end); got != want {
+			t.Errorf("at %v: arrival %d, want %d", at, got, want)
+		}
+	}
+	end := 13 * time.Second
+	b.Add(booking(7, 5*time.Second))
+	claim(2*time.Second, end, Early)
+	claim(2*time.Second, end+time.Second, Newcomer)
+	claim(4960*ms, end, Due)
+	claim(5*time.Second, end, Newcomer)
+	b.Add(booking(7, 5*time.Second))
+	b.Add(booking(7, 5500*ms))
+	claim(5400*ms, end, Due)
+	claim(6400*ms, end, Due)
+	b.Add(booking(7, 5*time.Second))
+	claim(6001*ms, end, Newcomer)
+	if n := b.Sweep(6001 * ms); n != 1 || b.Len() != 0 || len(b.records)+len(b.later) != 0 {
+		t.Errorf("%d ended, %d left in %d records and %d counts", n, b.Len(), len(b.records), len(b.later))
+	}
+}
+
+// Guards against memory that grows with the crowd, and against a full book that loses the callers
+// that come next.
+func TestFullBookDropsLatestDue(t *testing.T) {
+	var b Book
+	for i := range uint64(3 * maxBookings) {
+		b.Add(booking(i+1, time.Duration(i%1000)*ms+5*time.Second))
+	}
+	if b.Len() > maxBookings || len(b.records) != b.Len() {
+		t.Fatalf("%d bookings in %d records", b.Len(), len(b.records))
+	}
+	for i := range uint64(100) {
+		if _, got := b.Claim(5100*ms, i+1, 0); got != Due {
+			t.Fatalf("the booking due after %d ms was dropped", 5000+i)
+		}
+	}
+}
+
+// Guards against room that lower tiers have booked ahead of higher ones, and against a copy that
+// an entry reports twice.
+func TestLaterAhead(t *testing.T) {
+	var b Book
+	low := booking(2, 6500*ms)
+	low.Tier.Route = 2
+	b.Restore(low)
+	b.Restore(low)
+	b.Restore(booking(1, 5*time.Second))
+	for tier, want := range map[int][2]int{0: {0, 0}, 1: {1, 0}, 2: {2, 1}} {
+		if all, then := b.LaterAhead(route.Tier{Route: tier}, 6*time.Second); all != want[0] || then != want[1] {
+			t.Errorf("tier %d: %d booked, %d of them then, want %v", tier, all, then, want)
+		}
+	}
+}
--- a/core/wire/frame_test.go
+++ b/core/wire/frame_test.go
@@ -92,6 +92,19 @@
 	}
 }
 
+// Guards against a peer that makes an entry keep a list of any length.
+func TestTooManyBookingsAreRejected(t *testing.T) {
+	for n, ok := range map[int]bool{MaxBookings: true, MaxBookings + 1: false} {
+		buf, err := Append(nil, &PlaceBookings{Bookings: make(Bookings, n)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := NewReader(bytes.NewReader(buf)).Next(); (err == nil) != ok {
+			t.Errorf("%d bookings: %v", n, err)
+		}
+	}
+}
+
 // FuzzReader checks that no input crashes the reader.
 func FuzzReader(f *testing.F) {
 	for _, m := range sampleMessages() {
--- a/entry/direct/crowd_test.go
+++ b/entry/direct/crowd_test.go
@@ -14,6 +14,7 @@
 
 	"lycheepond/core/health"
 	"lycheepond/core/meter"
+	"lycheepond/core/resv"
 	"lycheepond/core/route"
 	"lycheepond/core/wire"
 )
@@ -54,6 +55,28 @@
 	// estimateSpread is the standard deviation of the logarithm of the real output divided by
 	// the estimate. With zero the estimates are exact.
 	estimateSpread float64
+	// targets and deadlines are those of the kinds; replayTarget and replayDeadline if nil.
+	targets, deadlines []time.Duration
+	// silence is the patience of callers, zero if only the deadline counts.
+	silence time.Duration
+	// plansReturns is set if owners of shards plan the returns of refused callers. returnTo
+	// returns the entry to which a refused caller returns; nil stands for the first one.
+	plansReturns bool
+	returnTo     func() *Director
+}
+
+func (w workload) target(k int) time.Duration {
+	if w.targets == nil {
+		return replayTarget
+	}
+	return w.targets[k]
+}
+
+func (w workload) deadline(k int) time.Duration {
+	if w.deadlines == nil {
+		return replayDeadline
+	}
+	return w.deadlines[k]
 }
 
 // requestResult is the result of one request.
@@ -65,12 +88,16 @@
 	metTarget bool
 	// isRetry is set for a request that was refused before.
 	isRetry bool
+	// plan is what the caller was told at its first refusal.
+	plan resv.Plan
 	// size is the real number of prompt tokens plus ten times that of output tokens.
 	size int
 }
 
 const (
 	replayTarget = 400 * time.Millisecond
+	// replayDeadline is how long callers wait.
+	replayDeadline = 5 * time.Second
 	// tallyInterval is the time between two tallies.
 	tallyInterval = 25 * time.Millisecond
 )
@@ -166,7 +193,7 @@
 		size := 0.3 + rnd.ExpFloat64()*0.7
 		j := &Job{
 			ID: fmt.Sprint(d.cfg.Addr, k, n), Route: &cfg.Routes[k], Pool: &cfg.Pools[0], Tier: cfg.Routes[k].TierOf(nil),
-			AcceptedAt: now, Deadline: now.Add(5 * time.Second),
+			AcceptedAt: now, Deadline: now.Add(w.deadline(k)), returnKey: rnd.Uint64() | 1,
 			PromptTokens: int(size * float64(w.kinds[k].prompt)), OutputTokens: max(int(size*float64(w.kinds[k].output)), 10),
 		}
 		actual := *j
@@ -178,15 +205,24 @@
 			a, dec := d.admitJob(context.Background(), j)
 			r := requestResult{decidedAt: time.Since(start), tier: w.kinds[k].tier, refused: dec.Endpoint < 0, size: actualSize}
 			if r.refused && w.retriesRefused {
-				time.Sleep(dec.RetryAfter)
+				plan, next := a.placement.Plan, d
+				wait := min(dec.RetryAfter, time.Until(j.Deadline)/3)
+				if plan == resv.None {
+					record(r)
+					return
+				}
+				if w.returnTo != nil {
+					next = w.returnTo()
+				}
+				time.Sleep(wait)
 				again := *j
-				again.AcceptedAt = time.Now()
-				a, dec = d.admitJob(context.Background(), &again)
-				r = requestResult{decidedAt: time.Since(start), tier: r.tier, refused: dec.Endpoint < 0, isRetry: true, size: actualSize}
+				again.AcceptedAt, again.firstAt = time.Now(), time.Time{}
+				a, dec = next.admitJob(context.Background(), &again)
+				r = requestResult{decidedAt: time.Since(start), tier: r.tier, refused: dec.Endpoint < 0, isRetry: true, plan: plan, size: actualSize}
 			}
 			if !r.refused {
 				serve(a, &actual)
-				r.metTarget = !a.firstAt.IsZero() && a.firstAt.Sub(now) <= replayTarget
+				r.metTarget = !a.firstAt.IsZero() && a.firstAt.Sub(now) <= w.target(k)
 			}
 			record(r)
 		})
--- a/entry/direct/direct.go
+++ b/entry/direct/direct.go
@@ -71,7 +71,7 @@
 // Overload switches the decisions that owners of shards make while a pool has less room than
 // its callers ask for. The zero value makes none of them.
 type Overload struct {
-	// PlanReturns has refused callers told when there will be room.
+	// PlanReturns has refused callers told when to return.
 	PlanReturns bool
 	// ShareByCustomer divides the room within a tier between the customers.
 	ShareByCustomer bool
--- a/entry/direct/returns.go
+++ b/entry/direct/returns.go
@@ -133,10 +133,11 @@
 		return d.placeReturnLate(j, p, opts, a, dec)
 	}
 	now := time.Now()
+	booked, bookedThen := s.late.book.LaterAhead(j.Tier, d.sinceStart(now)+resv.LatestReturn(j.End().Sub(now)))
 	plan, wait := resv.Decide(resv.Refusal{
 		ServedRate: p.floor.Rate(queueClass(j)), RetryAfter: dec.RetryAfter,
 		UntilTarget: j.firstEventDue().Sub(now) - p.firstEventTime(j), TimeLeft: j.End().Sub(now),
-		SlotInterval: s.late.slotInterval, Booked: s.late.book.LaterAhead(j.Tier),
+		SlotInterval: s.late.slotInterval, Booked: booked, BookedThen: bookedThen,
 	})
 	if plan == resv.Later && !opts.wasHeld {
 		if late := d.describeLate(j, p, s, now); late.IsShort() {
--- /dev/null
+++ b/entry/direct/returns_test.go
@@ -0,0 +1,445 @@
+package direct
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+
+	"lycheepond/core/admit"
+	"lycheepond/core/health"
+	"lycheepond/core/meter"
+	"lycheepond/core/relay"
+	"lycheepond/core/resv"
+	"lycheepond/core/route"
+	"lycheepond/core/shard"
+	"lycheepond/core/wire"
+	"lycheepond/entry/hop"
+)
+
+// crowdFleet returns a fleet to which twice as many requests come as it has room for, for 5 s,
+// and then half as many.
+func crowdFleet(entries, engines int) fleet {
+	const slots = 9
+	// The kinds hold a slot for about 1.5, 1.2 and 0.9 s.
+	rate := float64(engines*slots) / meanHold.Seconds() / 2 / 3
+	return fleet{
+		workload: workload{
+			entries: entries, engines: engines, slots: slots, duration: 16 * time.Second, seed: 11, burst: 4, burstAt: time.Second, burstFor: 5 * time.Second,
+			kinds:   []requestKind{{0, rate, 3000, 360}, {1, rate, 2000, 290}, {2, rate, 1000, 215}},
+			targets: []time.Duration{time.Second, time.Second / 2, time.Second / 2}, deadlines: []time.Duration{15 * time.Second, 12 * time.Second, 12 * time.Second},
+			silence: 4 * time.Second, retriesRefused: true, plansReturns: true,
+		},
+		usesOwners: true,
+	}
+}
+
+// meanHold is the mean time for which the requests of crowdFleet hold a slot.
+const meanHold = 1200 * time.Millisecond
+
+// Guards against refused callers that return into the crowd that caused their refusal, and against
+// returns that take the place of requests in time. No rig of this package has a store.
+func TestReturnsAfterCrowd(t *testing.T) {
+	for _, tt := range []struct{ entries, engines int }{{5, 8}, {34, 40}} {
+		replay := func(plans bool) (inTime, served, top, returned, refusedAgain int) {
+			f := crowdFleet(tt.entries, tt.engines)
+			f.plansReturns = plans
+			for _, r := range f.replay(t).requests {
+				if r.metTarget {
+					inTime++
+					if r.tier == 0 {
+						top++
+					}
+				}
+				if !r.refused {
+					served++
+				}
+				if r.isRetry && r.plan != resv.Soon {
+					returned++
+					if r.refused {
+						refusedAgain++
+					}
+				}
+			}
+			return inTime, served, top, returned, refusedAgain
+		}
+		oldInTime, oldServed, oldTop, _, _ := replay(false)
+		inTime, served, top, returned, refusedAgain := replay(true)
+		// A plan that knows the crowd serves late work in the half of the room that is left
+		// from the end of the crowd until the last caller has returned.
+		ideal := inTime + int(float64(tt.engines*9)/meanHold.Seconds()/2*5)
+		t.Logf("%d entries: %d in time, %d of %d served, %d and %d without plans; of %d that returned later %d refused", tt.entries, inTime, served, ideal, oldInTime, oldServed, returned, refusedAgain)
+		if served*10 < ideal*9 {
+			t.Errorf("%d entries: %d served, a plan that knows the crowd serves %d", tt.entries, served, ideal)
+		}
+		if inTime*100 < oldInTime*98 || top*100 < oldTop*98 {
+			t.Errorf("%d entries: %d in time, %d of the highest tier; without plans %d and %d", tt.entries, inTime, top, oldInTime, oldTop)
+		}
+		if refusedAgain*2 > returned {
+			t.Errorf("%d entries: %d of %d that returned when told are refused again", tt.entries, refusedAgain, returned)
+		}
+	}
+}
+
+// returnRig is three entries, one of which owns the only shard, in front of engines with one slot.
+type returnRig struct {
+	*testing.T
+	network
+	cfg route.Config
+	// owner owns the shard, asker and other are the other entries; lost holds those that have
+	// ended.
+	owner, asker, other string
+	lostMu              sync.Mutex
+	lost                map[string]bool
+	// running holds the attempts at the engines.
+	running []*attempt
+}
+
+// replayReturns runs f with a rig whose engines are all busy and whose callers of the low route
+// are told to return later.
+func replayReturns(t *testing.T, engines int, f func(r *returnRig)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		r := &returnRig{T: t, lost: make(map[string]bool)}
+		r.network = network{ctx: ctx, directors: make(map[string]*Director), zones: make(map[string]string), connections: make(map[[2]string]*connection)}
+		r.cfg = route.Config{Revision: 1, Pools: []route.Pool{{Name: "p", Engine: true, Slots: 1}}, Routes: []route.Route{
+			{Name: "low", Tier: 1, Target: time.Second / 2, Timeout: 12 * time.Second, MaxSilence: 4 * time.Second, Shares: []route.Share{{Pool: "p", Weight: 1}}},
+		}}
+		roster := route.Roster{Revision: 1}
+		for i := range engines {
+			roster.Endpoints = append(roster.Endpoints, route.Endpoint{ID: name(i), Incarnation: 1, Pool: "p", Addr: name(i), Slots: 1})
+		}
+		var running sync.WaitGroup
+		for _, self := range []string{"x", "y", "z"} {
+			send := func(to string, m wire.Message) bool { return !r.isLost(self) && !r.isLost(to) && r.send(self, to, m) }
+			d := New(Config{
+				Addr: self, RetryBudget: RetryBudget{Ratio: 0.2, Slack: 50}, Client: hop.New(), Metrics: meter.New(), Log: zap.NewNop(), Overload: Overload{PlanReturns: true, MinOwnedEntries: 2},
+				EntryCounts: func() (int, int) { return 3, 3 },
+				Peers:       Peers{Self: self, Entries: r.reachable, KeepLinks: func([]string) {}, Send: send, SendBookings: send},
+			})
+			d.SetConfig(r.cfg)
+			d.SetRoster(roster)
+			r.directors[self] = d
+			running.Go(func() { d.Run(ctx) })
+		}
+		r.elect()
+		for range engines {
+			a, dec := r.directors[r.owner].admitJob(ctx, r.job(1))
+			if dec.Endpoint < 0 {
+				t.Fatalf("no room for the first requests: %v", dec.Reason)
+			}
+			r.running = append(r.running, a)
+		}
+		f(r)
+		stop()
+		running.Wait()
+	})
+}
+
+func (r *returnRig) isLost(name string) bool {
+	r.lostMu.Lock()
+	defer r.lostMu.Unlock()
+	return r.lost[name]
+}
+
+func (r *returnRig) reachable() []relay.Entry {
+	var out []relay.Entry
+	for _, e := range []string{"x", "y", "z"} {
+		if !r.isLost(e) {
+			out = append(out, relay.Entry{Name: e, Capacity: 800})
+		}
+	}
+	return out
+}
+
+// elect names the entries by their parts and has the owner take the low route for crowded.
+func (r *returnRig) elect() {
+	r.owner, r.asker, r.other = shard.Owner("p", shard.Key{}, r.reachable()), "", ""
+	for _, e := range r.reachable() {
+		switch {
+		case e.Name == r.owner:
+		case r.asker == "":
+			r.asker = e.Name
+		default:
+			r.other = e.Name
+		}
+	}
+	d := r.directors[r.owner]
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	p := d.view.pool("p", d.cfg.RetryBudget, 3)
+	for range 100 {
+		p.floor.Record(queueClass(r.job(0)), 0, false, false)
+	}
+}
+
+// lose ends an entry.
+func (r *returnRig) lose(name string) {
+	r.lostMu.Lock()
+	r.lost[name] = true
+	r.lostMu.Unlock()
+	for _, d := range r.directors {
+		d.HandleLinkLost(name)
+	}
+}
+
+func (r *returnRig) job(key uint64) *Job {
+	now := time.Now()
+	return &Job{ID: "1", Route: &r.cfg.Routes[0], Tier: r.cfg.Routes[0].TierOf(nil), Pool: &r.cfg.Pools[0], AcceptedAt: now, Deadline: now.Add(12 * time.Second), PromptTokens: 100, OutputTokens: 20, returnKey: key}
+}
+
+// returned returns the job of a caller that has been refused and returns now.
+func (r *returnRig) returned(j *Job) *Job {
+	again := r.job(j.returnKey)
+	again.Deadline = j.Deadline
+	return again
+}
+
+// refuse sends a job that is refused, and checks what its caller is told.
+func (r *returnRig) refuse(entry string, j *Job, plan resv.Plan, atLeast, atMost time.Duration) (*attempt, admit.Decision) {
+	r.Helper()
+	a, dec := r.directors[entry].admitJob(r.ctx, j)
+	if dec.Endpoint >= 0 || a.placement.Plan != plan || dec.RetryAfter < atLeast || dec.RetryAfter > atMost {
+		r.Errorf("endpoint %d, plan %q in %v, want a refusal with plan %q in %v to %v", dec.Endpoint, a.placement.Plan, dec.RetryAfter, plan, atLeast, atMost)
+	}
+	return a, dec
+}
+
+// refuseLater sends a job that is told to return later, and sleeps until then.
+func (r *returnRig) refuseLater(entry string) *Job {
+	r.Helper()
+	j := r.job(7)
+	_, dec := r.refuse(entry, j, resv.Later, 3*time.Second, 4*time.Second)
+	time.Sleep(dec.RetryAfter)
+	return r.returned(j)
+}
+
+// finishAfter frees the slots after a time.
+func (r *returnRig) finishAfter(d time.Duration) {
+	time.AfterFunc(d, func() {
+		for _, a := range r.running {
+			a.finish(health.Success)
+		}
+	})
+}
+
+func (r *returnRig) count(entry, counter string) int64 {
+	return r.directors[entry].cfg.Metrics.Counter(counter, meter.Label{Key: "pool", Value: "p"}).Count()
+}
+
+// The entry that told a caller to return ends. Guards against a promise that only this entry
+// knows: the caller must be recognised at another one and be held until there is room.
+func TestReturnAfterEntryHasEnded(t *testing.T) {
+	replayReturns(t, 1, func(r *returnRig) {
+		j := r.refuseLater(r.asker)
+		r.lose(r.asker)
+		r.finishAfter(600 * time.Millisecond)
+		a, dec := r.directors[r.other].admitJob(r.ctx, j)
+		if p := a.placement; dec.Endpoint < 0 || p.Returned < 4*time.Second || p.Held < 590*time.Millisecond || p.Held > 610*time.Millisecond || p.Owner != r.owner {
+			t.Errorf("%v: %+v", dec.Reason, p)
+		}
+		if n := r.count(r.owner, "returns_served"); n != 1 {
+			t.Errorf("%d returns are counted as served", n)
+		}
+	})
+}
+
+// The owner and a quarter of the endpoints end. Guards against promises that end with the owner:
+// the entries must tell the new owner, so that it recognises the callers, each of them once.
+func TestReturnAfterOwnerHasEnded(t *testing.T) {
+	replayReturns(t, 4, func(r *returnRig) {
+		const callers = 40
+		entries := []string{r.asker, r.other}
+		var jobs []*Job
+		for i := range callers {
+			jobs = append(jobs, r.job(uint64(i+1)))
+			r.refuse(entries[i%2], jobs[i], resv.Later, 3*time.Second, 4*time.Second)
+		}
+		r.lose(r.owner)
+		r.elect()
+		var roster route.Roster
+		roster.Revision = 2
+		for _, e := range []string{"b", "c", "d"} {
+			roster.Endpoints = append(roster.Endpoints, route.Endpoint{ID: e, Incarnation: 1, Pool: "p", Addr: e, Slots: 1})
+		}
+		for _, d := range r.directors {
+			d.SetRoster(roster)
+		}
+		recognised := 0
+		for i, j := range jobs {
+			time.Sleep(time.Until(j.AcceptedAt.Add(4050 * time.Millisecond)))
+			a, dec := r.directors[entries[(i/2)%2]].admitJob(r.ctx, r.returned(j))
+			if a.placement.Returned >= 4*time.Second {
+				recognised++
+			}
+			if dec.Endpoint >= 0 {
+				a.finish(health.Success)
+			}
+		}
+		if recognised < callers*95/100 || r.count(r.owner, "returns_recognised") != int64(recognised) {
+			t.Errorf("%d of %d callers are recognised, %d at the new owner", recognised, callers, r.count(r.owner, "returns_recognised"))
+		}
+	})
+}
+
+// The owner and the entry that told a caller to return end together. Guards against a caller that
+// is worse off than a newcomer.
+func TestReturnAfterOwnerAndEntryHaveEnded(t *testing.T) {
+	replayReturns(t, 1, func(r *returnRig) {
+		j := r.refuseLater(r.asker)
+		other := r.other
+		r.lose(r.asker)
+		r.lose(r.owner)
+		if a, dec := r.directors[other].admitJob(r.ctx, j); dec.Endpoint < 0 || a.placement.Returned != 0 {
+			t.Errorf("%v: %+v", dec.Reason, a.placement)
+		}
+	})
+}
+
+// The owner hangs while it holds a request. Guards against a caller that waits until its deadline:
+// the entry must place the request itself 60 ms after the stated time.
+func TestOwnerHangsWhileHolding(t *testing.T) {
+	replayReturns(t, 1, func(r *returnRig) {
+		j := r.refuseLater(r.asker)
+		start := time.Now()
+		time.AfterFunc(100*time.Millisecond, func() {
+			r.lostMu.Lock()
+			r.lost[r.owner] = true
+			r.lostMu.Unlock()
+			r.network.mu.Lock()
+			r.connections[[2]string{r.asker, r.owner}].session.reply = func(wire.Message) error { return nil }
+			r.network.mu.Unlock()
+		})
+		a, dec := r.directors[r.asker].admitJob(r.ctx, j)
+		if took := time.Since(start); dec.Endpoint < 0 || a.placement.Owner != "" || took < time.Second || took > 1100*time.Millisecond {
+			t.Errorf("decided after %v: %v %+v", took, dec.Reason, a.placement)
+		}
+	})
+}
+
+// Guards against bookings of callers that never return, which would keep room from others.
+func TestCallerNeverReturns(t *testing.T) {
+	replayReturns(t, 1, func(r *returnRig) {
+		r.refuseLater(r.asker)
+		time.Sleep(resv.Grace + 500*time.Millisecond)
+		asker := r.directors[r.asker]
+		asker.mu.Lock()
+		copies := len(asker.ownBookings)
+		asker.mu.Unlock()
+		if n := r.count(r.owner, "returns_expired"); n != 1 || copies != 0 {
+			t.Errorf("%d bookings have ended at the owner, %d are left at the entry", n, copies)
+		}
+	})
+}
+
+// All endpoints but one are lost after promises were made. Guards against callers that wait in a
+// queue which cannot be served, or are told to return once more.
+func TestEndpointsAreLostAfterPromises(t *testing.T) {
+	replayReturns(t, 2, func(r *returnRig) {
+		jobs := []*Job{r.job(7), r.job(8), r.job(9)}
+		for _, j := range jobs {
+			r.refuse(r.asker, j, resv.Later, 3*time.Second, 4*time.Second)
+		}
+		for _, d := range r.directors {
+			d.SetRoster(route.Roster{Revision: 2, Endpoints: []route.Endpoint{{ID: "a", Incarnation: 1, Pool: "p", Addr: "a", Slots: 1}}})
+		}
+		time.Sleep(4 * time.Second)
+		// Two would have been served within 50 ms at the last known rate.
+		decided := make(chan admit.Decision, 2)
+		for _, j := range jobs[:2] {
+			go func() {
+				_, dec := r.directors[r.asker].admitJob(r.ctx, r.returned(j))
+				decided <- dec
+			}()
+			time.Sleep(10 * time.Millisecond)
+		}
+		start := time.Now()
+		a, _ := r.refuse(r.other, r.returned(jobs[2]), resv.None, 0, time.Second)
+		if a.placement.Returned < 3*time.Second || time.Since(start) > 2*oneWay {
+			t.Errorf("refused after %v: %+v", time.Since(start), a.placement)
+		}
+		r.finishAfter(100 * time.Millisecond)
+		if first, second := <-decided, <-decided; first.Endpoint < 0 || second.Endpoint >= 0 || time.Since(start) > 1100*time.Millisecond {
+			t.Errorf("placed %v and %v within %v, want one", first.Endpoint >= 0, second.Endpoint >= 0, time.Since(start))
+		}
+	})
+}
+
+// Guards against callers that gain or lose by returning before they are told to.
+func TestEarlyReturnKeepsBooking(t *testing.T) {
+	replayReturns(t, 1, func(r *returnRig) {
+		j := r.job(7)
+		_, dec := r.refuse(r.asker, j, resv.Later, 3*time.Second, 4*time.Second)
+		time.Sleep(time.Second)
+		r.finishAfter(0)
+		synctest.Wait()
+		start := time.Now()
+		r.refuse(r.other, r.returned(j), resv.Later, dec.RetryAfter-1010*time.Millisecond, dec.RetryAfter-990*time.Millisecond)
+		if took := time.Since(start); took > 2*oneWay {
+			t.Errorf("refused after %v", took)
+		}
+		time.Sleep(dec.RetryAfter - time.Second)
+		if a, dec := r.directors[r.asker].admitJob(r.ctx, r.returned(j)); dec.Endpoint < 0 || a.placement.Returned < 4*time.Second {
+			t.Errorf("%v: %+v", dec.Reason, a.placement)
+		}
+	})
+}
+
+// Guards against late work that takes the slot of a request which can meet its target.
+func TestRequestInTimeGoesBeforeLateWork(t *testing.T) {
+	replayReturns(t, 1, func(r *returnRig) {
+		late := r.refuseLater(r.asker)
+		order := make(chan string, 2)
+		place := func(who string, j *Job) {
+			if a, dec := r.directors[r.asker].admitJob(r.ctx, j); dec.Endpoint >= 0 {
+				order <- who
+				time.AfterFunc(100*time.Millisecond, func() { a.finish(health.Success) })
+			}
+		}
+		go place("late", late)
+		time.Sleep(100 * time.Millisecond)
+		go place("in time", r.job(8))
+		r.finishAfter(30 * time.Millisecond)
+		if first, second := <-order, <-order; first != "in time" || second != "late" {
+			t.Errorf("placed %s, then %s", first, second)
+		}
+	})
+}
+
+// Guards against entries of older versions, or without the setting, that get a message or a plan
+// which they cannot read.
+func TestEntryWithoutPlansIsTreatedAsBefore(t *testing.T) {
+	replayReturns(t, 1, func(r *returnRig) {
+		r.directors[r.asker].cfg.Overload.PlanReturns = false
+		for range 2 {
+			r.refuse(r.asker, r.job(7), resv.Unplanned, 100*time.Millisecond, time.Second)
+		}
+		if n := r.count(r.owner, "returns_booked") + r.count(r.owner, "returns_early"); n != 0 {
+			t.Errorf("%d requests of an entry without plans were booked", n)
+		}
+	})
+}
+
+// Guards against a caller that is told to return before its deadline although there is no room
+// until then.
+func TestCallerWithoutRoomIsToldATimePastItsDeadline(t *testing.T) {
+	replayReturns(t, 1, func(r *returnRig) {
+		d := r.directors[r.owner]
+		d.mu.Lock()
+		book := &d.view.pools["p"].shards[shard.Key{}].late.book
+		for i := range uint64(1000) {
+			book.Add(resv.Booking{Fingerprint: 100 + i, DueAt: 4 * time.Second, Plan: resv.Later})
+		}
+		d.mu.Unlock()
+		j := r.job(0)
+		j.Method, j.Header = "GET", make(http.Header)
+		if res := d.Serve(r.ctx, j, Sink{}); res.Outcome != Refused || res.Placement.Plan != resv.None || !res.RefusedUntilRetry || res.RetryAfter < time.Until(j.Deadline) {
+			t.Errorf("%+v", res)
+		}
+	})
+}
--- a/entry/direct/size_test.go
+++ b/entry/direct/size_test.go
@@ -154,7 +154,7 @@
 		l = new(connection)
 		n.connections[[2]string{from, to}] = l
 		l.session = n.directors[to].NewSession(n.ctx, from, n.zones[from], func(m wire.Message) error {
-			l.inbound.send(func() { n.directors[from].HandlePlaceReply(to, m.(*wire.PlaceReply)) })
+			l.inbound.send(func() { n.directors[from].handleReply(to, m) })
 			return nil
 		})
 	}
@@ -163,6 +163,16 @@
 	return true
 }
 
+// handleReply processes what an owner of a shard sends.
+func (d *Director) handleReply(owner string, m wire.Message) {
+	switch m := m.(type) {
+	case *wire.PlaceReply:
+		d.HandlePlaceReply(owner, m)
+	case *wire.PlaceHold:
+		d.HandlePlaceHold(owner, m)
+	}
+}
+
 // replayResult is the result of a replay.
 type replayResult struct {
 	requests []requestResult
@@ -196,7 +206,7 @@
 		cfg := route.Config{Revision: 1, Pools: []route.Pool{{Name: "p", Engine: true, Slots: f.slots}}}
 		for i := range f.kinds {
 			cfg.Routes = append(cfg.Routes, route.Route{
-				Name: fmt.Sprint("r", i), Tier: f.kinds[i].tier, Target: replayTarget, Timeout: 5 * time.Second, Shares: []route.Share{{Pool: "p", Weight: 1}},
+				Name: fmt.Sprint("r", i), Tier: f.kinds[i].tier, Target: f.target(i), Timeout: f.deadline(i), MaxSilence: f.silence, Shares: []route.Share{{Pool: "p", Weight: 1}},
 			})
 		}
 		n := &network{ctx: ctx, directors: make(map[string]*Director), zones: make(map[string]string), connections: make(map[[2]string]*connection)}
@@ -214,11 +224,12 @@
 			d := New(Config{
 				Addr: name, Zone: zone, RetryBudget: RetryBudget{Ratio: 0.2, Slack: 50}, Client: hop.New(), Metrics: meter.New(), Log: zap.NewNop(),
 				EntryCounts: func() (int, int) { return f.entries, f.entries },
+				Overload:    Overload{PlanReturns: f.plansReturns, MinOwnedEntries: 2},
 			})
 			if f.usesOwners {
 				d.cfg.Peers = Peers{
 					Self: name, Entries: func() []relay.Entry { return peers }, KeepLinks: func([]string) {},
-					Send: func(to string, m wire.Message) bool { return n.send(name, to, m) },
+					Send: func(to string, m wire.Message) bool { return n.send(name, to, m) }, SendBookings: func(to string, m wire.Message) bool { return n.send(name, to, m) },
 				}
 			}
 			n.directors[name], n.zones[name] = d, zone
@@ -240,6 +251,9 @@
 		}
 		for i, d := range directors {
 			running.Go(func() { f.broadcastTallies(ctx, i, directors) })
+			if f.plansReturns {
+				running.Go(func() { d.Run(ctx) })
+			}
 			for k := range f.kinds {
 				rnd := rand.New(rand.NewPCG(f.seed, uint64(i*len(f.kinds)+k)))
 				running.Go(func() { f.send(rnd, d, &cfg, k, start, serve, record, &running) })
@@ -280,7 +294,7 @@
 				mu.Unlock()
 			}
 		})
-		time.Sleep(f.duration + 5*time.Second)
+		time.Sleep(f.duration + f.deadline(0))
 		stop()
 		running.Wait()
 		for _, e := range engines {
--- a/entry/mesh/mesh_test.go
+++ b/entry/mesh/mesh_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -20,6 +21,8 @@
 	mesh *Mesh
 	addr string
 	stop func()
+	// held is the ID of the latest PlaceHold.
+	held atomic.Uint64
 
 	mu sync.Mutex
 	// usedTotal is the usage that the entry reports for customer c. changed is set
@@ -90,7 +93,15 @@
 			ahead, _ := binary.Varint(s.Body)
 			e.withLock(func() { e.config, e.ahead, e.received = max(e.config, s.Revision), max(e.ahead, ahead), e.received+1 })
 		},
-		OnPeerLost: func(peer string) { e.withLock(func() { e.lost[peer] = true }) }, Log: zap.NewNop(),
+		ServePlacements: func(_ context.Context, _, _ string, reply func(wire.Message) error) (func(wire.Message), func()) {
+			return func(m wire.Message) {
+				if b, ok := m.(*wire.PlaceBookings); ok {
+					_ = reply(&wire.PlaceHold{ID: uint64(len(b.Bookings))})
+				}
+			}, func() {}
+		},
+		OnPlaceHold: func(_ string, m *wire.PlaceHold) { e.held.Store(m.ID) },
+		OnPeerLost:  func(peer string) { e.withLock(func() { e.lost[peer] = true }) }, Log: zap.NewNop(),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
@@ -301,3 +312,20 @@
 		t.Errorf("%d known after the list was shortened, want 1", known)
 	}
 }
+
+// Guards against bookings that end the link to a peer of an older version, and against bookings
+// and holds that are not passed on.
+func TestBookingsAndHoldsArePassedOn(t *testing.T) {
+	t.Parallel()
+	a := startIn(t, "z", "a")
+	b := startIn(t, "z", "b", a.addr)
+	m := &wire.PlaceBookings{Pool: "p", Bookings: make(wire.Bookings, 3)}
+	await(t, "the bookings to be sent", func() bool { return b.mesh.SendBookings("a", m) })
+	await(t, "the hold", func() bool { return b.held.Load() == 3 })
+	b.mesh.mu.Lock()
+	b.mesh.peers["a"].readsBookings = false
+	b.mesh.mu.Unlock()
+	if b.mesh.SendBookings("a", m) {
+		t.Error("bookings were sent to a peer that does not read them")
+	}
+}
