direct, lychee trace: refusals of returned callers name their plan in logs and traces

A refusal that the owner itself made without a look at the endpoints lacked the counts of entries, so its line had no returned and held. lychee trace explains plans and final refusals. The tests cut off entries in the network of the replays; replacing a session's reply function was a data race.

--- a/core/resv/resv_test.go
+++ b/core/resv/resv_test.go
@@ -117,10 +117,10 @@
 	var b Book
 	low := booking(2, 6500*ms)
 	low.Tier.Route = 2
-	b.Restore(low)
-	b.Restore(low)
-	b.Restore(booking(1, 5*time.Second))
-	for tier, want := range map[int][2]int{0: {0, 0}, 1: {1, 0}, 2: {2, 1}} {
+	for _, restored := range []Booking{low, low, booking(1, 5*time.Second)} {
+		b.Restore(restored)
+	}
+	for tier, want := range [][2]int{{0, 0}, {1, 0}, {2, 1}} {
 		if all, then := b.LaterAhead(route.Tier{Route: tier}, 6*time.Second); all != want[0] || then != want[1] {
 			t.Errorf("tier %d: %d booked, %d of them then, want %v", tier, all, then, want)
 		}
--- a/entry/direct/crowd_test.go
+++ b/entry/direct/crowd_test.go
@@ -59,24 +59,16 @@
 	targets, deadlines []time.Duration
 	// silence is the patience of callers, zero if only the deadline counts.
 	silence time.Duration
-	// plansReturns is set if owners of shards plan the returns of refused callers. returnTo
-	// returns the entry to which a refused caller returns; nil stands for the first one.
+	// plansReturns is set if owners of shards plan the returns of refused callers.
 	plansReturns bool
-	returnTo     func() *Director
 }
 
-func (w workload) target(k int) time.Duration {
-	if w.targets == nil {
-		return replayTarget
+// ofKind returns the value for a kind, or usual if there are none.
+func ofKind(values []time.Duration, k int, usual time.Duration) time.Duration {
+	if values == nil {
+		return usual
 	}
-	return w.targets[k]
-}
-
-func (w workload) deadline(k int) time.Duration {
-	if w.deadlines == nil {
-		return replayDeadline
-	}
-	return w.deadlines[k]
+	return values[k]
 }
 
 // requestResult is the result of one request.
@@ -193,7 +185,7 @@
 		size := 0.3 + rnd.ExpFloat64()*0.7
 		j := &Job{
 			ID: fmt.Sprint(d.cfg.Addr, k, n), Route: &cfg.Routes[k], Pool: &cfg.Pools[0], Tier: cfg.Routes[k].TierOf(nil),
-			AcceptedAt: now, Deadline: now.Add(w.deadline(k)), returnKey: rnd.Uint64() | 1,
+			AcceptedAt: now, Deadline: now.Add(ofKind(w.deadlines, k, replayDeadline)), returnKey: rnd.Uint64() | 1,
 			PromptTokens: int(size * float64(w.kinds[k].prompt)), OutputTokens: max(int(size*float64(w.kinds[k].output)), 10),
 		}
 		actual := *j
@@ -205,24 +197,20 @@
 			a, dec := d.admitJob(context.Background(), j)
 			r := requestResult{decidedAt: time.Since(start), tier: w.kinds[k].tier, refused: dec.Endpoint < 0, size: actualSize}
 			if r.refused && w.retriesRefused {
-				plan, next := a.placement.Plan, d
-				wait := min(dec.RetryAfter, time.Until(j.Deadline)/3)
+				plan := a.placement.Plan
 				if plan == resv.None {
 					record(r)
 					return
 				}
-				if w.returnTo != nil {
-					next = w.returnTo()
-				}
-				time.Sleep(wait)
+				time.Sleep(min(dec.RetryAfter, time.Until(j.Deadline)/3))
 				again := *j
 				again.AcceptedAt, again.firstAt = time.Now(), time.Time{}
-				a, dec = next.admitJob(context.Background(), &again)
+				a, dec = d.admitJob(context.Background(), &again)
 				r = requestResult{decidedAt: time.Since(start), tier: r.tier, refused: dec.Endpoint < 0, isRetry: true, plan: plan, size: actualSize}
 			}
 			if !r.refused {
 				serve(a, &actual)
-				r.metTarget = !a.firstAt.IsZero() && a.firstAt.Sub(now) <= w.target(k)
+				r.metTarget = !a.firstAt.IsZero() && a.firstAt.Sub(now) <= ofKind(w.targets, k, replayTarget)
 			}
 			record(r)
 		})
--- a/entry/direct/returns.go
+++ b/entry/direct/returns.go
@@ -89,12 +89,13 @@
 	switch arrival {
 	case resv.Early:
 		d.countReturn(p, "returns_early", 1)
-		a := &attempt{placement: Placement{Plan: booking.Plan, Returned: now.Sub(j.firstAt)}}
+		a := d.newRefusal()
+		a.placement.Plan, a.placement.Returned = booking.Plan, now.Sub(j.firstAt)
 		return a, admit.Decision{Endpoint: -1, Reason: admit.Full, RetryAfter: booking.DueAt - d.sinceStart(now)}, nil
 	case resv.Due:
 		d.countReturn(p, "returns_recognised", 1)
 		if j.firstEventDue().Sub(now) < p.firstEventTime(j) {
-			return d.placeReturnLate(j, p, opts, &attempt{}, admit.Decision{Endpoint: -1, Reason: admit.Full})
+			return d.placeReturnLate(j, p, opts, d.newRefusal(), admit.Decision{Endpoint: -1, Reason: admit.Full})
 		}
 	}
 	a, dec, w := d.placeForTarget(j, p, opts)
@@ -108,6 +109,12 @@
 	return a, dec, w
 }
 
+// newRefusal returns what placeJob returns for a refusal, for a job that it was not called for.
+func (d *Director) newRefusal() *attempt {
+	reachableEntries, knownEntries := d.cfg.EntryCounts()
+	return &attempt{placement: Placement{ReachableEntries: reachableEntries, KnownEntries: knownEntries}}
+}
+
 // recordServedReturn records that a caller that returned has got a slot.
 func (d *Director) recordServedReturn(j *Job, p *pool, a *attempt) {
 	a.placement.Returned = time.Since(j.firstAt)
--- a/entry/direct/returns_test.go
+++ b/entry/direct/returns_test.go
@@ -45,42 +45,34 @@
 // returns that take the place of requests in time. No rig of this package has a store.
 func TestReturnsAfterCrowd(t *testing.T) {
 	for _, tt := range []struct{ entries, engines int }{{5, 8}, {34, 40}} {
-		replay := func(plans bool) (inTime, served, top, returned, refusedAgain int) {
+		// replay returns how many are in time, served, in time of the highest tier, returned late
+		// when told to, and then refused.
+		replay := func(plans bool) (n [5]int) {
 			f := crowdFleet(tt.entries, tt.engines)
 			f.plansReturns = plans
 			for _, r := range f.replay(t).requests {
-				if r.metTarget {
-					inTime++
-					if r.tier == 0 {
-						top++
-					}
-				}
-				if !r.refused {
-					served++
-				}
-				if r.isRetry && r.plan != resv.Soon {
-					returned++
-					if r.refused {
-						refusedAgain++
+				isLate := r.plan == resv.Later
+				for i, counts := range []bool{r.metTarget, !r.refused, r.metTarget && r.tier == 0, isLate, isLate && r.refused} {
+					if counts {
+						n[i]++
 					}
 				}
 			}
-			return inTime, served, top, returned, refusedAgain
+			return n
 		}
-		oldInTime, oldServed, oldTop, _, _ := replay(false)
-		inTime, served, top, returned, refusedAgain := replay(true)
+		without, with := replay(false), replay(true)
 		// A plan that knows the crowd serves late work in the half of the room that is left
 		// from the end of the crowd until the last caller has returned.
-		ideal := inTime + int(float64(tt.engines*9)/meanHold.Seconds()/2*5)
-		t.Logf("%d entries: %d in time, %d of %d served, %d and %d without plans; of %d that returned later %d refused", tt.entries, inTime, served, ideal, oldInTime, oldServed, returned, refusedAgain)
-		if served*10 < ideal*9 {
-			t.Errorf("%d entries: %d served, a plan that knows the crowd serves %d", tt.entries, served, ideal)
+		ideal := with[0] + int(float64(tt.engines*9)/meanHold.Seconds()/2*5)
+		t.Logf("%d entries: %v, without plans %v; a plan that knows the crowd serves %d", tt.entries, with, without, ideal)
+		if with[1]*10 < ideal*9 {
+			t.Errorf("%d entries: %d served, a plan that knows the crowd serves %d", tt.entries, with[1], ideal)
 		}
-		if inTime*100 < oldInTime*98 || top*100 < oldTop*98 {
-			t.Errorf("%d entries: %d in time, %d of the highest tier; without plans %d and %d", tt.entries, inTime, top, oldInTime, oldTop)
+		if with[0]*100 < without[0]*98 || with[2]*100 < without[2]*98 {
+			t.Errorf("%d entries: %d in time, %d of the highest tier; without plans %d and %d", tt.entries, with[0], with[2], without[0], without[2])
 		}
-		if refusedAgain*2 > returned {
-			t.Errorf("%d entries: %d of %d that returned when told are refused again", tt.entries, refusedAgain, returned)
+		if with[4]*2 > with[3] {
+			t.Errorf("%d entries: %d of %d that returned when told are refused again", tt.entries, with[4], with[3])
 		}
 	}
 }
@@ -106,27 +98,25 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, stop := context.WithCancel(t.Context())
 		r := &returnRig{T: t, lost: make(map[string]bool)}
-		r.network = network{ctx: ctx, directors: make(map[string]*Director), zones: make(map[string]string), connections: make(map[[2]string]*connection)}
+		r.network = network{ctx: ctx, directors: make(map[string]*Director), zones: make(map[string]string), connections: make(map[[2]string]*connection), isLost: r.isCutOff}
 		r.cfg = route.Config{Revision: 1, Pools: []route.Pool{{Name: "p", Engine: true, Slots: 1}}, Routes: []route.Route{
 			{Name: "low", Tier: 1, Target: time.Second / 2, Timeout: 12 * time.Second, MaxSilence: 4 * time.Second, Shares: []route.Share{{Pool: "p", Weight: 1}}},
 		}}
-		roster := route.Roster{Revision: 1}
-		for i := range engines {
-			roster.Endpoints = append(roster.Endpoints, route.Endpoint{ID: name(i), Incarnation: 1, Pool: "p", Addr: name(i), Slots: 1})
-		}
 		var running sync.WaitGroup
 		for _, self := range []string{"x", "y", "z"} {
-			send := func(to string, m wire.Message) bool { return !r.isLost(self) && !r.isLost(to) && r.send(self, to, m) }
+			send := func(to string, m wire.Message) bool {
+				return !r.isCutOff(self) && !r.isCutOff(to) && r.send(self, to, m)
+			}
 			d := New(Config{
 				Addr: self, RetryBudget: RetryBudget{Ratio: 0.2, Slack: 50}, Client: hop.New(), Metrics: meter.New(), Log: zap.NewNop(), Overload: Overload{PlanReturns: true, MinOwnedEntries: 2},
 				EntryCounts: func() (int, int) { return 3, 3 },
 				Peers:       Peers{Self: self, Entries: r.reachable, KeepLinks: func([]string) {}, Send: send, SendBookings: send},
 			})
 			d.SetConfig(r.cfg)
-			d.SetRoster(roster)
 			r.directors[self] = d
 			running.Go(func() { d.Run(ctx) })
 		}
+		r.setEngines(1, engines)
 		r.elect()
 		for range engines {
 			a, dec := r.directors[r.owner].admitJob(ctx, r.job(1))
@@ -141,7 +131,7 @@
 	})
 }
 
-func (r *returnRig) isLost(name string) bool {
+func (r *returnRig) isCutOff(name string) bool {
 	r.lostMu.Lock()
 	defer r.lostMu.Unlock()
 	return r.lost[name]
@@ -150,23 +140,30 @@
 func (r *returnRig) reachable() []relay.Entry {
 	var out []relay.Entry
 	for _, e := range []string{"x", "y", "z"} {
-		if !r.isLost(e) {
+		if !r.isCutOff(e) {
 			out = append(out, relay.Entry{Name: e, Capacity: 800})
 		}
 	}
 	return out
 }
 
+// setEngines leaves the first n engines in the instance list.
+func (r *returnRig) setEngines(revision int64, n int) {
+	roster := route.Roster{Revision: revision}
+	for i := range n {
+		roster.Endpoints = append(roster.Endpoints, route.Endpoint{ID: name(i), Incarnation: 1, Pool: "p", Addr: name(i), Slots: 1})
+	}
+	for _, d := range r.directors {
+		d.SetRoster(roster)
+	}
+}
+
 // elect names the entries by their parts and has the owner take the low route for crowded.
 func (r *returnRig) elect() {
-	r.owner, r.asker, r.other = shard.Owner("p", shard.Key{}, r.reachable()), "", ""
+	r.owner = shard.Owner("p", shard.Key{}, r.reachable())
 	for _, e := range r.reachable() {
-		switch {
-		case e.Name == r.owner:
-		case r.asker == "":
-			r.asker = e.Name
-		default:
-			r.other = e.Name
+		if e.Name != r.owner {
+			r.asker, r.other = e.Name, r.asker
 		}
 	}
 	d := r.directors[r.owner]
@@ -178,11 +175,16 @@
 	}
 }
 
-// lose ends an entry.
-func (r *returnRig) lose(name string) {
+// cutOff takes an entry off the network.
+func (r *returnRig) cutOff(name string) {
 	r.lostMu.Lock()
+	defer r.lostMu.Unlock()
 	r.lost[name] = true
-	r.lostMu.Unlock()
+}
+
+// lose ends an entry.
+func (r *returnRig) lose(name string) {
+	r.cutOff(name)
 	for _, d := range r.directors {
 		d.HandleLinkLost(name)
 	}
@@ -262,14 +264,7 @@
 		}
 		r.lose(r.owner)
 		r.elect()
-		var roster route.Roster
-		roster.Revision = 2
-		for _, e := range []string{"b", "c", "d"} {
-			roster.Endpoints = append(roster.Endpoints, route.Endpoint{ID: e, Incarnation: 1, Pool: "p", Addr: e, Slots: 1})
-		}
-		for _, d := range r.directors {
-			d.SetRoster(roster)
-		}
+		r.setEngines(2, 3)
 		recognised := 0
 		for i, j := range jobs {
 			time.Sleep(time.Until(j.AcceptedAt.Add(4050 * time.Millisecond)))
@@ -292,10 +287,9 @@
 func TestReturnAfterOwnerAndEntryHaveEnded(t *testing.T) {
 	replayReturns(t, 1, func(r *returnRig) {
 		j := r.refuseLater(r.asker)
-		other := r.other
 		r.lose(r.asker)
 		r.lose(r.owner)
-		if a, dec := r.directors[other].admitJob(r.ctx, j); dec.Endpoint < 0 || a.placement.Returned != 0 {
+		if a, dec := r.directors[r.other].admitJob(r.ctx, j); dec.Endpoint < 0 || a.placement.Returned != 0 {
 			t.Errorf("%v: %+v", dec.Reason, a.placement)
 		}
 	})
@@ -307,14 +301,7 @@
 	replayReturns(t, 1, func(r *returnRig) {
 		j := r.refuseLater(r.asker)
 		start := time.Now()
-		time.AfterFunc(100*time.Millisecond, func() {
-			r.lostMu.Lock()
-			r.lost[r.owner] = true
-			r.lostMu.Unlock()
-			r.network.mu.Lock()
-			r.connections[[2]string{r.asker, r.owner}].session.reply = func(wire.Message) error { return nil }
-			r.network.mu.Unlock()
-		})
+		time.AfterFunc(100*time.Millisecond, func() { r.cutOff(r.owner) })
 		a, dec := r.directors[r.asker].admitJob(r.ctx, j)
 		if took := time.Since(start); dec.Endpoint < 0 || a.placement.Owner != "" || took < time.Second || took > 1100*time.Millisecond {
 			t.Errorf("decided after %v: %v %+v", took, dec.Reason, a.placement)
@@ -327,11 +314,8 @@
 	replayReturns(t, 1, func(r *returnRig) {
 		r.refuseLater(r.asker)
 		time.Sleep(resv.Grace + 500*time.Millisecond)
-		asker := r.directors[r.asker]
-		asker.mu.Lock()
-		copies := len(asker.ownBookings)
-		asker.mu.Unlock()
-		if n := r.count(r.owner, "returns_expired"); n != 1 || copies != 0 {
+		synctest.Wait()
+		if n, copies := r.count(r.owner, "returns_expired"), len(r.directors[r.asker].ownBookings); n != 1 || copies != 0 {
 			t.Errorf("%d bookings have ended at the owner, %d are left at the entry", n, copies)
 		}
 	})
@@ -345,9 +329,7 @@
 		for _, j := range jobs {
 			r.refuse(r.asker, j, resv.Later, 3*time.Second, 4*time.Second)
 		}
-		for _, d := range r.directors {
-			d.SetRoster(route.Roster{Revision: 2, Endpoints: []route.Endpoint{{ID: "a", Incarnation: 1, Pool: "p", Addr: "a", Slots: 1}}})
-		}
+		r.setEngines(2, 1)
 		time.Sleep(4 * time.Second)
 		// Two would have been served within 50 ms at the last known rate.
 		decided := make(chan admit.Decision, 2)
@@ -402,7 +384,7 @@
 			}
 		}
 		go place("late", late)
-		time.Sleep(100 * time.Millisecond)
+		time.Sleep(10 * time.Millisecond)
 		go place("in time", r.job(8))
 		r.finishAfter(30 * time.Millisecond)
 		if first, second := <-order, <-order; first != "in time" || second != "late" {
--- a/entry/direct/size_test.go
+++ b/entry/direct/size_test.go
@@ -139,6 +139,8 @@
 	// connections holds, by sender and receiver, the messages in transit and the session of
 	// the sender at the receiver.
 	connections map[[2]string]*connection
+	// isLost reports whether an entry is cut off; nil if none ever is.
+	isLost func(name string) bool
 }
 
 // connection is the connection of one sender to one receiver.
@@ -154,7 +156,9 @@
 		l = new(connection)
 		n.connections[[2]string{from, to}] = l
 		l.session = n.directors[to].NewSession(n.ctx, from, n.zones[from], func(m wire.Message) error {
-			l.inbound.send(func() { n.directors[from].handleReply(to, m) })
+			if n.isLost == nil || !n.isLost(to) {
+				l.inbound.send(func() { n.directors[from].handleReply(to, m) })
+			}
 			return nil
 		})
 	}
@@ -206,7 +210,7 @@
 		cfg := route.Config{Revision: 1, Pools: []route.Pool{{Name: "p", Engine: true, Slots: f.slots}}}
 		for i := range f.kinds {
 			cfg.Routes = append(cfg.Routes, route.Route{
-				Name: fmt.Sprint("r", i), Tier: f.kinds[i].tier, Target: f.target(i), Timeout: f.deadline(i), MaxSilence: f.silence, Shares: []route.Share{{Pool: "p", Weight: 1}},
+				Name: fmt.Sprint("r", i), Tier: f.kinds[i].tier, Target: ofKind(f.targets, i, replayTarget), Timeout: ofKind(f.deadlines, i, replayDeadline), MaxSilence: f.silence, Shares: []route.Share{{Pool: "p", Weight: 1}},
 			})
 		}
 		n := &network{ctx: ctx, directors: make(map[string]*Director), zones: make(map[string]string), connections: make(map[[2]string]*connection)}
@@ -294,7 +298,7 @@
 				mu.Unlock()
 			}
 		})
-		time.Sleep(f.duration + f.deadline(0))
+		time.Sleep(f.duration + ofKind(f.deadlines, 0, replayDeadline))
 		stop()
 		running.Wait()
 		for _, e := range engines {
--- a/lychee/trace/trace.go
+++ b/lychee/trace/trace.go
@@ -72,6 +72,11 @@
 	TimeLeft Duration `json:"left"`
 	// QueueTime is the time that the request spent in the entry's queue.
 	QueueTime Duration `json:"stood"`
+	// Plan is what a refused caller was told about its return. Returned is the time since
+	// the first attempt of a caller that returned, HeldTime the time spent as late work.
+	Plan     string   `json:"plan"`
+	Returned Duration `json:"returned"`
+	HeldTime Duration `json:"held"`
 	// SilentTime is how long the endpoint had sent nothing when its attempt ended.
 	// SilenceLimit is the silence after which the entry gives up an attempt, zero if
 	// it would have kept waiting.
@@ -200,6 +205,16 @@
 	return selected
 }
 
+// planNone is the plan of a refusal that is final.
+const planNone = "none"
+
+// planReasons explains the plans for a caller's return.
+var planReasons = map[string]string{
+	"soon":   ", when it can still meet its target",
+	"later":  ", the latest time at which it would return, when the crowd may be over",
+	planNone: ", which is past its deadline: the room until then is booked",
+}
+
 // describeCause describes how a request ended and why.
 func describeCause(requestLines, stateChanges []Line) string {
 	last := requestLines[len(requestLines)-1]
@@ -208,14 +223,23 @@
 	switch {
 	case last.Outcome == "limited":
 		fmt.Fprintf(&b, "refused it: the customer was over its limit, summed over all entries, and was told to come back after %v", last.RetryAfter)
+	case last.Outcome == "refused" && last.Returned > 0 && last.Plan == planNone:
+		fmt.Fprintf(&b, "refused it with finality: its caller had been refused %v before and returned when told, but", last.Returned)
+		if last.HeldTime > 0 {
+			fmt.Fprintf(&b, " no slot was left for late work within %v", last.HeldTime)
+		} else {
+			b.WriteString(" too many that had returned were ahead of it")
+		}
+	case last.Outcome == "refused" && last.Returned > 0 && last.Plan != "":
+		fmt.Fprintf(&b, "refused it without a look at the endpoints: its caller, first refused %v before, returned %v earlier than it was told to", last.Returned, last.RetryAfter)
 	case last.Outcome == "refused" && last.Why == "full":
 		fmt.Fprintf(&b, "refused it: the first event was predicted after %v at the best endpoint, %v of it waiting for a slot, where %v are wanted: more than its tier may wait", last.PredictedLatency, last.PredictedWait, last.Target)
 		if last.QueueTime > 0 {
 			fmt.Fprintf(&b, "; it stood in line for %v without finding a slot", last.QueueTime)
 		}
-		fmt.Fprintf(&b, "; the caller was told to come back after %v", last.RetryAfter)
+		fmt.Fprintf(&b, "; the caller was told to come back after %v%s", last.RetryAfter, planReasons[last.Plan])
 	case last.Outcome == "refused" && last.Why == "late":
-		fmt.Fprintf(&b, "refused it: the first event was predicted after %v at the best endpoint that had room, where %v are wanted; the caller was told to come back after %v", last.PredictedLatency, last.Target, last.RetryAfter)
+		fmt.Fprintf(&b, "refused it: the first event was predicted after %v at the best endpoint that had room, where %v are wanted; the caller was told to come back after %v%s", last.PredictedLatency, last.Target, last.RetryAfter, planReasons[last.Plan])
 	case last.Outcome == "refused" && last.Why == "too long" && last.TimeLeft > 0:
 		fmt.Fprintf(&b, "refused it: the first event was predicted after %v, and the answer would not have been complete in the %v that the caller had left", last.PredictedLatency, last.TimeLeft)
 	case last.Outcome == "quarantined" && last.Culprit != "" && last.Culprit != last.Fingerprint:
--- a/lychee/trace/trace_test.go
+++ b/lychee/trace/trace_test.go
@@ -93,6 +93,10 @@
 	}{
 		{"full", []string{"90ms of it waiting for a slot", "stood in line for 40ms", "come back after 100ms"}},
 		{"late", []string{"predicted after 430ms", "that had room", "400ms are wanted"}},
+		{`full","plan":"later`, []string{"come back after 100ms", "the crowd may be over"}},
+		{`full","plan":"none`, []string{"past its deadline", "is booked"}},
+		{`full","returned":"4s","plan":"none`, []string{"finality", "4s before", "ahead of it"}},
+		{`full","returned":"1s","plan":"later`, []string{"100ms earlier than it was told"}},
 	} {
 		line := `{"time":"2026-01-01T00:00:00Z","event":"request_refused","process":"e","request_id":"x","outcome":"refused","why":"` + tt.why +
 			`","predicted":"430ms","wait":"90ms","target":"400ms","stood":"40ms","retry":"100ms","heard":4,"known":4}`
