entry/direct: what an endpoint states before it is listed holds once it is

An owner may place a request at an endpoint that the entry's instance list doesn't have yet. The entry then knew its ID but not which start it is: a rest or a statement to leave was kept under the bare ID and forgotten when the list came. A rate limit was not taken at all, and a peer's was dropped by the next list that still lacked the endpoint.

The grant (place-ack) names the start now. Rate limits of starts that are not listed are kept for 10 s after the last answer that stated them.

--- a/core/limit/limit.go
+++ b/core/limit/limit.go
@@ -120,6 +120,16 @@
 	return b.rate, true
 }
 
+// Age returns the time since the answer that stated the limit of an endpoint, zero if none is
+// known.
+func (l *Limiter) Age(now time.Duration, id string) time.Duration {
+	b := l.endpoints[id]
+	if b == nil {
+		return 0
+	}
+	return now - b.observedAt
+}
+
 // Available returns the number of requests that may be sent to an endpoint now and, if it
 // is zero, the time until one may be sent.
 func (l *Limiter) Available(now time.Duration, id string, s Share) (n int, wait time.Duration) {
--- a/core/wire/place.go
+++ b/core/wire/place.go
@@ -92,6 +92,8 @@
 	HadFreeSlot                 bool
 	// Plan is the resv.Plan of a refused request, zero if there is none.
 	Plan uint8
+	// Incarnation is the endpoint's in the instance list.
+	Incarnation int64
 }
 
 // The values of PlaceReport.Outcome. Values from PlaceResult on are the sum of
--- a/entry/direct/limit.go
+++ b/entry/direct/limit.go
@@ -40,8 +40,14 @@
 	return out
 }
 
-// forgetStaleLimits forgets the rate limits of endpoints that are no longer listed.
-func (v *view) forgetStaleLimits() {
+// unlistedLimitTTL is how long a rate limit is kept without an answer that states it, while the
+// endpoint is not listed. Peers pass a newer instance list on to an entry whose list is 150 ms
+// late, so an endpoint that is missing for longer has ended.
+const unlistedLimitTTL = 10 * time.Second
+
+// forgetStaleLimits forgets the rate limits of endpoints that have ended. Those that the list
+// does not have yet keep theirs.
+func (v *view) forgetStaleLimits(now time.Duration) {
 	if v.limits.Empty() {
 		return
 	}
@@ -49,16 +55,17 @@
 	for _, e := range v.endpoints {
 		starts[e.startID()] = true
 	}
-	v.limits.Retain(func(id string) bool { return starts[id] })
+	v.limits.Retain(func(id string) bool { return starts[id] || v.limits.Age(now, id) < unlistedLimitTTL })
 }
 
 // observeLimit records the rate limit that an answer states. The caller holds d.mu.
 func (a *attempt) observeLimit(m Meta) {
 	d := a.d
-	if d.view.endpoints[a.id] != a.endpoint {
+	e := d.view.endpoints[a.id]
+	if e == nil && !a.wasUnlisted || e != nil && e.start() != a.start {
 		return
 	}
-	if d.view.limits.Observe(d.sinceStart(time.Now()), a.endpoint.startID(), d.sinceStart(a.sentAt), m.RateLimit, m.HasRateLimit) {
+	if d.view.limits.Observe(d.sinceStart(time.Now()), a.start.ID(), d.sinceStart(a.sentAt), m.RateLimit, m.HasRateLimit) {
 		logs.Info(d.cfg.Log, logs.EventLimitChanged, zap.String("endpoint", a.id), zap.Bool("limited", m.HasRateLimit), zap.Float64("limit", m.RateLimit), zap.Time("sent", a.sentAt))
 	}
 }
--- a/entry/direct/place.go
+++ b/entry/direct/place.go
@@ -281,21 +281,26 @@
 	if reply.Endpoint == "" {
 		return a, dec, true
 	}
-	e := d.view.endpoints[reply.Endpoint]
+	// What the endpoint states before the instance list has it is kept by its start, so that it
+	// holds once the list comes.
+	e, start := d.view.endpoints[reply.Endpoint], drain.Start{Endpoint: reply.Endpoint, Incarnation: reply.Incarnation}
+	if e != nil {
+		start = e.start()
+	}
 	switch {
-	case e != nil && !d.view.rests.Empty() && d.view.rests.Left(d.sinceStart(time.Now()), e.startID()) > 0:
+	case !d.view.rests.Empty() && d.view.rests.Left(d.sinceStart(time.Now()), start.ID()) > 0:
 		d.cfg.Peers.Send(owner, &wire.PlaceReport{ID: reply.ID, Outcome: wire.PlaceDropped})
 		return nil, admit.Decision{}, false
 	case e != nil && !e.Leaving && e.Pool == j.Pool.Name && d.view.rollouts.RoleOf(e.Pool, e.Version) == canary.InService:
-	case e == nil && reply.RosterRevision > d.view.roster.Revision && !d.view.rollouts.HasOpenOrder(j.Pool.Name) && !d.view.leaving.IsLeaving(drain.Start{Endpoint: reply.Endpoint}):
-		e = &endpoint{Endpoint: route.Endpoint{ID: reply.Endpoint, Addr: reply.Addr, Pool: j.Pool.Name, Slots: reply.Slots}}
+	case e == nil && reply.RosterRevision > d.view.roster.Revision && !d.view.rollouts.HasOpenOrder(j.Pool.Name) && !d.view.leaving.IsLeaving(start):
+		e = &endpoint{Endpoint: route.Endpoint{ID: reply.Endpoint, Incarnation: reply.Incarnation, Addr: reply.Addr, Pool: j.Pool.Name, Slots: reply.Slots}}
 		a.wasUnlisted = true
 	default:
 		d.cfg.Peers.Send(owner, &wire.PlaceReport{ID: reply.ID, Outcome: wire.PlaceDropped})
 		return nil, admit.Decision{}, false
 	}
 	dec.Endpoint, dec.Reason = 0, admit.Admitted
-	a.d, a.pool, a.endpoint, a.id, a.start, a.sentAddr = d, p, e, e.ID, e.start(), e.Addr
+	a.d, a.pool, a.endpoint, a.id, a.start, a.sentAddr = d, p, e, e.ID, start, e.Addr
 	a.isOnlyEndpoint, a.sentAt, a.hadFreeSlot, a.promptAhead, a.predictedWait, a.predictedService = len(p.endpoints) < 2, time.Now(), reply.HadFreeSlot, int(reply.PromptTokens), dec.SlotWait, dec.FirstEvent-dec.SlotWait
 	a.placement.Version = e.Version
 	a.work, a.suspect, a.route, a.version = jobWork(j, j.OutputTokens), j.suspect, j.Route.Name, e.Version
--- a/entry/direct/place_test.go
+++ b/entry/direct/place_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -310,3 +311,68 @@
 		}
 	})
 }
+
+// Guards against what an endpoint states before the instance list has it and what is forgotten when
+// the list comes, because it was kept under an ID that does not say which start stated it.
+func TestStatementBeforeListingHolds(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		meta Meta
+		// holds reports whether a statement of the endpoint is known.
+		holds func(v *view, e *endpoint, now time.Duration) bool
+	}{
+		{"rest", Meta{NotRun: true, HasRest: true, Rest: time.Minute}, func(v *view, e *endpoint, now time.Duration) bool { return v.rests.Left(now, e.startID()) > 0 }},
+		{"rate limit", Meta{NotRun: true, HasRateLimit: true, RateLimit: 0.5}, func(v *view, e *endpoint, _ time.Duration) bool {
+			rate, ok := v.limits.Rate(e.startID())
+			return ok && rate == 0.5
+		}},
+		{"leaving", Meta{NotRun: true, Leaving: true}, func(_ *view, e *endpoint, _ time.Duration) bool { return e.Leaving }},
+	} {
+		for _, listedFirst := range []bool{false, true} {
+			test := func(t *testing.T) {
+				p := newEntryPair(t, 1)
+				p.requester.cfg.ReadMeta = func(*hop.Answer) Meta { return tt.meta }
+				before := p.requester.Roster()
+				after := func(revision, incarnation int64) route.Roster {
+					return route.Roster{Revision: revision, Endpoints: []route.Endpoint{{ID: "new", Incarnation: incarnation, Pool: "p", Addr: "new", Zone: "z", Slots: 1}}}
+				}
+				p.owner.SetRoster(after(3, 1700))
+				a, dec := p.requester.admitJob(t.Context(), p.job())
+				if dec.Endpoint < 0 || a.id != "new" {
+					t.Fatalf("placed at %q: %v", a.id, dec.Reason)
+				}
+				if listedFirst {
+					p.requester.SetRoster(after(3, 1700))
+				}
+				p.requester.observeHead(a, new(hop.Answer))
+				a.recordHead(tt.meta)
+				a.handleDecline(0)
+				before.Revision++
+				p.requester.SetRoster(before)
+				p.requester.SetRoster(after(3, 1700))
+				v := p.requester.view
+				if !tt.holds(v, v.endpoints["new"], p.requester.sinceStart(time.Now())) {
+					t.Error("forgotten")
+				}
+				tally := new(wire.Tally)
+				p.requester.AddReports(tally, false)
+				p.owner.HandleTally("asker", true, tally)
+				time.Sleep(declineDecay)
+				if next, dec := p.requester.admitJob(t.Context(), p.job()); dec.Endpoint >= 0 && next.id == "new" {
+					t.Error("the next request was placed there")
+				}
+				// A later start has stated nothing.
+				p.requester.SetRoster(after(4, 1701))
+				if tt.holds(v, v.endpoints["new"], p.requester.sinceStart(time.Now())) {
+					t.Error("holds for the next start")
+				}
+				time.Sleep(unlistedLimitTTL)
+				p.requester.SetRoster(after(5, 1701))
+				if !v.limits.Empty() {
+					t.Error("the limit of a start that has ended is kept")
+				}
+			}
+			t.Run(fmt.Sprintf("%s, listed first %v", tt.name, listedFirst), func(t *testing.T) { synctest.Test(t, test) })
+		}
+	}
+}
--- a/entry/direct/session.go
+++ b/entry/direct/session.go
@@ -124,7 +124,7 @@
 		FirstEventUS: dec.FirstEvent.Microseconds(), WaitUS: dec.SlotWait.Microseconds(), QueuedUS: p.QueuedFor.Microseconds(),
 	}
 	if dec.Endpoint >= 0 {
-		m.Endpoint, m.Addr, m.Slots = a.id, a.sentAddr, a.endpoint.Slots
+		m.Endpoint, m.Incarnation, m.Addr, m.Slots = a.id, a.start.Incarnation, a.sentAddr, a.endpoint.Slots
 		m.RequestsAhead, m.PromptTokens, m.HadFreeSlot = uint32(max(p.RequestsAhead, 0)), uint32(max(p.PromptTokensAhead, 0)), a.hadFreeSlot
 		s.placements[id] = a
 	}
--- a/entry/direct/view.go
+++ b/entry/direct/view.go
@@ -297,7 +297,7 @@
 		e.Leaving = e.Leaving || v.leaving.IsLeaving(e.start())
 	}
 	v.noteVersions(now)
-	v.forgetStaleLimits()
+	v.forgetStaleLimits(now)
 	v.updateVersions(now)
 	v.assignAllEndpoints()
 	v.recountPeerWork()
