--- a/lychee/trace/trace.go
+++ b/lychee/trace/trace.go
@@ -72,6 +72,17 @@
 	TimeLeft Duration `json:"left"`
 	// QueueTime is the time that the request spent in the entry's queue.
 	QueueTime Duration `json:"stood"`
+	// Plan is what a refused caller was told about its return. Returned is the time since
+	// the first attempt of a caller that returned, HeldTime the time spent as late work.
+	Plan     string   `json:"plan"`
+	Returned Duration `json:"returned"`
+	HeldTime Duration `json:"held"`
+	// Customer is the request's customer. Share is its part of the work that was placed in the
+	// request's tier over the last seconds, ShareDue its part by weight among those who asked,
+	// zero if room is not shared.
+	Customer string  `json:"customer"`
+	Share    float64 `json:"share"`
+	ShareDue float64 `json:"share_due"`
 	// SilentTime is how long the endpoint had sent nothing when its attempt ended.
 	// SilenceLimit is the silence after which the entry gives up an attempt, zero if
 	// it would have kept waiting.
@@ -200,6 +211,16 @@
 	return selected
 }
 
+// planNone is the plan of a refusal that is final.
+const planNone = "none"
+
+// planReasons explains the plans for a caller's return.
+var planReasons = map[string]string{
+	"soon":   ", when it can still meet its target",
+	"later":  ", the latest time at which it would return, when the crowd may be over",
+	planNone: ", which is past its deadline: the room until then is booked",
+}
+
 // describeCause describes how a request ended and why.
 func describeCause(requestLines, stateChanges []Line) string {
 	last := requestLines[len(requestLines)-1]
@@ -208,14 +229,23 @@
 	switch {
 	case last.Outcome == "limited":
 		fmt.Fprintf(&b, "refused it: the customer was over its limit, summed over all entries, and was told to come back after %v", last.RetryAfter)
+	case last.Outcome == "refused" && last.Returned > 0 && last.Plan == planNone:
+		fmt.Fprintf(&b, "refused it with finality: its caller had been refused %v before and returned when told, but", last.Returned)
+		if last.HeldTime > 0 {
+			fmt.Fprintf(&b, " no slot was left for late work within %v", last.HeldTime)
+		} else {
+			b.WriteString(" too many that had returned were ahead of it")
+		}
+	case last.Outcome == "refused" && last.Returned > 0 && last.Plan != "":
+		fmt.Fprintf(&b, "refused it without a look at the endpoints: its caller, first refused %v before, returned %v earlier than it was told to", last.Returned, last.RetryAfter)
 	case last.Outcome == "refused" && last.Why == "full":
 		fmt.Fprintf(&b, "refused it: the first event was predicted after %v at the best endpoint, %v of it waiting for a slot, where %v are wanted: more than its tier may wait", last.PredictedLatency, last.PredictedWait, last.Target)
 		if last.QueueTime > 0 {
 			fmt.Fprintf(&b, "; it stood in line for %v without finding a slot", last.QueueTime)
 		}
-		fmt.Fprintf(&b, "; the caller was told to come back after %v", last.RetryAfter)
+		fmt.Fprintf(&b, "; the caller was told to come back after %v%s", last.RetryAfter, planReasons[last.Plan])
 	case last.Outcome == "refused" && last.Why == "late":
-		fmt.Fprintf(&b, "refused it: the first event was predicted after %v at the best endpoint that had room, where %v are wanted; the caller was told to come back after %v", last.PredictedLatency, last.Target, last.RetryAfter)
+		fmt.Fprintf(&b, "refused it: the first event was predicted after %v at the best endpoint that had room, where %v are wanted; the caller was told to come back after %v%s", last.PredictedLatency, last.Target, last.RetryAfter, planReasons[last.Plan])
 	case last.Outcome == "refused" && last.Why == "too long" && last.TimeLeft > 0:
 		fmt.Fprintf(&b, "refused it: the first event was predicted after %v, and the answer would not have been complete in the %v that the caller had left", last.PredictedLatency, last.TimeLeft)
 	case last.Outcome == "quarantined" && last.Culprit != "" && last.Culprit != last.Fingerprint:
@@ -235,6 +265,8 @@
 	default:
 		fmt.Fprintf(&b, "last wrote %s: %s", last.Event, last.Why)
 	}
+	describeHold(&b, last)
+	describeShare(&b, last)
 	for _, l := range requestLines[:len(requestLines)-1] {
 		if l.Event == "answer_late" {
 			fmt.Fprintf(&b, "; before, it was late (%s) and stayed at %s, as no other attempt was possible: %s", l.Why, l.Endpoint, l.RetryObstacle)
@@ -257,6 +289,39 @@
 	return b.String()
 }
 
+// describeHold describes the wait and the return of a request as late work, unless the sentence
+// says it already.
+func describeHold(b *strings.Builder, last Line) {
+	isFinal := last.Outcome == "refused" && last.Returned > 0
+	if last.HeldTime > 0 && !isFinal {
+		fmt.Fprintf(b, "; it waited %v as late work, which gets the slots that requests within their targets leave", last.HeldTime)
+	}
+	if last.Returned > 0 && !isFinal {
+		fmt.Fprintf(b, "; its caller had returned, %v after its first attempt", last.Returned)
+	}
+}
+
+// describeShare describes whether a refused request's customer was above its share.
+func describeShare(b *strings.Builder, last Line) {
+	if last.Outcome != "refused" || last.ShareDue <= 0 {
+		return
+	}
+	fmt.Fprintf(b, "; %s had %.1f%% of the work placed in its tier over the last seconds, where %.1f%% are due by weight", customerName(last.Customer), 100*last.Share, 100*last.ShareDue)
+	if last.Share > last.ShareDue {
+		b.WriteString(": customers below their shares went first")
+	} else {
+		b.WriteString(": it was not refused for its share, but for want of room")
+	}
+}
+
+// customerName returns the customer's name for a sentence.
+func customerName(customer string) string {
+	if customer == "" {
+		return "requests without a customer"
+	}
+	return "customer " + customer
+}
+
 // endpointName returns the endpoint's name for a sentence.
 func endpointName(endpoint string) string {
 	if endpoint == "" {
--- a/lychee/trace/trace_test.go
+++ b/lychee/trace/trace_test.go
@@ -108,6 +108,27 @@
 	}
 }
 
+// Guards against a trace that leaves open who was short under overload and what was promised: the
+// remedies are weights, more room, or callers that return when told.
+func TestCauseUnderOverload(t *testing.T) {
+	for _, tt := range []struct{ name, fields, cause string }{
+		{"newcomer above its share", `"outcome":"refused","plan":"later","retry":"4s","share":0.5123,"share_due":0.0625`, "the caller was told to come back after 4s, the latest time at which it would return, when the crowd may be over; customer c had 51.2% of the work placed in its tier over the last seconds, where 6.2% are due by weight: customers below their shares went first"},
+		{"below its share", `"outcome":"refused","plan":"soon","retry":"100ms","share":0.01,"share_due":0.0625`, "when it can still meet its target; customer c had 1.0% of the work placed in its tier over the last seconds, where 6.2% are due by weight: it was not refused for its share, but for want of room"},
+		{"returned when told", `"outcome":"refused","plan":"none","returned":"4.1s","held":"600ms"`, "e refused it with finality: its caller had been refused 4.1s before and returned when told, but no slot was left for late work within 600ms"},
+		{"held at its first attempt", `"outcome":"refused","plan":"none","retry":"12s","held":"600ms"`, "which is past its deadline: the room until then is booked; it waited 600ms as late work, which gets the slots that requests within their targets leave"},
+		{"served late", `"outcome":"complete","returned":"4.1s","held":"600ms","share":0.5,"share_due":0.1`, "it waited 600ms as late work, which gets the slots that requests within their targets leave; its caller had returned, 4.1s after its first attempt"},
+	} {
+		event := map[bool]string{true: "request_done", false: "request_refused"}[strings.Contains(tt.fields, "complete")]
+		got, err := Read("x", strings.NewReader(`{"event":"`+event+`","process":"e","request_id":"x","why":"full","customer":"c",`+tt.fields+"}"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if !strings.HasSuffix(got.Cause, tt.cause) {
+			t.Errorf("%s: cause %q does not end with %q", tt.name, got.Cause, tt.cause)
+		}
+	}
+}
+
 // A caller's connection or an attempt ended early. The remedy depends on whether the
 // caller left or the entry closed the connection, and on whether the endpoint failed
 // or the entry gave it up as slow, so the cause must distinguish these cases.
