--- a/core/wire/place.go
+++ b/core/wire/place.go
@@ -111,6 +111,8 @@
 	// FirstAgoUS is the time since the first attempt of a caller that was recognised, in
 	// microseconds; zero for any other.
 	FirstAgoUS int64
+	// Incarnation is the endpoint's in the instance list.
+	Incarnation int64
 }
 
 // The values of PlaceReport.Outcome. Values from PlaceResult on are the sum of
--- a/lychee/trace/trace.go
+++ b/lychee/trace/trace.go
@@ -77,6 +77,12 @@
 	Plan     string   `json:"plan"`
 	Returned Duration `json:"returned"`
 	HeldTime Duration `json:"held"`
+	// Customer is the request's customer. Share is its part of the work that was placed in the
+	// request's tier over the last seconds, ShareDue its part by weight among those who asked,
+	// zero if room is not shared.
+	Customer string  `json:"customer"`
+	Share    float64 `json:"share"`
+	ShareDue float64 `json:"share_due"`
 	// SilentTime is how long the endpoint had sent nothing when its attempt ended.
 	// SilenceLimit is the silence after which the entry gives up an attempt, zero if
 	// it would have kept waiting.
@@ -259,6 +265,8 @@
 	default:
 		fmt.Fprintf(&b, "last wrote %s: %s", last.Event, last.Why)
 	}
+	describeHold(&b, last)
+	describeShare(&b, last)
 	for _, l := range requestLines[:len(requestLines)-1] {
 		if l.Event == "answer_late" {
 			fmt.Fprintf(&b, "; before, it was late (%s) and stayed at %s, as no other attempt was possible: %s", l.Why, l.Endpoint, l.RetryObstacle)
@@ -281,6 +289,39 @@
 	return b.String()
 }
 
+// describeHold describes the wait and the return of a request as late work, unless the sentence
+// says it already.
+func describeHold(b *strings.Builder, last Line) {
+	isFinal := last.Outcome == "refused" && last.Returned > 0
+	if last.HeldTime > 0 && !isFinal {
+		fmt.Fprintf(b, "; it waited %v as late work, which gets the slots that requests within their targets leave", last.HeldTime)
+	}
+	if last.Returned > 0 && !isFinal {
+		fmt.Fprintf(b, "; its caller had returned, %v after its first attempt", last.Returned)
+	}
+}
+
+// describeShare describes whether a refused request's customer was above its share.
+func describeShare(b *strings.Builder, last Line) {
+	if last.Outcome != "refused" || last.ShareDue <= 0 {
+		return
+	}
+	fmt.Fprintf(b, "; %s had %.1f%% of the work placed in its tier over the last seconds, where %.1f%% are due by weight", customerName(last.Customer), 100*last.Share, 100*last.ShareDue)
+	if last.Share > last.ShareDue {
+		b.WriteString(": customers below their shares went first")
+	} else {
+		b.WriteString(": it was not refused for its share, but for want of room")
+	}
+}
+
+// customerName returns the customer's name for a sentence.
+func customerName(customer string) string {
+	if customer == "" {
+		return "requests without a customer"
+	}
+	return "customer " + customer
+}
+
 // endpointName returns the endpoint's name for a sentence.
 func endpointName(endpoint string) string {
 	if endpoint == "" {
