--- a/core/wire/place.go
+++ b/core/wire/place.go
@@ -92,6 +92,10 @@
 	HadFreeSlot                 bool
 	// Plan is the resv.Plan of a refused request, zero if there is none.
 	Plan uint8
+	// SlowdownPercent is how long the owner expects work to take at the endpoint at this
+	// moment, in hundredths of the usual time; zero if the owner is of an older version, which
+	// takes no StatedLoad.
+	SlowdownPercent uint32
 }
 
 // The values of PlaceReport.Outcome. Values from PlaceResult on are the sum of
@@ -121,8 +125,8 @@
 	// EndpointRequests is the number of requests that the endpoint stated when it
 	// declined; zero if it stated none.
 	EndpointRequests uint32
-	// Load is what the endpoint has stated of its load since the last report, nil if
-	// nothing.
+	// Load is what the endpoint stated of its load in the head of its answer. A report
+	// with Load and PlaceOpen says only that: no output has come yet.
 	Load *StatedLoad
 }
 
