platform/front: read three or four figures of the load header

A header with four figures was not read at all, so that neither slots nor requests counted when such an endpoint declined.

--- a/entry/direct/job.go
+++ b/entry/direct/job.go
@@ -156,6 +156,9 @@
 	// PeerReportAge is how old this entry's knowledge of the peers' requests at the endpoint
 	// was.
 	PeerReportAge time.Duration
+	// Slowdown is the factor by which predictions for the endpoint were scaled, at least one;
+	// zero if the endpoint had stated nothing.
+	Slowdown float64
 	// Silence is how long the last read of the answer waited for data, or had waited when the
 	// attempt ended. SilenceBound is the longest wait before the entry may give up the
 	// attempt, zero if it may not.
@@ -193,8 +196,13 @@
 	// say.
 	Slots int
 	// Requests is how many requests the endpoint has, running and waiting; zero if it does not
-	// say.
-	Requests int
+	// say. Waiting is how many of them wait.
+	Requests, Waiting int
+	// SlowdownPercent is how long work takes at the endpoint at this moment, in hundredths of
+	// the usual time; zero if it does not say.
+	SlowdownPercent int
+	// LoadRejected is set if what the endpoint says of its load is not valid.
+	LoadRejected bool
 	// HasRateLimit is set if the endpoint states a limit. RateLimit is that limit, in requests
 	// per second from all entries together.
 	HasRateLimit bool
