core/admit, entry/direct: place by what endpoints state of their load

Predictions are scaled by the momentary slowdown, and times that were measured during one are corrected before they count for the lasting pace. The owner of a shard is told as soon as the head of an answer has come, if that is news.

ObserveFirstEvent and ObserveOutput take the slowdown; the existing tests pass 1. The replayed fleet of size_test.go can have uneven engines and other targets; its other tests are unchanged.

go test ./core/... ./entry/... passes, entry/direct also with -race as far as it concerns this.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -32,6 +32,10 @@
 	// the engine's total. Zero means unknown.
 	KVTokensNeeded, KVTokens int
 	Pace                     Pace
+	// Slowdown is how many times as long as Pace says work takes at the endpoint at this
+	// moment, at least one. It decays as speed.Stretch assumes. Zero means that the endpoint
+	// has stated none.
+	Slowdown float64
 	// Bias is a number from 0 to 1 that differs between entries. The smaller it is, the
 	// more this entry prefers the endpoint.
 	Bias float64
@@ -90,6 +94,9 @@
 	// ExactCounts is set if the caller of Decide counts all requests at the endpoints as
 	// they start and end, and knows all requests that wait for them.
 	ExactCounts bool
+	// leastDelay is the least delay of the first event at any usable endpoint because of a
+	// momentary slowdown.
+	leastDelay time.Duration
 }
 
 // Decision is the outcome of Decide.
@@ -145,10 +152,20 @@
 	// a request takes to get there.
 	topTierExactWaitShare    = 0.1
 	lowestTierExactWaitShare = 0.02
+	// statedWaitShare is the part of these shares that applies to an endpoint that states its
+	// slowdown. Its speed changes while requests wait there. In the replay of uneven endpoints
+	// (entry/direct) the 99th percentile of the time to the first event is 322 ms with the whole
+	// shares and 257 ms with half of them, with as many requests in time.
+	statedWaitShare = 0.5
 	// maxExactLoad is the largest number of requests at an endpoint with exact counts, in
 	// multiples of its slots. Waits are learned from requests whose wait has ended, the
 	// short ones first, so predicted waits are too short at the start of a burst.
 	maxExactLoad = 2
+	// maxDelayShare is the longest delay of the first event by a momentary slowdown, as a share
+	// of the target, at which a request is sent to an endpoint that is not mostly free. Slots at
+	// a slowed endpoint do little work, so leaving them empty until the slow spell ends costs
+	// less than first events at the end of their target.
+	maxDelayShare = 0.2
 	// minOutputShare is the share of the predicted output time that an answer is assumed to
 	// need at least. The pace is learned at the usual load, and output estimates are often
 	// too long.
@@ -176,6 +193,7 @@
 // Decide chooses an endpoint for a request or refuses it.
 func Decide(r Request, endpoints []Endpoint) Decision {
 	skipUnusable := anyUsable(r, endpoints)
+	r.leastDelay = leastDelay(r, endpoints)
 	var cheapest, cheapestRefused, firstRested candidate
 	for i := range endpoints {
 		e := &endpoints[i]
@@ -232,8 +250,13 @@
 
 // evaluate predicts the result of sending r to the endpoint.
 func (e *Endpoint) evaluate(r Request) candidate {
-	c := candidate{set: true, firstEvent: e.PredictFirstEvent(r), slotWait: e.slotWait(r)}
-	c.cost = c.firstEvent + e.extraCost(r)
+	first := e.usualFirstEvent(r)
+	c := candidate{set: true, firstEvent: e.stretch(first), slotWait: e.stretch(e.slotWait(r))}
+	output := time.Duration(r.OutputTokens) * e.Pace.PerOutputToken
+	if e.Slowdown > 1 {
+		output = e.stretch(first+output) - c.firstEvent
+	}
+	c.cost = c.firstEvent + e.extraCost(output)
 	mostlyFree := !r.OthersFirst && e.mostlyFree()
 	if e.Limited && e.AllowedNow <= 0 {
 		c.reason, c.excess, c.slotWait = Full, e.NextAllowedIn, max(c.slotWait, e.NextAllowedIn)
@@ -243,26 +266,33 @@
 		c.reason, c.excess = Full, c.slotWait
 		return c
 	}
-	if excess := c.slotWait - r.maxSlotWait(); r.OthersFirst || (excess > 0 || e.YieldSlots) && !mostlyFree {
+	if excess := c.slotWait - e.maxSlotWait(r); r.OthersFirst || (excess > 0 || e.YieldSlots) && !mostlyFree {
 		c.reason, c.excess = Full, excess
 		return c
 	}
+	if delay := c.firstEvent - first - r.leastDelay; delay > scale(r.Target, maxDelayShare) && !mostlyFree {
+		c.reason, c.excess = Full, delay
+		return c
+	}
 	if excess := c.firstEvent - r.UntilTarget; excess > 0 && !mostlyFree {
 		c.reason, c.excess = Late, excess
 		return c
 	}
-	if c.firstEvent+scale(time.Duration(r.OutputTokens)*e.Pace.PerOutputToken, minOutputShare) > r.UntilDeadline {
+	if c.firstEvent+scale(output, minOutputShare) > r.UntilDeadline {
 		c.reason, c.excess = TooLong, c.firstEvent
 	}
 	return c
 }
 
 // maxSlotWait returns the longest predicted wait for a slot at which r is still admitted.
-func (r Request) maxSlotWait() time.Duration {
+func (e *Endpoint) maxSlotWait(r Request) time.Duration {
 	top, lowest := topTierWaitShare, lowestTierWaitShare
 	if r.ExactCounts {
 		top, lowest = topTierExactWaitShare, lowestTierExactWaitShare
 	}
+	if e.Slowdown > 0 {
+		top, lowest = top*statedWaitShare, lowest*statedWaitShare
+	}
 	return scale(r.Target, top-(top-lowest)*float64(r.TierRank)/float64(max(r.TierCount-1, 1)))
 }
 
@@ -319,7 +349,7 @@
 		}
 		endpointRate := 0.0
 		if e.Requests > 0 {
-			endpointRate = float64(max(e.Slots, 1)) / (float64(e.meanHoldTime()) * e.Pace.waitFactor())
+			endpointRate = float64(max(e.Slots, 1)) / (float64(e.stretch(e.meanHoldTime())) * e.Pace.waitFactor())
 		}
 		if rateLimit := e.RequestsPerSecond / float64(time.Second); e.Limited && (e.Requests == 0 || rateLimit < endpointRate) {
 			endpointRate = rateLimit
--- a/core/admit/admit_test.go
+++ b/core/admit/admit_test.go
@@ -116,10 +116,10 @@
 func TestLearnerLearnsPacePerEndpoint(t *testing.T) {
 	l := NewLearner()
 	for range 60 {
-		l.ObserveFirstEvent("slow", 6000, 20*time.Millisecond+6000*60*time.Microsecond)
-		l.ObserveFirstEvent("fast", 6000, 20*time.Millisecond+6000*10*time.Microsecond)
-		l.ObserveOutput("slow", 100, 1400*time.Millisecond)
-		l.ObserveOutput("fast", 100, 300*time.Millisecond)
+		l.ObserveFirstEvent("slow", 6000, 20*time.Millisecond+6000*60*time.Microsecond, 1)
+		l.ObserveFirstEvent("fast", 6000, 20*time.Millisecond+6000*10*time.Microsecond, 1)
+		l.ObserveOutput("slow", 100, 1400*time.Millisecond, 1)
+		l.ObserveOutput("fast", 100, 300*time.Millisecond, 1)
 	}
 	slow, fast := l.Pace("slow"), l.Pace("fast")
 	if slow.PerPromptToken < 50*time.Microsecond || fast.PerPromptToken > 15*time.Microsecond {
--- a/core/admit/learn.go
+++ b/core/admit/learn.go
@@ -106,28 +106,30 @@
 
 // ObserveFirstEvent records the time to the first event of a request that found a free
 // slot. promptTokens counts all prompt tokens that the engine had to process by then,
-// including those of the request.
-func (l *Learner) ObserveFirstEvent(id string, promptTokens int, took time.Duration) {
+// including those of the request. slowdown is how many times as long as usual the endpoint said
+// that work took there, one if it said nothing.
+func (l *Learner) ObserveFirstEvent(id string, promptTokens int, took time.Duration, slowdown float64) {
 	p := l.paceOf(id)
 	if promptTokens < longPromptTokens {
 		fixedPart := took - time.Duration(promptTokens)*p.PerPromptToken
-		updateAverage(&p.FirstEvent, fixedPart, endpointWeight)
-		updateAverage(&l.pool.FirstEvent, fixedPart, poolWeight)
+		updateAverage(&p.FirstEvent, fixedPart, slowdown, endpointWeight)
+		updateAverage(&l.pool.FirstEvent, fixedPart, slowdown, poolWeight)
 		return
 	}
 	perToken := (took - p.FirstEvent) / time.Duration(promptTokens)
-	updateAverage(&p.PerPromptToken, perToken, endpointWeight)
-	updateAverage(&l.pool.PerPromptToken, perToken, poolWeight)
+	updateAverage(&p.PerPromptToken, perToken, slowdown, endpointWeight)
+	updateAverage(&l.pool.PerPromptToken, perToken, slowdown, poolWeight)
 }
 
-// ObserveOutput records the time taken by the tokens after the first event.
-func (l *Learner) ObserveOutput(id string, tokens int, took time.Duration) {
+// ObserveOutput records the time taken by the tokens after the first event. slowdown is as for
+// ObserveFirstEvent.
+func (l *Learner) ObserveOutput(id string, tokens int, took time.Duration, slowdown float64) {
 	if tokens <= 0 {
 		return
 	}
 	p := l.paceOf(id)
-	updateAverage(&p.PerOutputToken, took/time.Duration(tokens), endpointWeight)
-	updateAverage(&l.pool.PerOutputToken, took/time.Duration(tokens), poolWeight)
+	updateAverage(&p.PerOutputToken, took/time.Duration(tokens), slowdown, endpointWeight)
+	updateAverage(&l.pool.PerOutputToken, took/time.Duration(tokens), slowdown, poolWeight)
 }
 
 func (l *Learner) paceOf(id string) *Pace {
@@ -140,9 +142,17 @@
 	return p
 }
 
-// updateAverage moves an average towards a new value by the given weight. A value that
-// differs from the average by more than maxDeviationFactor times is limited to that.
-func updateAverage(avg *time.Duration, v time.Duration, weight float64) {
+// updateAverage moves an average towards a new value by the given weight. The value was measured
+// while work took slowdown times as long as usual, so that much of it does not count. The
+// correction lowers it to the average at most: an endpoint that wrongly says that it is slow does
+// not look faster for it. A value that differs from the average by more than maxDeviationFactor
+// times is limited to that.
+func updateAverage(avg *time.Duration, v time.Duration, slowdown, weight float64) {
+	if corrected := time.Duration(float64(v) / slowdown); slowdown < 1 {
+		v = corrected
+	} else {
+		v = max(corrected, min(v, *avg))
+	}
 	v = min(max(v, *avg/maxDeviationFactor), *avg*maxDeviationFactor)
 	*avg += time.Duration(weight * float64(v-*avg))
 }
--- a/core/admit/predict.go
+++ b/core/admit/predict.go
@@ -1,12 +1,29 @@
 package admit
 
-import "time"
+import (
+	"time"
+
+	"lycheepond/core/speed"
+)
 
 // PredictFirstEvent predicts the time to the first event of r.
 func (e *Endpoint) PredictFirstEvent(r Request) time.Duration {
+	return e.stretch(e.usualFirstEvent(r))
+}
+
+// usualFirstEvent is PredictFirstEvent without the momentary slowdown.
+func (e *Endpoint) usualFirstEvent(r Request) time.Duration {
 	return e.Pace.FirstEvent + e.slotWait(r) + time.Duration(e.PromptTokens+r.PromptTokens)*e.Pace.PerPromptToken
 }
 
+// stretch returns how long work of the usual duration d takes at the endpoint.
+func (e *Endpoint) stretch(d time.Duration) time.Duration {
+	if e.Slowdown <= 1 {
+		return d
+	}
+	return speed.Stretch(d, e.Slowdown)
+}
+
 // HoldTime predicts how long a request with the given token counts holds its slot.
 func (p Pace) HoldTime(promptTokens, outputTokens int) time.Duration {
 	return p.FirstEvent + time.Duration(promptTokens)*p.PerPromptToken + time.Duration(outputTokens)*p.PerOutputToken
@@ -45,8 +62,9 @@
 }
 
 // extraCost returns the cost of an endpoint besides its time to the first event.
-func (e *Endpoint) extraCost(r Request) time.Duration {
-	cost := time.Duration(outputWeight * float64(r.OutputTokens) * float64(e.Pace.PerOutputToken))
+// output is the predicted output time.
+func (e *Endpoint) extraCost(output time.Duration) time.Duration {
+	cost := scale(output, outputWeight)
 	if !e.SameZone {
 		cost += crossZoneCost
 	}
@@ -55,3 +73,23 @@
 	}
 	return cost
 }
+
+// leastDelay returns by how much a momentary slowdown delays the first event of r at the usable
+// endpoint where that is least.
+func leastDelay(r Request, endpoints []Endpoint) time.Duration {
+	least, found := time.Duration(0), false
+	for i := range endpoints {
+		e := &endpoints[i]
+		if !e.Usable {
+			continue
+		}
+		if e.Slowdown <= 1 {
+			return 0
+		}
+		first := e.usualFirstEvent(r)
+		if delay := e.stretch(first) - first; !found || delay < least {
+			least, found = delay, true
+		}
+	}
+	return least
+}
--- a/entry/direct/attempt.go
+++ b/entry/direct/attempt.go
@@ -121,6 +121,7 @@
 		placement: Placement{Endpoint: e.ID, Version: e.Version, PredictedFirst: dec.FirstEvent, PredictedWait: dec.SlotWait, RequestsAhead: chosen.Requests, PromptTokensAhead: chosen.PromptTokens + req.PromptTokens, ReachableEntries: reachableEntries, KnownEntries: knownEntries},
 		work:      jobWork(j, req.OutputTokens), suspect: j.suspect, route: j.Route.Name, version: e.Version,
 	}
+	a.placement.Slowdown, a.sentClock = chosen.Slowdown, a.slowdownClock(now)
 	a.placement.PeerReportAge = d.view.peerReportAge(e.ID, now)
 	a.tookToken = chosen.Limited
 	if a.tookToken {
@@ -231,6 +232,11 @@
 	// did. laterTokens counts the output tokens after the first part.
 	firstAt, lastAt time.Time
 	laterTokens     int
+	// headSlowdown is how many times as long as usual work took at the endpoint by the head of
+	// the answer, zero if it did not say. sentClock, firstClock and lastClock are the values of
+	// slowdownClock at sentAt, firstAt and lastAt.
+	headSlowdown                     float64
+	sentClock, firstClock, lastClock time.Duration
 	// wasSilent is set if, in the latest wait, the endpoint sent nothing for too long while
 	// this process was running.
 	wasSilent bool
@@ -268,6 +274,7 @@
 	}
 	if !m.WrongEndpoint {
 		a.observeLimit(m)
+		a.observeLoad(time.Now(), m)
 	}
 	if !m.WrongEndpoint && !m.NotRun {
 		a.countReached()
@@ -282,20 +289,20 @@
 	a.endpoint.lastByteAt = now
 	defer a.reportToOwner(now, tokens, wire.PlaceOpen)
 	if a.firstAt.IsZero() {
-		a.firstAt = now
+		a.firstAt, a.firstClock = now, a.slowdownClock(now)
 		a.placement.TimeToFirst = now.Sub(a.sentAt)
 		a.observeSample(now, canary.Sample{Kind: canary.FirstEvent, Elapsed: a.placement.TimeToFirst})
 		a.releaseWork(inFlight{promptTokens: a.work.promptTokens})
 		defer a.d.dispatchQueued(a.pool)
 		if a.hadFreeSlot && a.work.kvTokens > 0 {
-			a.pool.learner.ObserveFirstEvent(a.endpoint.ID, a.promptAhead, now.Sub(a.sentAt))
+			a.pool.learner.ObserveFirstEvent(a.endpoint.ID, a.promptAhead, now.Sub(a.sentAt), a.firstEventSlowdown(now))
 		} else if a.work.kvTokens > 0 {
 			a.pool.learner.ObserveWait(a.predictedWait, now.Sub(a.sentAt)-a.predictedService)
 		}
 	} else {
 		a.laterTokens += tokens
 	}
-	a.lastAt = now
+	a.lastAt, a.lastClock = now, a.slowdownClock(now)
 	a.recordPassed(now)
 	a.releaseWork(inFlight{outputTokens: min(tokens, a.work.outputTokens)})
 }
@@ -307,6 +314,9 @@
 	if a.ownerPlacement != nil {
 		return
 	}
+	if part.requests != 0 {
+		a.endpoint.noteCounted(time.Now())
+	}
 	a.endpoint.ownWork.add(part, -1)
 	if part.requests != 0 || part.promptTokens != 0 || a.endpoint.outputDrifted() {
 		a.d.view.unreportedWork[a.endpoint.ID] = true
@@ -345,11 +355,7 @@
 	now := time.Now()
 	a.d.mu.Lock()
 	defer a.d.mu.Unlock()
-	if a.work.kvTokens > 0 {
-		a.pool.learner.ObserveOutput(a.endpoint.ID, a.laterTokens, a.lastAt.Sub(a.firstAt))
-	} else if a.hadFreeSlot && r == health.Success {
-		a.pool.learner.ObserveFirstEvent(a.endpoint.ID, 0, now.Sub(a.sentAt))
-	}
+	a.observePace(now, r)
 	a.observeResult(now, r)
 	a.releaseWork(a.work)
 	a.reportToOwner(now, 0, wire.PlaceResult+uint8(r))
--- a/entry/direct/crowd_test.go
+++ b/entry/direct/crowd_test.go
@@ -54,6 +54,15 @@
 	// estimateSpread is the standard deviation of the logarithm of the real output divided by
 	// the estimate. With zero the estimates are exact.
 	estimateSpread float64
+	// limits holds the target and the deadline of each kind; nil stands for replayTarget and 5 s.
+	limits [][2]time.Duration
+}
+
+func (w workload) limitsOf(kind int) (target, deadline time.Duration) {
+	if w.limits == nil {
+		return replayTarget, 5 * time.Second
+	}
+	return w.limits[kind][0], w.limits[kind][1]
 }
 
 // requestResult is the result of one request.
@@ -65,6 +74,9 @@
 	metTarget bool
 	// isRetry is set for a request that was refused before.
 	isRetry bool
+	// arrivedAt is when the request arrived, firstEvent how long after that its first event.
+	arrivedAt, firstEvent time.Duration
+	kind, prompt, output  int
 	// size is the real number of prompt tokens plus ten times that of output tokens.
 	size int
 }
@@ -166,7 +178,7 @@
 		size := 0.3 + rnd.ExpFloat64()*0.7
 		j := &Job{
 			ID: fmt.Sprint(d.cfg.Addr, k, n), Route: &cfg.Routes[k], Pool: &cfg.Pools[0], Tier: cfg.Routes[k].TierOf(nil),
-			AcceptedAt: now, Deadline: now.Add(5 * time.Second),
+			AcceptedAt: now, Deadline: now.Add(cfg.Routes[k].Timeout),
 			PromptTokens: int(size * float64(w.kinds[k].prompt)), OutputTokens: max(int(size*float64(w.kinds[k].output)), 10),
 		}
 		actual := *j
@@ -186,8 +198,10 @@
 			}
 			if !r.refused {
 				serve(a, &actual)
-				r.metTarget = !a.firstAt.IsZero() && a.firstAt.Sub(now) <= replayTarget
+				r.firstEvent = a.firstAt.Sub(now)
+				r.metTarget = !a.firstAt.IsZero() && r.firstEvent <= j.Route.Target && time.Since(now) <= j.Route.Timeout
 			}
+			r.arrivedAt, r.kind, r.prompt, r.output = now.Sub(start), k, actual.PromptTokens, actual.OutputTokens
 			record(r)
 		})
 	}
--- a/entry/direct/error_test.go
+++ b/entry/direct/error_test.go
@@ -36,6 +36,6 @@
 	h.d.mu.Lock()
 	defer h.d.mu.Unlock()
 	for range 200 {
-		h.d.view.pool("p", h.d.cfg.RetryBudget, 1).learner.ObserveFirstEvent(endpoint, 0, took)
+		h.d.view.pool("p", h.d.cfg.RetryBudget, 1).learner.ObserveFirstEvent(endpoint, 0, took, 1)
 	}
 }
--- a/entry/direct/place.go
+++ b/entry/direct/place.go
@@ -67,6 +67,9 @@
 	// reportedRequests is how many requests the endpoint said it had when it declined the
 	// attempt.
 	reportedRequests int
+	// slowdownPercent is by how much the owner scaled its predictions for the endpoint when it
+	// placed the attempt; zero if the owner takes no reports of stated loads.
+	slowdownPercent int
 }
 
 // pendingPlacement is a placement request without an answer.
@@ -297,9 +300,10 @@
 	dec.Endpoint, dec.Reason = 0, admit.Admitted
 	a.d, a.pool, a.endpoint, a.id, a.start, a.sentAddr = d, p, e, e.ID, e.start(), e.Addr
 	a.isOnlyEndpoint, a.sentAt, a.hadFreeSlot, a.promptAhead, a.predictedWait, a.predictedService = len(p.endpoints) < 2, time.Now(), reply.HadFreeSlot, int(reply.PromptTokens), dec.SlotWait, dec.FirstEvent-dec.SlotWait
-	a.placement.Version = e.Version
+	a.placement.Version, a.placement.Slowdown = e.Version, float64(reply.SlowdownPercent)/100
 	a.work, a.suspect, a.route, a.version = jobWork(j, j.OutputTokens), j.suspect, j.Route.Name, e.Version
-	a.ownerPlacement = &ownerPlacement{owner: owner, id: reply.ID, expectedOutput: a.work.outputTokens}
+	a.ownerPlacement = &ownerPlacement{owner: owner, id: reply.ID, expectedOutput: a.work.outputTokens, slowdownPercent: int(reply.SlowdownPercent)}
+	a.sentClock = a.slowdownClock(a.sentAt)
 	if d.ownerAttempts[owner] == nil {
 		d.ownerAttempts[owner] = make(map[uint64]*attempt)
 	}
--- a/entry/direct/serve.go
+++ b/entry/direct/serve.go
@@ -114,6 +114,9 @@
 		fields = append(fields, zap.String("endpoint", p.Endpoint), zap.String("version", p.Version), zap.Duration("predicted", p.PredictedFirst), zap.Duration("wait", p.PredictedWait), zap.Duration("first", p.TimeToFirst), zap.Duration("target", j.Route.Target), zap.Duration("stood", p.QueuedFor),
 			zap.Int("ahead", p.RequestsAhead), zap.Int("prompt", p.PromptTokensAhead), zap.Int("heard", p.ReachableEntries), zap.Int("known", p.KnownEntries), zap.Duration("age", p.PeerReportAge), zap.String("owner", p.Owner),
 			zap.Stringer("framing", p.Framing), zap.Int("unfinished", p.UnfinishedBytes))
+		if p.Slowdown > 1 {
+			fields = append(fields, zap.Float64("slowdown", p.Slowdown))
+		}
 	}
 	switch res.Outcome {
 	case Complete, CallerLeft:
--- a/entry/direct/session.go
+++ b/entry/direct/session.go
@@ -126,6 +126,7 @@
 	if dec.Endpoint >= 0 {
 		m.Endpoint, m.Addr, m.Slots = a.id, a.sentAddr, a.endpoint.Slots
 		m.RequestsAhead, m.PromptTokens, m.HadFreeSlot = uint32(max(p.RequestsAhead, 0)), uint32(max(p.PromptTokensAhead, 0)), a.hadFreeSlot
+		m.SlowdownPercent = uint32(math.Round(100 * max(p.Slowdown, 1)))
 		s.placements[id] = a
 	}
 	// If the link cannot take the message, the link ends and with it the session.
@@ -148,7 +149,11 @@
 		delete(s.placements, m.ID)
 	}
 	s.d.mu.Unlock()
-	if m.OutputTokens > 0 || m.Outcome == wire.PlaceOpen {
+	isHead := m.Load != nil && m.Outcome == wire.PlaceOpen
+	if m.Load != nil {
+		a.handleStatedLoad(m.Load)
+	}
+	if m.OutputTokens > 0 || m.Outcome == wire.PlaceOpen && !isHead {
 		a.recordProgress(int(m.OutputTokens))
 	}
 	switch {
--- a/entry/direct/size_test.go
+++ b/entry/direct/size_test.go
@@ -41,6 +41,10 @@
 	// number of empty ones starts replacedAfter later.
 	lostFraction  float64
 	replacedAfter time.Duration
+	// uneven makes the engines uneven. state returns the slowdown in percent that they state in
+	// the heads of their answers; nil stands for heads without figures.
+	uneven bool
+	state  func(slowdown float64) int
 }
 
 // tallyTiming returns the time between two tallies of an entry and their latency, which in a
@@ -67,6 +71,9 @@
 	mu      sync.Mutex
 	// requests is the current count, maxRequests the largest one.
 	requests, maxRequests int
+	// uneven is the engine's speed, nil for a usual one.
+	uneven *unevenSpeed
+	state  func(slowdown float64) int
 }
 
 func newCountingEngine(slots int) *countingEngine {
@@ -97,8 +104,15 @@
 		pauses = append(pauses, time.Duration(output)*4*time.Millisecond/time.Duration(steps))
 	}
 	for i, p := range pauses {
+		if e.uneven != nil {
+			now := time.Since(e.uneven.start)
+			p = e.uneven.doneAt(now, p) - now
+		}
 		select {
 		case <-time.After(p):
+			if i == 0 {
+				e.sendHead(a)
+			}
 			a.recordProgress(max(output/(steps+1), 1))
 		case <-e.stopped:
 			a.finish(health.Broken)
@@ -186,6 +200,9 @@
 		roster := route.Roster{Revision: 1}
 		add := func(id string, i int) {
 			engines[id] = newCountingEngine(f.slots)
+			if f.uneven {
+				engines[id].uneven, engines[id].state = newUnevenSpeed(f, i, start), f.state
+			}
 			roster.Endpoints = append(roster.Endpoints, route.Endpoint{
 				ID: id, Incarnation: 1, Pool: "p", Addr: id, Zone: fmt.Sprint("z", i%fleetZones), Slots: f.slots,
 			})
@@ -195,8 +212,9 @@
 		}
 		cfg := route.Config{Revision: 1, Pools: []route.Pool{{Name: "p", Engine: true, Slots: f.slots}}}
 		for i := range f.kinds {
+			target, deadline := f.limitsOf(i)
 			cfg.Routes = append(cfg.Routes, route.Route{
-				Name: fmt.Sprint("r", i), Tier: f.kinds[i].tier, Target: replayTarget, Timeout: 5 * time.Second, Shares: []route.Share{{Pool: "p", Weight: 1}},
+				Name: fmt.Sprint("r", i), Tier: f.kinds[i].tier, Target: target, Timeout: deadline, Shares: []route.Share{{Pool: "p", Weight: 1}},
 			})
 		}
 		n := &network{ctx: ctx, directors: make(map[string]*Director), zones: make(map[string]string), connections: make(map[[2]string]*connection)}
--- a/entry/direct/view.go
+++ b/entry/direct/view.go
@@ -130,6 +130,8 @@
 	// declinedAt, when it declined one.
 	declineExcess int
 	declinedAt    time.Time
+	// stated is what the endpoint has stated of its load.
+	stated stated
 	// movedAt is when another endpoint last answered at its address.
 	movedAt time.Time
 	// warmAt is when the endpoint reaches its full speed, as a time since the director's
@@ -336,6 +338,9 @@
 		v.peerLoads[peer] = loads
 	}
 	for _, h := range t.Endpoints {
+		if e := v.endpoints[h.Endpoint]; e != nil {
+			e.noteCounted(v.tallyAt[peer])
+		}
 		v.addPeerWork(loads[h.Endpoint], -1)
 		v.addPeerWork(h, 1)
 		if h.Requests == 0 {
@@ -406,13 +411,14 @@
 		}
 		sum := e.peerWork
 		sum.add(e.ownWork, 1)
-		sum.requests += e.uncountedRequests(now)
+		sum.requests += max(e.uncountedRequests(now), e.statedExcess(now))
 		out = append(out, admit.Endpoint{
 			RateLimit: v.endpointLimit(e, sinceStart),
 			RestLeft:  restLeft,
 			SameZone:  e.Zone == from.zone, Usable: v.health.Usable(sinceStart, e.ID) && !e.isSilent(now, silenceBound) && !e.hasMoved(now), Slots: slots,
 			Requests: sum.requests, PromptTokens: sum.promptTokens, OutputTokens: sum.outputTokens,
 			KVTokensNeeded: sum.kvTokens, KVTokens: cfg.KVTokens, Pace: p.learner.Pace(e.ID),
+			Slowdown: e.stated.factor(sinceStart),
 		})
 	}
 	p.scratch = out
