--- a/entry/direct/crowd_test.go
+++ b/entry/direct/crowd_test.go
@@ -55,20 +55,19 @@
 	// estimateSpread is the standard deviation of the logarithm of the real output divided by
 	// the estimate. With zero the estimates are exact.
 	estimateSpread float64
-	// targets and deadlines are those of the kinds; replayTarget and replayDeadline if nil.
-	targets, deadlines []time.Duration
 	// silence is the patience of callers, zero if only the deadline counts.
 	silence time.Duration
 	// plansReturns is set if owners of shards plan the returns of refused callers.
 	plansReturns bool
+	// limits holds the target and the deadline of each kind; nil stands for replayTarget and replayDeadline.
+	limits [][2]time.Duration
 }
 
-// ofKind returns the value for a kind, or usual if there are none.
-func ofKind(values []time.Duration, k int, usual time.Duration) time.Duration {
-	if values == nil {
-		return usual
+func (w workload) limitsOf(kind int) (target, deadline time.Duration) {
+	if w.limits == nil {
+		return replayTarget, replayDeadline
 	}
-	return values[k]
+	return w.limits[kind][0], w.limits[kind][1]
 }
 
 // requestResult is the result of one request.
@@ -82,6 +81,9 @@
 	isRetry bool
 	// plan is what the caller was told at its first refusal.
 	plan resv.Plan
+	// arrivedAt is when the request arrived, firstEvent how long after that its first event.
+	arrivedAt, firstEvent time.Duration
+	kind, prompt, output  int
 	// size is the real number of prompt tokens plus ten times that of output tokens.
 	size int
 }
@@ -185,7 +187,7 @@
 		size := 0.3 + rnd.ExpFloat64()*0.7
 		j := &Job{
 			ID: fmt.Sprint(d.cfg.Addr, k, n), Route: &cfg.Routes[k], Pool: &cfg.Pools[0], Tier: cfg.Routes[k].TierOf(nil),
-			AcceptedAt: now, Deadline: now.Add(ofKind(w.deadlines, k, replayDeadline)), returnKey: rnd.Uint64() | 1,
+			AcceptedAt: now, Deadline: now.Add(cfg.Routes[k].Timeout), returnKey: rnd.Uint64() | 1,
 			PromptTokens: int(size * float64(w.kinds[k].prompt)), OutputTokens: max(int(size*float64(w.kinds[k].output)), 10),
 		}
 		actual := *j
@@ -210,8 +212,10 @@
 			}
 			if !r.refused {
 				serve(a, &actual)
-				r.metTarget = !a.firstAt.IsZero() && a.firstAt.Sub(now) <= ofKind(w.targets, k, replayTarget)
+				r.firstEvent = a.firstAt.Sub(now)
+				r.metTarget = !a.firstAt.IsZero() && r.firstEvent <= j.Route.Target && time.Since(now) <= j.Route.Timeout
 			}
+			r.arrivedAt, r.kind, r.prompt, r.output = now.Sub(start), k, actual.PromptTokens, actual.OutputTokens
 			record(r)
 		})
 	}
--- a/entry/direct/returns_test.go
+++ b/entry/direct/returns_test.go
@@ -31,7 +31,7 @@
 		workload: workload{
 			entries: entries, engines: engines, slots: slots, duration: 16 * time.Second, seed: 11, burst: 4, burstAt: time.Second, burstFor: 5 * time.Second,
 			kinds:   []requestKind{{0, rate, 3000, 360}, {1, rate, 2000, 290}, {2, rate, 1000, 215}},
-			targets: []time.Duration{time.Second, time.Second / 2, time.Second / 2}, deadlines: []time.Duration{15 * time.Second, 12 * time.Second, 12 * time.Second},
+			limits:  [][2]time.Duration{{time.Second, 15 * time.Second}, {time.Second / 2, 12 * time.Second}, {time.Second / 2, 12 * time.Second}},
 			silence: 4 * time.Second, retriesRefused: true, plansReturns: true,
 		},
 		usesOwners: true,
--- a/entry/direct/serve.go
+++ b/entry/direct/serve.go
@@ -127,6 +127,9 @@
 		if p.Returned > 0 {
 			fields = append(fields, zap.Duration("returned", p.Returned))
 		}
+		if p.Slowdown > 1 {
+			fields = append(fields, zap.Float64("slowdown", p.Slowdown))
+		}
 	}
 	switch res.Outcome {
 	case Complete, CallerLeft:
