core/fair, direct: divide the room of a tier between customers by fair queueing

A customer with a third of all requests takes as much of the room of a full pool, and one whose requests hold their slots for longer takes more. With overload.share_by_customer the owner of a shard orders the requests of a tier by start tags of their customers before their sizes.

--- a/core/route/table.go
+++ b/core/route/table.go
@@ -14,13 +14,15 @@
 	hosts     map[string][]*Route
 	pools     map[string]*Pool
 	customers map[string]*Customer
+	// weights holds the weights, by name, of the customers whose weight is not one.
+	weights map[string]float64
 }
 
 // NewTable returns the table of a configuration.
 func NewTable(cfg Config) *Table {
 	t := &Table{
 		cfg: cfg, hosts: make(map[string][]*Route),
-		pools: make(map[string]*Pool), customers: make(map[string]*Customer),
+		pools: make(map[string]*Pool), customers: make(map[string]*Customer), weights: make(map[string]float64),
 	}
 	for i := range cfg.Routes {
 		r := &cfg.Routes[i]
@@ -36,6 +38,9 @@
 		for _, k := range cfg.Customers[i].Keys {
 			t.customers[k] = &cfg.Customers[i]
 		}
+		if c := &cfg.Customers[i]; c.Weight > 0 && c.Weight != 1 {
+			t.weights[c.Name] = c.Weight
+		}
 	}
 	return t
 }
@@ -75,6 +80,14 @@
 // that are not public need a key.
 func (t *Table) RequiresKey() bool { return len(t.cfg.Customers) > 0 }
 
+// Weight returns the weight of a customer, which is one if its name is not known.
+func (t *Table) Weight(customer string) float64 {
+	if w, ok := t.weights[customer]; ok {
+		return w
+	}
+	return 1
+}
+
 // Customer returns the holder of a key.
 func (t *Table) Customer(key string) (*Customer, bool) {
 	c, ok := t.customers[key]
--- a/core/shard/shard.go
+++ b/core/shard/shard.go
@@ -24,9 +24,9 @@
 )
 
 const (
-	// maxEntriesWithoutOwners is the largest number of entries that place requests
-	// themselves. Their reports to each other are then as recent as an owner's answer.
-	maxEntriesWithoutOwners = 8
+	// MinOwnedEntries is the smallest number of entries with which shards have owners. The
+	// reports of fewer entries to each other are as recent as an owner's answer.
+	MinOwnedEntries = 9
 	// maxMeanShardEndpoints is the largest mean number of endpoints in a shard. An owner
 	// handles several messages for each request of its shard.
 	maxMeanShardEndpoints = 64
@@ -44,7 +44,7 @@
 )
 
 // HasOwners reports whether shards have owners in a fleet with the given number of entries.
-func HasOwners(entries int) bool { return entries > maxEntriesWithoutOwners }
+func HasOwners(entries int) bool { return entries >= MinOwnedEntries }
 
 // Key identifies a shard of a pool.
 type Key struct {
--- a/core/waitq/waitq.go
+++ b/core/waitq/waitq.go
@@ -28,9 +28,15 @@
 }
 
 // Priority determines a request's position in a queue: the highest tier first, then requests
-// whose size is owed service, then the earliest target.
+// whose customer is owed service, then the earliest start tag, then requests whose size is owed
+// service, then the earliest target.
 type Priority struct {
 	Tier route.Tier
+	// CustomerOwed and StartTag order the requests of a tier by customer; see package fair. They
+	// are zero where room is not shared by customer. The order by size follows them, so that
+	// the sizes of one customer's requests do not raise its share.
+	CustomerOwed bool
+	StartTag     time.Duration
 	// Owed is set if Floor.Claim returned true for the request when it was queued. Its hold time
 	// then does not count.
 	Owed bool
@@ -42,7 +48,7 @@
 
 // Compare orders priorities, the first to be served first.
 func (p Priority) Compare(o Priority) int {
-	return cmp.Or(p.Tier.Compare(o.Tier), compareFirst(p.Owed, o.Owed), cmp.Compare(p.orderKey(), o.orderKey()))
+	return cmp.Or(p.Tier.Compare(o.Tier), compareFirst(p.CustomerOwed, o.CustomerOwed), cmp.Compare(p.StartTag, o.StartTag), compareFirst(p.Owed, o.Owed), cmp.Compare(p.orderKey(), o.orderKey()))
 }
 
 // compareFirst orders true before false.
--- a/core/wire/frame_test.go
+++ b/core/wire/frame_test.go
@@ -31,7 +31,7 @@
 		&Snapshot{Content: SnapshotConfig, Revision: 3, Body: []byte("x")},
 		&Relay{Tallies: Tallies{{Name: "e2", Zone: "z1", Incarnation: 4, Body: []byte{1}}}},
 		&PlaceRequest{ID: 7, Pool: "p", Zone: "z1", ShardIndex: 2, RouteTier: 1, TargetUS: 600000, TargetLeftUS: 580000, DeadlineLeftUS: 3000000, PromptTokens: 1800, OutputTokens: 28, MayQueue: true, Fingerprint: 1 << 61, Customer: "c", SilenceLeftUS: 4000000},
-		&PlaceReply{ID: 7, Decided: true, Endpoint: "e", Addr: "a", Slots: 7, RosterRevision: 4, FirstEventUS: 90000, RequestsAhead: 3, PromptTokens: 2400, HadFreeSlot: true},
+		&PlaceReply{ID: 7, Decided: true, Endpoint: "e", Addr: "a", Slots: 7, RosterRevision: 4, FirstEventUS: 90000, RequestsAhead: 3, PromptTokens: 2400, HadFreeSlot: true, Share: 0.25, ShareDue: 0.125},
 		&PlaceReport{ID: 7, OutputTokens: 14, Outcome: PlaceResult, Load: &StatedLoad{Running: 3, Slots: 7, SlowdownPercent: 250}},
 		&StreamOrigins{Streams: []StreamOrigin{{Key: 1 << 60, Pool: "p", Version: "v1"}}}, &OriginQuery{ID: 8, Pool: "p", Key: 1 << 60}, &OriginReply{ID: 8, Known: true, Pool: "p", Version: "v1"},
 		&PlaceHold{ID: 7, MaxWaitUS: 900000}, &PlaceBookings{Pool: "p", Zone: "z1", Bookings: []Booking{{Fingerprint: 1 << 61, RouteTier: 1, AcceptedAgoUS: 40000, DueUS: 3000000, TargetUS: 600000, Plan: 2}}},
--- a/core/wire/place.go
+++ b/core/wire/place.go
@@ -92,6 +92,9 @@
 	HadFreeSlot                 bool
 	// Plan is the resv.Plan of a refused request, zero if there is none.
 	Plan uint8
+	// Share and ShareDue are, for a refused request, the customer's part of the work that was
+	// placed in its tier and its part by weight. ShareDue is zero if room is not shared.
+	Share, ShareDue float32
 }
 
 // The values of PlaceReport.Outcome. Values from PlaceResult on are the sum of
--- a/entry/direct/attempt.go
+++ b/entry/direct/attempt.go
@@ -61,6 +61,7 @@
 	if j.Pool.Engine {
 		req.OutputTokens = opts.outputTokens
 	}
+	j.share.limitWait(&req)
 	endpoints, from := p.endpoints, sender{zone: d.view.zone}
 	if opts.shard != nil {
 		endpoints, from = opts.shard.endpoints, opts.from
--- a/entry/direct/crowd_test.go
+++ b/entry/direct/crowd_test.go
@@ -21,6 +21,11 @@
 // testEngine serves requests in order of arrival, as many at once as it has slots.
 type testEngine struct{ slots chan struct{} }
 
+// serviceTime returns how long an engine takes for a request.
+func serviceTime(prompt, output int) time.Duration {
+	return 30*time.Millisecond + time.Duration(prompt)*9*time.Microsecond + time.Duration(output)*4*time.Millisecond
+}
+
 // serve runs the request of an attempt.
 func (e *testEngine) serve(a *attempt, prompt, output int) {
 	e.slots <- struct{}{}
@@ -54,6 +59,10 @@
 	// estimateSpread is the standard deviation of the logarithm of the real output divided by
 	// the estimate. With zero the estimates are exact.
 	estimateSpread float64
+	// target is the target of all routes, zero for replayTarget.
+	target time.Duration
+	// customer returns the customer of a request of a kind; nil for requests without a customer.
+	customer func(rnd *rand.Rand, kind int) *route.Customer
 }
 
 // requestResult is the result of one request.
@@ -67,6 +76,9 @@
 	isRetry bool
 	// size is the real number of prompt tokens plus ten times that of output tokens.
 	size int
+	// customer is the name of the request's customer, work the time for which it holds a slot.
+	customer string
+	work     time.Duration
 }
 
 const (
@@ -169,6 +181,9 @@
 			AcceptedAt: now, Deadline: now.Add(5 * time.Second),
 			PromptTokens: int(size * float64(w.kinds[k].prompt)), OutputTokens: max(int(size*float64(w.kinds[k].output)), 10),
 		}
+		if w.customer != nil {
+			j.Customer = w.customer(rnd, k)
+		}
 		actual := *j
 		if w.estimateSpread > 0 {
 			actual.OutputTokens = max(int(float64(j.OutputTokens)*math.Exp(rnd.NormFloat64()*w.estimateSpread)), 10)
@@ -176,17 +191,17 @@
 		actualSize := actual.PromptTokens + 10*actual.OutputTokens
 		running.Go(func() {
 			a, dec := d.admitJob(context.Background(), j)
-			r := requestResult{decidedAt: time.Since(start), tier: w.kinds[k].tier, refused: dec.Endpoint < 0, size: actualSize}
+			r := requestResult{decidedAt: time.Since(start), tier: w.kinds[k].tier, refused: dec.Endpoint < 0, size: actualSize, customer: j.customerName(), work: serviceTime(actual.PromptTokens, actual.OutputTokens)}
 			if r.refused && w.retriesRefused {
 				time.Sleep(dec.RetryAfter)
 				again := *j
 				again.AcceptedAt = time.Now()
 				a, dec = d.admitJob(context.Background(), &again)
-				r = requestResult{decidedAt: time.Since(start), tier: r.tier, refused: dec.Endpoint < 0, isRetry: true, size: actualSize}
+				r.decidedAt, r.refused, r.isRetry = time.Since(start), dec.Endpoint < 0, true
 			}
 			if !r.refused {
 				serve(a, &actual)
-				r.metTarget = !a.firstAt.IsZero() && a.firstAt.Sub(now) <= replayTarget
+				r.metTarget = !a.firstAt.IsZero() && a.firstAt.Sub(now) <= d.Table().Config().Routes[k].Target
 			}
 			record(r)
 		})
--- a/entry/direct/direct.go
+++ b/entry/direct/direct.go
@@ -87,6 +87,9 @@
 	// answerTimes holds the answer times by customer, retryTimes the retry delays given to
 	// refused callers, both in milliseconds.
 	answerTimes, retryTimes *meter.CustomerHistograms
+	// refusedShares holds, for refused requests by customer, the share of the work that was
+	// placed in percent of the share that is due.
+	refusedShares *meter.CustomerHistograms
 
 	mu   sync.Mutex
 	view *view
@@ -119,6 +122,9 @@
 		pendingPlacements: make(map[uint64]*pendingPlacement), ownerAttempts: make(map[string]map[uint64]*attempt), ownerBackoff: make(map[string]time.Time), originQueries: make(map[uint64]chan *wire.OriginReply),
 		answerTimes: cfg.Metrics.CustomerHistograms("customer_answer_ms"), retryTimes: cfg.Metrics.CustomerHistograms("customer_retry_ms"),
 	}
+	if cfg.Overload.ShareByCustomer {
+		d.refusedShares = cfg.Metrics.CustomerHistograms("customer_share")
+	}
 	d.view.limitShare = d.limitShare
 	return d
 }
--- a/entry/direct/job.go
+++ b/entry/direct/job.go
@@ -44,13 +44,12 @@
 	version boundVersion
 	// suspect identifies what the request asks for; Serve sets it.
 	suspect poison.Request
+	// share is the customer's share of the shard that decided last about the job.
+	share jobShare
 }
 
 func (j *Job) setSuspect() {
-	customer := ""
-	if j.Customer != nil {
-		customer = j.Customer.Name
-	}
+	customer := j.customerName()
 	j.suspect = poison.NewRequest(poison.NewFingerprint(j.Method, j.Host, j.Target, customer, j.Body), customer, j.Parts)
 }
 
--- a/entry/direct/place.go
+++ b/entry/direct/place.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"time"
@@ -98,7 +99,12 @@
 
 // usesShardOwners reports whether placements are requested from the owners of shards.
 func (d *Director) usesShardOwners(knownEntries int) bool {
-	return d.cfg.Peers.Entries != nil && shard.HasOwners(knownEntries)
+	return d.cfg.Peers.Entries != nil && knownEntries >= d.minOwnedEntries()
+}
+
+// minOwnedEntries returns the number of entries from which on shards have owners.
+func (d *Director) minOwnedEntries() int {
+	return cmp.Or(d.cfg.Overload.MinOwnedEntries, shard.MinOwnedEntries)
 }
 
 // shardOwner returns the entry that owns a shard; empty if there is none. The caller holds
@@ -220,7 +226,7 @@
 	pending := &pendingPlacement{owner: owner, answer: make(chan *wire.PlaceReply, 1)}
 	m := &wire.PlaceRequest{
 		ID: id, Pool: j.Pool.Name, Zone: k.Zone, ShardIndex: k.Index, CustomerTier: j.Tier.Customer, RouteTier: j.Tier.Route,
-		TargetUS: j.Route.Target.Microseconds(), TargetLeftUS: j.firstEventDue().Sub(now).Microseconds(), DeadlineLeftUS: j.End().Sub(now).Microseconds(), MayQueue: mayQueue,
+		TargetUS: j.Route.Target.Microseconds(), TargetLeftUS: j.firstEventDue().Sub(now).Microseconds(), DeadlineLeftUS: j.End().Sub(now).Microseconds(), MayQueue: mayQueue, Customer: j.customerName(),
 	}
 	if j.Pool.Engine {
 		m.PromptTokens, m.OutputTokens = uint32(max(j.PromptTokens, 0)), uint32(max(j.OutputTokens, 0))
@@ -279,6 +285,7 @@
 		Endpoint: reply.Endpoint, PredictedFirst: dec.FirstEvent, PredictedWait: dec.SlotWait, RequestsAhead: int(reply.RequestsAhead), PromptTokensAhead: int(reply.PromptTokens), ReachableEntries: reachableEntries, KnownEntries: knownEntries, Owner: owner,
 	}}
 	if reply.Endpoint == "" {
+		j.share.setFromReply(reply)
 		return a, dec, true
 	}
 	e := d.view.endpoints[reply.Endpoint]
--- a/entry/direct/serve.go
+++ b/entry/direct/serve.go
@@ -115,6 +115,7 @@
 			zap.Int("ahead", p.RequestsAhead), zap.Int("prompt", p.PromptTokensAhead), zap.Int("heard", p.ReachableEntries), zap.Int("known", p.KnownEntries), zap.Duration("age", p.PeerReportAge), zap.String("owner", p.Owner),
 			zap.Stringer("framing", p.Framing), zap.Int("unfinished", p.UnfinishedBytes))
 	}
+	fields = append(fields, d.reportShare(j, res)...)
 	switch res.Outcome {
 	case Complete, CallerLeft:
 		logs.Info(d.cfg.Log, logs.EventRequestDone, fields...)
--- a/entry/direct/session.go
+++ b/entry/direct/session.go
@@ -86,7 +86,7 @@
 	j := jobFromRequest(m, cfg)
 	a, dec, w := s.d.placeOrEnqueue(j, p, queueOptions{shard: target, from: s.peer, mayQueue: m.MayQueue})
 	if w == nil {
-		s.sendDecision(m.ID, a, dec)
+		s.sendDecision(m.ID, j, a, dec)
 		return
 	}
 	ctx, cancel := context.WithCancel(s.ctx)
@@ -99,7 +99,7 @@
 		delete(s.cancelWaits, m.ID)
 		a, dec := s.d.leaveQueue(w, p)
 		if ctx.Err() == nil {
-			s.sendDecision(m.ID, a, dec)
+			s.sendDecision(m.ID, j, a, dec)
 		} else if dec.Endpoint >= 0 {
 			a.releaseAll()
 		}
@@ -111,13 +111,13 @@
 	now := time.Now()
 	us := func(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
 	return &Job{
-		Route: &route.Route{Target: us(m.TargetUS), Timeout: math.MaxInt64}, Pool: cfg, Tier: route.Tier{Customer: m.CustomerTier, Route: m.RouteTier},
+		Route: &route.Route{Target: us(m.TargetUS), Timeout: math.MaxInt64}, Pool: cfg, Customer: customerOf(m), Tier: route.Tier{Customer: m.CustomerTier, Route: m.RouteTier},
 		AcceptedAt: now.Add(us(m.TargetLeftUS - m.TargetUS)), Deadline: now.Add(us(m.DeadlineLeftUS)), PromptTokens: int(m.PromptTokens), OutputTokens: int(m.OutputTokens),
 	}
 }
 
 // sendDecision sends a decision to the peer. The caller holds Director's mutex.
-func (s *Session) sendDecision(id uint64, a *attempt, dec admit.Decision) {
+func (s *Session) sendDecision(id uint64, j *Job, a *attempt, dec admit.Decision) {
 	p := a.placement
 	m := &wire.PlaceReply{
 		ID: id, Decided: true, RosterRevision: s.d.view.roster.Revision, RefusalReason: uint8(dec.Reason), RetryAfterUS: dec.RetryAfter.Microseconds(), SlotIntervalUS: dec.SlotInterval.Microseconds(),
@@ -127,6 +127,8 @@
 		m.Endpoint, m.Addr, m.Slots = a.id, a.sentAddr, a.endpoint.Slots
 		m.RequestsAhead, m.PromptTokens, m.HadFreeSlot = uint32(max(p.RequestsAhead, 0)), uint32(max(p.PromptTokensAhead, 0)), a.hadFreeSlot
 		s.placements[id] = a
+	} else {
+		j.share.setReply(m)
 	}
 	// If the link cannot take the message, the link ends and with it the session.
 	_ = s.reply(m)
--- a/entry/direct/size_test.go
+++ b/entry/direct/size_test.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"cmp"
 	"context"
 	"flag"
 	"fmt"
@@ -37,6 +38,8 @@
 	workload
 	// usesOwners is set if placements are requested from the owners of shards.
 	usesOwners bool
+	// overload holds the decisions of owners that are on.
+	overload Overload
 	// lostFraction is the fraction of the engines that end when the burst begins. The same
 	// number of empty ones starts replacedAfter later.
 	lostFraction  float64
@@ -196,7 +199,7 @@
 		cfg := route.Config{Revision: 1, Pools: []route.Pool{{Name: "p", Engine: true, Slots: f.slots}}}
 		for i := range f.kinds {
 			cfg.Routes = append(cfg.Routes, route.Route{
-				Name: fmt.Sprint("r", i), Tier: f.kinds[i].tier, Target: replayTarget, Timeout: 5 * time.Second, Shares: []route.Share{{Pool: "p", Weight: 1}},
+				Name: fmt.Sprint("r", i), Tier: f.kinds[i].tier, Target: cmp.Or(f.target, replayTarget), Timeout: 5 * time.Second, Shares: []route.Share{{Pool: "p", Weight: 1}},
 			})
 		}
 		n := &network{ctx: ctx, directors: make(map[string]*Director), zones: make(map[string]string), connections: make(map[[2]string]*connection)}
@@ -213,7 +216,7 @@
 			peers = append(peers, relay.Entry{Name: name, Zone: zone, Capacity: capacity})
 			d := New(Config{
 				Addr: name, Zone: zone, RetryBudget: RetryBudget{Ratio: 0.2, Slack: 50}, Client: hop.New(), Metrics: meter.New(), Log: zap.NewNop(),
-				EntryCounts: func() (int, int) { return f.entries, f.entries },
+				EntryCounts: func() (int, int) { return f.entries, f.entries }, Overload: f.overload,
 			})
 			if f.usesOwners {
 				d.cfg.Peers = Peers{
--- a/entry/direct/view.go
+++ b/entry/direct/view.go
@@ -8,6 +8,7 @@
 	"lycheepond/core/admit"
 	"lycheepond/core/canary"
 	"lycheepond/core/drain"
+	"lycheepond/core/fair"
 	"lycheepond/core/health"
 	"lycheepond/core/limit"
 	"lycheepond/core/origin"
@@ -111,6 +112,9 @@
 	// queue holds the requests that wait for a slot of the shard. It is empty unless
 	// this entry owns the shard.
 	queue waitq.Queue[*waiter]
+	// shares divides the room of each tier between the customers. It is empty unless this entry
+	// owns the shard and shares room by customer.
+	shares map[route.Tier]*fair.Tier
 }
 
 // endpoint is an endpoint with the work in flight there.
--- a/entry/direct/wait.go
+++ b/entry/direct/wait.go
@@ -87,6 +87,7 @@
 	now := time.Now()
 	position := d.queuePosition(j, p)
 	position.Owed = p.floor.Claim(queueClass(j), position.HoldTime)
+	d.askShare(j, opts.shard, &position)
 	queue := p.queueOf(opts.shard)
 	requestsAhead := queue.CountAhead(position)
 	c := d.contention(1, p, j, opts)
@@ -103,6 +104,7 @@
 	}
 	w := &waiter{job: j, options: opts, queuedAt: now, maxWait: maxWait, dispatched: make(chan struct{}), attempt: a, decision: dec, dispatchedBefore: p.dispatched[j.Tier]}
 	w.request = queue.Add(w, position)
+	j.share.wait()
 	d.view.queueCounts.addOwn(poolTier{j.Pool.Name, j.Tier}, 1)
 	return nil, admit.Decision{}, w
 }
@@ -123,6 +125,7 @@
 // recordService counts for the pool's floor that a job was served or refused.
 func (p *pool) recordService(j *Job, position waitq.Priority, served bool) {
 	p.floor.Record(queueClass(j), position.HoldTime, position.Owed, served)
+	j.share.end(served)
 }
 
 // leaveQueue removes a job from the queue, if it is still there, and returns the outcome of
