--- a/lychee/trace/trace.go
+++ b/lychee/trace/trace.go
@@ -70,6 +70,12 @@
 	Target        Duration `json:"target"`
 	// TimeLeft is the time until the caller's deadline for the whole answer.
 	TimeLeft Duration `json:"left"`
+	// Share is the customer's part of the work that was placed in its tier in the
+	// last seconds, ShareDue its part by weight among the customers who asked. ShareDue
+	// is zero if room is not shared by customer.
+	Share    float64 `json:"share"`
+	ShareDue float64 `json:"share_due"`
+	Weight   float64 `json:"weight"`
 	// QueueTime is the time that the request spent in the entry's queue.
 	QueueTime Duration `json:"stood"`
 	// SilentTime is how long the endpoint had sent nothing when its attempt ended.
@@ -213,6 +219,7 @@
 		if last.QueueTime > 0 {
 			fmt.Fprintf(&b, "; it stood in line for %v without finding a slot", last.QueueTime)
 		}
+		b.WriteString(describeShare(last))
 		fmt.Fprintf(&b, "; the caller was told to come back after %v", last.RetryAfter)
 	case last.Outcome == "refused" && last.Why == "late":
 		fmt.Fprintf(&b, "refused it: the first event was predicted after %v at the best endpoint that had room, where %v are wanted; the caller was told to come back after %v", last.PredictedLatency, last.Target, last.RetryAfter)
@@ -257,6 +264,19 @@
 	return b.String()
 }
 
+// describeShare describes the share of a refused request's customer, in part of a
+// sentence. It returns an empty string if room was not shared by customer.
+func describeShare(l Line) string {
+	if l.ShareDue <= 0 {
+		return ""
+	}
+	relation := "below"
+	if l.Share > l.ShareDue {
+		relation = "above"
+	}
+	return fmt.Sprintf("; the customer had %.1f%% of the work placed in its tier, %s the %.1f%% that its weight of %g gives it among those who asked", 100*l.Share, relation, 100*l.ShareDue, l.Weight)
+}
+
 // endpointName returns the endpoint's name for a sentence.
 func endpointName(endpoint string) string {
 	if endpoint == "" {
--- a/lychee/trace/trace_test.go
+++ b/lychee/trace/trace_test.go
@@ -91,11 +91,11 @@
 		why   string
 		parts []string
 	}{
-		{"full", []string{"90ms of it waiting for a slot", "stood in line for 40ms", "come back after 100ms"}},
+		{"full", []string{"90ms of it waiting for a slot", "stood in line for 40ms", "come back after 100ms", "had 25.0% of the work placed in its tier, above the 6.0% that its weight of 0.5"}},
 		{"late", []string{"predicted after 430ms", "that had room", "400ms are wanted"}},
 	} {
 		line := `{"time":"2026-01-01T00:00:00Z","event":"request_refused","process":"e","request_id":"x","outcome":"refused","why":"` + tt.why +
-			`","predicted":"430ms","wait":"90ms","target":"400ms","stood":"40ms","retry":"100ms","heard":4,"known":4}`
+			`","predicted":"430ms","wait":"90ms","target":"400ms","stood":"40ms","retry":"100ms","share":0.25,"share_due":0.06,"weight":0.5,"heard":4,"known":4}`
 		got, err := Read("x", strings.NewReader(line))
 		if err != nil {
 			t.Fatal(err)
