--- a/core/fair/fair.go
+++ b/core/fair/fair.go
@@ -32,8 +32,8 @@
 	// minCreditRequests and minRoundingRequests are lower bounds for both, in mean requests. With
 	// customers half a second of an equal share is less than one request, and a customer would
 	// have to wait its turn for each of them.
-	minCreditRequests   = 4
-	minRoundingRequests = 2
+	minCreditRequests   = 8
+	minRoundingRequests = 4
 	// activeTime is the time after its last request for which a customer counts among those who
 	// ask. It is longer than the time between two requests of most customers under overload and
 	// shorter than the crowds that are observed, which last ten seconds or more.
@@ -103,17 +103,19 @@
 	customer *customer
 	work     float64
 	startTag time.Duration
-	owed     bool
-	waits    bool
-	above    bool
+	// aboveShare is set if the customer is nearer to the virtual time than to the credit, and
+	// others ask too.
+	aboveShare bool
+	owed       bool
+	waits      bool
 }
 
 // StartTag returns the rounded start tag as a time of work by weight. Requests of one tier are
 // served in this order.
 func (r *Request) StartTag() time.Duration { return r.startTag }
 
-// AboveShare reports whether the customer has had its share of the room.
-func (r *Request) AboveShare() bool { return r.above }
+// AboveShare reports whether the customer has had its share of the room while others ask.
+func (r *Request) AboveShare() bool { return r.aboveShare }
 
 // Owed reports whether the request goes first in its tier because its customer is served less
 // than the floor allows. Until Place or Refuse is called, it counts as served, so that no more
@@ -140,7 +142,7 @@
 	r := &Request{customer: c, work: w}
 	start := t.startOf(c) + c.waiting/c.weight
 	r.startTag = t.round(start)
-	r.above = start > t.virtualTime-t.credit()/2
+	r.aboveShare = t.activeWeight > c.weight && start > t.virtualTime-t.credit()/2
 	if c.owed > 0 {
 		r.owed = true
 		c.owed -= w
--- a/entry/direct/place.go
+++ b/entry/direct/place.go
@@ -284,8 +284,8 @@
 	a := &attempt{placement: Placement{
 		Endpoint: reply.Endpoint, PredictedFirst: dec.FirstEvent, PredictedWait: dec.SlotWait, RequestsAhead: int(reply.RequestsAhead), PromptTokensAhead: int(reply.PromptTokens), ReachableEntries: reachableEntries, KnownEntries: knownEntries, Owner: owner,
 	}}
+	j.share.setFromReply(reply)
 	if reply.Endpoint == "" {
-		j.share.setFromReply(reply)
 		return a, dec, true
 	}
 	e := d.view.endpoints[reply.Endpoint]
--- a/entry/direct/shares.go
+++ b/entry/direct/shares.go
@@ -101,7 +101,7 @@
 	m.Share, m.ShareDue = float32(s.result.Placed), float32(s.result.Due)
 }
 
-// setFromReply takes the share from an owner's refusal.
+// setFromReply takes the share from an owner's answer; that of a placed request has none.
 func (s *jobShare) setFromReply(m *wire.PlaceReply) {
 	s.result = fair.Share{Placed: float64(m.Share), Due: float64(m.ShareDue)}
 }
--- a/entry/direct/shares_test.go
+++ b/entry/direct/shares_test.go
@@ -5,9 +5,14 @@
 	"math/rand/v2"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"lycheepond/core/admit"
+	"lycheepond/core/fair"
+	"lycheepond/core/meter"
 	"lycheepond/core/route"
+	"lycheepond/core/waitq"
 )
 
 // shareFleet returns a fleet of owners with 81 slots for each five entries, to which customers
@@ -48,7 +53,10 @@
 func TestCustomersBelowTheirShareAreServed(t *testing.T) {
 	small := requestKind{0, 50, 1000, 40}
 	for name, big := range map[string]requestKind{"7.5 times the requests": {0, 7.5 * 75, 1000, 40}, "requests of 1.5 s": {0, 75, 1000, 365}} {
-		for _, entries := range []int{5, 12} {
+		for _, entries := range []int{5, 12, 299} {
+			if entries > *maxFleetEntries {
+				continue
+			}
 			t.Run(fmt.Sprint(name, ", ", entries, " entries"), func(t *testing.T) {
 				total := func(f fleet) (n int) {
 					served, _ := servedRequests(f.replay(t).requests, 0, f.duration)
@@ -83,7 +91,7 @@
 // rare customers among 21,000 that are refused meanwhile.
 func TestCustomersAboveTheirShareAreEqual(t *testing.T) {
 	const large, from = 16, 2 * time.Second
-	for _, entries := range []int{5, 12} {
+	for _, entries := range []int{5, 12, 299} {
 		for _, rare := range []int{0, 20984} {
 			if entries > *maxFleetEntries {
 				continue
@@ -130,3 +138,152 @@
 		}
 	}
 }
+
+// Guards against large requests that are starved behind smaller ones, and against fewer requests
+// served, when the room is shared among customers who ask for about as much.
+func TestSharesKeepOrderBySize(t *testing.T) {
+	run := func(shares bool) (served int, results []requestResult) {
+		f := fleet{
+			workload: workload{
+				entries: 5, engines: 9, slots: 12, duration: 10 * time.Second, seed: 7,
+				burst: 2.6, burstFor: time.Minute, retriesRefused: true, estimateSpread: 0.5,
+				kinds: []requestKind{{0, 18.9, 6610, 380}, {1, 27.8, 628, 290}, {2, 34.7, 1800, 25}},
+				customer: func(rnd *rand.Rand, _ int) *route.Customer {
+					return &route.Customer{Name: fmt.Sprint("c", rnd.IntN(8))}
+				},
+			},
+			usesOwners: true, overload: Overload{ShareByCustomer: shares, MinOwnedEntries: 2},
+		}
+		results = f.replay(t).requests
+		for _, r := range results {
+			if !r.refused {
+				served++
+			}
+		}
+		return served, results
+	}
+	without, _ := run(false)
+	with, results := run(true)
+	t.Logf("%d of %d requests served, %d without shares", with, len(results), without)
+	if float64(with) < 0.93*float64(without) {
+		t.Errorf("%d requests are served, %d without shares", with, without)
+	}
+	for tier := range 3 {
+		all, largest, below := serviceBySize(results, tier)
+		t.Logf("tier %d: served %.2f, the largest tenth %.2f, the fifth below it %.2f", tier, all, largest, below)
+		if all > 0.02 && min(largest, below) < minSizeShare*all {
+			t.Errorf("tier %d: the largest tenth is served at %.2f of the rate of its tier, the fifth below it at %.2f", tier, largest/all, below/all)
+		}
+	}
+}
+
+// newSharingPair returns an entry pair whose owner shares the room of one engine by customer, and
+// places a request of the customer "a", which takes the only slot.
+func newSharingPair(t *testing.T) *entryPair {
+	t.Helper()
+	p := newEntryPair(t, 1)
+	p.outputTokens = 20
+	p.cfg.Revision, p.cfg.Customers = 2, []route.Customer{{Name: "a", Weight: 3}}
+	p.owner.SetConfig(p.cfg)
+	p.owner.cfg.Overload.ShareByCustomer = true
+	if _, dec := p.requester.admitJob(t.Context(), p.jobOf("a")); dec.Endpoint < 0 {
+		t.Fatalf("the first request is refused: %v", dec.Reason)
+	}
+	return p
+}
+
+func (p *entryPair) jobOf(customer string) *Job {
+	j := p.job()
+	j.Route, j.Tier = &p.cfg.Routes[1], p.cfg.Routes[1].TierOf(nil)
+	j.Customer = &route.Customer{Name: customer}
+	return j
+}
+
+// nextTag returns the start tag that the owner gives the next request of a customer.
+func (p *entryPair) nextTag(customer string) time.Duration {
+	p.owner.mu.Lock()
+	defer p.owner.mu.Unlock()
+	for _, s := range p.owner.view.pools["p"].shards {
+		var position waitq.Priority
+		j := p.jobOf(customer)
+		p.owner.askShare(j, s, &position)
+		j.share.end(false)
+		return position.StartTag
+	}
+	return 0
+}
+
+// An entry ends while its requests wait at an owner. Guards against work that stays counted for
+// their customer.
+func TestWaitingWorkOfEndedEntryIsTakenBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newSharingPair(t)
+		before := p.nextTag("b")
+		j := p.jobOf("b")
+		j.OutputTokens = 2000
+		go p.requester.admitJob(t.Context(), j)
+		time.Sleep(10 * time.Millisecond)
+		if during := p.nextTag("b"); during <= before {
+			t.Errorf("the tag is %v while requests wait, %v before", during, before)
+		}
+		p.session.Close()
+		if after := p.nextTag("b"); after != before {
+			t.Errorf("the tag is %v after the end of the entry, %v before", after, before)
+		}
+		time.Sleep(time.Second)
+	})
+}
+
+// Guards against refusals that tell neither the customer's share nor the weight by which it is
+// due, and against customers that only the requester knows and that get no share.
+func TestRefusalTellsShare(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newSharingPair(t)
+		for customer, want := range map[string]fair.Share{"a": {Placed: 1, Due: 0.75}, "only at the requester": {Due: 0.25}} {
+			// Both customers have asked.
+			p.nextTag("a")
+			p.nextTag("only at the requester")
+			j := p.jobOf(customer)
+			if _, dec := p.requester.admitJob(t.Context(), j); dec.Reason != admit.Full {
+				t.Fatalf("%s: %v", customer, dec.Reason)
+			}
+			if j.share.result != want {
+				t.Errorf("%s: share %+v, want %+v", customer, j.share.result, want)
+			}
+			if fields := p.requester.reportShare(j, Result{Outcome: Refused}); len(fields) != 3 {
+				t.Errorf("%s: %d fields", customer, len(fields))
+			}
+		}
+		for counter, want := range map[string]int64{"refused_over_share": 1, "refused_under_share": 1} {
+			if got := p.requester.cfg.Metrics.Counter(counter, meter.Label{Key: "pool", Value: "p"}).Count(); got != want {
+				t.Errorf("%s is %d, want %d", counter, got, want)
+			}
+		}
+	})
+}
+
+// Guards against shares that are kept, told or applied while the setting is off.
+func TestSharesAreOffByDefault(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newSharingPair(t)
+		p.owner.cfg.Overload.ShareByCustomer = false
+		j := p.jobOf("b")
+		if _, dec := p.requester.admitJob(t.Context(), j); dec.Reason != admit.Full {
+			t.Fatal(dec.Reason)
+		}
+		if fields := p.requester.reportShare(j, Result{Outcome: Refused}); fields != nil || p.nextTag("a") != 0 {
+			t.Errorf("%d fields, tag %v", len(fields), p.nextTag("a"))
+		}
+	})
+}
+
+// Guards against a setting without effect, and against a change of the default.
+func TestMinOwnedEntries(t *testing.T) {
+	p := newEntryPair(t, 1)
+	for setting, first := range map[int]int{0: 9, 2: 2} {
+		p.owner.cfg.Overload.MinOwnedEntries = setting
+		if p.owner.usesShardOwners(first-1) || !p.owner.usesShardOwners(first) {
+			t.Errorf("setting %d: shards do not have owners from %d entries on", setting, first)
+		}
+	}
+}
