--- a/core/wire/place.go
+++ b/core/wire/place.go
@@ -117,6 +117,9 @@
 	// moment, in hundredths of the usual time; zero if the owner is of an older version, which
 	// takes no StatedLoad.
 	SlowdownPercent uint32
+	// Share and ShareDue are, for a refused request, the customer's part of the work that was
+	// placed in its tier and its part by weight. ShareDue is zero if room is not shared.
+	Share, ShareDue float32
 }
 
 // The values of PlaceReport.Outcome. Values from PlaceResult on are the sum of
--- a/entry/direct/crowd_test.go
+++ b/entry/direct/crowd_test.go
@@ -22,6 +22,11 @@
 // testEngine serves requests in order of arrival, as many at once as it has slots.
 type testEngine struct{ slots chan struct{} }
 
+// serviceTime returns how long an engine takes for a request.
+func serviceTime(prompt, output int) time.Duration {
+	return 30*time.Millisecond + time.Duration(prompt)*9*time.Microsecond + time.Duration(output)*4*time.Millisecond
+}
+
 // serve runs the request of an attempt.
 func (e *testEngine) serve(a *attempt, prompt, output int) {
 	e.slots <- struct{}{}
@@ -57,8 +62,8 @@
 	estimateSpread float64
 	// silence is the patience of callers, zero if only the deadline counts.
 	silence time.Duration
-	// plansReturns is set if owners of shards plan the returns of refused callers.
-	plansReturns bool
+	// customer returns the customer of a request of a kind; nil for requests without a customer.
+	customer func(rnd *rand.Rand, kind int) *route.Customer
 	// limits holds the target and the deadline of each kind; nil stands for replayTarget and replayDeadline.
 	limits [][2]time.Duration
 }
@@ -86,6 +91,9 @@
 	kind, prompt, output  int
 	// size is the real number of prompt tokens plus ten times that of output tokens.
 	size int
+	// customer is the name of the request's customer, work the time for which it holds a slot.
+	customer string
+	work     time.Duration
 }
 
 const (
@@ -190,6 +198,9 @@
 			AcceptedAt: now, Deadline: now.Add(cfg.Routes[k].Timeout), returnKey: rnd.Uint64() | 1,
 			PromptTokens: int(size * float64(w.kinds[k].prompt)), OutputTokens: max(int(size*float64(w.kinds[k].output)), 10),
 		}
+		if w.customer != nil {
+			j.Customer = w.customer(rnd, k)
+		}
 		actual := *j
 		if w.estimateSpread > 0 {
 			actual.OutputTokens = max(int(float64(j.OutputTokens)*math.Exp(rnd.NormFloat64()*w.estimateSpread)), 10)
@@ -197,7 +208,7 @@
 		actualSize := actual.PromptTokens + 10*actual.OutputTokens
 		running.Go(func() {
 			a, dec := d.admitJob(context.Background(), j)
-			r := requestResult{decidedAt: time.Since(start), tier: w.kinds[k].tier, refused: dec.Endpoint < 0, size: actualSize}
+			r := requestResult{decidedAt: time.Since(start), tier: w.kinds[k].tier, refused: dec.Endpoint < 0, size: actualSize, customer: j.customerName(), work: serviceTime(actual.PromptTokens, actual.OutputTokens)}
 			if r.refused && w.retriesRefused {
 				plan := a.placement.Plan
 				if plan == resv.None {
@@ -208,7 +219,7 @@
 				again := *j
 				again.AcceptedAt, again.firstAt = time.Now(), time.Time{}
 				a, dec = d.admitJob(context.Background(), &again)
-				r = requestResult{decidedAt: time.Since(start), tier: r.tier, refused: dec.Endpoint < 0, isRetry: true, plan: plan, size: actualSize}
+				r.decidedAt, r.refused, r.isRetry, r.plan = time.Since(start), dec.Endpoint < 0, true, plan
 			}
 			if !r.refused {
 				serve(a, &actual)
--- a/entry/direct/job.go
+++ b/entry/direct/job.go
@@ -50,13 +50,12 @@
 	// if the owner of a shard has recognised it.
 	returnKey uint64
 	firstAt   time.Time
+	// share is the customer's share of the shard that decided last about the job.
+	share jobShare
 }
 
 func (j *Job) setSuspect() {
-	customer := ""
-	if j.Customer != nil {
-		customer = j.Customer.Name
-	}
+	customer := j.customerName()
 	j.suspect = poison.NewRequest(poison.NewFingerprint(j.Method, j.Host, j.Target, customer, j.Body), customer, j.Parts)
 	j.setReturnKey()
 }
--- a/entry/direct/returns_test.go
+++ b/entry/direct/returns_test.go
@@ -32,9 +32,9 @@
 			entries: entries, engines: engines, slots: slots, duration: 16 * time.Second, seed: 11, burst: 4, burstAt: time.Second, burstFor: 5 * time.Second,
 			kinds:   []requestKind{{0, rate, 3000, 360}, {1, rate, 2000, 290}, {2, rate, 1000, 215}},
 			limits:  [][2]time.Duration{{time.Second, 15 * time.Second}, {time.Second / 2, 12 * time.Second}, {time.Second / 2, 12 * time.Second}},
-			silence: 4 * time.Second, retriesRefused: true, plansReturns: true,
+			silence: 4 * time.Second, retriesRefused: true,
 		},
-		usesOwners: true,
+		usesOwners: true, overload: Overload{PlanReturns: true, MinOwnedEntries: 2},
 	}
 }
 
@@ -48,7 +48,7 @@
 		// replay returns how many are in time, served, and in time of the highest tier.
 		replay := func(plans bool) (n [3]int) {
 			f := crowdFleet(tt.entries, tt.engines)
-			f.plansReturns = plans
+			f.overload.PlanReturns = plans
 			for _, r := range f.replay(t).requests {
 				for i, counts := range []bool{r.metTarget, !r.refused, r.metTarget && r.tier == 0} {
 					if counts {
--- a/entry/direct/serve.go
+++ b/entry/direct/serve.go
@@ -131,6 +131,7 @@
 			fields = append(fields, zap.Float64("slowdown", p.Slowdown))
 		}
 	}
+	fields = append(fields, d.reportShare(j, res)...)
 	switch res.Outcome {
 	case Complete, CallerLeft:
 		logs.Info(d.cfg.Log, logs.EventRequestDone, fields...)
--- a/entry/direct/session.go
+++ b/entry/direct/session.go
@@ -88,7 +88,7 @@
 	j := jobFromRequest(m, cfg)
 	a, dec, w := s.d.placeOrEnqueue(j, p, queueOptions{shard: target, from: s.peer, mayQueue: m.MayQueue, plansReturn: m.MayQueue && s.d.plansReturns(j)})
 	if w == nil {
-		s.sendDecision(m.ID, a, dec)
+		s.sendDecision(m.ID, j, a, dec)
 		return
 	}
 	ctx, cancel := context.WithCancel(s.ctx)
@@ -109,7 +109,7 @@
 		}
 		delete(s.cancelWaits, m.ID)
 		if ctx.Err() == nil {
-			s.sendDecision(m.ID, a, dec)
+			s.sendDecision(m.ID, j, a, dec)
 		} else if dec.Endpoint >= 0 {
 			a.releaseAll()
 		}
@@ -126,13 +126,13 @@
 		r.MaxSilence = max(now.Sub(acceptedAt)+us(m.SilenceLeftUS), 1)
 	}
 	return &Job{
-		Route: r, Pool: cfg, Tier: route.Tier{Customer: m.CustomerTier, Route: m.RouteTier},
+		Route: r, Pool: cfg, Customer: customerOf(m), Tier: route.Tier{Customer: m.CustomerTier, Route: m.RouteTier},
 		AcceptedAt: acceptedAt, returnKey: m.Fingerprint, Deadline: now.Add(us(m.DeadlineLeftUS)), PromptTokens: int(m.PromptTokens), OutputTokens: int(m.OutputTokens),
 	}
 }
 
 // sendDecision sends a decision to the peer. The caller holds Director's mutex.
-func (s *Session) sendDecision(id uint64, a *attempt, dec admit.Decision) {
+func (s *Session) sendDecision(id uint64, j *Job, a *attempt, dec admit.Decision) {
 	p := a.placement
 	m := &wire.PlaceReply{
 		ID: id, Decided: true, RosterRevision: s.d.view.roster.Revision, RefusalReason: uint8(dec.Reason), RetryAfterUS: dec.RetryAfter.Microseconds(), SlotIntervalUS: dec.SlotInterval.Microseconds(),
@@ -144,6 +144,8 @@
 		m.RequestsAhead, m.PromptTokens, m.HadFreeSlot = uint32(max(p.RequestsAhead, 0)), uint32(max(p.PromptTokensAhead, 0)), a.hadFreeSlot
 		m.SlowdownPercent = uint32(math.Round(100 * max(p.Slowdown, 1)))
 		s.placements[id] = a
+	} else {
+		j.share.setReply(m)
 	}
 	// If the link cannot take the message, the link ends and with it the session.
 	_ = s.reply(m)
--- a/entry/direct/size_test.go
+++ b/entry/direct/size_test.go
@@ -37,6 +37,8 @@
 	workload
 	// usesOwners is set if placements are requested from the owners of shards.
 	usesOwners bool
+	// overload holds the decisions of owners that are on.
+	overload Overload
 	// lostFraction is the fraction of the engines that end when the burst begins. The same
 	// number of empty ones starts replacedAfter later.
 	lostFraction  float64
@@ -246,7 +248,7 @@
 			d := New(Config{
 				Addr: name, Zone: zone, RetryBudget: RetryBudget{Ratio: 0.2, Slack: 50}, Client: hop.New(), Metrics: meter.New(), Log: zap.NewNop(),
 				EntryCounts: func() (int, int) { return f.entries, f.entries },
-				Overload:    Overload{PlanReturns: f.plansReturns, MinOwnedEntries: 2},
+				Overload:    f.overload,
 			})
 			if f.usesOwners {
 				d.cfg.Peers = Peers{
@@ -273,7 +275,7 @@
 		}
 		for i, d := range directors {
 			running.Go(func() { f.broadcastTallies(ctx, i, directors) })
-			if f.plansReturns {
+			if f.overload.PlanReturns {
 				running.Go(func() { d.Run(ctx) })
 			}
 			for k := range f.kinds {
