--- a/core/wire/tallycode.go
+++ b/core/wire/tallycode.go
@@ -29,8 +29,9 @@
 	// originsMark is added in the same way by a sender that reads the messages about streams'
 	// origins. A message of a kind that the receiver does not know ends the link.
 	originsMark = "++"
-	// bookingsMark is added in the same way by a sender that reads PlaceBookings.
-	bookingsMark = "+++"
+	// placeMark is added in the same way by a sender that reads PlaceHold, PlaceBookings and place
+	// messages with more than the basic number of fields.
+	placeMark = "+++"
 )
 
 var errTallyFields = errors.New("wire: a tally lacks fields: run the same version on both ends")
@@ -53,12 +54,13 @@
 	t.MissingFrom = append(slices.Clip(t.MissingFrom), originsMark)
 }
 
-// ReadsBookings reports whether the sender reads PlaceBookings.
-func (t *Tally) ReadsBookings() bool { return slices.Contains(t.MissingFrom, bookingsMark) }
+// ReadsPlaceExtensions reports whether the sender reads PlaceHold, PlaceBookings and any number of
+// fields of the other place messages. Others are sent what Basic returns.
+func (t *Tally) ReadsPlaceExtensions() bool { return slices.Contains(t.MissingFrom, placeMark) }
 
-// SetReadsBookings marks the sender as one that reads these messages.
-func (t *Tally) SetReadsBookings() {
-	t.MissingFrom = append(slices.Clip(t.MissingFrom), bookingsMark)
+// SetReadsPlaceExtensions marks the sender as one that reads these messages.
+func (t *Tally) SetReadsPlaceExtensions() {
+	t.MissingFrom = append(slices.Clip(t.MissingFrom), placeMark)
 }
 
 // EncodeMsgpack writes the tally as an array. It omits as many of the fields after
--- a/entry/mesh/accept.go
+++ b/entry/mesh/accept.go
@@ -76,9 +76,13 @@
 				if m.cfg.ServePlacements == nil {
 					return
 				}
-				handlePlacement, endPlacements = m.cfg.ServePlacements(ctx, hello.Name, hello.Zone, link.Send)
+				handlePlacement, endPlacements = m.cfg.ServePlacements(ctx, hello.Name, hello.Zone, func(reply wire.Message) error { return m.sendReply(link, reply) })
 				m.addPlacementLinks(1)
 			}
+			if r, ok := t.(*wire.PlaceRequest); ok && !m.readsPlaceExtensions(link) {
+				// The reply could not carry the plan of a return.
+				r.Fingerprint = 0
+			}
 			handlePlacement(t)
 		case *wire.Tally:
 			m.handleTally(origin{hello.Name, hello.Zone, hello.Incarnation}, relay.Direct, t, nil)
@@ -97,6 +101,33 @@
 	})
 }
 
+// errNotRead is returned for a message that the peer's version does not read.
+var errNotRead = errors.New("mesh: the peer's version does not read this message")
+
+// sendReply sends an answer to a placement request over a link that the peer dialled.
+func (m *Mesh) sendReply(link *wire.Link, msg wire.Message) error {
+	if !m.readsPlaceExtensions(link) {
+		if msg = wire.Basic(msg); msg == nil {
+			return errNotRead
+		}
+	}
+	return link.Send(msg)
+}
+
+// readsPlaceExtensions reports whether the process at the other end of a link has stated that it
+// reads place messages that wire.Basic changes.
+func (m *Mesh) readsPlaceExtensions(link *wire.Link) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.peers[link.Peer().Name].readsExtensionsOver(link)
+}
+
+// readsExtensionsOver is Mesh.readsPlaceExtensions for a link to the peer, which may be nil. An
+// earlier process of the peer may have been of another version. It is called with mu held.
+func (p *peer) readsExtensionsOver(link *wire.Link) bool {
+	return p != nil && p.readsPlaceExtensions && p.incarnation == link.Peer().Incarnation
+}
+
 // entry returns what relay.New needs to know about a peer.
 func (p *peer) entry(name string) relay.Entry {
 	return relay.Entry{Name: name, Zone: p.zone, Capacity: p.capacity}
@@ -205,7 +236,7 @@
 		p.capacity = t.Capacity
 	}
 	if t.Full {
-		p.readsExtensions, p.readsOrigins, p.readsBookings = t.AcceptsMoreFields(), t.ReadsOrigins(), t.ReadsBookings()
+		p.readsExtensions, p.readsOrigins, p.readsPlaceExtensions = t.AcceptsMoreFields(), t.ReadsOrigins(), t.ReadsPlaceExtensions()
 	}
 	for _, e := range t.Entries {
 		m.noteNamed(e, now)
--- a/entry/mesh/ask.go
+++ b/entry/mesh/ask.go
@@ -40,8 +40,9 @@
 	}
 }
 
-// Send sends a message over the link to a peer. It reports false if there is no
-// such link or sending fails.
+// Send sends a message over the link to a peer, place messages as the peer's version
+// reads them. It reports false if there is no such link, the peer does not read the
+// message or sending fails.
 func (m *Mesh) Send(peer string, msg wire.Message) bool {
 	m.mu.Lock()
 	var link *wire.Link
@@ -49,9 +50,12 @@
 		if d := m.dials[p.addr]; d != nil && d.peer == peer {
 			link = d.link
 		}
+		if link != nil && !p.readsExtensionsOver(link) {
+			msg = wire.Basic(msg)
+		}
 	}
 	m.mu.Unlock()
-	return link != nil && link.Send(msg) == nil
+	return link != nil && msg != nil && link.Send(msg) == nil
 }
 
 // handleReply handles a message that a peer sends over a link that this entry
@@ -83,15 +87,6 @@
 	return reads && m.Send(peer, msg)
 }
 
-// SendBookings is like Send for bookings, which peers of older versions can't read.
-func (m *Mesh) SendBookings(peer string, msg wire.Message) bool {
-	m.mu.Lock()
-	p := m.peers[peer]
-	reads := p != nil && p.readsBookings
-	m.mu.Unlock()
-	return reads && m.Send(peer, msg)
-}
-
 // addPlacementLinks adds n to the number of links over which peers request
 // placements from this entry.
 func (m *Mesh) addPlacementLinks(n int) {
--- a/entry/mesh/forward.go
+++ b/entry/mesh/forward.go
@@ -114,8 +114,8 @@
 		if p.readsOrigins {
 			t.SetReadsOrigins()
 		}
-		if p.readsBookings {
-			t.SetReadsBookings()
+		if p.readsPlaceExtensions {
+			t.SetReadsPlaceExtensions()
 		}
 		m.mu.Unlock()
 		if body := m.encode(t); body != nil {
--- a/entry/mesh/mesh.go
+++ b/entry/mesh/mesh.go
@@ -178,8 +178,8 @@
 	readsExtensions bool
 	// readsOrigins is set if the peer reads messages about streams' origins.
 	readsOrigins bool
-	// readsBookings is set if the peer reads PlaceBookings.
-	readsBookings bool
+	// readsPlaceExtensions is set if the peer reads place messages that wire.Basic changes.
+	readsPlaceExtensions bool
 	// isReachable is set while the peer's tallies arrive. hasGap is set while one
 	// of its tallies is missing.
 	isReachable, hasGap bool
--- a/entry/mesh/mesh_test.go
+++ b/entry/mesh/mesh_test.go
@@ -23,6 +23,8 @@
 	stop func()
 	// held is the ID of the latest PlaceHold.
 	held atomic.Uint64
+	// asked is the latest PlaceRequest.
+	asked atomic.Pointer[wire.PlaceRequest]
 
 	mu sync.Mutex
 	// usedTotal is the usage that the entry reports for customer c. changed is set
@@ -95,8 +97,11 @@
 		},
 		ServePlacements: func(_ context.Context, _, _ string, reply func(wire.Message) error) (func(wire.Message), func()) {
 			return func(m wire.Message) {
-				if b, ok := m.(*wire.PlaceBookings); ok {
-					_ = reply(&wire.PlaceHold{ID: uint64(len(b.Bookings))})
+				switch m := m.(type) {
+				case *wire.PlaceRequest:
+					e.asked.Store(m)
+				case *wire.PlaceBookings:
+					_ = reply(&wire.PlaceHold{ID: uint64(len(m.Bookings))})
 				}
 			}, func() {}
 		},
@@ -320,12 +325,12 @@
 	a := startIn(t, "z", "a")
 	b := startIn(t, "z", "b", a.addr)
 	m := &wire.PlaceBookings{Pool: "p", Bookings: make(wire.Bookings, 3)}
-	await(t, "the bookings to be sent", func() bool { return b.mesh.SendBookings("a", m) })
+	await(t, "the bookings to be sent", func() bool { return b.mesh.Send("a", m) })
 	await(t, "the hold", func() bool { return b.held.Load() == 3 })
 	b.mesh.mu.Lock()
-	b.mesh.peers["a"].readsBookings = false
+	b.mesh.peers["a"].readsPlaceExtensions = false
 	b.mesh.mu.Unlock()
-	if b.mesh.SendBookings("a", m) {
+	if b.mesh.Send("a", m) {
 		t.Error("bookings were sent to a peer that does not read them")
 	}
 }
--- a/entry/mesh/send.go
+++ b/entry/mesh/send.go
@@ -194,7 +194,7 @@
 	m.mu.Unlock()
 	t.SetAcceptsMoreFields()
 	t.SetReadsOrigins()
-	t.SetReadsBookings()
+	t.SetReadsPlaceExtensions()
 	m.sendFull(gapLinks, t, now)
 	// A peer that has just connected may know no other entry.
 	known := *t
