--- a/core/wire/place_test.go
+++ b/core/wire/place_test.go
@@ -22,7 +22,7 @@
 			"\x9c\x07\xa1p\xa2z1\x02\x03\x01\xcd\x02\x58\xff\x09\x12\x1c\xc3",
 		},
 		{
-			&PlaceReply{ID: 7, Decided: true, Endpoint: "e", Addr: "a", Slots: 7, RosterRevision: 4, RefusalReason: 3, RetryAfterUS: 5, SlotIntervalUS: 6, FirstEventUS: 8, WaitUS: 9, QueuedUS: 10, RequestsAhead: 11, PromptTokens: 12, HadFreeSlot: true, Plan: 2, FirstAgoUS: 13, Incarnation: 14, SlowdownPercent: 250},
+			&PlaceReply{ID: 7, Decided: true, Endpoint: "e", Addr: "a", Slots: 7, RosterRevision: 4, RefusalReason: 3, RetryAfterUS: 5, SlotIntervalUS: 6, FirstEventUS: 8, WaitUS: 9, QueuedUS: 10, RequestsAhead: 11, PromptTokens: 12, HadFreeSlot: true, Plan: 2, FirstAgoUS: 13, Incarnation: 14, SlowdownPercent: 250, Share: 0.25, ShareDue: 0.125},
 			&PlaceReply{ID: 7, Decided: true, Endpoint: "e", Addr: "a", Slots: 7, RosterRevision: 4, RefusalReason: 3, RetryAfterUS: 5, SlotIntervalUS: 6, FirstEventUS: 8, WaitUS: 9, QueuedUS: 10, RequestsAhead: 11, PromptTokens: 12, HadFreeSlot: true},
 			"\x9f\x07\xc3\xa1e\xa1a\x07\x04\x03\x05\x06\x08\x09\x0a\x0b\x0c\xc3",
 		},
--- a/core/wire/placecode.go
+++ b/core/wire/placecode.go
@@ -64,10 +64,10 @@
 	}
 }
 
-func (m *PlaceReply) fields() [19]any {
+func (m *PlaceReply) fields() [21]any {
 	return [...]any{
 		&m.ID, &m.Decided, &m.Endpoint, &m.Addr, &m.Slots, &m.RosterRevision, &m.RefusalReason, &m.RetryAfterUS, &m.SlotIntervalUS, &m.FirstEventUS, &m.WaitUS, &m.QueuedUS, &m.RequestsAhead, &m.PromptTokens, &m.HadFreeSlot,
-		&m.Plan, &m.FirstAgoUS, &m.Incarnation, &m.SlowdownPercent,
+		&m.Plan, &m.FirstAgoUS, &m.Incarnation, &m.SlowdownPercent, &m.Share, &m.ShareDue,
 	}
 }
 
