wire, direct: bookings sent to a new owner carry the deadline

Without it, the new owner could not tell requests of equal content apart and refused all that came before the booked one was due as early returns.

--- a/core/wire/frame_test.go
+++ b/core/wire/frame_test.go
@@ -34,7 +34,7 @@
 		&PlaceReply{ID: 7, Decided: true, Endpoint: "e", Addr: "a", Slots: 7, RosterRevision: 4, FirstEventUS: 90000, RequestsAhead: 3, PromptTokens: 2400, HadFreeSlot: true, Incarnation: 1700},
 		&PlaceReport{ID: 7, OutputTokens: 14, Outcome: PlaceResult, Load: &StatedLoad{Running: 3, Slots: 7, SlowdownPercent: 250}},
 		&StreamOrigins{Streams: []StreamOrigin{{Key: 1 << 60, Pool: "p", Version: "v1"}}}, &OriginQuery{ID: 8, Pool: "p", Key: 1 << 60}, &OriginReply{ID: 8, Known: true, Pool: "p", Version: "v1"},
-		&PlaceHold{ID: 7, MaxWaitUS: 900000}, &PlaceBookings{Pool: "p", Zone: "z1", Bookings: Bookings{{Fingerprint: 1 << 61, RouteTier: 1, AcceptedAgoUS: 40000, DueUS: 3000000, TargetUS: 600000, Plan: 2}}},
+		&PlaceHold{ID: 7, MaxWaitUS: 900000}, &PlaceBookings{Pool: "p", Zone: "z1", Bookings: Bookings{{Fingerprint: 1 << 61, RouteTier: 1, AcceptedAgoUS: 40000, DueUS: 3000000, TargetUS: 600000, DeadlineLeftUS: 9000000, Plan: 2}}},
 	}
 }
 
--- a/core/wire/place.go
+++ b/core/wire/place.go
@@ -73,8 +73,9 @@
 	// CustomerTier and RouteTier are the request's tier.
 	CustomerTier, RouteTier int
 	// AcceptedAgoUS is the time since the first attempt, DueUS the time until the caller
-	// is expected, negative if that has passed. TargetUS is the request's target.
-	AcceptedAgoUS, DueUS, TargetUS int64
+	// is expected, negative if that has passed. TargetUS is the request's target,
+	// DeadlineLeftUS the time until the caller's deadline.
+	AcceptedAgoUS, DueUS, TargetUS, DeadlineLeftUS int64
 	// Plan is the resv.Plan that the caller was told.
 	Plan uint8
 }
--- a/entry/direct/returns.go
+++ b/entry/direct/returns.go
@@ -249,7 +249,7 @@
 	for _, b := range list {
 		m.Bookings = append(m.Bookings, wire.Booking{
 			Fingerprint: b.Fingerprint, CustomerTier: b.Tier.Customer, RouteTier: b.Tier.Route, AcceptedAgoUS: (at - b.FirstAt).Microseconds(),
-			DueUS: (b.DueAt - at).Microseconds(), TargetUS: b.Target.Microseconds(), Plan: uint8(b.Plan),
+			DueUS: (b.DueAt - at).Microseconds(), TargetUS: b.Target.Microseconds(), DeadlineLeftUS: (b.EndAt - at).Microseconds(), Plan: uint8(b.Plan),
 		})
 	}
 	return d.cfg.Peers.SendBookings != nil && d.cfg.Peers.SendBookings(t.owner, m)
@@ -291,7 +291,7 @@
 	for _, b := range m.Bookings {
 		p.restoreBooking(shard.Key{Zone: m.Zone, Index: m.ShardIndex}, resv.Booking{
 			Fingerprint: b.Fingerprint, Tier: route.Tier{Customer: b.CustomerTier, Route: b.RouteTier}, Target: us(b.TargetUS),
-			FirstAt: now - us(b.AcceptedAgoUS), DueAt: now + us(b.DueUS), Plan: resv.Plan(b.Plan),
+			FirstAt: now - us(b.AcceptedAgoUS), DueAt: now + us(b.DueUS), EndAt: now + us(b.DeadlineLeftUS), Plan: resv.Plan(b.Plan),
 		})
 	}
 }
--- a/entry/direct/returns_test.go
+++ b/entry/direct/returns_test.go
@@ -266,7 +266,8 @@
 }
 
 // The owner and a quarter of the endpoints end. Guards against promises that end with the owner:
-// the entries must tell the new owner, so that it recognises the callers, each of them once.
+// the entries must tell the new owner, so that it recognises the callers, each of them once, and no requests
+// of equal content.
 func TestReturnAfterOwnerHasEnded(t *testing.T) {
 	replayReturns(t, 4, func(r *returnRig) {
 		const callers = 40
@@ -278,6 +279,22 @@
 		}
 		r.lose(r.owner)
 		r.elect()
+		time.Sleep(500 * time.Millisecond)
+		var running []*attempt
+		for i := range uint64(4) {
+			if a, dec := r.directors[r.owner].admitJob(r.ctx, r.job(100+i)); dec.Endpoint >= 0 {
+				running = append(running, a)
+			}
+		}
+		for key := range uint64(2) {
+			equal := r.job(key + 1)
+			if a, _ := r.refuse(r.asker, equal, resv.Later, 3*time.Second, 4*time.Second); a.placement.Returned != 0 {
+				t.Errorf("a request of equal content counts as a return after %v", a.placement.Returned)
+			}
+		}
+		for _, a := range running {
+			a.finish(health.Success)
+		}
 		r.setEngines(2, 3)
 		recognised := 0
 		for i, j := range jobs {
