resv: requests of equal content are booked separately

They shared one record: a newcomer took the booking and the first attempt of the oldest request, whatever its deadline, and an ended record that was not swept yet was revived with its old times. A return now belongs to the booking whose deadline fits.

--- a/core/resv/book.go
+++ b/core/resv/book.go
@@ -26,6 +26,9 @@
 	// dueInterval is the width of the intervals of due times in which bookings are counted: about
 	// as long as late work waits at most.
 	dueInterval = time.Second
+	// maxSameContent is the largest number of bookings with one fingerprint. Further requests of
+	// equal content are not booked and return as newcomers.
+	maxSameContent = 8
 	// sweepInterval is the time between two searches for bookings that have ended.
 	sweepInterval = 250 * time.Millisecond
 )
@@ -38,11 +41,21 @@
 	Target      time.Duration
 	// FirstAt is the time of the first attempt, DueAt when the caller should return.
 	FirstAt, DueAt time.Duration
-	// EndAt is the caller's deadline, zero if it is not known.
+	// EndAt is the caller's deadline. It tells requests of equal content apart.
 	EndAt time.Duration
 	Plan  Plan
 }
 
+// IsFor reports whether a request with the booking's fingerprint and the deadline endAt may be
+// another attempt of the booked request.
+func (b *Booking) IsFor(endAt time.Duration) bool { return b.endDifference(endAt) <= sameEnd }
+
+func (b *Booking) endDifference(endAt time.Duration) time.Duration {
+	return max(endAt-b.EndAt, b.EndAt-endAt)
+}
+
+func (b *Booking) hasEnded(now time.Duration) bool { return now > b.DueAt+Grace }
+
 // Arrival says how a request relates to the bookings.
 type Arrival uint8
 
@@ -50,7 +63,7 @@
 const (
 	// Newcomer means that there is no booking.
 	Newcomer Arrival = iota
-	// Early means that the caller has returned before its time and keeps its booking.
+	// Early means that the caller may have returned before its time. The booking stays.
 	Early
 	// Due means that the caller has used its booking.
 	Due
@@ -58,7 +71,8 @@
 
 // Book holds the bookings of one shard. The zero value is empty. It is owned by one goroutine.
 type Book struct {
-	records map[uint64]*record
+	// bookings holds the bookings by fingerprint, at most maxSameContent of each.
+	bookings map[uint64][]Booking
 	// count is the number of bookings, at most maxBookings.
 	count int
 	// later is the number of bookings with the plan Later by tier and due time, without zero
@@ -74,64 +88,67 @@
 	interval int
 }
 
-// record holds the bookings with one fingerprint. Requests of equal content cannot be told
-// apart, so they are counted and share the earliest times.
-type record struct {
-	Booking
-	count int
-	// lastDueAt is the latest due time.
-	lastDueAt time.Duration
-}
-
-func (r *record) hasEnded(now time.Duration) bool { return now > r.lastDueAt+Grace }
-
 // Len returns the number of bookings.
 func (b *Book) Len() int { return b.count }
 
-// Add books a request. If there are too many bookings, those with the latest due times are
-// dropped.
+// Add books a request, unless maxSameContent requests of equal content are booked. If there are
+// too many bookings, those with the latest due times are dropped.
 func (b *Book) Add(booking Booking) {
-	r := b.records[booking.Fingerprint]
-	if r == nil {
-		if b.records == nil {
-			b.records, b.later = make(map[uint64]*record), make(map[dueTier]int)
-		}
-		r = &record{Booking: booking}
+	list := b.bookings[booking.Fingerprint]
+	if len(list) >= maxSameContent {
+		return
 	}
-	// The due time of the record must not change while it is counted by that.
-	n := r.count
-	b.addCount(r, -n)
-	r.FirstAt, r.DueAt, r.lastDueAt = min(r.FirstAt, booking.FirstAt), min(r.DueAt, booking.DueAt), max(r.lastDueAt, booking.DueAt)
-	b.addCount(r, n+1)
+	if b.bookings == nil {
+		b.bookings, b.later = make(map[uint64][]Booking), make(map[dueTier]int)
+	}
+	b.bookings[booking.Fingerprint] = append(list, booking)
+	b.addCount(&booking, 1)
 	if b.count > maxBookings {
 		b.evictLatest()
 	}
 }
 
-// Restore books a request that another owner had booked, unless its fingerprint is booked
-// already: an entry may report a booking twice.
+// Restore books a request that another owner had booked, unless it is booked already: an entry
+// may report a booking twice.
 func (b *Book) Restore(booking Booking) {
-	if b.records[booking.Fingerprint] == nil {
+	if !slices.ContainsFunc(b.bookings[booking.Fingerprint], func(o Booking) bool { return o.IsFor(booking.EndAt) }) {
 		b.Add(booking)
 	}
 }
 
-// Claim uses the booking of a request that has arrived, if there is one. endAt is the request's
-// deadline: a request with a booked fingerprint but another deadline that comes before the due
-// time is not an early return but another request of equal content.
+// Claim uses the booking of a request that has arrived with the deadline endAt, if there is one
+// and its caller is due. Of several bookings it takes one that is due, then the one with the
+// closest deadline.
 func (b *Book) Claim(now time.Duration, fingerprint uint64, endAt time.Duration) (Booking, Arrival) {
-	r := b.records[fingerprint]
-	switch {
-	case r == nil || r.hasEnded(now):
-		return Booking{}, Newcomer
-	case now < r.DueAt-earlyTolerance:
-		if r.EndAt != 0 && max(endAt-r.EndAt, r.EndAt-endAt) > sameEnd {
-			return Booking{}, Newcomer
+	list, found, arrival := b.bookings[fingerprint], -1, Newcomer
+	for i := range list {
+		r := &list[i]
+		if r.hasEnded(now) || !r.IsFor(endAt) {
+			continue
+		}
+		a := Due
+		if now < r.DueAt-earlyTolerance {
+			a = Early
+		}
+		if found < 0 || a > arrival || a == arrival && r.endDifference(endAt) < list[found].endDifference(endAt) {
+			found, arrival = i, a
 		}
-		return r.Booking, Early
 	}
-	b.addCount(r, -1)
-	return r.Booking, Due
+	if found < 0 {
+		return Booking{}, Newcomer
+	}
+	booking := list[found]
+	if arrival == Due {
+		b.removeAt(fingerprint, found)
+	}
+	return booking, arrival
+}
+
+// Use removes the booking of a caller that was placed before its time.
+func (b *Book) Use(booking Booking) {
+	if i := slices.Index(b.bookings[booking.Fingerprint], booking); i >= 0 {
+		b.removeAt(booking.Fingerprint, i)
+	}
 }
 
 // LaterAhead returns how many requests of the same or a higher tier are booked for later, and how
@@ -156,44 +173,59 @@
 		return 0
 	}
 	b.sweptAt = now
+	return b.removeFunc(func(r *Booking) bool { return r.hasEnded(now) })
+}
+
+// removeFunc removes the bookings for which drop returns true and returns their number.
+func (b *Book) removeFunc(drop func(*Booking) bool) int {
 	before := b.count
-	for _, r := range b.records {
-		if r.hasEnded(now) {
-			b.addCount(r, -r.count)
+	for fingerprint, list := range b.bookings {
+		for i := len(list) - 1; i >= 0; i-- {
+			if drop(&list[i]) {
+				b.removeAt(fingerprint, i)
+			}
 		}
 	}
 	return before - b.count
 }
 
-// addCount adds n bookings to a record and removes it if none are left.
-func (b *Book) addCount(r *record, n int) {
-	r.count += n
+// removeAt removes the booking of a fingerprint with the index i.
+func (b *Book) removeAt(fingerprint uint64, i int) {
+	list := b.bookings[fingerprint]
+	b.addCount(&list[i], -1)
+	if len(list) == 1 {
+		delete(b.bookings, fingerprint)
+		return
+	}
+	b.bookings[fingerprint] = slices.Delete(list, i, i+1)
+}
+
+// addCount adds n to the counts of bookings like r.
+func (b *Book) addCount(r *Booking, n int) {
 	b.count += n
 	if k := (dueTier{r.Tier, int(r.DueAt / dueInterval)}); r.Plan == Later {
 		if b.later[k] += n; b.later[k] == 0 {
 			delete(b.later, k)
 		}
 	}
-	if r.count == 0 {
-		delete(b.records, r.Fingerprint)
-	} else {
-		b.records[r.Fingerprint] = r
-	}
 }
 
-// evictLatest drops the evictedShare of the fingerprints that are due last, at least one.
+// evictLatest drops the evictedShare of the bookings that are due last, at least one.
 func (b *Book) evictLatest() {
-	due := make([]time.Duration, 0, len(b.records))
-	for _, r := range b.records {
-		due = append(due, r.DueAt)
+	due := make([]time.Duration, 0, b.count)
+	for _, list := range b.bookings {
+		for i := range list {
+			due = append(due, list[i].DueAt)
+		}
 	}
 	slices.Sort(due)
 	excess := max(int(evictedShare*float64(len(due))), 1)
 	limit := due[len(due)-excess]
-	for _, r := range b.records {
-		if excess > 0 && r.DueAt >= limit {
-			b.addCount(r, -r.count)
-			excess--
+	b.removeFunc(func(r *Booking) bool {
+		if excess == 0 || r.DueAt < limit {
+			return false
 		}
-	}
+		excess--
+		return true
+	})
 }
--- a/core/resv/resv_test.go
+++ b/core/resv/resv_test.go
@@ -70,29 +70,56 @@
 }
 
 // Guards against a booking that is used twice, is lost to an early return or another request of
-// equal content, or keeps room after it has ended.
+// equal content, is revived after it has ended, or keeps room then.
 func TestBookingIsUsedOnce(t *testing.T) {
 	var b Book
-	claim := func(at, end time.Duration, want Arrival) {
+	claim := func(at, end time.Duration, want Arrival, due time.Duration) {
 		t.Helper()
-		if _, got := b.Claim(at, 7, end); got != want {
-			t.Errorf("at %v: arrival %d, want %d", at, got, want)
+		if r, got := b.Claim(at, 7, end); got != want || r.DueAt != due {
+			t.Errorf("at %v: arrival %d due %v, want %d due %v", at, got, r.DueAt, want, due)
 		}
 	}
 	end := 13 * time.Second
 	b.Add(booking(7, 5*time.Second))
-	claim(2*time.Second, end, Early)
-	claim(2*time.Second, end+time.Second, Newcomer)
-	claim(4960*ms, end, Due)
-	claim(5*time.Second, end, Newcomer)
+	claim(2*time.Second, end, Early, 5*time.Second)
+	claim(2*time.Second, end+time.Second, Newcomer, 0)
+	claim(5*time.Second, end+time.Second, Newcomer, 0)
+	claim(4960*ms, end+200*ms, Due, 5*time.Second)
+	claim(5*time.Second, end, Newcomer, 0)
 	b.Add(booking(7, 5*time.Second))
 	b.Add(booking(7, 5500*ms))
-	claim(5400*ms, end, Due)
-	claim(6400*ms, end, Due)
+	claim(5400*ms, end, Due, 5*time.Second)
+	claim(5400*ms, end, Early, 5500*ms)
+	claim(6400*ms, end, Due, 5500*ms)
 	b.Add(booking(7, 5*time.Second))
-	claim(6001*ms, end, Newcomer)
-	if n := b.Sweep(6001 * ms); n != 1 || b.Len() != 0 || len(b.records)+len(b.later) != 0 {
-		t.Errorf("%d ended, %d left in %d records and %d counts", n, b.Len(), len(b.records), len(b.later))
+	claim(6001*ms, end, Newcomer, 0)
+	b.Add(booking(7, 9*time.Second))
+	claim(6001*ms, end, Early, 9*time.Second)
+	if n := b.Sweep(6001 * ms); n != 1 || b.Len() != 1 {
+		t.Errorf("%d ended, %d left", n, b.Len())
+	}
+	b.Use(booking(7, 9*time.Second))
+	if b.Len() != 0 || len(b.bookings)+len(b.later) != 0 {
+		t.Errorf("%d left in %d lists and %d counts", b.Len(), len(b.bookings), len(b.later))
+	}
+}
+
+// Guards against requests of equal content that take each other's bookings, so that a first attempt
+// is refused as the return of an older request, and against a list of them that grows with the crowd.
+func TestEqualContentIsBookedSeparately(t *testing.T) {
+	var b Book
+	for i := range time.Duration(20) {
+		r := booking(7, 5*time.Second+i*100*ms)
+		r.FirstAt, r.EndAt = i*300*ms, (13000+i*300)*ms
+		b.Add(r)
+	}
+	if b.Len() != maxSameContent {
+		t.Fatalf("%d bookings", b.Len())
+	}
+	for i := time.Duration(maxSameContent) - 1; i >= 0; i-- {
+		if r, got := b.Claim(5*time.Second+i*100*ms, 7, (12900+i*300)*ms); got != Due || r.FirstAt != i*300*ms {
+			t.Errorf("request %d: arrival %d with the first attempt of %v", i, got, r.FirstAt)
+		}
 	}
 }
 
@@ -103,11 +130,11 @@
 	for i := range uint64(3 * maxBookings) {
 		b.Add(booking(i+1, time.Duration(i%1000)*ms+5*time.Second))
 	}
-	if b.Len() > maxBookings || len(b.records) != b.Len() {
-		t.Fatalf("%d bookings in %d records", b.Len(), len(b.records))
+	if b.Len() > maxBookings || len(b.bookings) != b.Len() {
+		t.Fatalf("%d bookings in %d lists", b.Len(), len(b.bookings))
 	}
 	for i := range uint64(100) {
-		if _, got := b.Claim(5100*ms, i+1, 0); got != Due {
+		if _, got := b.Claim(5100*ms, i+1, 13*time.Second); got != Due {
 			t.Fatalf("the booking due after %d ms was dropped", 5000+i)
 		}
 	}
