--- a/entry/direct/returns.go
+++ b/entry/direct/returns.go
@@ -83,16 +83,20 @@
 	}
 	now, s := time.Now(), opts.shard
 	booking, arrival := s.late.book.Claim(d.sinceStart(now), j.returnKey, d.sinceStart(j.End()))
-	if arrival != resv.Newcomer {
-		j.firstAt = d.start.Add(booking.FirstAt)
-	}
 	switch arrival {
 	case resv.Early:
+		if a, dec, ok := d.placeEarly(j, p, opts); ok {
+			s.late.book.Use(booking)
+			d.countReturn(p, "returns_served", 1)
+			return a, dec, nil
+		}
+		j.firstAt = d.start.Add(booking.FirstAt)
 		d.countReturn(p, "returns_early", 1)
 		a := d.newRefusal()
 		a.placement.Plan, a.placement.Returned = booking.Plan, now.Sub(j.firstAt)
 		return a, admit.Decision{Endpoint: -1, Reason: admit.Full, RetryAfter: booking.DueAt - d.sinceStart(now)}, nil
 	case resv.Due:
+		j.firstAt = d.start.Add(booking.FirstAt)
 		d.countReturn(p, "returns_recognised", 1)
 		if j.firstEventDue().Sub(now) < p.firstEventTime(j) {
 			return d.placeReturnLate(j, p, opts, d.newRefusal(), admit.Decision{Endpoint: -1, Reason: admit.Full}, false)
@@ -109,6 +113,24 @@
 	return a, dec, w
 }
 
+// placeEarly places a job whose caller may have returned before its time, if there is room now and
+// nobody waits for it. The job may also be the first attempt of a request of equal content, so its
+// target counts from its arrival. The caller holds d.mu.
+func (d *Director) placeEarly(j *Job, p *pool, opts queueOptions) (a *attempt, dec admit.Decision, ok bool) {
+	s := opts.shard
+	if s.queue.Len()+s.late.queue.Len() > 0 {
+		return nil, admit.Decision{}, false
+	}
+	a, dec = d.placeJob(j, placementOptions{outputTokens: j.OutputTokens, entryShare: 1, shard: s, from: opts.from})
+	if dec.Endpoint < 0 {
+		return nil, admit.Decision{}, false
+	}
+	position := d.queuePosition(j, p)
+	position.Owed = p.floor.Claim(queueClass(j), position.HoldTime)
+	p.recordService(j, position, true)
+	return a, dec, true
+}
+
 // newRefusal returns what placeJob returns for a refusal, for a job that it was not called for.
 func (d *Director) newRefusal() *attempt {
 	reachableEntries, knownEntries := d.cfg.EntryCounts()
--- a/entry/direct/returns_test.go
+++ b/entry/direct/returns_test.go
@@ -383,24 +383,34 @@
 	})
 }
 
-// Guards against callers that gain or lose by returning before they are told to.
+// Guards against callers that gain or lose by returning before they are told to, and against
+// requests that are refused as early returns while slots are free.
 func TestEarlyReturnKeepsBooking(t *testing.T) {
-	replayReturns(t, 1, func(r *returnRig) {
-		j := r.job(7)
-		_, dec := r.refuse(r.asker, j, resv.Later, 3*time.Second, 4*time.Second)
-		time.Sleep(time.Second)
-		r.finishAfter(0)
-		synctest.Wait()
-		start := time.Now()
-		r.refuse(r.other, r.returned(j), resv.Later, dec.RetryAfter-1010*time.Millisecond, dec.RetryAfter-990*time.Millisecond)
-		if took := time.Since(start); took > 2*oneWay {
-			t.Errorf("refused after %v", took)
-		}
-		time.Sleep(dec.RetryAfter - time.Second)
-		if a, dec := r.directors[r.asker].admitJob(r.ctx, r.returned(j)); dec.Endpoint < 0 || a.placement.Returned < 4*time.Second {
-			t.Errorf("%v: %+v", dec.Reason, a.placement)
-		}
-	})
+	for _, hasRoom := range []bool{false, true} {
+		replayReturns(t, 1, func(r *returnRig) {
+			j := r.job(7)
+			_, dec := r.refuse(r.asker, j, resv.Later, 3*time.Second, 4*time.Second)
+			time.Sleep(time.Second)
+			start := time.Now()
+			r.refuse(r.other, r.returned(j), resv.Later, dec.RetryAfter-1010*time.Millisecond, dec.RetryAfter-990*time.Millisecond)
+			if took := time.Since(start); took > 2*oneWay {
+				t.Errorf("refused after %v", took)
+			}
+			r.finishAfter(0)
+			synctest.Wait()
+			if hasRoom {
+				if a, dec := r.directors[r.other].admitJob(r.ctx, r.returned(j)); dec.Endpoint < 0 || time.Since(start) > 4*oneWay {
+					t.Errorf("%v after %v", dec.Reason, time.Since(start))
+				} else {
+					a.finish(health.Success)
+				}
+			}
+			time.Sleep(dec.RetryAfter - time.Second)
+			if a, dec := r.directors[r.asker].admitJob(r.ctx, r.returned(j)); dec.Endpoint < 0 || hasRoom == (a.placement.Returned >= 4*time.Second) {
+				t.Errorf("placed before %v: %v: %+v", hasRoom, dec.Reason, a.placement)
+			}
+		})
+	}
 }
 
 // Guards against late work that takes the slot of a request which can meet its target.
