--- a/entry/direct/direct.go
+++ b/entry/direct/direct.go
@@ -102,8 +102,9 @@
 	// requests.
 	ownerBackoff map[string]time.Time
 	// ownBookings holds copies of the bookings of callers that this entry has refused, by
-	// fingerprint; at most maxOwnBookings.
-	ownBookings map[uint64]ownBooking
+	// fingerprint. ownBookingCount is their number, at most maxOwnBookings.
+	ownBookings     map[uint64][]ownBooking
+	ownBookingCount int
 	// candidates holds the entries that could keep records of streams at candidatesAt.
 	candidates   []origin.Candidate
 	candidatesAt time.Time
@@ -120,7 +121,7 @@
 	d := &Director{
 		cfg: cfg, start: time.Now(), view: newView(cfg.Zone, cfg.RolloutRule),
 		pendingPlacements: make(map[uint64]*pendingPlacement), ownerAttempts: make(map[string]map[uint64]*attempt), ownerBackoff: make(map[string]time.Time), originQueries: make(map[uint64]chan *wire.OriginReply),
-		ownBookings: make(map[uint64]ownBooking),
+		ownBookings: make(map[uint64][]ownBooking),
 		answerTimes: cfg.Metrics.CustomerHistograms("customer_answer_ms"), retryTimes: cfg.Metrics.CustomerHistograms("customer_retry_ms"),
 	}
 	d.view.limitShare = d.limitShare
--- a/entry/direct/returns.go
+++ b/entry/direct/returns.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"hash/fnv"
+	"slices"
 	"time"
 
 	"lycheepond/core/admit"
@@ -179,13 +180,18 @@
 }
 
 // keepBooking keeps a copy of the booking that an owner has made for a job refused by this
-// entry, and drops the copy for a job that was decided otherwise. The caller holds d.mu.
+// entry, and drops the copy of a booking made for an earlier attempt of the job. The caller holds
+// d.mu.
 func (d *Director) keepBooking(j *Job, p *pool, a *attempt, dec admit.Decision) {
 	if !d.plansReturns(j) {
 		return
 	}
-	delete(d.ownBookings, j.returnKey)
-	if dec.Endpoint >= 0 || !a.placement.Plan.IsBooked() || len(d.ownBookings) >= maxOwnBookings {
+	list, end := d.ownBookings[j.returnKey], d.sinceStart(j.End())
+	if i := slices.IndexFunc(list, func(b ownBooking) bool { return b.IsFor(end) }); i >= 0 {
+		list = slices.Delete(list, i, i+1)
+		d.setOwnBookings(j.returnKey, list)
+	}
+	if dec.Endpoint >= 0 || !a.placement.Plan.IsBooked() || d.ownBookingCount >= maxOwnBookings {
 		return
 	}
 	now := time.Now()
@@ -197,8 +203,17 @@
 	if b.owner == "" {
 		b.owner = d.cfg.Peers.Self
 	}
-	b.Booking = resv.Booking{Fingerprint: j.returnKey, Tier: j.Tier, Target: j.Route.Target, FirstAt: d.sinceStart(firstAt), DueAt: d.sinceStart(now) + dec.RetryAfter, EndAt: d.sinceStart(j.End()), Plan: a.placement.Plan}
-	d.ownBookings[j.returnKey] = b
+	b.Booking = resv.Booking{Fingerprint: j.returnKey, Tier: j.Tier, Target: j.Route.Target, FirstAt: d.sinceStart(firstAt), DueAt: d.sinceStart(now) + dec.RetryAfter, EndAt: end, Plan: a.placement.Plan}
+	d.setOwnBookings(j.returnKey, append(list, b))
+}
+
+// setOwnBookings replaces the copies of bookings with a fingerprint.
+func (d *Director) setOwnBookings(key uint64, list []ownBooking) {
+	d.ownBookingCount += len(list) - len(d.ownBookings[key])
+	d.ownBookings[key] = list
+	if len(list) == 0 {
+		delete(d.ownBookings, key)
+	}
 }
 
 // sweepReturns drops bookings that have ended, sends copies to new owners and dispatches late
@@ -230,20 +245,21 @@
 // sendBookings sends the copies of bookings to the owners that do not have them. The caller
 // holds d.mu.
 func (d *Director) sendBookings(now time.Time) {
-	unsent := make(map[bookingTarget][]ownBooking)
-	for key, b := range d.ownBookings {
-		if d.sinceStart(now) > b.DueAt+resv.Grace {
-			delete(d.ownBookings, key)
-			continue
-		}
-		p := d.view.pools[b.pool]
-		if p == nil {
-			continue
-		}
-		t := bookingTarget{pool: b.pool, shard: p.homeShard(key)}
-		t.owner = d.shardOwner(b.pool, p, t.shard, now)
-		if t.owner != "" && (t.owner != b.owner || t.shard != b.shard) {
-			unsent[t] = append(unsent[t], b)
+	unsent := make(map[bookingTarget][]*ownBooking)
+	for key, list := range d.ownBookings {
+		list = slices.DeleteFunc(list, func(b ownBooking) bool { return d.sinceStart(now) > b.DueAt+resv.Grace })
+		d.setOwnBookings(key, list)
+		for i := range list {
+			b := &list[i]
+			p := d.view.pools[b.pool]
+			if p == nil {
+				continue
+			}
+			t := bookingTarget{pool: b.pool, shard: p.homeShard(key)}
+			t.owner = d.shardOwner(b.pool, p, t.shard, now)
+			if t.owner != "" && (t.owner != b.owner || t.shard != b.shard) {
+				unsent[t] = append(unsent[t], b)
+			}
 		}
 	}
 	for t, list := range unsent {
@@ -252,14 +268,13 @@
 		}
 		for _, b := range list {
 			b.owner, b.shard = t.owner, t.shard
-			d.ownBookings[b.Fingerprint] = b
 		}
 	}
 }
 
 // sendBookingsTo sends copies of bookings to an owner, which may be this entry. It returns false
 // if there is no link to the owner.
-func (d *Director) sendBookingsTo(t bookingTarget, list []ownBooking, now time.Time) bool {
+func (d *Director) sendBookingsTo(t bookingTarget, list []*ownBooking, now time.Time) bool {
 	if t.owner == d.cfg.Peers.Self {
 		for _, b := range list {
 			d.view.pools[t.pool].restoreBooking(t.shard, b.Booking)
@@ -280,10 +295,11 @@
 // forgetBookingOwner records that an entry may have lost the bookings of this entry's callers.
 // The caller holds d.mu.
 func (d *Director) forgetBookingOwner(owner string) {
-	for key, b := range d.ownBookings {
-		if b.owner == owner {
-			b.owner = ""
-			d.ownBookings[key] = b
+	for _, list := range d.ownBookings {
+		for i := range list {
+			if list[i].owner == owner {
+				list[i].owner = ""
+			}
 		}
 	}
 }
--- a/entry/direct/returns_test.go
+++ b/entry/direct/returns_test.go
@@ -352,6 +352,38 @@
 	})
 }
 
+// Guards against a booking whose copy is lost when a request of equal content is decided, and
+// against one that takes room twice after a link was lost for a moment.
+func TestCopyIsKeptUntilItsCallerReturns(t *testing.T) {
+	replayReturns(t, 1, func(r *returnRig) {
+		d, j, equal := r.directors[r.asker], r.job(7), r.job(7)
+		equal.Deadline = equal.Deadline.Add(-2 * time.Second)
+		_, dec := r.refuse(r.asker, j, resv.Later, 3*time.Second, 4*time.Second)
+		r.refuse(r.asker, equal, resv.Later, 3*time.Second, 4*time.Second)
+		r.finishAfter(0)
+		synctest.Wait()
+		d.admitJob(r.ctx, r.returned(equal))
+		d.HandleLinkLost(r.owner)
+		time.Sleep(dec.RetryAfter - 50*time.Millisecond)
+		check := func(want int) {
+			t.Helper()
+			owner := r.directors[r.owner]
+			for _, d := range []*Director{d, owner} {
+				d.mu.Lock()
+				defer d.mu.Unlock()
+			}
+			if copies, booked := d.ownBookingCount, owner.view.pools["p"].shards[shard.Key{}].late.book.Len(); copies != want || booked != want {
+				t.Errorf("%d copies, %d bookings, want %d", copies, booked, want)
+			}
+		}
+		check(1)
+		if a, _ := d.admitJob(r.ctx, r.returned(j)); a.placement.Returned == 0 {
+			t.Errorf("not recognised: %+v", a.placement)
+		}
+		check(0)
+	})
+}
+
 // All endpoints but one are lost after promises were made. Guards against callers that wait in a
 // queue which cannot be served, or are told to return once more.
 func TestEndpointsAreLostAfterPromises(t *testing.T) {
