--- a/entry/direct/late.go
+++ b/entry/direct/late.go
@@ -91,6 +91,9 @@
 			return next, nextDec, nil
 		}
 		a, dec = next, nextDec
+		if dec.Reason == admit.TooLong {
+			return a, dec, nil
+		}
 	}
 	maxWait := late.MaxWait()
 	if maxWait == 0 {
--- a/entry/direct/returns_test.go
+++ b/entry/direct/returns_test.go
@@ -445,6 +445,24 @@
 	}
 }
 
+// Guards against a return that waits although no endpoint can finish its answer by the deadline.
+func TestReturnTooLongIsRefusedAtOnce(t *testing.T) {
+	replayReturns(t, 1, func(r *returnRig) {
+		j := r.refuseLater(r.asker)
+		r.finishAfter(0)
+		synctest.Wait()
+		d := r.directors[r.owner]
+		// The endpoint has a free slot, but prompts of other entries to process.
+		d.mu.Lock()
+		d.view.endpoints["a"].peerWork.promptTokens = 1_000_000
+		d.mu.Unlock()
+		start := time.Now()
+		if a, _ := r.refuse(r.asker, j, resv.None, 0, time.Minute); time.Since(start) > 2*oneWay {
+			t.Errorf("refused after %v: %+v", time.Since(start), a.placement)
+		}
+	})
+}
+
 // Guards against late work that takes the slot of a request which can meet its target.
 func TestRequestInTimeGoesBeforeLateWork(t *testing.T) {
 	replayReturns(t, 1, func(r *returnRig) {
