--- a/core/resv/late.go
+++ b/core/resv/late.go
@@ -21,6 +21,9 @@
 	// reservedShare is the share of the usable slots that late work leaves free, so that a
 	// request within its target finds one at once.
 	reservedShare = 0.02
+	// minReservingSlots is the number of usable slots from which at least one stays free. In a
+	// smaller shard that slot would be a large share of its room.
+	minReservingSlots = 8
 	// rateWindow is the time constant of a Rate.
 	rateWindow = time.Second
 )
@@ -69,7 +72,11 @@
 
 // LateRoom returns how many slots late work may take of a shard's usable and free slots.
 func LateRoom(usableSlots, freeSlots int) int {
-	return max(freeSlots-int(reservedShare*float64(usableSlots)), 0)
+	reserved := int(reservedShare * float64(usableSlots))
+	if usableSlots >= minReservingSlots {
+		reserved = max(reserved, 1)
+	}
+	return max(freeSlots-reserved, 0)
 }
 
 // Rate measures how many events per second there were recently. The zero value has seen none.
--- a/core/resv/resv_test.go
+++ b/core/resv/resv_test.go
@@ -65,6 +65,16 @@
 	}
 }
 
+// Guards against late work that takes the last slot, so that a request within its target finds
+// none, and against late work that never gets a slot of a small shard.
+func TestLateRoom(t *testing.T) {
+	for _, tt := range [][3]int{{360, 9, 2}, {40, 2, 1}, {8, 1, 0}, {4, 1, 1}, {360, 3, 0}} {
+		if got := LateRoom(tt[0], tt[1]); got != tt[2] {
+			t.Errorf("%d slots, %d of them free: room for %d, want %d", tt[0], tt[1], got, tt[2])
+		}
+	}
+}
+
 func booking(fingerprint uint64, due time.Duration) Booking {
 	return Booking{Fingerprint: fingerprint, Tier: route.Tier{Route: 1}, FirstAt: time.Second, DueAt: due, EndAt: 13 * time.Second, Plan: Later}
 }
