--- a/entry/direct/place.go
+++ b/entry/direct/place.go
@@ -201,14 +201,18 @@
 			break
 		}
 		i, mayQueue := shard.Choose(loads, d.view.zone, rand.Float64())
-		opts := queueOptions{mayQueue: mayQueue || round > 0}
-		if plansReturn && opts.mayQueue {
-			if h := slices.IndexFunc(loads, func(l shard.Load) bool { return l.Key == home }); h >= 0 {
+		opts, isHomeNext := queueOptions{mayQueue: mayQueue || round > 0}, false
+		if h := slices.IndexFunc(loads, func(l shard.Load) bool { return l.Key == home }); plansReturn && h >= 0 {
+			// Only the home shard lets the job wait or plans its return, after the shard that
+			// appears to have room has refused it.
+			if opts.mayQueue = round > 0 || loads[i].FreeSlots == 0 || i == h; opts.mayQueue {
 				i, opts.plansReturn = h, true
 			}
+			isHomeNext = !opts.mayQueue
 		}
 		a, dec, ok = d.placeInShard(ctx, j, p, loads[i].Key, opts)
-		if !ok || dec.Endpoint >= 0 || dec.Reason != admit.Full || ctx.Err() != nil || time.Since(start) > immediateRefusal {
+		isFull := dec.Reason == admit.Full || isHomeNext && dec.Reason == admit.Late
+		if !ok || dec.Endpoint >= 0 || !isFull || ctx.Err() != nil || time.Since(start) > immediateRefusal && !isHomeNext {
 			break
 		}
 		if !d.cfg.Overload.PlanReturns {
--- a/entry/direct/returns_test.go
+++ b/entry/direct/returns_test.go
@@ -498,6 +498,37 @@
 	})
 }
 
+// Guards against requests that wait at their full home shard, or are refused there, while another
+// shard has free slots.
+func TestShardWithRoomIsAskedBeforeHome(t *testing.T) {
+	replayReturns(t, 1, func(r *returnRig) {
+		r.setEngines(2, 200)
+		d, j := r.directors[r.asker], r.job(7)
+		d.mu.Lock()
+		p, free := d.view.pool("p", d.cfg.RetryBudget, 3), ""
+		for k, s := range p.shards {
+			if k != p.homeShard(7) {
+				free = s.endpoints[0].ID
+			}
+		}
+		d.mu.Unlock()
+		for _, d := range r.directors {
+			d.mu.Lock()
+			for id, e := range d.view.endpoints {
+				if id != free {
+					e.peerWork.requests = 8
+				}
+			}
+			d.mu.Unlock()
+		}
+		start := time.Now()
+		if a, dec := d.admitJob(r.ctx, j); dec.Endpoint < 0 || a.id != free || time.Since(start) > 2*oneWay {
+			t.Errorf("%v after %v: %+v", dec.Reason, time.Since(start), a.placement)
+		}
+		r.refuse(r.asker, r.job(7), resv.Later, 3*time.Second, 4*time.Second)
+	})
+}
+
 // Guards against a caller that is told to return before its deadline although there is no room
 // until then.
 func TestCallerWithoutRoomIsToldATimePastItsDeadline(t *testing.T) {
