--- a/core/resv/book.go
+++ b/core/resv/book.go
@@ -26,6 +26,9 @@
 	// dueInterval is the width of the intervals of due times in which bookings are counted: about
 	// as long as late work waits at most.
 	dueInterval = time.Second
+	// soonInterval is dueInterval for callers that return soon: about as long as they wait
+	// before they return, and as requests within a target of a second wait for a slot.
+	soonInterval = 100 * time.Millisecond
 	// maxSameContent is the largest number of bookings with one fingerprint. Further requests of
 	// equal content are not booked and return as newcomers.
 	maxSameContent = 8
@@ -75,16 +78,16 @@
 	bookings map[uint64][]Booking
 	// count is the number of bookings, at most maxBookings.
 	count int
-	// later is the number of bookings with the plan Later by tier and due time, without zero
-	// counts.
-	later   map[dueTier]int
-	sweptAt time.Duration
+	// later and soon are the numbers of bookings with these plans by tier and due time, without
+	// zero counts.
+	later, soon map[dueTier]int
+	sweptAt     time.Duration
 }
 
-// dueTier identifies bookings of one tier that are due in one dueInterval.
+// dueTier identifies bookings of one tier that are due in one interval.
 type dueTier struct {
 	tier route.Tier
-	// interval is the due time in multiples of dueInterval.
+	// interval is the due time in multiples of dueInterval or, in soon, of soonInterval.
 	interval int
 }
 
@@ -99,7 +102,7 @@
 		return
 	}
 	if b.bookings == nil {
-		b.bookings, b.later = make(map[uint64][]Booking), make(map[dueTier]int)
+		b.bookings, b.later, b.soon = make(map[uint64][]Booking), make(map[dueTier]int), make(map[dueTier]int)
 	}
 	b.bookings[booking.Fingerprint] = append(list, booking)
 	b.addCount(&booking, 1)
@@ -166,6 +169,18 @@
 	return all, then
 }
 
+// SoonThen returns how many requests of the same or a higher tier are told to return soon, at
+// about the time dueAt.
+func (b *Book) SoonThen(t route.Tier, dueAt time.Duration) int {
+	then := 0
+	for k, count := range b.soon {
+		if k.tier.Compare(t) <= 0 && k.interval == int(dueAt/soonInterval) {
+			then += count
+		}
+	}
+	return then
+}
+
 // Sweep drops the bookings that have ended unused and returns their number. It searches at most
 // once in sweepInterval.
 func (b *Book) Sweep(now time.Duration) int {
@@ -203,10 +218,13 @@
 // addCount adds n to the counts of bookings like r.
 func (b *Book) addCount(r *Booking, n int) {
 	b.count += n
-	if k := (dueTier{r.Tier, int(r.DueAt / dueInterval)}); r.Plan == Later {
-		if b.later[k] += n; b.later[k] == 0 {
-			delete(b.later, k)
-		}
+	counts, interval := b.later, dueInterval
+	if r.Plan == Soon {
+		counts, interval = b.soon, soonInterval
+	}
+	k := dueTier{r.Tier, int(r.DueAt / interval)}
+	if counts[k] += n; counts[k] == 0 {
+		delete(counts, k)
 	}
 }
 
--- a/core/resv/resv.go
+++ b/core/resv/resv.go
@@ -66,8 +66,9 @@
 	// it is not known.
 	SlotInterval time.Duration
 	// Booked is how many requests of the same or a higher tier are booked for later, BookedThen
-	// how many of them for about LatestReturn.
-	Booked, BookedThen int
+	// how many of them for about LatestReturn. SoonThen is how many of them were told to return
+	// soon, at about the same time as this one would be.
+	Booked, BookedThen, SoonThen int
 }
 
 // LatestReturn returns the longest time after which a caller returns that has timeLeft until its
@@ -78,11 +79,11 @@
 
 // Decide returns the plan for a refused request and, unless that is None, the time after which
 // the caller should return. No more callers are booked than the shard frees slots, neither until
-// the deadline nor in the dueInterval of the return.
+// the deadline nor in the interval of the return.
 func Decide(r Refusal) (plan Plan, wait time.Duration) {
 	latest := LatestReturn(r.TimeLeft)
 	switch {
-	case r.ServedRate >= minSoonRate && r.RetryAfter < r.UntilTarget && r.RetryAfter <= latest:
+	case r.ServedRate >= minSoonRate && r.RetryAfter < r.UntilTarget && r.RetryAfter <= latest && time.Duration(r.SoonThen)*r.SlotInterval < soonInterval:
 		return Soon, r.RetryAfter
 	case latest <= 0 || time.Duration(r.Booked)*r.SlotInterval > r.TimeLeft || time.Duration(r.BookedThen)*r.SlotInterval > dueInterval:
 		return None, 0
--- a/core/resv/resv_test.go
+++ b/core/resv/resv_test.go
@@ -21,6 +21,8 @@
 	}{
 		{"rarely served", func(*Refusal) {}, Later, 4 * time.Second},
 		{"often served", func(r *Refusal) { r.ServedRate = 0.3 }, Soon, 100 * ms},
+		{"no room soon", func(r *Refusal) { r.ServedRate, r.SoonThen = 0.9, 25 }, Later, 4 * time.Second},
+		{"room soon", func(r *Refusal) { r.ServedRate, r.SoonThen = 0.9, 24 }, Soon, 100 * ms},
 		{"target missed on return", func(r *Refusal) { r.ServedRate, r.UntilTarget = 0.9, 90*ms }, Later, 4 * time.Second},
 		{"deadline near", func(r *Refusal) { r.ServedRate, r.TimeLeft = 0.9, 240*ms }, Later, 80 * ms},
 		{"booked up to the deadline", func(r *Refusal) { r.Booked = 3001 }, None, 0},
@@ -150,6 +152,22 @@
 	}
 }
 
+// Guards against more callers that return at one moment than slots become free.
+func TestSoonThen(t *testing.T) {
+	var b Book
+	for i := range uint64(3) {
+		r := booking(i+1, time.Second+time.Duration(i)*60*ms)
+		r.Plan = Soon
+		b.Add(r)
+	}
+	if higher, same, next := b.SoonThen(route.Tier{}, 1090*ms), b.SoonThen(route.Tier{Route: 1}, 1090*ms), b.SoonThen(route.Tier{Route: 2}, 1100*ms); higher != 0 || same != 2 || next != 1 {
+		t.Errorf("%d, %d and %d return then", higher, same, next)
+	}
+	if b.Sweep(3 * time.Second); len(b.soon) != 0 {
+		t.Errorf("%d counts are left", len(b.soon))
+	}
+}
+
 // Guards against room that lower tiers have booked ahead of higher ones, and against a copy that
 // an entry reports twice.
 func TestLaterAhead(t *testing.T) {
--- a/entry/direct/returns.go
+++ b/entry/direct/returns.go
@@ -168,6 +168,7 @@
 		ServedRate: p.floor.Rate(queueClass(j)), RetryAfter: dec.RetryAfter,
 		UntilTarget: j.firstEventDue().Sub(now) - p.firstEventTime(j), TimeLeft: j.End().Sub(now),
 		SlotInterval: s.late.slotInterval, Booked: booked, BookedThen: bookedThen,
+		SoonThen: s.late.book.SoonThen(j.Tier, d.sinceStart(now)+dec.RetryAfter),
 	})
 	a.placement.Plan, dec.RetryAfter = plan, max(wait, dec.RetryAfter)
 	if plan.IsBooked() {
