--- a/core/resv/book.go
+++ b/core/resv/book.go
@@ -30,7 +30,7 @@
 	// before they return, and as requests within a target of a second wait for a slot.
 	soonInterval = 100 * time.Millisecond
 	// maxSameContent is the largest number of bookings with one fingerprint. Further requests of
-	// equal content are not booked and return as newcomers.
+	// equal content get no plan, as without the setting, and return as newcomers.
 	maxSameContent = 8
 	// sweepInterval is the time between two searches for bookings that have ended.
 	sweepInterval = 250 * time.Millisecond
@@ -94,12 +94,12 @@
 // Len returns the number of bookings.
 func (b *Book) Len() int { return b.count }
 
-// Add books a request, unless maxSameContent requests of equal content are booked. If there are
-// too many bookings, those with the latest due times are dropped.
-func (b *Book) Add(booking Booking) {
+// Add books a request; it returns false if maxSameContent requests of equal content are booked
+// already. If there are too many bookings, those with the latest due times are dropped.
+func (b *Book) Add(booking Booking) bool {
 	list := b.bookings[booking.Fingerprint]
 	if len(list) >= maxSameContent {
-		return
+		return false
 	}
 	if b.bookings == nil {
 		b.bookings, b.later, b.soon = make(map[uint64][]Booking), make(map[dueTier]int), make(map[dueTier]int)
@@ -109,6 +109,7 @@
 	if b.count > maxBookings {
 		b.evictLatest()
 	}
+	return true
 }
 
 // Restore books a request that another owner had booked, unless it is booked already: an entry
--- a/core/resv/resv_test.go
+++ b/core/resv/resv_test.go
@@ -123,7 +123,9 @@
 	for i := range time.Duration(20) {
 		r := booking(7, 5*time.Second+i*100*ms)
 		r.FirstAt, r.EndAt = i*300*ms, (13000+i*300)*ms
-		b.Add(r)
+		if isBooked := b.Add(r); isBooked != (i < maxSameContent) {
+			t.Errorf("request %d: booked %v", i, isBooked)
+		}
 	}
 	if b.Len() != maxSameContent {
 		t.Fatalf("%d bookings", b.Len())
--- a/entry/direct/returns.go
+++ b/entry/direct/returns.go
@@ -170,13 +170,16 @@
 		SlotInterval: s.late.slotInterval, Booked: booked, BookedThen: bookedThen,
 		SoonThen: s.late.book.SoonThen(j.Tier, d.sinceStart(now)+dec.RetryAfter),
 	})
-	a.placement.Plan, dec.RetryAfter = plan, max(wait, dec.RetryAfter)
 	if plan.IsBooked() {
+		if !s.late.book.Add(resv.Booking{
+			Fingerprint: j.returnKey, Tier: j.Tier, Target: j.Route.Target, FirstAt: d.sinceStart(j.AcceptedAt), DueAt: d.sinceStart(now) + wait, EndAt: d.sinceStart(j.End()), Plan: plan,
+		}) {
+			return a, dec, nil
+		}
 		dec.RetryAfter = wait
-		due := d.sinceStart(now) + wait
-		s.late.book.Add(resv.Booking{Fingerprint: j.returnKey, Tier: j.Tier, Target: j.Route.Target, FirstAt: d.sinceStart(j.AcceptedAt), DueAt: due, EndAt: d.sinceStart(j.End()), Plan: plan})
 		d.countReturn(p, "returns_booked", 1)
 	}
+	a.placement.Plan = plan
 	return a, dec, nil
 }
 
--- a/entry/direct/returns_test.go
+++ b/entry/direct/returns_test.go
@@ -384,6 +384,20 @@
 	})
 }
 
+// Guards against more promises to requests of equal content than are counted against the room.
+func TestUnbookedCallerGetsNoPlan(t *testing.T) {
+	replayReturns(t, 1, func(r *returnRig) {
+		for i := range 9 {
+			plan, atLeast, j := resv.Later, 2*time.Second, r.job(7)
+			j.Deadline = j.Deadline.Add(-time.Duration(i) * 300 * time.Millisecond)
+			if i == 8 {
+				plan, atLeast = resv.Unplanned, 0
+			}
+			r.refuse(r.asker, j, plan, atLeast, 4*time.Second)
+		}
+	})
+}
+
 // All endpoints but one are lost after promises were made. Guards against callers that wait in a
 // queue which cannot be served, or are told to return once more.
 func TestEndpointsAreLostAfterPromises(t *testing.T) {
