--- a/entry/direct/returns.go
+++ b/entry/direct/returns.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"hash/fnv"
+	"slices"
 	"time"
 
 	"lycheepond/core/admit"
@@ -83,16 +84,20 @@
 	}
 	now, s := time.Now(), opts.shard
 	booking, arrival := s.late.book.Claim(d.sinceStart(now), j.returnKey, d.sinceStart(j.End()))
-	if arrival != resv.Newcomer {
-		j.firstAt = d.start.Add(booking.FirstAt)
-	}
 	switch arrival {
 	case resv.Early:
+		if a, dec, ok := d.placeEarly(j, p, opts); ok {
+			s.late.book.Use(booking)
+			d.countReturn(p, "returns_served", 1)
+			return a, dec, nil
+		}
+		j.firstAt = d.start.Add(booking.FirstAt)
 		d.countReturn(p, "returns_early", 1)
 		a := d.newRefusal()
 		a.placement.Plan, a.placement.Returned = booking.Plan, now.Sub(j.firstAt)
 		return a, admit.Decision{Endpoint: -1, Reason: admit.Full, RetryAfter: booking.DueAt - d.sinceStart(now)}, nil
 	case resv.Due:
+		j.firstAt = d.start.Add(booking.FirstAt)
 		d.countReturn(p, "returns_recognised", 1)
 		if j.firstEventDue().Sub(now) < p.firstEventTime(j) {
 			return d.placeReturnLate(j, p, opts, d.newRefusal(), admit.Decision{Endpoint: -1, Reason: admit.Full}, false)
@@ -109,6 +114,24 @@
 	return a, dec, w
 }
 
+// placeEarly places a job whose caller may have returned before its time, if there is room now and
+// nobody waits for it. The job may also be the first attempt of a request of equal content, so its
+// target counts from its arrival. The caller holds d.mu.
+func (d *Director) placeEarly(j *Job, p *pool, opts queueOptions) (a *attempt, dec admit.Decision, ok bool) {
+	s := opts.shard
+	if s.queue.Len()+s.late.queue.Len() > 0 {
+		return nil, admit.Decision{}, false
+	}
+	a, dec = d.placeJob(j, placementOptions{outputTokens: j.OutputTokens, entryShare: 1, shard: s, from: opts.from})
+	if dec.Endpoint < 0 {
+		return nil, admit.Decision{}, false
+	}
+	position := d.queuePosition(j, p)
+	position.Owed = p.floor.Claim(queueClass(j), position.HoldTime)
+	p.recordService(j, position, true)
+	return a, dec, true
+}
+
 // newRefusal returns what placeJob returns for a refusal, for a job that it was not called for.
 func (d *Director) newRefusal() *attempt {
 	reachableEntries, knownEntries := d.cfg.EntryCounts()
@@ -145,25 +168,34 @@
 		ServedRate: p.floor.Rate(queueClass(j)), RetryAfter: dec.RetryAfter,
 		UntilTarget: j.firstEventDue().Sub(now) - p.firstEventTime(j), TimeLeft: j.End().Sub(now),
 		SlotInterval: s.late.slotInterval, Booked: booked, BookedThen: bookedThen,
+		SoonThen: s.late.book.SoonThen(j.Tier, d.sinceStart(now)+dec.RetryAfter),
 	})
-	a.placement.Plan, dec.RetryAfter = plan, max(wait, dec.RetryAfter)
 	if plan.IsBooked() {
+		if !s.late.book.Add(resv.Booking{
+			Fingerprint: j.returnKey, Tier: j.Tier, Target: j.Route.Target, FirstAt: d.sinceStart(j.AcceptedAt), DueAt: d.sinceStart(now) + wait, EndAt: d.sinceStart(j.End()), Plan: plan,
+		}) {
+			return a, dec, nil
+		}
 		dec.RetryAfter = wait
-		due := d.sinceStart(now) + wait
-		s.late.book.Add(resv.Booking{Fingerprint: j.returnKey, Tier: j.Tier, Target: j.Route.Target, FirstAt: d.sinceStart(j.AcceptedAt), DueAt: due, EndAt: d.sinceStart(j.End()), Plan: plan})
 		d.countReturn(p, "returns_booked", 1)
 	}
+	a.placement.Plan = plan
 	return a, dec, nil
 }
 
 // keepBooking keeps a copy of the booking that an owner has made for a job refused by this
-// entry, and drops the copy for a job that was decided otherwise. The caller holds d.mu.
+// entry, and drops the copy of a booking made for an earlier attempt of the job. The caller holds
+// d.mu.
 func (d *Director) keepBooking(j *Job, p *pool, a *attempt, dec admit.Decision) {
 	if !d.plansReturns(j) {
 		return
 	}
-	delete(d.ownBookings, j.returnKey)
-	if dec.Endpoint >= 0 || !a.placement.Plan.IsBooked() || len(d.ownBookings) >= maxOwnBookings {
+	list, end := d.ownBookings[j.returnKey], d.sinceStart(j.End())
+	if i := slices.IndexFunc(list, func(b ownBooking) bool { return b.IsFor(end) }); i >= 0 {
+		list = slices.Delete(list, i, i+1)
+		d.setOwnBookings(j.returnKey, list)
+	}
+	if dec.Endpoint >= 0 || !a.placement.Plan.IsBooked() || d.ownBookingCount >= maxOwnBookings {
 		return
 	}
 	now := time.Now()
@@ -175,8 +207,17 @@
 	if b.owner == "" {
 		b.owner = d.cfg.Peers.Self
 	}
-	b.Booking = resv.Booking{Fingerprint: j.returnKey, Tier: j.Tier, Target: j.Route.Target, FirstAt: d.sinceStart(firstAt), DueAt: d.sinceStart(now) + dec.RetryAfter, EndAt: d.sinceStart(j.End()), Plan: a.placement.Plan}
-	d.ownBookings[j.returnKey] = b
+	b.Booking = resv.Booking{Fingerprint: j.returnKey, Tier: j.Tier, Target: j.Route.Target, FirstAt: d.sinceStart(firstAt), DueAt: d.sinceStart(now) + dec.RetryAfter, EndAt: end, Plan: a.placement.Plan}
+	d.setOwnBookings(j.returnKey, append(list, b))
+}
+
+// setOwnBookings replaces the copies of bookings with a fingerprint.
+func (d *Director) setOwnBookings(key uint64, list []ownBooking) {
+	d.ownBookingCount += len(list) - len(d.ownBookings[key])
+	d.ownBookings[key] = list
+	if len(list) == 0 {
+		delete(d.ownBookings, key)
+	}
 }
 
 // sweepReturns drops bookings that have ended, sends copies to new owners and dispatches late
@@ -208,20 +249,21 @@
 // sendBookings sends the copies of bookings to the owners that do not have them. The caller
 // holds d.mu.
 func (d *Director) sendBookings(now time.Time) {
-	unsent := make(map[bookingTarget][]ownBooking)
-	for key, b := range d.ownBookings {
-		if d.sinceStart(now) > b.DueAt+resv.Grace {
-			delete(d.ownBookings, key)
-			continue
-		}
-		p := d.view.pools[b.pool]
-		if p == nil {
-			continue
-		}
-		t := bookingTarget{pool: b.pool, shard: p.homeShard(key)}
-		t.owner = d.shardOwner(b.pool, p, t.shard, now)
-		if t.owner != "" && (t.owner != b.owner || t.shard != b.shard) {
-			unsent[t] = append(unsent[t], b)
+	unsent := make(map[bookingTarget][]*ownBooking)
+	for key, list := range d.ownBookings {
+		list = slices.DeleteFunc(list, func(b ownBooking) bool { return d.sinceStart(now) > b.DueAt+resv.Grace })
+		d.setOwnBookings(key, list)
+		for i := range list {
+			b := &list[i]
+			p := d.view.pools[b.pool]
+			if p == nil {
+				continue
+			}
+			t := bookingTarget{pool: b.pool, shard: p.homeShard(key)}
+			t.owner = d.shardOwner(b.pool, p, t.shard, now)
+			if t.owner != "" && (t.owner != b.owner || t.shard != b.shard) {
+				unsent[t] = append(unsent[t], b)
+			}
 		}
 	}
 	for t, list := range unsent {
@@ -230,14 +272,13 @@
 		}
 		for _, b := range list {
 			b.owner, b.shard = t.owner, t.shard
-			d.ownBookings[b.Fingerprint] = b
 		}
 	}
 }
 
 // sendBookingsTo sends copies of bookings to an owner, which may be this entry. It returns false
 // if there is no link to the owner.
-func (d *Director) sendBookingsTo(t bookingTarget, list []ownBooking, now time.Time) bool {
+func (d *Director) sendBookingsTo(t bookingTarget, list []*ownBooking, now time.Time) bool {
 	if t.owner == d.cfg.Peers.Self {
 		for _, b := range list {
 			d.view.pools[t.pool].restoreBooking(t.shard, b.Booking)
@@ -249,7 +290,7 @@
 	for _, b := range list {
 		m.Bookings = append(m.Bookings, wire.Booking{
 			Fingerprint: b.Fingerprint, CustomerTier: b.Tier.Customer, RouteTier: b.Tier.Route, AcceptedAgoUS: (at - b.FirstAt).Microseconds(),
-			DueUS: (b.DueAt - at).Microseconds(), TargetUS: b.Target.Microseconds(), Plan: uint8(b.Plan),
+			DueUS: (b.DueAt - at).Microseconds(), TargetUS: b.Target.Microseconds(), DeadlineLeftUS: (b.EndAt - at).Microseconds(), Plan: uint8(b.Plan),
 		})
 	}
 	return d.cfg.Peers.SendBookings != nil && d.cfg.Peers.SendBookings(t.owner, m)
@@ -258,10 +299,11 @@
 // forgetBookingOwner records that an entry may have lost the bookings of this entry's callers.
 // The caller holds d.mu.
 func (d *Director) forgetBookingOwner(owner string) {
-	for key, b := range d.ownBookings {
-		if b.owner == owner {
-			b.owner = ""
-			d.ownBookings[key] = b
+	for _, list := range d.ownBookings {
+		for i := range list {
+			if list[i].owner == owner {
+				list[i].owner = ""
+			}
 		}
 	}
 }
@@ -291,7 +333,7 @@
 	for _, b := range m.Bookings {
 		p.restoreBooking(shard.Key{Zone: m.Zone, Index: m.ShardIndex}, resv.Booking{
 			Fingerprint: b.Fingerprint, Tier: route.Tier{Customer: b.CustomerTier, Route: b.RouteTier}, Target: us(b.TargetUS),
-			FirstAt: now - us(b.AcceptedAgoUS), DueAt: now + us(b.DueUS), Plan: resv.Plan(b.Plan),
+			FirstAt: now - us(b.AcceptedAgoUS), DueAt: now + us(b.DueUS), EndAt: now + us(b.DeadlineLeftUS), Plan: resv.Plan(b.Plan),
 		})
 	}
 }
