--- a/core/waitq/share.go
+++ b/core/waitq/share.go
@@ -14,6 +14,10 @@
 	// before its target, and a request that leaves without a slot would have no time left
 	// for a retry.
 	maxWaitShare = 0.1
+	// maxWaitShareBelow is the same for a customer that has had less than its share of the
+	// room. If other customers' requests hold their slots for seconds, a small pool has no free
+	// slot in a tenth of a target.
+	maxWaitShareBelow = 0.25
 	// DrawInterval is the time for which a draw is valid, about the time in which entries
 	// learn of each other's changes.
 	DrawInterval = 40 * time.Millisecond
@@ -26,6 +30,11 @@
 	return min(untilTarget-serviceTime, time.Duration(maxWaitShare*float64(target)))
 }
 
+// MaxWaitBelowShare is MaxWait for a customer that has had less than its share of the room.
+func MaxWaitBelowShare(target, untilTarget, serviceTime time.Duration) time.Duration {
+	return min(untilTarget-serviceTime, time.Duration(maxWaitShareBelow*float64(target)))
+}
+
 // Contention describes the requests that compete for the free slots of a pool at all
 // entries, as far as they have reported them.
 type Contention struct {
--- a/entry/direct/late.go
+++ b/entry/direct/late.go
@@ -171,10 +171,10 @@
 	return a, dec
 }
 
-// sendHold tells the peer that its request waits as late work, for longer than the peer expects.
+// sendHold tells the peer that its request waits for longer than the peer expects, if it does.
 // The caller holds Director's mutex.
 func (s *Session) sendHold(id uint64, w *waiter) {
-	if w.options.late {
+	if w.options.late || w.maxWait > waitq.MaxWait(w.job.Route.Target, w.job.firstEventDue().Sub(w.queuedAt), 0) {
 		// If the link cannot take the message, the link ends and with it the session.
 		_ = s.reply(&wire.PlaceHold{ID: id, MaxWaitUS: w.maxWait.Microseconds()})
 	}
--- a/entry/direct/shares.go
+++ b/entry/direct/shares.go
@@ -76,6 +76,9 @@
 	}
 }
 
+// isBelow reports whether the room is shared and the job's customer has had less than its share.
+func (s *jobShare) isBelow() bool { return s.tier != nil && !s.request.AboveShare() }
+
 // wait records that the job waits in the queue of the shard.
 func (s *jobShare) wait() {
 	if s.tier != nil {
--- a/entry/direct/wait.go
+++ b/entry/direct/wait.go
@@ -100,6 +100,9 @@
 		return a, dec, nil
 	}
 	maxWait := maxQueueTime(j, now, dec)
+	if j.share.isBelow() {
+		maxWait = max(maxWait, waitq.MaxWaitBelowShare(j.Route.Target, j.firstEventDue().Sub(now), dec.FirstEvent-dec.SlotWait))
+	}
 	if expectedWait := dec.RestWait + time.Duration(requestsAhead+c.HigherTierRequests+c.SameTierRequests+1)*dec.SlotInterval; expectedWait > maxWait {
 		dec.RetryAfter = max(dec.RetryAfter, expectedWait)
 		p.recordService(j, position, false)
