--- a/core/resv/late.go
+++ b/core/resv/late.go
@@ -17,7 +17,7 @@
 	// minQueueTime is the time within which the slots that become free are enough for the
 	// queue, however little late work was placed recently. It keeps the queue from staying
 	// empty when there is room again.
-	minQueueTime = 50 * time.Millisecond
+	minQueueTime = 250 * time.Millisecond
 	// reservedShare is the share of the usable slots that late work leaves free, so that a
 	// request within its target finds one at once.
 	reservedShare = 0.02
--- a/core/waitq/share.go
+++ b/core/waitq/share.go
@@ -18,6 +18,10 @@
 	// room. If other customers' requests hold their slots for seconds, a small pool has no free
 	// slot in a tenth of a target.
 	maxWaitShareBelow = 0.25
+	// maxAheadBelow is the number of requests ahead up to which that applies. In a large pool
+	// these get their slots within a tenth of a target in any case, and longer queues serve
+	// fewer requests in time.
+	maxAheadBelow = 2
 	// DrawInterval is the time for which a draw is valid, about the time in which entries
 	// learn of each other's changes.
 	DrawInterval = 40 * time.Millisecond
@@ -31,7 +35,10 @@
 }
 
 // MaxWaitBelowShare is MaxWait for a customer that has had less than its share of the room.
-func MaxWaitBelowShare(target, untilTarget, serviceTime time.Duration) time.Duration {
+func MaxWaitBelowShare(target, untilTarget, serviceTime time.Duration, requestsAhead int) time.Duration {
+	if requestsAhead > maxAheadBelow {
+		return MaxWait(target, untilTarget, serviceTime)
+	}
 	return min(untilTarget-serviceTime, time.Duration(maxWaitShareBelow*float64(target)))
 }
 
--- a/entry/direct/wait.go
+++ b/entry/direct/wait.go
@@ -101,7 +101,7 @@
 	}
 	maxWait := maxQueueTime(j, now, dec)
 	if j.share.isBelow() {
-		maxWait = max(maxWait, waitq.MaxWaitBelowShare(j.Route.Target, j.firstEventDue().Sub(now), dec.FirstEvent-dec.SlotWait))
+		maxWait = max(maxWait, waitq.MaxWaitBelowShare(j.Route.Target, j.firstEventDue().Sub(now), dec.FirstEvent-dec.SlotWait, requestsAhead))
 	}
 	if expectedWait := dec.RestWait + time.Duration(requestsAhead+c.HigherTierRequests+c.SameTierRequests+1)*dec.SlotInterval; expectedWait > maxWait {
 		dec.RetryAfter = max(dec.RetryAfter, expectedWait)
