--- a/core/resv/late.go
+++ b/core/resv/late.go
@@ -7,8 +7,8 @@
 
 const (
 	// maxLateWaitTargets is the longest wait in the queue of late work in multiples of the
-	// target. With 1 s for a target of 1 s, twice as many returns were refused in a replayed
-	// crowd; with 3 s for all, more callers waited in vain.
+	// target. With one target, many more returns are refused right after a crowd; with more,
+	// more callers wait in vain during one.
 	maxLateWaitTargets = 2
 	// maxWaitShare is the largest share of the time that a caller has left, after the expected
 	// duration of the answer, that may be spent waiting. The rest covers estimates that are
--- a/core/resv/resv.go
+++ b/core/resv/resv.go
@@ -45,8 +45,7 @@
 
 const (
 	// minSoonRate is the rate at which a class must have been served for its callers to return
-	// soon. Below it, most of them would be refused again. In trials, 0.3 served the most
-	// requests.
+	// soon. Below it, most of them would be refused again.
 	minSoonRate = 0.3
 	// honouredShare is the largest share of the time left until its deadline for which a
 	// caller waits before it returns.
--- a/core/waitq/waitq.go
+++ b/core/waitq/waitq.go
@@ -69,8 +69,8 @@
 const holdTimeWeight = 1.25
 
 // returnedHoldTimeWeight is the weight for callers that have returned: they go before most
-// newcomers of their tier, as they will not come again. A weight of zero served 24% fewer
-// requests of a tier of short and long requests in a trial.
+// newcomers of their tier, as they will not come again. With a weight of zero, long ones would
+// go before short newcomers, and 24% fewer requests of such a tier were served.
 const returnedHoldTimeWeight = 0.4
 
 // orderKey orders the requests of one tier that are owed service, and the others, the smallest
--- a/entry/direct/place.go
+++ b/entry/direct/place.go
@@ -217,7 +217,7 @@
 		}
 		a, dec, ok = d.placeInShard(ctx, j, p, loads[i].Key, opts)
 		isFull := dec.Reason == admit.Full || isHomeNext && dec.Reason == admit.Late
-		if !ok || dec.Endpoint >= 0 || !isFull || ctx.Err() != nil || time.Since(start) > immediateRefusal && !isHomeNext {
+		if !ok || dec.Endpoint >= 0 || !isFull || ctx.Err() != nil || time.Since(start) > j.share.latestRefusal(j) && !isHomeNext {
 			break
 		}
 		if !d.cfg.Overload.PlanReturns {
