hop: a connection carries a request once, and nothing after an unnamed answer

Cause: a request that an endpoint had turned away was sent once more over the same connection. A second copy of the refusal came first and named the request by its ID, as the answer to the second send does, so it was taken for that answer. A refusal without an ID was taken for the answer to any request.

Copies arrive on the connection that carried the original, so the connection is what tells two sends apart. It now keeps the hashes of the IDs of the requests that it has carried and carries none of them again, and it is closed after any answer that does not name its request, and after 256 requests. If the idle connections of an endpoint fill the limit and none may carry the request, the least recently used one makes room, so that the limit still holds.

--- a/entry/direct/direct.go
+++ b/entry/direct/direct.go
@@ -50,9 +50,8 @@
 	RosterIsCurrent func() bool
 	// StampHeaders sets the headers that describe the attempt to the endpoint.
 	StampHeaders func(r *hop.Request, o AttemptInfo)
-	// IsAnswerTo reports whether the head of an answer belongs to the request with the given
-	// ID.
-	IsAnswerTo func(id string, status int, h http.Header) bool
+	// MatchAnswer relates the head of an answer to the request with the given ID.
+	MatchAnswer func(id string, status int, h http.Header) hop.Match
 	// ReadMeta reads the head of an answer.
 	ReadMeta func(a *hop.Answer) Meta
 	// RolloutRule bounds how many requests a version that turns out to be bad may get.
--- a/entry/direct/rig_test.go
+++ b/entry/direct/rig_test.go
@@ -124,7 +124,7 @@
 		Zone: "near", Addr: "entry-1", RetryBudget: RetryBudget{Ratio: 1e-9, Slack: harnessRetries * minSlackEntries / retrySlackShare}, Client: hop.New(), Metrics: h.metrics, Log: zap.New(core),
 		EntryCounts:  func() (int, int) { return 1, 1 },
 		StampHeaders: func(r *hop.Request, o AttemptInfo) { r.Header.Set("Last", o.LastEventID) },
-		IsAnswerTo:   func(string, int, http.Header) bool { return true },
+		MatchAnswer:  func(string, int, http.Header) hop.Match { return hop.Named },
 		ReadMeta:     func(*hop.Answer) Meta { return Meta{Signed: true} },
 	})
 	r.Name, r.Shares = "r", []route.Share{{Pool: "p", Weight: 1}}
--- a/entry/direct/send.go
+++ b/entry/direct/send.go
@@ -15,8 +15,8 @@
 func (t *task) sendRequest(ctx context.Context, a *attempt) (*hop.Answer, error) {
 	j := t.job
 	r := &hop.Request{
-		Method: j.Method, Target: j.Target, Host: j.Host, Header: j.Header.Clone(), Body: j.Body,
-		AtMostOnce: j.Route.AtMostOnce(), IsAnswer: func(status int, h http.Header) bool { return t.d.cfg.IsAnswerTo(j.ID, status, h) },
+		ID: j.ID, Method: j.Method, Target: j.Target, Host: j.Host, Header: j.Header.Clone(), Body: j.Body,
+		AtMostOnce: j.Route.AtMostOnce(), MatchAnswer: func(status int, h http.Header) hop.Match { return t.d.cfg.MatchAnswer(j.ID, status, h) },
 	}
 	lastEventID := j.LastEventID
 	if t.lastEventID != "" {
--- a/entry/hop/conn.go
+++ b/entry/hop/conn.go
@@ -36,6 +36,11 @@
 	// after that.
 	idleSince   time.Time
 	idleTimeout time.Duration
+	// carried holds the hashes of the IDs of all requests that were written to the connection.
+	carried []uint64
+	// mayRepeat is set once an answer has arrived that does not name the request of its time.
+	// A repetition of it could not be recognised, so the connection carries no other request.
+	mayRepeat bool
 }
 
 func newConn(c *Client, addr string, nc net.Conn) *conn {
@@ -116,7 +121,7 @@
 
 var errForeignAnswer = errors.New("hop: answer to another request")
 
-// readAnswer reads answers until one belongs to r. An endpoint may send a second answer to an
+// readAnswer reads answers until one belongs to r. An endpoint may repeat the answer to an
 // earlier request, early or late, where the answer to r is expected.
 func (k *conn) readAnswer(r *Request) (*http.Response, error) {
 	for skipped := 0; skipped < maxForeignAnswers; {
@@ -128,7 +133,9 @@
 			// An interim response does not count as an answer to another request.
 			continue
 		}
-		if r.IsAnswer(resp.StatusCode, resp.Header) {
+		match := r.MatchAnswer(resp.StatusCode, resp.Header)
+		k.mayRepeat = k.mayRepeat || match != Named
+		if match != Foreign {
 			return resp, nil
 		}
 		if resp.Close {
@@ -223,12 +230,13 @@
 // Complete reports whether the body has been read to its end.
 func (a *Answer) Complete() bool { return a.isComplete }
 
-// Close ends the request. The connection is kept if the answer was complete and nothing else
-// has arrived after it. Otherwise it is closed, which makes the endpoint stop its work.
+// Close ends the request. The connection is kept if the answer was complete and named the
+// request, and nothing else has arrived after it. Otherwise it is closed, which makes the
+// endpoint stop its work.
 func (a *Answer) Close() {
 	stopped := a.stopCancel()
 	k := a.conn
-	if !stopped || !a.isComplete || a.closesConn || !a.isBodySent() || k.r.Buffered() > 0 {
+	if !stopped || !a.isComplete || a.closesConn || !a.isBodySent() || k.r.Buffered() > 0 || k.mayRepeat || len(k.carried) >= maxRequestsPerConn {
 		k.close()
 		return
 	}
--- a/entry/hop/hop.go
+++ b/entry/hop/hop.go
@@ -3,16 +3,21 @@
 //
 // It manages connections itself instead of using http.Transport, because the meaning of a
 // failure depends on how far the request got: a request that was never written has not run,
-// one that was written may have. It must also tolerate endpoints that send a second answer on
-// a kept connection: such bytes must never be taken for the answer to the next request.
+// one that was written may have. It must also tolerate endpoints that repeat an answer on a
+// kept connection: a repeated answer must never be taken for the answer to a later request, or
+// to a later send of the same request. An ID in the answer tells requests apart, but only the
+// connection tells apart two sends of one request, or answers without an ID. A connection
+// therefore carries each request once, and none after an answer that does not name its request.
 package hop
 
 import (
 	"context"
 	"errors"
 	"fmt"
+	"hash/maphash"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -54,10 +59,29 @@
 	// which a connection counts as broken.
 	keepAliveInterval = time.Second
 	keepAliveCount    = 2
+	// maxRequestsPerConn bounds how many requests a connection carries, and with that how many
+	// it must remember.
+	maxRequestsPerConn = 256
+)
+
+// Match says whether an answer belongs to a request.
+type Match uint8
+
+// The relations of an answer to a request.
+const (
+	// Foreign means that the answer belongs to another request.
+	Foreign Match = iota
+	// Unnamed means that the answer belongs to the request unless it repeats an earlier answer,
+	// because it names no request.
+	Unnamed
+	// Named means that the answer names the request.
+	Named
 )
 
 // Request is one request to an endpoint.
 type Request struct {
+	// ID is the same for all sends of a request, and differs between requests.
+	ID     string
 	Method string
 	// Target is the request target exactly as the caller sent it.
 	Target string
@@ -66,13 +90,15 @@
 	Body   []byte
 	// AtMostOnce is set for a request that may run at most once.
 	AtMostOnce bool
-	// IsAnswer reports whether an answer with this status and header belongs to the request.
-	IsAnswer func(status int, h http.Header) bool
+	// MatchAnswer relates an answer with this status and header to the request.
+	MatchAnswer func(status int, h http.Header) Match
 }
 
 // Client holds the connections to the endpoints. It is safe for concurrent use.
 type Client struct {
 	dialer net.Dialer
+	// idSeed is the seed of the hashes of request IDs that connections keep.
+	idSeed maphash.Seed
 
 	mu    sync.Mutex
 	hosts map[string]*host
@@ -95,7 +121,8 @@
 				Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveCount,
 			},
 		},
-		hosts: make(map[string]*host),
+		idSeed: maphash.MakeSeed(),
+		hosts:  make(map[string]*host),
 	}
 }
 
@@ -104,11 +131,13 @@
 // connection is closed, which makes the endpoint stop its work, and the error wraps the cause
 // of ctx.
 func (c *Client) Do(ctx context.Context, addr string, limit int, r *Request) (*Answer, error) {
+	idHash := maphash.String(c.idSeed, r.ID)
 	for {
-		k, isNew, err := c.acquire(ctx, addr, limit, r.AtMostOnce)
+		k, isNew, err := c.acquire(ctx, addr, limit, r.AtMostOnce, idHash)
 		if err != nil {
 			return nil, err
 		}
+		k.carried = append(k.carried, idHash)
 		idle := time.Since(k.idleSince)
 		answer, err := k.exchange(ctx, r)
 		if err == nil {
@@ -137,13 +166,22 @@
 	return nil
 }
 
-// acquire returns an idle connection or establishes a new one. isNew is set for a new one.
-func (c *Client) acquire(ctx context.Context, addr string, limit int, atMostOnce bool) (k *conn, isNew bool, err error) {
-	if k := c.acquireIdle(addr, atMostOnce); k != nil {
+// acquire returns an idle connection that has not carried the request, or establishes a new
+// one. isNew is set for a new one.
+func (c *Client) acquire(ctx context.Context, addr string, limit int, atMostOnce bool, idHash uint64) (k *conn, isNew bool, err error) {
+	if k := c.acquireIdle(addr, atMostOnce, idHash); k != nil {
 		return k, false, nil
 	}
 	if !c.reserveConn(addr, limit) {
-		return nil, false, ErrBusy
+		// The idle connections that are left have carried the request.
+		k := c.popIdle(addr, nil)
+		if k == nil {
+			return nil, false, ErrBusy
+		}
+		k.close()
+		if !c.reserveConn(addr, limit) {
+			return nil, false, ErrBusy
+		}
 	}
 	nc, err := c.dialer.DialContext(ctx, "tcp", addr)
 	if err != nil {
@@ -153,10 +191,11 @@
 	return newConn(c, addr, nc), true, nil
 }
 
-// acquireIdle returns an idle connection that is still usable, or nil.
-func (c *Client) acquireIdle(addr string, atMostOnce bool) *conn {
+// acquireIdle returns an idle connection that is still usable and has not carried the request,
+// or nil.
+func (c *Client) acquireIdle(addr string, atMostOnce bool, idHash uint64) *conn {
 	for {
-		k := c.popIdle(addr)
+		k := c.popIdle(addr, func(k *conn) bool { return !slices.Contains(k.carried, idHash) })
 		if k == nil {
 			return nil
 		}
@@ -168,17 +207,29 @@
 	}
 }
 
-func (c *Client) popIdle(addr string) *conn {
+// popIdle removes and returns the most recently used idle connection that fits, or nil. If fits
+// is nil, it removes the least recently used one.
+func (c *Client) popIdle(addr string, fits func(*conn) bool) *conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	h := c.hosts[addr]
 	if h == nil || len(h.idleConns) == 0 {
 		return nil
 	}
-	last := len(h.idleConns) - 1
-	k := h.idleConns[last]
-	h.idleConns[last] = nil
-	h.idleConns = h.idleConns[:last]
+	if fits == nil {
+		return h.removeIdle(0)
+	}
+	for i, k := range slices.Backward(h.idleConns) {
+		if fits(k) {
+			return h.removeIdle(i)
+		}
+	}
+	return nil
+}
+
+func (h *host) removeIdle(i int) *conn {
+	k := h.idleConns[i]
+	h.idleConns = slices.Delete(h.idleConns, i, i+1)
 	return k
 }
 
@@ -219,7 +270,7 @@
 // CloseIdle closes the idle connections to an address that no longer belongs to an endpoint.
 func (c *Client) CloseIdle(addr string) {
 	for {
-		k := c.popIdle(addr)
+		k := c.popIdle(addr, nil)
 		if k == nil {
 			return
 		}
--- a/entry/hop/hop_test.go
+++ b/entry/hop/hop_test.go
@@ -38,8 +38,16 @@
 
 func newRequest(id string) *Request {
 	return &Request{
-		Method: "GET", Target: "/x", Host: "h", Header: http.Header{"Id": {id}},
-		IsAnswer: func(_ int, h http.Header) bool { return h.Get("Id") == id },
+		ID: id, Method: "GET", Target: "/x", Host: "h", Header: http.Header{"Id": {id}},
+		MatchAnswer: func(_ int, h http.Header) Match {
+			switch h.Get("Id") {
+			case id:
+				return Named
+			case "":
+				return Unnamed
+			}
+			return Foreign
+		},
 	}
 }
 
@@ -97,6 +105,65 @@
 	}
 }
 
+// Guards against a repeated answer that is taken for the answer to a later send of the same
+// request, or, if it names no request, to any later request.
+func TestRepeatedAnswerIsNotTakenForLaterSend(t *testing.T) {
+	for name, tc := range map[string]struct {
+		firstID string
+		second  *Request
+	}{
+		"same request": {"a", newRequest("a")}, "same request, no ID": {"", newRequest("a")}, "other request, no ID": {"", newRequest("b")},
+	} {
+		t.Run(name, func(t *testing.T) {
+			addr := startEndpoint(t, func(n int, c net.Conn, r *bufio.Reader) {
+				for refused := n > 0; ; refused = true {
+					req, err := http.ReadRequest(r)
+					if err != nil {
+						return
+					}
+					if n == 0 {
+						// The refusal, and its repetition where the next answer is expected.
+						reply(c, tc.firstID, "refused")
+					}
+					if refused {
+						reply(c, req.Header.Get("Id"), "done")
+					}
+				}
+			})
+			c := New()
+			if got, err := sendAndRead(t, c, addr, newRequest("a")); got != "refused" || err != nil {
+				t.Fatalf("first send: %q, %v", got, err)
+			}
+			if got, err := sendAndRead(t, c, addr, tc.second); got != "done" || err != nil {
+				t.Errorf("second send: %q, %v", got, err)
+			}
+		})
+	}
+}
+
+// Guards against a request that finds no connection because the idle ones, which fill the limit,
+// have carried it before.
+func TestIdleConnectionMakesRoomForRepeatedRequest(t *testing.T) {
+	addr := startEndpoint(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		for {
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			reply(c, req.Header.Get("Id"), "ok")
+		}
+	})
+	c := New()
+	for range 3 {
+		a, err := c.Do(t.Context(), addr, 1, newRequest("a"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		io.Copy(io.Discard, a)
+		a.Close()
+	}
+}
+
 // A slow endpoint reports repeatedly that it is still at work, with interim responses (102).
 // If these counted as answers to other requests, the connection would be closed after the
 // fourth and the real answer would be lost.
