direct, door: a stopping entry hands on only what it can finish

Cause: whether a request came during the stop was decided by its first byte, on kept connections only, from 2.6 s after the SIGTERM on. Nothing asked about the time that was left when the request was whole, or when it was sent.

During a stop a request is now sent only if its own end comes first, or if its answer fits into the time left when it takes as much longer than usual as recent answers did (core/grace). That is asked when the last byte has been read, before each send, and of requests that wait. What is asked is the property that callers need, so it doesn't matter how a request came late.

--- a/core/route/table.go
+++ b/core/route/table.go
@@ -70,6 +70,11 @@
 	return nil, false
 }
 
+// HasRoute reports whether there is a route with a name.
+func (t *Table) HasRoute(name string) bool {
+	return slices.ContainsFunc(t.cfg.Routes, func(r Route) bool { return r.Name == name })
+}
+
 // Pool returns the pool with the given name.
 func (t *Table) Pool(name string) (*Pool, bool) {
 	p, ok := t.pools[name]
--- a/entry/direct/attempt.go
+++ b/entry/direct/attempt.go
@@ -10,6 +10,7 @@
 	"lycheepond/core/admit"
 	"lycheepond/core/canary"
 	"lycheepond/core/drain"
+	"lycheepond/core/grace"
 	"lycheepond/core/health"
 	"lycheepond/core/logs"
 	"lycheepond/core/meter"
@@ -232,6 +233,9 @@
 	// predicted time to the first event.
 	predictedWait, predictedService time.Duration
 	placement                       Placement
+	// kind is the kind of the answer and expected its work, set when the request is sent.
+	kind     answerKind
+	expected grace.Work
 	// work is what the attempt still counts for at the endpoint.
 	work inFlight
 	// firstAt is when the first part of the answer's body arrived, lastAt when the latest one
@@ -362,6 +366,9 @@
 	a.d.mu.Lock()
 	defer a.d.mu.Unlock()
 	a.observePace(now, r)
+	if r == health.Success {
+		a.recordAnswerTime(now)
+	}
 	a.observeResult(now, r)
 	a.releaseWork(a.work)
 	a.reportToOwner(now, 0, wire.PlaceResult+uint8(r))
--- a/entry/direct/direct.go
+++ b/entry/direct/direct.go
@@ -17,6 +17,7 @@
 	"go.uber.org/zap"
 
 	"lycheepond/core/canary"
+	"lycheepond/core/grace"
 	"lycheepond/core/health"
 	"lycheepond/core/meter"
 	"lycheepond/core/origin"
@@ -89,9 +90,16 @@
 	// refusedShares holds, for refused requests by customer, the share of the work that was
 	// placed in percent of the share that is due.
 	refusedShares *meter.CustomerHistograms
+	// stopping ends when BeginStop is called, by markStopping.
+	stopping     context.Context
+	markStopping context.CancelFunc
 
 	mu   sync.Mutex
 	view *view
+	// stopAt is when the entry stops, zero before BeginStop.
+	stopAt time.Time
+	// answers holds how long the latest whole answers took.
+	answers map[answerKind]*grace.Answers
 	// runningJobs counts the jobs without a final answer.
 	runningJobs int
 	// lastPlacementID is the ID of the latest placement request to a shard owner.
@@ -123,13 +131,14 @@
 	d := &Director{
 		cfg: cfg, start: time.Now(), view: newView(cfg.Zone, cfg.RolloutRule),
 		pendingPlacements: make(map[uint64]*pendingPlacement), ownerAttempts: make(map[string]map[uint64]*attempt), ownerBackoff: make(map[string]time.Time), originQueries: make(map[uint64]chan *wire.OriginReply),
-		ownBookings: make(map[uint64][]ownBooking),
+		ownBookings: make(map[uint64][]ownBooking), answers: make(map[answerKind]*grace.Answers),
 		answerTimes: cfg.Metrics.CustomerHistograms("customer_answer_ms"), retryTimes: cfg.Metrics.CustomerHistograms("customer_retry_ms"),
 	}
 	if cfg.Overload.ShareByCustomer {
 		d.refusedShares = cfg.Metrics.CustomerHistograms("customer_share")
 	}
 	d.view.limitShare = d.limitShare
+	d.stopping, d.markStopping = context.WithCancel(context.Background())
 	return d
 }
 
@@ -150,6 +159,7 @@
 	d.view.table = table
 	d.view.setStreamAge()
 	if m == route.Replaced {
+		d.forgetAnswers()
 		for name, p := range d.view.pools {
 			p.tiers = table.Tiers(name)
 		}
--- a/entry/direct/replace.go
+++ b/entry/direct/replace.go
@@ -59,7 +59,7 @@
 }
 
 func wasNotSent(err error) bool {
-	return errors.Is(err, hop.ErrBusy) || errors.Is(err, hop.ErrNotSent) || errors.Is(err, errLeaving) || errors.Is(err, errResting) || errors.Is(err, errOtherVersion)
+	return errors.Is(err, hop.ErrBusy) || errors.Is(err, hop.ErrNotSent) || errors.Is(err, errLeaving) || errors.Is(err, errResting) || errors.Is(err, errStopping) || errors.Is(err, errOtherVersion)
 }
 
 // startSender starts the goroutine that sends replacements, if the attempt may be replaced.
--- a/entry/direct/rest.go
+++ b/entry/direct/rest.go
@@ -103,7 +103,9 @@
 	if !free && !a.pool.budget.Spend() {
 		return nil
 	}
-	next, dec := d.placeOrWait(t.ctx, t.job, a.pool, queueOptions{mayQueue: true})
+	ctx, release := d.admissionContext(t.ctx, t.job)
+	defer release()
+	next, dec := d.placeOrWait(ctx, t.job, a.pool, queueOptions{mayQueue: true})
 	if dec.Endpoint >= 0 {
 		return next
 	}
--- a/entry/direct/send.go
+++ b/entry/direct/send.go
@@ -23,7 +23,7 @@
 		lastEventID = t.lastEventID
 	}
 	t.d.cfg.StampHeaders(r, AttemptInfo{Endpoint: a.id, Customer: j.Customer, TimeLeft: time.Until(j.End()), LastEventID: lastEventID})
-	if err := t.d.checkSendable(a); err != nil {
+	if err := t.d.checkSendable(a, j, t.remainingOutput()); err != nil {
 		return nil, err
 	}
 	_, knownEntries := t.d.cfg.EntryCounts()
@@ -100,6 +100,9 @@
 	case errors.Is(err, errResting):
 		a.withdraw()
 		return attemptResult{result: Result{Reason: "endpoint rests"}}
+	case errors.Is(err, errStopping):
+		a.withdraw()
+		return attemptResult{result: Result{Reason: errStopping.Error()}}
 	case errors.Is(err, errOtherVersion):
 		a.withdraw()
 		return attemptResult{result: Result{Reason: "endpoint has another version than the one that began the stream"}}
--- a/entry/direct/serve.go
+++ b/entry/direct/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -35,6 +36,9 @@
 	if retry := d.quarantineWait(j); retry > 0 {
 		return d.quarantineResult(j, retry)
 	}
+	if !d.canStillServe(j, j.OutputTokens) {
+		return d.refusal(j, StoppingRetryAfter, errStopping.Error())
+	}
 	wait, ok := d.charge(j)
 	if !ok {
 		return Result{Outcome: Limited, RetryAfter: wait, Reason: "customer over its limit"}
@@ -43,7 +47,10 @@
 		d.refund(j)
 		return d.refusal(j, originRetryAfter, "not known which version began the stream")
 	}
-	a, dec := d.admitJob(ctx, j)
+	admission, release := d.admissionContext(ctx, j)
+	a, dec := d.admitJob(admission, j)
+	stopped := errors.Is(context.Cause(admission), errStopping)
+	release()
 	if ctx.Err() != nil {
 		if dec.Endpoint >= 0 {
 			a.withdraw()
@@ -56,6 +63,12 @@
 		res.Placement = a.placement
 		return res
 	}
+	if dec.Endpoint < 0 && stopped {
+		d.refund(j)
+		res := d.refusal(j, StoppingRetryAfter, errStopping.Error())
+		res.Placement = a.placement
+		return res
+	}
 	if dec.Endpoint < 0 {
 		d.refund(j)
 		res := d.refusal(j, dec.RetryAfter, dec.Reason.String())
--- a/entry/direct/stated.go
+++ b/entry/direct/stated.go
@@ -3,12 +3,13 @@
 import (
 	"time"
 
+	"lycheepond/core/grace"
 	"lycheepond/entry/hop"
 )
 
 // checkSendable returns an error if the endpoint of an attempt must not get its request any
-// more.
-func (d *Director) checkSendable(a *attempt) error {
+// more. outputTokens is how many output tokens are still expected.
+func (d *Director) checkSendable(a *attempt, j *Job, outputTokens int) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	switch {
@@ -17,6 +18,10 @@
 	case !d.view.rests.Empty() && d.view.rests.Left(d.sinceStart(time.Now()), a.start.ID()) > 0:
 		return errResting
 	}
+	a.kind, a.expected = kindOf(j), grace.Work{PromptTokens: j.PromptTokens, OutputTokens: outputTokens}
+	if !d.maySend(j, outputTokens, a.predictedWait) {
+		return errStopping
+	}
 	if version, ok := d.versionAt(a); a.required.isSet && (!ok || version != a.required.version) {
 		return errOtherVersion
 	}
--- a/entry/direct/task.go
+++ b/entry/direct/task.go
@@ -139,6 +139,8 @@
 		return "sent to enough endpoints"
 	case t.d.isSuspect(t.job):
 		return "it may crash endpoints"
+	case !t.d.canStillServe(t.job, t.remainingOutput()):
+		return errStopping.Error()
 	}
 	return ""
 }
@@ -159,6 +161,9 @@
 	case t.runCount > 0:
 		return Result{Outcome: Unknown, Reason: reason}
 	}
+	if t.d.isStopping() {
+		return t.d.refusal(t.job, StoppingRetryAfter, reason)
+	}
 	return t.d.refusal(t.job, busyRetryAfter, reason)
 }
 
--- a/entry/door/door.go
+++ b/entry/door/door.go
@@ -32,10 +32,6 @@
 	// configuration. After its start an entry reads the configuration within about ten
 	// milliseconds, and takes longer only while the platform and all peers are unreachable.
 	noConfigRetryAfter = 150 * time.Millisecond
-	// stoppingRetryAfter is the delay after which a caller should retry at another entry when
-	// this one is stopping. An immediate retry would succeed too; the delay keeps callers from
-	// retrying without any pause.
-	stoppingRetryAfter = 10 * time.Millisecond
 	// balancerNoticeTime is how long a balancer that checks every second may take to miss two
 	// answers, with a margin.
 	balancerNoticeTime = 2600 * time.Millisecond
@@ -74,6 +70,8 @@
 	// HasSynced reports whether the configuration and the instance list are known.
 	HasSynced func() bool
 	Serve     func(ctx context.Context, j *direct.Job, s direct.Sink) direct.Result
+	// BeginStop is called when a planned stop begins. Answers must be complete at end.
+	BeginStop func(end time.Time)
 	// RunningJobs returns how many jobs have no final answer yet.
 	RunningJobs func() int
 	Metrics     *meter.Set
@@ -149,6 +147,7 @@
 	s.stopping.Store(true)
 	logs.Info(s.cfg.Log, logs.EventLeaving, zap.Int("running", s.cfg.RunningJobs()))
 	deadline := start.Add(s.cfg.Grace - closeReserve)
+	s.cfg.BeginStop(deadline)
 	time.Sleep(min(balancerNoticeTime, s.cfg.Grace/2))
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
@@ -198,6 +197,11 @@
 	}
 }
 
+// leavingRefusal returns the refusal of a request that another entry can serve instead.
+func leavingRefusal() *Refusal {
+	return &Refusal{Status: http.StatusServiceUnavailable, RetryAfter: direct.StoppingRetryAfter, Reason: "leaving"}
+}
+
 // serve reads one request, and serves or refuses it.
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	if !s.conns.Admit(r) {
@@ -212,7 +216,7 @@
 	}()
 	t := s.cfg.Table()
 	if s.conns.ArrivedDuringStop(r) {
-		a.refuse(&Refusal{Status: http.StatusServiceUnavailable, RetryAfter: stoppingRetryAfter, Reason: "leaving"})
+		a.refuse(leavingRefusal())
 		return
 	}
 	if !s.cfg.HasSynced() {
--- a/entry/door/harness_test.go
+++ b/entry/door/harness_test.go
@@ -111,6 +111,7 @@
 			return route.NewTable(route.Config{Limits: route.Limits{IdleTime: time.Duration(srv.idleBound.Load())}})
 		},
 		HasSynced: srv.hasSynced.Load,
+		BeginStop: func(time.Time) {},
 		Serve: func(ctx context.Context, j *direct.Job, s direct.Sink) direct.Result {
 			srv.admitted.Add(1)
 			srv.running.Add(1)
