door: a request with an endless body is refused at the end of a stop

A caller whose body was not whole when a stopping entry ended saw its connection closed without an answer, 4.7 s after its last byte, and could not know that nothing had run.

Cause: at the end of the grace the contexts of all requests are cancelled so that their callers get the outcome, but a body is read without regard to the context, until the connection is closed 0.4 s later.

Evidence: TestEndlessRequestsDoNotOutliveGrace fails on: no answer to the request with the endless body.

The cancellation now sets the read deadline of the body to that moment. The reader checks the context after it has set a deadline of its own, so that the later of the two can't win.

--- a/entry/door/body.go
+++ b/entry/door/body.go
@@ -1,6 +1,7 @@
 package door
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -77,6 +78,8 @@
 	rc   *http.ResponseController
 	// deadline is when the request ends, so that its body is not needed any more.
 	deadline time.Time
+	// ctx is the context of the request.
+	ctx context.Context
 }
 
 // Read implements io.Reader.
@@ -86,13 +89,25 @@
 		deadline = r.deadline
 	}
 	r.rc.SetReadDeadline(deadline)
+	// The cancellation may have set its deadline before this one.
+	if isEnding(r.ctx) {
+		return 0, direct.ErrEnding
+	}
 	return r.body.Read(p)
 }
 
+// isEnding reports whether the requests that remain are being ended.
+func isEnding(ctx context.Context) bool { return errors.Is(context.Cause(ctx), direct.ErrEnding) }
+
 // readBody reads the body of a request into j. It returns a refusal if the body could not be
 // read to its end.
 func readBody(w http.ResponseWriter, r *http.Request, t *route.Table, j *direct.Job) *Refusal {
-	body := &idleTimeoutReader{body: http.MaxBytesReader(w, r.Body, maxBodyBytes(t)), rc: http.NewResponseController(w), deadline: j.End()}
+	body := &idleTimeoutReader{body: http.MaxBytesReader(w, r.Body, maxBodyBytes(t)), rc: http.NewResponseController(w), deadline: j.End(), ctx: r.Context()}
+	defer context.AfterFunc(r.Context(), func() {
+		if isEnding(r.Context()) {
+			body.rc.SetReadDeadline(time.Now())
+		}
+	})()
 	if earliest := time.Now().Add(minBodyTime); body.deadline.Before(earliest) {
 		body.deadline = earliest
 	}
@@ -105,6 +120,9 @@
 	// The rest of the body may never arrive. The answer must not wait for it, and the read
 	// deadline stays in force for what the server still reads before it closes the connection.
 	w.Header().Set("Connection", "close")
+	if isEnding(r.Context()) {
+		return leavingRefusal()
+	}
 	return bodyRefusal(err)
 }
 
