caller: a request whose body was read during a stop is refused

An entry with agents refuses requests from the SIGTERM on, but one whose body was still arriving then was handed on, and would be cut if it outlasted the grace.

Cause: the stop was checked before the body was read, and not again.

Evidence: TestStopDuringBodyRefusesRequest; before the fix both a model request and one to a service are answered 200. readBody now checks again and refuses with outcome not-run.

--- a/entry/caller/accept.go
+++ b/entry/caller/accept.go
@@ -34,8 +34,8 @@
 // fields known so far. The job is non-nil even if there is an error.
 func (s *Server) accept(r *http.Request) (*sched.Job, *fault.Error) {
 	j := &sched.Job{ID: s.cfg.NewID(), AcceptedAt: s.cfg.Now(), Method: r.Method}
-	if s.cfg.Leaving() {
-		return j, fault.New(fault.Leaving, "this entry is stopping: ask again, the balancer will choose another").WithRetryAfter(time.Second)
+	if e := s.checkLeaving(); e != nil {
+		return j, e
 	}
 	if !s.cfg.Ready() {
 		return j, fault.New(fault.Leaving, "this entry has no configuration yet: ask again").WithRetryAfter(time.Second)
@@ -54,6 +54,14 @@
 	return j, readPromptParts(r, j)
 }
 
+// checkLeaving refuses a request if a planned stop has begun.
+func (s *Server) checkLeaving() *fault.Error {
+	if !s.cfg.Leaving() {
+		return nil
+	}
+	return fault.New(fault.Leaving, "this entry is stopping: ask again, the balancer will choose another").WithRetryAfter(time.Second)
+}
+
 // bearer returns the key in the Authorization header, empty if there is none.
 func bearer(r *http.Request) string {
 	const prefix = "Bearer "
@@ -202,8 +210,9 @@
 	return n, err
 }
 
-// readBody reads the whole body of a request, at most maxBodyBytes.
-func readBody(w http.ResponseWriter, r *http.Request) ([]byte, *fault.Error) {
+// readBody reads the whole body of a request, at most maxBodyBytes. It refuses the request if a
+// planned stop has begun in the meantime.
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *fault.Error) {
 	rc := http.NewResponseController(w)
 	defer rc.SetReadDeadline(time.Time{})
 	data, err := io.ReadAll(&bodyReader{body: http.MaxBytesReader(logs.OriginalWriter(w), r.Body, maxBodyBytes), rc: rc})
@@ -214,7 +223,7 @@
 	case err != nil:
 		return nil, fault.New(fault.BadRequest, "the body could not be read to its end: send it whole")
 	}
-	return data, nil
+	return data, s.checkLeaving()
 }
 
 // droppedHeaders are the headers that concern only this system. Like hop-by-hop
--- a/entry/caller/accept_test.go
+++ b/entry/caller/accept_test.go
@@ -56,6 +56,19 @@
 	expect(t, f.post(t, "/v1/completions", ok), http.StatusOK, "complete", "fine")
 }
 
+// Guards against a request that is handed on although a planned stop began while its body was
+// being read.
+func TestStopDuringBodyRefusesRequest(t *testing.T) {
+	for path, body := range map[string]string{"/v1/completions": completion(false), "/services/app/x": "body"} {
+		f := newTestEntry(t, entryOptions{stopsAfterHead: true}, newStub(t, "a", answerAll("fine")))
+		res := f.post(t, path, body)
+		if got := res.Header.Get(headerOutcome); res.StatusCode != http.StatusServiceUnavailable || got != "not-run" || res.Header.Get("Retry-After") == "" {
+			t.Errorf("%s: status %d, %s", path, res.StatusCode, got)
+		}
+		readText(t, res)
+	}
+}
+
 // The time in a UUIDv7 decides whether a key may be older than a lost record. If it
 // were read wrongly, an old key would count as new and the request would run again.
 func TestKeyCreationTime(t *testing.T) {
--- a/entry/caller/model.go
+++ b/entry/caller/model.go
@@ -36,7 +36,7 @@
 
 // readModel reads a model request and sets the remaining fields of the job.
 func (s *Server) readModel(w http.ResponseWriter, r *http.Request, j *sched.Job) *fault.Error {
-	data, e := readBody(w, r)
+	data, e := s.readBody(w, r)
 	if e != nil {
 		return e
 	}
@@ -117,7 +117,7 @@
 	if !ok {
 		return fault.New(fault.UnknownService, "unknown service "+quote(name)+": name one that the operator has defined")
 	}
-	data, e := readBody(w, r)
+	data, e := s.readBody(w, r)
 	if e != nil {
 		return e
 	}
--- a/entry/caller/stub_test.go
+++ b/entry/caller/stub_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -151,6 +152,8 @@
 
 type entryOptions struct {
 	home func(*testEntry, []byte) (sched.Home, error)
+	// stopsAfterHead has a planned stop begin once the head of a request has been accepted.
+	stopsAfterHead bool
 }
 
 func newTestEntry(tb testing.TB, opt entryOptions, stubs ...*stub) *testEntry {
@@ -187,9 +190,13 @@
 	done := make(chan error, 1)
 	go func() { done <- f.set.Run(ctx, changed) }()
 	m := meter.New()
-	yes, no := func() bool { return true }, func() bool { return false }
+	var leaving atomic.Bool
+	ready := func() bool {
+		leaving.Store(opt.stopsAfterHead)
+		return true
+	}
 	server := httptest.NewServer(New(Config{
-		Store: st, NewID: f.sched.NewID, Serve: f.sched.Serve, Now: now, Ready: yes, Leaving: no,
+		Store: st, NewID: f.sched.NewID, Serve: f.sched.Serve, Now: now, Ready: ready, Leaving: leaving.Load,
 		OnResult: tally.New(m, zap.NewNop()).RecordResult, Metrics: m, OnPanic: func() {}, OnUnread: func() {}, Log: zap.NewNop(),
 	}))
 	f.url = server.URL
