hop: the head of an answer is bounded

Cause: http.ReadResponse keeps a line of any length, and nothing else bounds the bytes that are read before the body.

A connection now reads at most 64 KiB of a head together with the interim responses before it, the bound of a caller's head. Beyond that the bytes are no answer and the connection is closed, so the memory held is that bound.

--- a/entry/hop/conn.go
+++ b/entry/hop/conn.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -24,27 +25,53 @@
 	maxForeignAnswers = 4
 	// readBufferBytes is the size of a connection's read buffer.
 	readBufferBytes = 4 << 10
+	// maxHeadBytes bounds the head of an answer together with the interim responses before it,
+	// as the head of a caller's request is bounded.
+	maxHeadBytes = 64 << 10
 )
 
+// errLongHead reports that an answer has no head, or one that is too long.
+var errLongHead = fmt.Errorf("hop: no head of an answer in the first %d bytes", maxHeadBytes)
+
 // conn is a connection to an endpoint. It carries one request at a time.
 type conn struct {
 	client *Client
 	addr   string
 	net    net.Conn
 	r      *bufio.Reader
+	// readsHead is set while the head of an answer is being read, of which headBytesLeft bytes
+	// may still arrive.
+	readsHead     bool
+	headBytesLeft int
 	// idleSince is when the last answer ended, idleTimeout how long the connection may be idle
 	// after that.
 	idleSince   time.Time
 	idleTimeout time.Duration
 	// carried holds the hashes of the IDs of all requests that were written to the connection.
 	carried []uint64
-	// mayRepeat is set once an answer has arrived that does not name the request of its time.
-	// A repetition of it could not be recognised, so the connection carries no other request.
+	// mayRepeat is set once an answer has arrived that did not name the request in progress. A
+	// repetition of it could not be recognised, so the connection carries no other request.
 	mayRepeat bool
 }
 
 func newConn(c *Client, addr string, nc net.Conn) *conn {
-	return &conn{client: c, addr: addr, net: nc, r: bufio.NewReaderSize(nc, readBufferBytes), idleTimeout: defaultIdleTimeout}
+	k := &conn{client: c, addr: addr, net: nc, idleTimeout: defaultIdleTimeout}
+	k.r = bufio.NewReaderSize(k, readBufferBytes)
+	return k
+}
+
+// Read reads from the endpoint, and no more of a head than is allowed. It fills the buffer r;
+// everything else is read from that.
+func (k *conn) Read(p []byte) (int, error) {
+	if !k.readsHead {
+		return k.net.Read(p)
+	}
+	if k.headBytesLeft <= 0 {
+		return 0, errLongHead
+	}
+	n, err := k.net.Read(p[:min(len(p), k.headBytesLeft)])
+	k.headBytesLeft -= n
+	return n, err
 }
 
 func (k *conn) close() {
@@ -124,8 +151,15 @@
 // readAnswer reads answers until one belongs to r. An endpoint may repeat the answer to an
 // earlier request, early or late, where the answer to r is expected.
 func (k *conn) readAnswer(r *Request) (*http.Response, error) {
+	k.headBytesLeft = maxHeadBytes
 	for skipped := 0; skipped < maxForeignAnswers; {
+		k.readsHead = true
 		resp, err := http.ReadResponse(k.r, &http.Request{Method: r.Method})
+		k.readsHead = false
+		if err != nil && k.headBytesLeft <= 0 {
+			// The parser reports the cut line instead.
+			return nil, errLongHead
+		}
 		if err != nil {
 			return nil, err
 		}
@@ -144,6 +178,7 @@
 		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
 			return nil, errors.Join(errForeignAnswer, err)
 		}
+		k.headBytesLeft = maxHeadBytes
 		skipped++
 	}
 	return nil, errors.New("hop: too many answers to other requests")
--- a/entry/hop/hop_test.go
+++ b/entry/hop/hop_test.go
@@ -182,6 +182,39 @@
 	}
 }
 
+// Guards against an answer whose head never ends and takes the memory of the process: one line
+// without an end, endless headers, or endless interim responses.
+func TestEndlessHeadIsNoAnswer(t *testing.T) {
+	for name, s := range map[string]string{
+		"no line end": strings.Repeat("x", 1<<10), "headers": "X-Filler: x\r\n", "interim responses": "HTTP/1.1 102 Processing\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			sent := make(chan int, 1)
+			addr := startEndpoint(t, func(_ int, c net.Conn, r *bufio.Reader) {
+				http.ReadRequest(r)
+				if name == "headers" {
+					io.WriteString(c, "HTTP/1.1 200 OK\r\n")
+				}
+				n := 0
+				for b := strings.Repeat(s, 100); n < 256<<20; {
+					m, err := io.WriteString(c, b)
+					if n += m; err != nil {
+						break
+					}
+				}
+				sent <- n
+			})
+			if got, err := sendAndRead(t, New(), addr, newRequest("a")); !errors.Is(err, ErrUnknown) || !errors.Is(err, errLongHead) {
+				t.Errorf("%q, %v", got, err)
+			}
+			// The buffers of the kernel take what was sent before the connection was closed.
+			if n := <-sent; n > 64<<20 {
+				t.Errorf("%d bytes were sent", n)
+			}
+		})
+	}
+}
+
 // An endpoint resets the connection in the middle of an answer without a length. Half an
 // answer must not count as a complete one.
 func TestResetWithoutLengthIsIncomplete(t *testing.T) {
