direct: a stream that may be resumed is sent without a length

Cause: the caller was told the length that the first endpoint had stated, and what the next endpoint sent beyond it was dropped by the server.

Evidence: TestLengthOfFirstEndpointDoesNotBindTheNext failed before: length 42 for a stream of 63 bytes that ended as complete.

Only the end of such a stream says now that it is whole. A stream that may not be resumed comes from one endpoint and keeps its length.

--- a/entry/direct/relay.go
+++ b/entry/direct/relay.go
@@ -41,7 +41,12 @@
 func (t *task) relayStream(answer *hop.Answer, a *attempt, w *watchdog) attemptResult {
 	if !t.headSent {
 		t.headSent = true
-		t.sink.Head(answer.Status, answer.Header, answer.Length)
+		length := answer.Length
+		if t.job.Route.Resumable {
+			// The rest may come from another endpoint, whose events may have other lengths.
+			length = -1
+		}
+		t.sink.Head(answer.Status, answer.Header, length)
 		t.sink.Flush()
 	}
 	buf, silence := make([]byte, relayReadBytes), t.silenceBound(a)
