--- a/core/grace/grace.go
+++ b/core/grace/grace.go
@@ -12,10 +12,9 @@
 const (
 	// recentAnswers is the number of latest answers that an estimate is based on.
 	recentAnswers = 32
-	// minAnswers is the number of answers without which nothing is estimated.
+	// minAnswers is the smallest number of answers that an estimate is based on.
 	minAnswers = 8
-	// outlierDivisor is the number of answers for each one that is left out as an outlier. Answers
-	// that were sent again after a failure take several times as long as others.
+	// outlierDivisor is the number of answers for each one that is left out as an outlier.
 	outlierDivisor = 16
 )
 
