sigs: the test of a second stop sends the first one itself

A race of the test, not of the product: the init of sigs_test.go sends SIGTERM in the child too, so the child may be stopping when it writes "started", and the first signal of the test is the second one that it gets.

The init now leaves children alone.

--- a/core/sigs/sigs_test.go
+++ b/core/sigs/sigs_test.go
@@ -9,8 +9,15 @@
 	"time"
 )
 
-// Signals arrive before main and before Context is called.
+// roleEnv tells a child process, which runs the test binary, what to do in main.
+const roleEnv = "LYCHEEPOND_TEST_SIGS"
+
+// Signals arrive before main and before Context is called. Child processes get only the signals
+// that their test sends.
 func init() {
+	if os.Getenv(roleEnv) != "" {
+		return
+	}
 	for _, s := range []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM} {
 		if err := syscall.Kill(os.Getpid(), s); err != nil {
 			panic(err)
--- a/core/sigs/start_test.go
+++ b/core/sigs/start_test.go
@@ -15,9 +15,6 @@
 	"lycheepond/core/launch"
 )
 
-// roleEnv tells a child process, which runs the test binary, what to do in main.
-const roleEnv = "LYCHEEPOND_TEST_SIGS"
-
 func TestMain(m *testing.M) {
 	switch os.Getenv(roleEnv) {
 	case "":
