direct: the test of repeats in a stop fails in each case without the check

The case of an idempotent request passed with the check before a send taken out: its route was not repeatable, so it showed nothing.

The route is repeatable now, its first endpoint gives no answer, and a case of a refused request is added. Each case wants one outcome where it allowed two.

--- a/entry/direct/stop_test.go
+++ b/entry/direct/stop_test.go
@@ -16,22 +16,37 @@
 // Guards against a request that is sent again during a planned stop although the answer of the
 // second endpoint can't be complete before the process ends.
 func TestNoRepeatThatOutlastsStop(t *testing.T) {
-	for name, r := range map[string]route.Route{
-		"idempotent": {Attempts: 2, Target: 10 * time.Second, Timeout: time.Minute},
-		"stream":     {Attempts: 2, Target: 10 * time.Second, Timeout: time.Minute, Stream: true, Resumable: true},
+	for name, tt := range map[string]struct {
+		route route.Route
+		// first is how the first endpoint answers, and want how the request ends.
+		first func(c net.Conn)
+		want  Outcome
+	}{
+		"idempotent": {
+			route.Route{Attempts: 2, Target: 10 * time.Second, Timeout: time.Minute, Repeatable: true},
+			func(net.Conn) {}, Unknown,
+		},
+		"refused": {
+			route.Route{Attempts: 1, Target: 10 * time.Second, Timeout: time.Minute},
+			func(c net.Conn) { writeWhole(c, http.StatusServiceUnavailable, "") }, Refused,
+		},
+		"stream": {
+			route.Route{Attempts: 2, Target: 10 * time.Second, Timeout: time.Minute, Stream: true, Resumable: true},
+			func(c net.Conn) { writeStreamHead(c); writeChunk(c, streamEvent(1)) }, Broken,
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			var h *harness
 			first := newTestEndpoint(t, func(_ *testEndpoint, c net.Conn, _ *http.Request) {
-				writeStreamHead(c)
-				writeChunk(c, streamEvent(1))
 				h.d.BeginStop(time.Now().Add(2 * time.Second))
+				tt.first(c)
 			})
 			second := newTestEndpoint(t, func(e *testEndpoint, c net.Conn, _ *http.Request) { e.pause(c, 3*time.Second) })
-			h = newHarness(t, r, first, second)
+			h = newHarness(t, tt.route, first, second)
+			h.d.cfg.ReadMeta = func(a *hop.Answer) Meta { return Meta{Signed: true, NotRun: a.Status == http.StatusServiceUnavailable} }
 			start := time.Now()
 			got := h.send(t.Context(), "x", callerAnswer{})
-			if got.Outcome != Unknown && got.Outcome != Broken || second.runs.Load() > 0 || time.Since(start) > time.Second {
+			if got.Outcome != tt.want || second.runs.Load() > 0 || time.Since(start) > time.Second {
 				t.Errorf("%v, %q after %v, %d sent to the second endpoint", got.Outcome, got.Reason, time.Since(start), second.runs.Load())
 			}
 			if !h.isIdle() {
