hop, grace: one function for each way to remove an idle connection; a comment

popIdle removed the newest connection that fits, or, without a condition, the oldest one. The second is popOldestIdle now. No behaviour changed; the tests of entry/hop and core/grace pass with -race.

--- a/core/grace/grace.go
+++ b/core/grace/grace.go
@@ -14,7 +14,7 @@
 	recentAnswers = 32
 	// minAnswers is the smallest number of answers that an estimate is based on.
 	minAnswers = 8
-	// outlierDivisor is the number of answers for each one that is left out as an outlier.
+	// outlierDivisor sets how many answers are left out as outliers: one in outlierDivisor.
 	outlierDivisor = 16
 )
 
--- a/entry/hop/hop.go
+++ b/entry/hop/hop.go
@@ -174,7 +174,7 @@
 	}
 	if !c.reserveConn(addr, limit) {
 		// The idle connections that are left have carried the request.
-		k := c.popIdle(addr, nil)
+		k := c.popOldestIdle(addr)
 		if k == nil {
 			return nil, false, ErrBusy
 		}
@@ -195,7 +195,7 @@
 // or nil.
 func (c *Client) acquireIdle(addr string, atMostOnce bool, idHash uint64) *conn {
 	for {
-		k := c.popIdle(addr, func(k *conn) bool { return !slices.Contains(k.carried, idHash) })
+		k := c.popIdle(addr, idHash)
 		if k == nil {
 			return nil
 		}
@@ -207,26 +207,34 @@
 	}
 }
 
-// popIdle removes and returns the most recently used idle connection that fits, or nil. If fits
-// is nil, it removes the least recently used one.
-func (c *Client) popIdle(addr string, fits func(*conn) bool) *conn {
+// popIdle removes and returns the most recently used idle connection that has not carried the
+// request, or nil.
+func (c *Client) popIdle(addr string, idHash uint64) *conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	h := c.hosts[addr]
-	if h == nil || len(h.idleConns) == 0 {
+	if h == nil {
 		return nil
 	}
-	if fits == nil {
-		return h.removeIdle(0)
-	}
 	for i, k := range slices.Backward(h.idleConns) {
-		if fits(k) {
+		if !slices.Contains(k.carried, idHash) {
 			return h.removeIdle(i)
 		}
 	}
 	return nil
 }
 
+// popOldestIdle removes and returns the least recently used idle connection, or nil.
+func (c *Client) popOldestIdle(addr string) *conn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	h := c.hosts[addr]
+	if h == nil || len(h.idleConns) == 0 {
+		return nil
+	}
+	return h.removeIdle(0)
+}
+
 func (h *host) removeIdle(i int) *conn {
 	k := h.idleConns[i]
 	h.idleConns = slices.Delete(h.idleConns, i, i+1)
@@ -270,7 +278,7 @@
 // CloseIdle closes the idle connections to an address that no longer belongs to an endpoint.
 func (c *Client) CloseIdle(addr string) {
 	for {
-		k := c.popIdle(addr, nil)
+		k := c.popOldestIdle(addr)
 		if k == nil {
 			return
 		}
