direct: a timer does not count what is left of an answer that is being forwarded

Callers saw nothing.

Cause: since missingForRetry asks whether the answer could be complete before a planned stop ends, and counted the output still expected from task.sentTokens. A watchdog calls it in the goroutine of its timer, while the goroutine of the request forwards events and adds to sentTokens.

The caller passes the count now, as it already does for the placement; the watchdog's was taken when its wait began.

--- a/entry/direct/task.go
+++ b/entry/direct/task.go
@@ -101,7 +101,7 @@
 	if got.mayHaveRun && t.job.Route.AtMostOnce() {
 		return nil, "may have run and must not run twice"
 	}
-	if missing := t.missingForRetry(t.runCount, t.sendCount); missing != "" {
+	if missing := t.missingForRetry(t.runCount, t.sendCount, t.remainingOutput()); missing != "" {
 		return nil, missing
 	}
 	if t.version.isUnknown {
@@ -126,8 +126,9 @@
 
 // missingForRetry returns what a job lacks for another attempt, apart from a retry in the
 // budget and a placement; empty if it lacks nothing. runCount and sendCount are its counts so
-// far.
-func (t *task) missingForRetry(runCount, sendCount int) string {
+// far, outputTokens is how many output tokens are still expected. It may be called while the
+// answer is being forwarded.
+func (t *task) missingForRetry(runCount, sendCount, outputTokens int) string {
 	switch {
 	case t.caller.Err() != nil:
 		return callerEndResult(t.caller).Reason
@@ -139,7 +140,7 @@
 		return "sent to enough endpoints"
 	case t.d.isSuspect(t.job):
 		return "it may crash endpoints"
-	case !t.d.canStillServe(t.job, t.remainingOutput()):
+	case !t.d.canStillServe(t.job, outputTokens):
 		return errStopping.Error()
 	}
 	return ""
--- a/entry/direct/watch.go
+++ b/entry/direct/watch.go
@@ -148,7 +148,7 @@
 	if opts.version.isUnknown {
 		return nil, "not known which version began the stream"
 	}
-	if missing := w.task.missingForRetry(runCount, sendCount); missing != "" {
+	if missing := w.task.missingForRetry(runCount, sendCount, opts.outputTokens); missing != "" {
 		return nil, missing
 	}
 	return w.task.d.reserve(w.task.job, w.attempt, opts, false)
