direct: periodic work has one ticker; the race detector crashed in a test

Cause: in a bubble of testing/synctest all timers share one context of the race detector. A ticker that is due when its channel is polled, and a timer set to no time, run in the goroutine that uses them, beside the scheduler of the bubble, and both change the call stack of that context without a lock. Director.Run polled two tickers that are due at once each second, in up to 34 goroutines of TestReturnsAfterCrowd; three tests of returns set a timer to zero.

Here one run of the package crashed in that test, below Director.Run.

The three tests free slots by a call instead of a timer of no time.

--- a/entry/direct/direct.go
+++ b/entry/direct/direct.go
@@ -322,40 +322,39 @@
 
 // Run does the periodic work of the director until ctx ends.
 func (d *Director) Run(ctx context.Context) error {
-	sweepTicker, probeTicker := time.NewTicker(sweepInterval), time.NewTicker(probeInterval)
-	defer sweepTicker.Stop()
-	defer probeTicker.Stop()
+	ticker := time.NewTicker(roundInterval)
+	defer ticker.Stop()
 	var probes sync.WaitGroup
 	defer probes.Wait()
-	for {
+	for round := 1; ; round++ {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-sweepTicker.C:
+		case <-ticker.C:
+		}
+		if round%sweepRounds == 0 {
 			d.cfg.Client.CloseExpired()
 			d.sweepOrigins()
-		case <-probeTicker.C:
-			d.dispatchTimed()
-			d.sweepReturns()
-			d.evaluateRollouts()
-			d.sendUnsentOrigins()
-			if entries := d.linkedEntries(); len(entries) > 0 {
-				d.cfg.Peers.KeepLinks(entries)
-			}
-			for id, addr := range d.endpointsToProbe() {
-				probes.Go(func() { d.probeEndpoint(ctx, id, addr) })
-			}
+		}
+		d.dispatchTimed()
+		d.sweepReturns()
+		d.evaluateRollouts()
+		d.sendUnsentOrigins()
+		if entries := d.linkedEntries(); len(entries) > 0 {
+			d.cfg.Peers.KeepLinks(entries)
+		}
+		for id, addr := range d.endpointsToProbe() {
+			probes.Go(func() { d.probeEndpoint(ctx, id, addr) })
 		}
 	}
 }
 
 const (
-	// sweepInterval is the time between two sweeps of idle connections.
-	sweepInterval = time.Second
-	// probeInterval is the time between two rounds of the other periodic work, which includes
-	// the search for endpoints to probe: a fraction of the shortest time for which endpoints
-	// are avoided.
-	probeInterval = 100 * time.Millisecond
+	// roundInterval is the time between two rounds of periodic work, which includes the search
+	// for endpoints to probe: a fraction of the shortest time for which endpoints are avoided.
+	roundInterval = 100 * time.Millisecond
+	// sweepRounds is the number of rounds for each sweep of idle connections and origins.
+	sweepRounds = 10
 )
 
 // endpointsToProbe returns the addresses, by ID, of the endpoints to probe with a connection.
--- a/entry/direct/returns_test.go
+++ b/entry/direct/returns_test.go
@@ -235,15 +235,16 @@
 	return r.returned(j)
 }
 
-// finishAfter frees the slots after a time.
-func (r *returnRig) finishAfter(d time.Duration) {
-	time.AfterFunc(d, func() {
-		for _, a := range r.running {
-			a.finish(health.Success)
-		}
-	})
+// finishAll frees the slots.
+func (r *returnRig) finishAll() {
+	for _, a := range r.running {
+		a.finish(health.Success)
+	}
 }
 
+// finishAfter frees the slots after a time, which is positive.
+func (r *returnRig) finishAfter(d time.Duration) { time.AfterFunc(d, r.finishAll) }
+
 func (r *returnRig) count(entry, counter string) int64 {
 	return r.directors[entry].cfg.Metrics.Counter(counter, meter.Label{Key: "pool", Value: "p"}).Count()
 }
@@ -360,7 +361,7 @@
 		equal.Deadline = equal.Deadline.Add(-2 * time.Second)
 		_, dec := r.refuse(r.asker, j, resv.Later, 3*time.Second, 4*time.Second)
 		r.refuse(r.asker, equal, resv.Later, 3*time.Second, 4*time.Second)
-		r.finishAfter(0)
+		r.finishAll()
 		synctest.Wait()
 		d.admitJob(r.ctx, r.returned(equal))
 		d.HandleLinkLost(r.owner)
@@ -451,7 +452,7 @@
 			if took := time.Since(start); took > 2*oneWay {
 				t.Errorf("refused after %v", took)
 			}
-			r.finishAfter(0)
+			r.finishAll()
 			synctest.Wait()
 			if hasRoom {
 				if a, dec := r.directors[r.other].admitJob(r.ctx, r.returned(j)); dec.Endpoint < 0 || time.Since(start) > 4*oneWay {
@@ -472,7 +473,7 @@
 func TestReturnTooLongIsRefusedAtOnce(t *testing.T) {
 	replayReturns(t, 1, func(r *returnRig) {
 		j := r.refuseLater(r.asker)
-		r.finishAfter(0)
+		r.finishAll()
 		synctest.Wait()
 		d := r.directors[r.owner]
 		// The endpoint has a free slot, but prompts of other entries to process.
