quota: an entry that starts takes over what is left of a customer's limit

Cause: the buckets of all entries are estimates of one shared bucket, but a new one began with half of a burst at the customer's first request, whatever the others had granted: at entries that start, and at entries that meet a customer for the first time.

--- a/entry/direct/poison.go
+++ b/entry/direct/poison.go
@@ -168,13 +168,19 @@
 }
 
 // AddReports adds reports on suspect requests, rate limits, rollouts, leaving endpoints and
-// rests to a tally: the changed ones, and with resend also those that a new peer needs.
+// rests to a tally: the changed ones, and with resend also those that a new peer needs, which
+// include what is left of customers' limits.
 func (d *Director) AddReports(t *wire.Tally, resend bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	t.Suspects, t.Parts = d.suspectReports(resend)
 	t.Limits, t.Rollouts = d.limitReports(resend), d.rolloutReports(resend)
 	t.Leaving, t.Rests = d.leavingReports(resend), d.restReports(resend)
+	if resend {
+		d.view.quota.Left(d.sinceStart(time.Now()), func(customer string, unitsLeft float64) {
+			t.Left = append(t.Left, wire.CustomerLeft{Customer: customer, UnitsLeft: unitsLeft})
+		})
+	}
 }
 
 // suspectReports returns the reports on suspect requests and parts for a tally. The caller holds
