wire, quota: units left have one name

Left beside Leaving in a tally read as entries that have left. No behaviour changed; the encoding has no names. The tests of core/quota and core/wire pass.

--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -81,8 +81,8 @@
 	usedUnits float64
 	// hasRequests is set once this entry has had a request of the customer.
 	hasRequests bool
-	filledAt    time.Duration
-	createdAt   time.Duration
+	// createdAt is when the bucket was created, filledAt up to when its refill is counted.
+	createdAt, filledAt time.Duration
 	// isReported is set if the bucket was created, or what is left in it taken over, by a peer's
 	// report. First totals of peers, which include use from long ago, do not count until it has
 	// settled.
@@ -167,9 +167,9 @@
 	}
 }
 
-// MergeLeft records how many units a peer has left for a customer. It has no effect on a bucket
+// MergeUnitsLeft records how many units a peer has left for a customer. It has no effect on a bucket
 // that has settled.
-func (q *Limiter) MergeLeft(now time.Duration, customer string, unitsLeft float64) {
+func (q *Limiter) MergeUnitsLeft(now time.Duration, customer string, unitsLeft float64) {
 	b := q.reportedBucket(now, customer)
 	if b == nil || b.hasSettled(now) {
 		return
@@ -196,8 +196,8 @@
 	return b
 }
 
-// Left calls f with the units left of each customer that has less left than a new bucket holds.
-func (q *Limiter) Left(now time.Duration, f func(customer string, unitsLeft float64)) {
+// UnitsLeft calls f with the units left of each customer that has less left than a new bucket holds.
+func (q *Limiter) UnitsLeft(now time.Duration, f func(customer string, unitsLeft float64)) {
 	for name, b := range q.buckets {
 		if b.limit.Rate <= 0 {
 			continue
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -199,7 +199,7 @@
 				q.OwnTotals(func(c string, n float64) { totals = append(totals, Total{c, n}) })
 				peer.MergeTotals(now, string(rune('a'+i)), totals)
 				if join && now >= when && now < when+2*interval {
-					q.Left(now, func(c string, n float64) { peer.MergeLeft(now, c, n) })
+					q.UnitsLeft(now, func(c string, n float64) { peer.MergeUnitsLeft(now, c, n) })
 				}
 			}
 		}
--- a/core/wire/tally.go
+++ b/core/wire/tally.go
@@ -53,15 +53,15 @@
 	ConfigAhead int64
 	// Parts holds parts of prompts that may have crashed endpoints.
 	Parts []SuspectPart
-	// Left holds, for new peers, the customers that have less left of their limits at the
+	// UnitsLeft holds, for new peers, the customers that have less left of their limits at the
 	// sender than a customer that has sent no request.
-	Left []CustomerLeft
+	UnitsLeft []CustomerUnitsLeft
 }
 
 // HasChanges reports whether the tally contains anything besides the information that
 // its sender is alive.
 func (t *Tally) HasChanges() bool {
-	return len(t.Customers)+len(t.Endpoints)+len(t.Queues)+len(t.Freshness)+len(t.Suspects)+len(t.Limits)+len(t.Rollouts)+len(t.Leaving)+len(t.Rests)+len(t.Parts)+len(t.Left) > 0
+	return len(t.Customers)+len(t.Endpoints)+len(t.Queues)+len(t.Freshness)+len(t.Suspects)+len(t.Limits)+len(t.Rollouts)+len(t.Leaving)+len(t.Rests)+len(t.Parts)+len(t.UnitsLeft) > 0
 }
 
 // Suspect is the sender's report on a request that may have crashed endpoints. Its
@@ -226,9 +226,9 @@
 	Total    float64
 }
 
-// CustomerLeft is the number of units that the sender has left for a customer. It is negative if
+// CustomerUnitsLeft is the number of units that the sender has left for a customer. It is negative if
 // more was used than the limit.
-type CustomerLeft struct {
+type CustomerUnitsLeft struct {
 	_msgpack  struct{} `msgpack:",as_array"`
 	Customer  string
 	UnitsLeft float64
--- a/entry/direct/poison.go
+++ b/entry/direct/poison.go
@@ -177,8 +177,8 @@
 	t.Limits, t.Rollouts = d.limitReports(resend), d.rolloutReports(resend)
 	t.Leaving, t.Rests = d.leavingReports(resend), d.restReports(resend)
 	if resend {
-		d.view.quota.Left(d.sinceStart(time.Now()), func(customer string, unitsLeft float64) {
-			t.Left = append(t.Left, wire.CustomerLeft{Customer: customer, UnitsLeft: unitsLeft})
+		d.view.quota.UnitsLeft(d.sinceStart(time.Now()), func(customer string, unitsLeft float64) {
+			t.UnitsLeft = append(t.UnitsLeft, wire.CustomerUnitsLeft{Customer: customer, UnitsLeft: unitsLeft})
 		})
 	}
 }
--- a/entry/direct/view.go
+++ b/entry/direct/view.go
@@ -338,8 +338,8 @@
 		totals = append(totals, quota.Total{Customer: u.Customer, Units: u.Total})
 	}
 	v.quota.MergeTotals(now, peer, totals)
-	for _, u := range t.Left {
-		v.quota.MergeLeft(now, u.Customer, u.UnitsLeft)
+	for _, u := range t.UnitsLeft {
+		v.quota.MergeUnitsLeft(now, u.Customer, u.UnitsLeft)
 	}
 	v.queueCounts.applyReport(peer, t.Queues)
 	loads := v.peerLoads[peer]
