Revert "quota: an entry that starts takes over what is left of a customer's limit"

Suspected, not shown: a bucket is filled up to the reachable entries' share of the burst. Buckets that begin with a report begin while links form, when that share is small, and such an entry reports to new peers that little is left, which they take over. The test has no entries that reach only some of the others.

--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -6,10 +6,6 @@
 // Instead, each entry counts its own use and merges the totals that the others report
 // several times per second, so all entries effectively share one token bucket.
 //
-// A bucket is created when its customer is first heard of, from a request or from a report, so
-// that it follows what the others admit before a request comes. One that is created later than
-// theirs, at an entry that has just started, takes over what is left in theirs.
-//
 // An entry that does not receive reports from k of n other entries cannot know what they
 // admit. It then uses only the reachable entries' share of the limit, as the others do with
 // theirs, so the sum stays within the limit during a network partition.
@@ -23,10 +19,6 @@
 // start at once, and with full buckets a customer would get several whole bursts each time.
 const initialBurstShare = 0.5
 
-// settleTime is how long after its creation a bucket settles. Until then it takes over what is
-// left in the buckets of peers, since an entry that has started hears from them for the first time.
-const settleTime = 3 * time.Second
-
 // minWait is the shortest wait that Take returns with a refusal. It is the time in which
 // entries receive each other's totals, and it is the same for all callers. If later callers
 // were given longer waits, 2 to 4 in 100 of the units that callers could use would remain
@@ -67,8 +59,6 @@
 	buckets                        map[string]*bucket
 	// peerTotals holds the last total that each peer reported for each customer.
 	peerTotals map[string]map[string]float64
-	// limitOf returns the limit of a customer, with a zero Rate if it has none or is not known.
-	limitOf func(customer string) Limit
 }
 
 type bucket struct {
@@ -79,20 +69,12 @@
 	// usedUnits is the total number of units that this entry admitted and that were not
 	// returned.
 	usedUnits float64
-	// hasRequests is set once this entry has had a request of the customer.
-	hasRequests bool
-	// createdAt is when the bucket was created, filledAt up to when its refill is counted.
-	createdAt, filledAt time.Duration
-	// isReported is set if the bucket was created, or what is left in it taken over, by a peer's
-	// report. First totals of peers, which include use from long ago, do not count until it has
-	// settled.
-	isReported bool
+	filledAt  time.Duration
 }
 
-// New returns a limiter for an entry that knows no other entry. limitOf returns the limit of a
-// customer that a peer reports, with a zero Rate if it has none or is not known.
-func New(limitOf func(customer string) Limit) *Limiter {
-	return &Limiter{reachableEntries: 1, knownEntries: 1, buckets: make(map[string]*bucket), peerTotals: make(map[string]map[string]float64), limitOf: limitOf}
+// New returns a limiter for an entry that knows no other entry.
+func New() *Limiter {
+	return &Limiter{reachableEntries: 1, knownEntries: 1, buckets: make(map[string]*bucket), peerTotals: make(map[string]map[string]float64)}
 }
 
 // SetEntries sets how many entries are known and from how many of them this one receives
@@ -106,7 +88,6 @@
 // the time after which it would be admitted if no other request came.
 func (q *Limiter) Take(now time.Duration, customer string, l Limit, n float64) (wait time.Duration, ok bool) {
 	b := q.bucket(now, customer, l)
-	b.hasRequests = true
 	if l.Rate <= 0 {
 		b.usedUnits += n
 		return 0, true
@@ -135,78 +116,26 @@
 	}
 }
 
-// Total is the number of units that a peer has admitted for a customer and that were not
-// returned.
-type Total struct {
-	Customer string
-	Units    float64
-}
-
-// MergeTotals records totals of a peer. A total decreases if the peer returned units. A restarted
-// peer counts from zero, so Forget must be called first.
-func (q *Limiter) MergeTotals(now time.Duration, peer string, totals []Total) {
-	known, isKnownPeer := q.peerTotals[peer]
-	if !isKnownPeer {
-		known = make(map[string]float64)
-		q.peerTotals[peer] = known
-	}
-	for _, t := range totals {
-		previous, isKnown := known[t.Customer]
-		known[t.Customer] = t.Units
-		b := q.reportedBucket(now, t.Customer)
-		switch {
-		case b == nil || !isKnownPeer && b.isReported && !b.hasSettled(now):
-			continue
-		case !isKnown && t.Units > b.limit.Burst:
-			// A first total may include use from long ago. At most the burst of it still
-			// matters.
-			t.Units, previous = b.limit.Burst, 0
-		}
-		b.refill(now, q.reachableShare())
-		b.unitsLeft = min(b.unitsLeft-(t.Units-previous), b.limit.Burst)
+// MergeTotal records a peer's total for a customer. The total decreases if the peer
+// returned units. A restarted peer counts from zero, so Forget must be called first.
+func (q *Limiter) MergeTotal(peer, customer string, total float64) {
+	totals := q.peerTotals[peer]
+	if totals == nil {
+		totals = make(map[string]float64)
+		q.peerTotals[peer] = totals
 	}
-}
-
-// MergeUnitsLeft records how many units a peer has left for a customer. It has no effect on a bucket
-// that has settled.
-func (q *Limiter) MergeUnitsLeft(now time.Duration, customer string, unitsLeft float64) {
-	b := q.reportedBucket(now, customer)
-	if b == nil || b.hasSettled(now) {
+	previous, known := totals[customer]
+	totals[customer] = total
+	b := q.buckets[customer]
+	if b == nil {
 		return
 	}
-	b.isReported = true
-	b.refill(now, q.reachableShare())
-	b.unitsLeft = min(b.unitsLeft, unitsLeft)
-}
-
-func (b *bucket) hasSettled(now time.Duration) bool { return now-b.createdAt > settleTime }
-
-// reportedBucket returns the bucket of a customer that a peer has reported, or nil if the
-// customer has no limit.
-func (q *Limiter) reportedBucket(now time.Duration, customer string) *bucket {
-	if b := q.buckets[customer]; b != nil {
-		return b
-	}
-	l := q.limitOf(customer)
-	if l.Rate <= 0 {
-		return nil
-	}
-	b := q.bucket(now, customer, l)
-	b.isReported = true
-	return b
-}
-
-// UnitsLeft calls f with the units left of each customer that has less left than a new bucket holds.
-func (q *Limiter) UnitsLeft(now time.Duration, f func(customer string, unitsLeft float64)) {
-	for name, b := range q.buckets {
-		if b.limit.Rate <= 0 {
-			continue
-		}
-		b.refill(now, q.reachableShare())
-		if b.unitsLeft < b.limit.Burst*initialBurstShare {
-			f(name, b.unitsLeft)
-		}
+	if !known && total > b.limit.Burst {
+		// The total of a peer without earlier reports includes use from long ago. At most
+		// the burst of it still matters.
+		total, previous = b.limit.Burst, 0
 	}
+	b.unitsLeft = min(b.unitsLeft-(total-previous), b.limit.Burst)
 }
 
 // Forget drops the totals of a peer that is gone.
@@ -222,9 +151,7 @@
 // OwnTotals calls f with this entry's total for each customer that has sent requests to it.
 func (q *Limiter) OwnTotals(f func(customer string, total float64)) {
 	for name, b := range q.buckets {
-		if b.hasRequests {
-			f(name, b.usedUnits)
-		}
+		f(name, b.usedUnits)
 	}
 }
 
@@ -236,7 +163,7 @@
 func (q *Limiter) bucket(now time.Duration, customer string, l Limit) *bucket {
 	b := q.buckets[customer]
 	if b == nil {
-		b = &bucket{unitsLeft: l.Burst * initialBurstShare, filledAt: now, createdAt: now}
+		b = &bucket{unitsLeft: l.Burst * initialBurstShare, filledAt: now}
 		q.buckets[customer] = b
 	}
 	b.limit = l
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -6,16 +6,13 @@
 	"time"
 )
 
-// noLimit is the limit of customers that are not known.
-func noLimit(string) Limit { return Limit{} }
-
 // admittedUnits sends each entry far more requests than the limit and returns the number of
 // units admitted. Entries that can reach each other exchange totals once per interval.
 func admittedUnits(entries int, canReach func(a, b int) bool, duration, interval time.Duration) (total float64) {
 	limit := Limit{Rate: 1000, Burst: 1000}
 	limiters := make([]*Limiter, entries)
 	for i := range limiters {
-		limiters[i] = New(noLimit)
+		limiters[i] = New()
 		reachable := 0
 		for j := range entries {
 			if canReach(i, j) {
@@ -40,7 +37,7 @@
 			q.OwnTotals(func(c string, n float64) {
 				for j := range limiters {
 					if i != j && canReach(i, j) {
-						limiters[j].MergeTotals(now, string(rune('a'+i)), []Total{{c, n}})
+						limiters[j].MergeTotal(string(rune('a'+i)), c, n)
 					}
 				}
 			})
@@ -74,13 +71,11 @@
 // never executed, as long as the overload lasts.
 func TestReturnedUnitsAreRestoredAtAllEntries(t *testing.T) {
 	limit := Limit{Rate: 100, Burst: 1000}
-	full, other := New(noLimit), New(noLimit)
+	full, other := New(), New()
 	full.SetEntries(2, 2)
 	other.SetEntries(2, 2)
 	other.Take(0, "c", limit, 1)
-	sendTotals := func() {
-		full.OwnTotals(func(c string, total float64) { other.MergeTotals(0, "busy", []Total{{c, total}}) })
-	}
+	sendTotals := func() { full.OwnTotals(func(c string, total float64) { other.MergeTotal("busy", c, total) }) }
 	for range 40 {
 		if _, ok := full.Take(0, "c", limit, 10); !ok {
 			t.Fatal("refused within the limit")
@@ -99,7 +94,7 @@
 
 // A refused caller that returns after the wait must be admitted if no other request came.
 func TestTakeReturnsWaitUntilAdmission(t *testing.T) {
-	q := New(noLimit)
+	q := New()
 	limit := Limit{Rate: 100, Burst: 100}
 	q.Take(0, "c", limit, 70)
 	wait, ok := q.Take(0, "c", limit, 20)
@@ -114,7 +109,7 @@
 // A customer at its limit sends small and large requests. The large ones must be admitted
 // although the small ones could use up each unit as it becomes free.
 func TestLargeRequestsAreAdmittedAtTheLimit(t *testing.T) {
-	q := New(noLimit)
+	q := New()
 	limit := Limit{Rate: 1000, Burst: 1000}
 	rnd := rand.New(rand.NewPCG(1, 2))
 	small, large, smallTotal, largeTotal := 0.0, 0.0, 0.0, 0.0
@@ -137,103 +132,10 @@
 }
 
 func TestZeroRateMeansNoLimit(t *testing.T) {
-	q := New(noLimit)
+	q := New()
 	for range 1000 {
 		if _, ok := q.Take(0, "c", Limit{}, 1e9); !ok {
 			t.Fatal("refused without a limit")
 		}
 	}
 }
-
-// largestWindow has a customer that has used little send far more than its limit to five entries,
-// and two seconds later to eight, and returns the largest number of units admitted in 8 s. With join,
-// the other three start at that time; without, they have run as long as the first ones.
-func largestWindow(join bool) (largest float64) {
-	const (
-		first, all     = 5, 8
-		begin, when    = 4 * time.Second, 6 * time.Second
-		step, interval = 10 * time.Millisecond, 50 * time.Millisecond
-		window         = int(8 * time.Second / step)
-	)
-	limit := Limit{Rate: 1000, Burst: 4000}
-	limiters := make([]*Limiter, all)
-	start := func(i int) { limiters[i] = New(func(string) Limit { return limit }) }
-	running := func(now time.Duration) []*Limiter {
-		if join && now < when {
-			return limiters[:first]
-		}
-		return limiters
-	}
-	for i := range limiters {
-		start(i)
-	}
-	var admitted []float64
-	for now := time.Duration(0); now < when+12*time.Second; now += step {
-		if join && now == when {
-			for i := first; i < all; i++ {
-				start(i)
-			}
-		}
-		entries, total := running(now), 0.0
-		for i, q := range entries {
-			q.SetEntries(len(entries), len(entries))
-			isUsed := now > when+4*interval || i < first && (now == 0 || now >= begin)
-			for range 10 {
-				if isUsed {
-					if _, ok := q.Take(now, "c", limit, 10); ok {
-						total += 10
-					}
-				}
-			}
-		}
-		admitted = append(admitted, total)
-		if now%interval != 0 {
-			continue
-		}
-		for i, q := range entries {
-			for j, peer := range entries {
-				if i == j {
-					continue
-				}
-				var totals []Total
-				q.OwnTotals(func(c string, n float64) { totals = append(totals, Total{c, n}) })
-				peer.MergeTotals(now, string(rune('a'+i)), totals)
-				if join && now >= when && now < when+2*interval {
-					q.UnitsLeft(now, func(c string, n float64) { peer.MergeUnitsLeft(now, c, n) })
-				}
-			}
-		}
-	}
-	for i := range len(admitted) - window {
-		sum := 0.0
-		for _, n := range admitted[i : i+window] {
-			sum += n
-		}
-		largest = max(largest, sum)
-	}
-	return largest
-}
-
-// Guards against entries that grant a customer, which has used up its limit, a share of its burst
-// once more: entries that start, and those that have had no request of it before.
-func TestNewBucketsGrantNothingTwice(t *testing.T) {
-	for name, join := range map[string]bool{"entries that start": true, "first requests at entries": false} {
-		// The limit over eight seconds is 12000; the tolerance is a tenth more.
-		if got := largestWindow(join); got > 13200 || got < 9500 {
-			t.Errorf("%s: %.0f units in 8 s, want at most 13200 and at least 9500", name, got)
-		}
-	}
-}
-
-// Guards against an entry that refuses a customer because of what it used long ago at others.
-func TestHistoryOfPeersDoesNotCount(t *testing.T) {
-	limit := Limit{Rate: 10, Burst: 100}
-	q := New(func(string) Limit { return limit })
-	q.SetEntries(5, 5)
-	for _, peer := range []string{"a", "b", "c", "d"} {
-		q.MergeTotals(0, peer, []Total{{"c", 1e6}})
-	}
-	if wait, ok := q.Take(0, "c", limit, 50); !ok {
-		t.Errorf("refused for %v", wait)
-	}
-}
--- a/core/route/table.go
+++ b/core/route/table.go
@@ -14,15 +14,15 @@
 	hosts     map[string][]*Route
 	pools     map[string]*Pool
 	customers map[string]*Customer
-	// customersByName holds the same customers as customers, which has them by key.
-	customersByName map[string]*Customer
+	// weights holds the weights, by name, of the customers whose weight is not one.
+	weights map[string]float64
 }
 
 // NewTable returns the table of a configuration.
 func NewTable(cfg Config) *Table {
 	t := &Table{
 		cfg: cfg, hosts: make(map[string][]*Route),
-		pools: make(map[string]*Pool), customers: make(map[string]*Customer), customersByName: make(map[string]*Customer),
+		pools: make(map[string]*Pool), customers: make(map[string]*Customer), weights: make(map[string]float64),
 	}
 	for i := range cfg.Routes {
 		r := &cfg.Routes[i]
@@ -38,7 +38,9 @@
 		for _, k := range cfg.Customers[i].Keys {
 			t.customers[k] = &cfg.Customers[i]
 		}
-		t.customersByName[cfg.Customers[i].Name] = &cfg.Customers[i]
+		if c := &cfg.Customers[i]; c.Weight > 0 && c.Weight != 1 {
+			t.weights[c.Name] = c.Weight
+		}
 	}
 	return t
 }
@@ -85,18 +87,12 @@
 
 // Weight returns the weight of a customer, which is one if its name is not known.
 func (t *Table) Weight(customer string) float64 {
-	if c, ok := t.customersByName[customer]; ok && c.Weight > 0 {
-		return c.Weight
+	if w, ok := t.weights[customer]; ok {
+		return w
 	}
 	return 1
 }
 
-// CustomerByName returns the customer with a name.
-func (t *Table) CustomerByName(name string) (*Customer, bool) {
-	c, ok := t.customersByName[name]
-	return c, ok
-}
-
 // Customer returns the holder of a key.
 func (t *Table) Customer(key string) (*Customer, bool) {
 	c, ok := t.customers[key]
--- a/core/wire/tally.go
+++ b/core/wire/tally.go
@@ -53,15 +53,12 @@
 	ConfigAhead int64
 	// Parts holds parts of prompts that may have crashed endpoints.
 	Parts []SuspectPart
-	// UnitsLeft holds, for new peers, the customers that have less left of their limits at the
-	// sender than a customer that has sent no request.
-	UnitsLeft []CustomerUnitsLeft
 }
 
 // HasChanges reports whether the tally contains anything besides the information that
 // its sender is alive.
 func (t *Tally) HasChanges() bool {
-	return len(t.Customers)+len(t.Endpoints)+len(t.Queues)+len(t.Freshness)+len(t.Suspects)+len(t.Limits)+len(t.Rollouts)+len(t.Leaving)+len(t.Rests)+len(t.Parts)+len(t.UnitsLeft) > 0
+	return len(t.Customers)+len(t.Endpoints)+len(t.Queues)+len(t.Freshness)+len(t.Suspects)+len(t.Limits)+len(t.Rollouts)+len(t.Leaving)+len(t.Rests)+len(t.Parts) > 0
 }
 
 // Suspect is the sender's report on a request that may have crashed endpoints. Its
@@ -226,14 +223,6 @@
 	Total    float64
 }
 
-// CustomerUnitsLeft is the number of units that the sender has left for a customer. It is negative if
-// more was used than the limit.
-type CustomerUnitsLeft struct {
-	_msgpack  struct{} `msgpack:",as_array"`
-	Customer  string
-	UnitsLeft float64
-}
-
 // EndpointLoad is the sender's in-flight load at an endpoint.
 type EndpointLoad struct {
 	_msgpack struct{} `msgpack:",as_array"`
--- a/core/wire/tallycode.go
+++ b/core/wire/tallycode.go
@@ -10,8 +10,8 @@
 const (
 	// tallyFields is the number of fields of a tally when readers required exactly
 	// this number. The others are the numbers of fields with UptimeMS and Freshness,
-	// Capacity, Suspects, Limits, Rollouts, Leaving, Rests, ConfigAhead, Parts and UnitsLeft
-	// appended in turn.
+	// Capacity, Suspects, Limits, Rollouts, Leaving, Rests, ConfigAhead and Parts appended
+	// in turn.
 	tallyFields     = 10
 	freshnessFields = tallyFields + 2
 	capacityFields  = freshnessFields + 1
@@ -22,7 +22,6 @@
 	restFields      = leavingFields + 1
 	aheadFields     = restFields + 1
 	partFields      = aheadFields + 1
-	unitsLeftFields = partFields + 1
 	// moreFieldsMark is added to the names in MissingFrom by a sender that reads
 	// tallies with more than tallyFields fields. No entry has this name, and readers
 	// that require exactly tallyFields only search the list for their own name.
@@ -70,8 +69,6 @@
 	fields := []any{t.Addr, t.ConfigRevision, t.RosterRevision, t.Customers, t.Endpoints, t.Entries, t.Seq, t.Full, t.MissingFrom, t.Queues}
 	n := tallyFields
 	switch {
-	case len(t.UnitsLeft) > 0:
-		n = unitsLeftFields
 	case len(t.Parts) > 0:
 		n = partFields
 	case t.ConfigAhead > 0:
@@ -126,10 +123,7 @@
 	if err := e.EncodeInt(t.ConfigAhead); err != nil || n < partFields {
 		return err
 	}
-	if err := e.Encode(t.Parts); err != nil || n < unitsLeftFields {
-		return err
-	}
-	return e.Encode(t.UnitsLeft)
+	return e.Encode(t.Parts)
 }
 
 // DecodeMsgpack also reads a tally of an older version, which lacks fields after
@@ -199,13 +193,7 @@
 	if err := d.Decode(&t.Parts); err != nil {
 		return err
 	}
-	if n < unitsLeftFields {
-		return nil
-	}
-	if err := d.Decode(&t.UnitsLeft); err != nil {
-		return err
-	}
-	for range n - unitsLeftFields {
+	for range n - partFields {
 		if err := d.Skip(); err != nil {
 			return err
 		}
--- a/entry/direct/direct.go
+++ b/entry/direct/direct.go
@@ -129,7 +129,7 @@
 // New returns a director without a configuration.
 func New(cfg Config) *Director {
 	d := &Director{
-		cfg: cfg, start: time.Now(),
+		cfg: cfg, start: time.Now(), view: newView(cfg.Zone, cfg.RolloutRule),
 		pendingPlacements: make(map[uint64]*pendingPlacement), ownerAttempts: make(map[string]map[uint64]*attempt), ownerBackoff: make(map[string]time.Time), originQueries: make(map[uint64]chan *wire.OriginReply),
 		ownBookings: make(map[uint64][]ownBooking), answers: make(map[answerKind]*grace.Answers),
 		answerTimes: cfg.Metrics.CustomerHistograms("customer_answer_ms"), retryTimes: cfg.Metrics.CustomerHistograms("customer_retry_ms"),
@@ -137,7 +137,6 @@
 	if cfg.Overload.ShareByCustomer {
 		d.refusedShares = cfg.Metrics.CustomerHistograms("customer_share")
 	}
-	d.view = newView(cfg.Zone, cfg.RolloutRule, d.customerLimit)
 	d.view.limitShare = d.limitShare
 	d.stopping, d.markStopping = context.WithCancel(context.Background())
 	return d
@@ -214,7 +213,7 @@
 func (d *Director) HandleTally(peer string, restarted bool, t *wire.Tally) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.view.applyTally(d.sinceStart(time.Now()), peer, restarted, t)
+	d.view.applyTally(peer, restarted, t)
 	d.mergeSuspects(peer, t.Suspects, t.Parts)
 	d.mergeLimits(peer, t.Limits)
 	d.mergeRollouts(peer, restarted, t.Rollouts)
@@ -303,27 +302,13 @@
 	c := j.Customer
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	wait, ok := d.view.quota.Take(d.sinceStart(time.Now()), c.Name, d.limitOf(c), j.Units)
+	wait, ok := d.view.quota.Take(d.sinceStart(time.Now()), c.Name, quota.Limit{Rate: c.Rate, Burst: c.Burst}.WithTolerance(d.cfg.Tolerance), j.Units)
 	if ok {
 		d.view.unreportedUsage[c.Name] = true
 	}
 	return wait, ok
 }
 
-// limitOf returns the limit up to which the requests of a customer are admitted.
-func (d *Director) limitOf(c *route.Customer) quota.Limit {
-	return quota.Limit{Rate: c.Rate, Burst: c.Burst}.WithTolerance(d.cfg.Tolerance)
-}
-
-// customerLimit returns the limit of the customer with a name, with a zero Rate if it is not known.
-// The caller holds d.mu.
-func (d *Director) customerLimit(name string) quota.Limit {
-	if c, ok := d.view.table.CustomerByName(name); ok {
-		return d.limitOf(c)
-	}
-	return quota.Limit{}
-}
-
 // refund returns what charge took for a job that never ran.
 func (d *Director) refund(j *Job) {
 	if j.Customer == nil {
--- a/entry/direct/poison.go
+++ b/entry/direct/poison.go
@@ -168,19 +168,13 @@
 }
 
 // AddReports adds reports on suspect requests, rate limits, rollouts, leaving endpoints and
-// rests to a tally: the changed ones, and with resend also those that a new peer needs, which
-// include what is left of customers' limits.
+// rests to a tally: the changed ones, and with resend also those that a new peer needs.
 func (d *Director) AddReports(t *wire.Tally, resend bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	t.Suspects, t.Parts = d.suspectReports(resend)
 	t.Limits, t.Rollouts = d.limitReports(resend), d.rolloutReports(resend)
 	t.Leaving, t.Rests = d.leavingReports(resend), d.restReports(resend)
-	if resend {
-		d.view.quota.UnitsLeft(d.sinceStart(time.Now()), func(customer string, unitsLeft float64) {
-			t.UnitsLeft = append(t.UnitsLeft, wire.CustomerUnitsLeft{Customer: customer, UnitsLeft: unitsLeft})
-		})
-	}
 }
 
 // suspectReports returns the reports on suspect requests and parts for a tally. The caller holds
--- a/entry/direct/view.go
+++ b/entry/direct/view.go
@@ -192,10 +192,10 @@
 	w.kvTokens += sign * other.kvTokens
 }
 
-func newView(zone string, rule canary.Limit, limitOf func(customer string) quota.Limit) *view {
+func newView(zone string, rule canary.Limit) *view {
 	return &view{
 		zone: zone, table: route.NewTable(route.Config{}), endpoints: make(map[string]*endpoint),
-		pools: make(map[string]*pool), health: health.New(), poison: poison.New(), limits: limit.New(), quota: quota.New(limitOf), rollouts: canary.New(rule), leaving: drain.New(), peerRests: make(map[string]*rest.Tracker),
+		pools: make(map[string]*pool), health: health.New(), poison: poison.New(), limits: limit.New(), quota: quota.New(), rollouts: canary.New(rule), leaving: drain.New(), peerRests: make(map[string]*rest.Tracker),
 		peerLoads: make(map[string]map[string]wire.EndpointLoad), unreportedWork: make(map[string]bool), unreportedUsage: make(map[string]bool),
 		versions: make(map[string]*origin.Versions), streamAge: minStreamAge, queueCounts: newQueueCounts(), tallyAt: make(map[string]time.Time),
 	}
@@ -323,8 +323,8 @@
 	return age
 }
 
-// applyTally applies a peer's tally at a time since the start of the director.
-func (v *view) applyTally(now time.Duration, peer string, restarted bool, t *wire.Tally) {
+// applyTally applies a peer's tally.
+func (v *view) applyTally(peer string, restarted bool, t *wire.Tally) {
 	v.tallyAt[peer] = time.Now()
 	if restarted {
 		v.quota.Forget(peer)
@@ -333,13 +333,8 @@
 	if t.Full {
 		v.forgetPeer(peer)
 	}
-	totals := make([]quota.Total, 0, len(t.Customers))
 	for _, u := range t.Customers {
-		totals = append(totals, quota.Total{Customer: u.Customer, Units: u.Total})
-	}
-	v.quota.MergeTotals(now, peer, totals)
-	for _, u := range t.UnitsLeft {
-		v.quota.MergeUnitsLeft(now, u.Customer, u.UnitsLeft)
+		v.quota.MergeTotal(peer, u.Customer, u.Total)
 	}
 	v.queueCounts.applyReport(peer, t.Queues)
 	loads := v.peerLoads[peer]
--- a/entry/direct/view_test.go
+++ b/entry/direct/view_test.go
@@ -22,7 +22,7 @@
 
 // newPoolView returns a view of one pool with the given endpoints.
 func newPoolView(ids ...string) (*view, *pool) {
-	v := newView("z", canary.Limit{}, func(string) quota.Limit { return quota.Limit{} })
+	v := newView("z", canary.Limit{})
 	v.setRoster(newRoster(ids...), 0)
 	return v, v.pool("p", RetryBudget{Ratio: 0.2, Slack: 40}, 5)
 }
@@ -36,11 +36,11 @@
 // same endpoint while the other one is empty.
 func TestPeerWorkCountsInPlacement(t *testing.T) {
 	v, p := newPoolView("a", "b")
-	v.applyTally(0, "peer", true, &wire.Tally{Endpoints: []wire.EndpointLoad{{Endpoint: "a", Requests: 6, PromptTokens: 20000, OutputTokens: 3000}}})
+	v.applyTally("peer", true, &wire.Tally{Endpoints: []wire.EndpointLoad{{Endpoint: "a", Requests: 6, PromptTokens: 20000, OutputTokens: 3000}}})
 	if d := v.decide(p); p.endpoints[d.Endpoint].ID != "b" {
 		t.Errorf("sent to the endpoint that a peer has filled")
 	}
-	v.applyTally(0, "peer", false, &wire.Tally{Endpoints: []wire.EndpointLoad{{Endpoint: "a"}, {Endpoint: "b", Requests: 6, PromptTokens: 20000, OutputTokens: 3000}}})
+	v.applyTally("peer", false, &wire.Tally{Endpoints: []wire.EndpointLoad{{Endpoint: "a"}, {Endpoint: "b", Requests: 6, PromptTokens: 20000, OutputTokens: 3000}}})
 	if d := v.decide(p); p.endpoints[d.Endpoint].ID != "a" {
 		t.Errorf("sent to the endpoint that a peer has filled in the meantime")
 	}
@@ -50,7 +50,7 @@
 // full forever.
 func TestLostPeerWorkIsDropped(t *testing.T) {
 	v, p := newPoolView("a")
-	v.applyTally(0, "peer", true, &wire.Tally{Endpoints: []wire.EndpointLoad{{Endpoint: "a", Requests: 40, PromptTokens: 90000, OutputTokens: 9000}}})
+	v.applyTally("peer", true, &wire.Tally{Endpoints: []wire.EndpointLoad{{Endpoint: "a", Requests: 40, PromptTokens: 90000, OutputTokens: 9000}}})
 	if d := v.decide(p); d.Reason != admit.Full {
 		t.Fatalf("%+v", d)
 	}
@@ -121,13 +121,13 @@
 	v, _ := newPoolView("a")
 	limit := quota.Limit{Rate: 10, Burst: 100}
 	v.quota.Take(0, "c", limit, 0)
-	v.applyTally(0, "peer", true, &wire.Tally{Customers: []wire.CustomerUsage{{Customer: "c", Total: 1000}}})
-	v.applyTally(0, "peer", true, &wire.Tally{Customers: []wire.CustomerUsage{{Customer: "c", Total: 5}}})
+	v.applyTally("peer", true, &wire.Tally{Customers: []wire.CustomerUsage{{Customer: "c", Total: 1000}}})
+	v.applyTally("peer", true, &wire.Tally{Customers: []wire.CustomerUsage{{Customer: "c", Total: 5}}})
 	now := time.Hour
 	if _, ok := v.quota.Take(now, "c", limit, 50); !ok {
 		t.Fatal("refused by a full bucket")
 	}
-	v.applyTally(now, "peer", false, &wire.Tally{Customers: []wire.CustomerUsage{{Customer: "c", Total: 105}}})
+	v.applyTally("peer", false, &wire.Tally{Customers: []wire.CustomerUsage{{Customer: "c", Total: 105}}})
 	if _, ok := v.quota.Take(now, "c", limit, 1); ok {
 		t.Error("the peer's new usage does not count")
 	}
