hop: an endless answer to another request is not skipped

Cause: readAnswer skips answers to other requests, and read the body of each to its end with io.Copy, whatever its length.

Evidence: TestEndlessForeignAnswerIsNotSkipped fails on in both of its cases, with chunks and with a stated length: the endpoint sent 268 MB, all that it would send, before the request ended.

At most 256 KiB of such a body are read now, and none if it states more. Then the connection is closed and the attempt has failed, as after any other answer that can't be understood, so the request is sent elsewhere where it may be, and its caller gets an answer.

--- a/entry/hop/conn.go
+++ b/entry/hop/conn.go
@@ -28,6 +28,9 @@
 	// maxHeadBytes bounds the head of an answer together with the interim responses before it,
 	// as the head of a caller's request is bounded.
 	maxHeadBytes = 64 << 10
+	// maxDiscardBytes bounds what is read of a body that nobody wants, so that its connection can
+	// be kept. A new connection costs less than reading more.
+	maxDiscardBytes = 256 << 10
 )
 
 // errLongHead reports that an answer has no head, or one that is too long.
@@ -148,6 +151,9 @@
 
 var errForeignAnswer = errors.New("hop: answer to another request")
 
+// errLongForeignAnswer reports that the answer to another request was too long to be skipped.
+var errLongForeignAnswer = fmt.Errorf("%w longer than %d bytes", errForeignAnswer, maxDiscardBytes)
+
 // readAnswer reads answers until one belongs to r. An endpoint may repeat the answer to an
 // earlier request, early or late, where the answer to r is expected.
 func (k *conn) readAnswer(r *Request) (*http.Response, error) {
@@ -175,8 +181,8 @@
 		if resp.Close {
 			return nil, errForeignAnswer
 		}
-		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
-			return nil, errors.Join(errForeignAnswer, err)
+		if err := skipBody(resp); err != nil {
+			return nil, err
 		}
 		k.headBytesLeft = maxHeadBytes
 		skipped++
@@ -184,6 +190,21 @@
 	return nil, errors.New("hop: too many answers to other requests")
 }
 
+// skipBody reads the body of an answer to another request.
+func skipBody(resp *http.Response) error {
+	if resp.ContentLength > maxDiscardBytes {
+		return errLongForeignAnswer
+	}
+	switch _, err := io.CopyN(io.Discard, resp.Body, maxDiscardBytes+1); err {
+	case io.EOF:
+		return nil
+	case nil:
+		return errLongForeignAnswer
+	default:
+		return errors.Join(errForeignAnswer, err)
+	}
+}
+
 // encodeHead returns the head of r in wire format.
 func (r *Request) encodeHead() []byte {
 	var b bytes.Buffer
--- a/entry/hop/hop_test.go
+++ b/entry/hop/hop_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -70,6 +71,22 @@
 }
 
 // twoDigits formats a number below 100.
+// maxUnreadBytes is more than the kernel takes of what nobody reads before the connection is closed.
+const maxUnreadBytes = 64 << 20
+
+// writeEndlessly writes s again and again until the connection is closed, or 256 MiB at most. It
+// returns how many bytes it wrote.
+func writeEndlessly(c net.Conn, s string) int {
+	n := 0
+	for b := strings.Repeat(s, 100); n < 256<<20; {
+		m, err := io.WriteString(c, b)
+		if n += m; err != nil {
+			break
+		}
+	}
+	return n
+}
+
 func twoDigits(n int) string { return string(rune('0'+n/10)) + string(rune('0'+n%10)) }
 
 // An endpoint answers the first request twice. The second answer is already on the kept
@@ -195,20 +212,36 @@
 				if name == "headers" {
 					io.WriteString(c, "HTTP/1.1 200 OK\r\n")
 				}
-				n := 0
-				for b := strings.Repeat(s, 100); n < 256<<20; {
-					m, err := io.WriteString(c, b)
-					if n += m; err != nil {
-						break
-					}
-				}
-				sent <- n
+				sent <- writeEndlessly(c, s)
 			})
 			if got, err := sendAndRead(t, New(), addr, newRequest("a")); !errors.Is(err, ErrUnknown) || !errors.Is(err, errLongHead) {
 				t.Errorf("%q, %v", got, err)
 			}
-			// The buffers of the kernel take what was sent before the connection was closed.
-			if n := <-sent; n > 64<<20 {
+			if n := <-sent; n > maxUnreadBytes {
+				t.Errorf("%d bytes were sent", n)
+			}
+		})
+	}
+}
+
+// Guards against an answer to another request whose body never ends, so that the request waits
+// for its deadline and gets nothing.
+func TestEndlessForeignAnswerIsNotSkipped(t *testing.T) {
+	part := strings.Repeat("x", 1<<10)
+	for name, tc := range map[string]struct{ framing, part string }{
+		"chunks": {"Transfer-Encoding: chunked", fmt.Sprintf("%x\r\n%s\r\n", len(part), part)}, "length": {"Content-Length: 99999999999", part},
+	} {
+		t.Run(name, func(t *testing.T) {
+			sent := make(chan int, 1)
+			addr := startEndpoint(t, func(_ int, c net.Conn, r *bufio.Reader) {
+				http.ReadRequest(r)
+				fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: b\r\n%s\r\n\r\n", tc.framing)
+				sent <- writeEndlessly(c, tc.part)
+			})
+			if got, err := sendAndRead(t, New(), addr, newRequest("a")); !errors.Is(err, ErrUnknown) || !errors.Is(err, errLongForeignAnswer) {
+				t.Errorf("%q, %v", got, err)
+			}
+			if n := <-sent; n > maxUnreadBytes {
 				t.Errorf("%d bytes were sent", n)
 			}
 		})
