direct, hop: the body of an answer that is not forwarded delays nothing

Callers saw: nothing until their deadline, when an endpoint answered with an error and a body that never ends, although another endpoint was free to take the request. Refusals (not run) take the same path.

Cause: discard read up to 16 MiB of such a body to keep the connection. The time that this takes had no bound but the end of the request, and the next attempt began after it.

Evidence: TestEndlessErrorDoesNotDelayRetry, with a body that goes on at 1 MB/s, fails on with chunks and with a stated length: no answer after 10 s, which is the deadline. Without framing it passed, because such a body was never read.

Discard reads what is short and arrives at once, 256 KiB and 20 ms at most, and closes the connection otherwise. The deadline of the read can't be mistaken for the end of the request: Close keeps a connection only if the request was not cancelled and the body was read to its end.

--- a/entry/direct/send.go
+++ b/entry/direct/send.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"time"
 
@@ -52,11 +51,11 @@
 	a.recordHead(m)
 	switch {
 	case m.WrongEndpoint:
-		discard(answer)
+		answer.Discard()
 		a.handleMoved()
 		return nil, attemptResult{wasReceived: true, result: Result{Reason: "another endpoint has the address"}}
 	case m.NotRun:
-		discard(answer)
+		answer.Discard()
 		a.handleDecline(m.Requests)
 		return nil, attemptResult{wasReceived: true, result: Result{Reason: "endpoint did not run it"}}
 	case answer.Status < 300 && !m.Signed:
@@ -83,7 +82,7 @@
 	if next == nil {
 		return answer, attemptResult{}
 	}
-	discard(answer)
+	answer.Discard()
 	a.finish(health.ServerError)
 	return nil, attemptResult{wasReceived: true, mayHaveRun: true, next: next, result: Result{Reason: "endpoint answered with an error"}}
 }
@@ -146,15 +145,6 @@
 	return t.sendWholeAnswer(answer, a)
 }
 
-// discard reads the rest of an answer, so that its connection is kept, and closes it. An answer
-// that ends with its connection is only closed.
-func discard(answer *hop.Answer) {
-	if answer.Framing != hop.ByConnection {
-		io.Copy(io.Discard, io.LimitReader(answer, maxBufferedBytes))
-	}
-	answer.Close()
-}
-
 // impliesNotRun reports whether a status tells callers that a request has not run.
 func impliesNotRun(status int) bool {
 	switch status {
--- a/entry/hop/conn.go
+++ b/entry/hop/conn.go
@@ -28,9 +28,10 @@
 	// maxHeadBytes bounds the head of an answer together with the interim responses before it,
 	// as the head of a caller's request is bounded.
 	maxHeadBytes = 64 << 10
-	// maxDiscardBytes bounds what is read of a body that nobody wants, so that its connection can
-	// be kept. A new connection costs less than reading more.
+	// maxDiscardBytes and maxDiscardTime bound what is read of a body that nobody wants, so that
+	// its connection can be kept. A new connection costs less than reading more.
 	maxDiscardBytes = 256 << 10
+	maxDiscardTime  = 20 * time.Millisecond
 )
 
 // errLongHead reports that an answer has no head, or one that is too long.
@@ -304,6 +305,19 @@
 	k.client.returnIdle(k)
 }
 
+// Discard closes an answer whose body nobody wants. The connection is kept if the rest of the body
+// is short and arrives at once, so that the end of the request is not delayed.
+func (a *Answer) Discard() {
+	defer a.Close()
+	if a.Framing == ByConnection || a.Length > maxDiscardBytes {
+		return
+	}
+	a.conn.net.SetReadDeadline(time.Now().Add(maxDiscardTime))
+	// If the request has been cancelled, Close closes the connection, whatever its deadline.
+	defer a.conn.net.SetReadDeadline(time.Time{})
+	io.CopyN(io.Discard, a, maxDiscardBytes+1)
+}
+
 // isBodySent reports whether the request's body has been written. An endpoint that answered
 // before reading the body would take the rest of it for the next request.
 func (a *Answer) isBodySent() bool {
