direct: an answer that seems to have no end counts against its endpoint

Callers saw: no answers at all beside sound endpoints.

Cause: an attempt that is ended while its answer still arrives, by the deadline or by a caller that leaves, was abandoned without a result. The nearest endpoint therefore stayed usable and got each next request.

Evidence: TestEndpointWithEndlessAnswersIsAvoided served 1 of 10 in each of its six cases without the change, the first request, whose answer was sound; all ten ran at the faulty endpoint.

An incomplete answer longer than four times the longest recent whole answer of its route now counts as broken when its attempt ends. Two in a row have the endpoint avoided and probed, as other broken answers do. Nothing is cut because of the estimate: it only decides what an attempt that ended without an answer says of its endpoint.

--- a/entry/direct/attempt.go
+++ b/entry/direct/attempt.go
@@ -247,6 +247,8 @@
 	// slowdownClock at sentAt, firstAt and lastAt.
 	headSlowdown                     float64
 	sentClock, firstClock, lastClock time.Duration
+	// received is how many bytes of the answer's body have arrived.
+	received int64
 	// wasSilent is set if, in the latest wait, the endpoint sent nothing for too long while
 	// this process was running.
 	wasSilent bool
@@ -368,6 +370,7 @@
 	a.observePace(now, r)
 	if r == health.Success {
 		a.recordAnswerTime(now)
+		a.d.bodyLengths.observe(a.route, a.received)
 	}
 	a.observeResult(now, r)
 	a.releaseWork(a.work)
@@ -380,8 +383,13 @@
 	return change
 }
 
-// abandon ends an attempt without a result for the endpoint.
+// abandon ends an attempt without a result for the endpoint, unless its answer seems to have no
+// end: whoever ended that one, it is the endpoint's failure.
 func (a *attempt) abandon() {
+	if a.seemsEndless() {
+		a.finish(health.Broken)
+		return
+	}
 	if !a.markEnded() {
 		return
 	}
--- a/entry/direct/direct.go
+++ b/entry/direct/direct.go
@@ -105,7 +105,8 @@
 	// stopAt is when the entry stops, zero before BeginStop.
 	stopAt time.Time
 	// answers holds how long the latest whole answers took.
-	answers map[answerKind]*grace.Answers
+	answers     map[answerKind]*grace.Answers
+	bodyLengths bodyLengths
 	// runningJobs counts the jobs without a final answer.
 	runningJobs int
 	// lastPlacementID is the ID of the latest placement request to a shard owner.
@@ -137,7 +138,7 @@
 	d := &Director{
 		cfg: cfg, start: time.Now(), view: newView(cfg.Zone, cfg.RolloutRule),
 		pendingPlacements: make(map[uint64]*pendingPlacement), ownerAttempts: make(map[string]map[uint64]*attempt), ownerBackoff: make(map[string]time.Time), originQueries: make(map[uint64]chan *wire.OriginReply),
-		ownBookings: make(map[uint64][]ownBooking), answers: make(map[answerKind]*grace.Answers), answerMemory: memory.New(cfg.AnswerMemory),
+		ownBookings: make(map[uint64][]ownBooking), answers: make(map[answerKind]*grace.Answers), bodyLengths: make(bodyLengths), answerMemory: memory.New(cfg.AnswerMemory),
 		answerTimes: cfg.Metrics.CustomerHistograms("customer_answer_ms"), retryTimes: cfg.Metrics.CustomerHistograms("customer_retry_ms"),
 	}
 	if cfg.Overload.ShareByCustomer {
--- a/entry/direct/endless_test.go
+++ b/entry/direct/endless_test.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -99,3 +100,42 @@
 	}
 	writeStreamEnd(c)
 }
+
+// Guards against an endpoint that goes on getting requests, as the nearest one, although its answers
+// never end, so that no caller gets an answer although another endpoint is sound. The callers may
+// leave before the request's own deadline.
+func TestEndpointWithEndlessAnswersIsAvoided(t *testing.T) {
+	const requests = 10
+	for _, b := range endlessBodies {
+		for _, leaves := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, callers leave %v", b.name, leaves), func(t *testing.T) {
+				t.Parallel()
+				answer := func(_ *testEndpoint, c net.Conn, _ *http.Request) { writeWhole(c, http.StatusOK, "answer") }
+				near := newTestEndpoint(t, func(e *testEndpoint, c net.Conn, r *http.Request) {
+					if e.runs.Load() == 1 {
+						answer(e, c, r)
+						return
+					}
+					b.serve(http.StatusOK, 0)(e, c, r)
+				})
+				r := unaryRoute
+				r.Repeatable, r.Timeout = false, 300*time.Millisecond
+				h := newHarness(t, r, near, newTestEndpoint(t, answer))
+				served := 0
+				for i := range requests {
+					ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+					if leaves {
+						time.AfterFunc(r.Timeout*2/3, cancel)
+					}
+					if got := h.send(ctx, fmt.Sprint(i), callerAnswer{}); got.Outcome == Complete {
+						served++
+					}
+					cancel()
+				}
+				if served < requests/2 {
+					t.Errorf("%d of %d requests were served, %d ran at the faulty endpoint", served, requests, near.runs.Load())
+				}
+			})
+		}
+	}
+}
--- a/entry/direct/plain.go
+++ b/entry/direct/plain.go
@@ -28,6 +28,7 @@
 	}
 	start := time.Now()
 	isFull, err := body.readFrom(answer)
+	a.received = body.size()
 	a.placement.Silence, a.placement.SilenceBound = time.Since(start), 0
 	if isFull && mayForward {
 		return t.sendLongAnswer(answer, a, body)
@@ -67,6 +68,7 @@
 		start := time.Now()
 		n, err := answer.Read(buf)
 		a.placement.Silence = time.Since(start)
+		a.received += int64(n)
 		werr = t.sink.Write(buf[:n])
 		if werr != nil || err == nil {
 			continue
--- a/entry/direct/relay.go
+++ b/entry/direct/relay.go
@@ -60,6 +60,7 @@
 		w.startWait(silence, false)
 		n, err := answer.Read(buf)
 		w.endWait()
+		a.received += int64(n)
 		readOK := err == nil || err == io.EOF
 		if w.resolve(readOK) {
 			// The replacement was sent to resume after the last forwarded event.
--- a/entry/direct/stop.go
+++ b/entry/direct/stop.go
@@ -58,6 +58,11 @@
 // forgetAnswers forgets the answers of pools and routes that are not configured any more. The
 // caller holds d.mu.
 func (d *Director) forgetAnswers() {
+	for route := range d.bodyLengths {
+		if !d.view.table.HasRoute(route) {
+			delete(d.bodyLengths, route)
+		}
+	}
 	for k := range d.answers {
 		if _, ok := d.view.table.Pool(k.pool); !ok || k.route != "" && !d.view.table.HasRoute(k.route) {
 			delete(d.answers, k)
