direct: the rest of an answer is awaited as long as its head

Callers saw: nothing until their deadline, or a part of an endless body, for requests that may be repeated, when an endpoint of a plain service sent a head and then a body that stopped, went on slowly or never ended.

Cause: the watchdog that replaces late attempts watched the wait for the head only. An endless body that filled the buffer was forwarded as it arrived, and from then on no other answer could take its place.

The wait for the body has the bound of the wait for the head, for each read if the length is stated, and otherwise for all of the rest, as an endless body is never silent. An answer that fills the buffer and is much longer than the whole ones of its route is replaced too, if another endpoint has room and the budget a retry; a sound one of that length is then forwarded by the second endpoint. Before a whole answer is known for a route, its length decides nothing, so TestTruncatedLongAnswerIsBroken holds unchanged.

--- a/entry/direct/cause.go
+++ b/entry/direct/cause.go
@@ -19,17 +19,29 @@
 // isEnding reports whether the context of a request was cancelled with ErrEnding.
 func isEnding(caller context.Context) bool { return errors.Is(context.Cause(caller), ErrEnding) }
 
-// silenceError is the reason why the entry itself gave up an attempt: the endpoint sent
-// nothing for the bound.
+// awaited is the part of an answer that is awaited.
+type awaited uint8
+
+const (
+	awaitHead awaited = iota
+	// awaitData means more of the body, awaitEnd the end of a body of unknown length.
+	awaitData
+	awaitEnd
+)
+
+// silenceError is the reason why the entry itself gave up an attempt: what was awaited did not
+// arrive within the bound.
 type silenceError struct {
-	// awaitingHead is set if the head of the answer was awaited, not its next event.
-	awaitingHead bool
-	bound        time.Duration
+	awaited awaited
+	bound   time.Duration
 }
 
 func (e *silenceError) Error() string {
-	if e.awaitingHead {
+	switch e.awaited {
+	case awaitHead:
 		return "no head of the answer for " + e.bound.String()
+	case awaitEnd:
+		return "no end of the answer for " + e.bound.String()
 	}
 	return "endpoint silent for " + e.bound.String()
 }
@@ -51,8 +63,10 @@
 func cancelKind(cause error) string {
 	var silence *silenceError
 	switch {
-	case errors.As(cause, &silence) && silence.awaitingHead:
+	case errors.As(cause, &silence) && silence.awaited == awaitHead:
 		return "head"
+	case silence != nil && silence.awaited == awaitEnd:
+		return "end"
 	case silence != nil:
 		return "silence"
 	case errors.Is(cause, errTimeUp):
--- a/entry/direct/endless.go
+++ b/entry/direct/endless.go
@@ -28,7 +28,7 @@
 func (l bodyLengths) isBeyond(route string, n int64) bool {
 	longest, ok := l[route]
 	if !ok {
-		return n > maxBufferedBytes-blockBytes
+		return n > maxBufferedBytes
 	}
 	return float64(n) > max(endlessFactor*longest, minEndlessBytes)
 }
--- a/entry/direct/endless_test.go
+++ b/entry/direct/endless_test.go
@@ -139,3 +139,48 @@
 		}
 	}
 }
+
+// Guards against a caller that waits for an answer without end, or gets a part of it, although its
+// request may be repeated and another endpoint has room. The body may be too long for its route,
+// go on slowly, or stop.
+func TestEndlessAnswerIsReplaced(t *testing.T) {
+	for _, b := range endlessBodies {
+		for name, interval := range map[string]time.Duration{"fast": 0, "slow": 20 * time.Millisecond, "stops": time.Minute} {
+			if b.name == "length" && name != "stops" {
+				// The stated length is forwarded as it arrives.
+				continue
+			}
+			t.Run(b.name+", "+name, func(t *testing.T) {
+				t.Parallel()
+				answer := func(_ *testEndpoint, c net.Conn, _ *http.Request) { writeWhole(c, http.StatusOK, "answer") }
+				near := newTestEndpoint(t, func(e *testEndpoint, c net.Conn, r *http.Request) {
+					switch {
+					case e.runs.Load() == 1:
+						answer(e, c, r)
+					case b.name == "length":
+						fmt.Fprint(c, "HTTP/1.1 200 x\r\nContent-Length: 9000\r\n\r\nhalf")
+						e.pause(c, interval)
+					case interval >= time.Minute:
+						fmt.Fprintf(c, "HTTP/1.1 200 x\r\n%s\r\n%s", b.head, b.part)
+						e.pause(c, interval)
+					default:
+						b.serve(http.StatusOK, interval)(e, c, r)
+					}
+				})
+				h := newHarness(t, unaryRoute, near, newTestEndpoint(t, answer))
+				// So little that the answer fills it before it is late.
+				h.d.answerMemory = memory.New(1 << 20)
+				for i := range 2 {
+					start := time.Now()
+					got := h.send(t.Context(), fmt.Sprint(i), callerAnswer{})
+					if took := time.Since(start); got.Outcome != Complete || got.body.String() != "answer" || took > 2*time.Second {
+						t.Errorf("%v after %v, %q, %d bytes", got.Outcome, took, got.Reason, got.body.Len())
+					}
+				}
+				if !h.isIdle() || h.d.answerMemory.Held() != 0 {
+					t.Errorf("work is still counted at an endpoint, or %d bytes are held", h.d.answerMemory.Held())
+				}
+			})
+		}
+	}
+}
--- a/entry/direct/plain.go
+++ b/entry/direct/plain.go
@@ -19,22 +19,23 @@
 
 // sendWholeAnswer forwards an answer once it is complete, so that a broken one can still be
 // replaced or reported as broken. An answer that is too long to be held is forwarded as it arrives.
-func (t *task) sendWholeAnswer(answer *hop.Answer, a *attempt) attemptResult {
+func (t *task) sendWholeAnswer(answer *hop.Answer, a *attempt, w *watchdog) attemptResult {
 	body := newAnswerBuffer(t.d.answerMemory, a.memoryShare(t.job.Tier), answer.Length)
 	defer body.release()
 	mayForward := !impliesNotRun(answer.Status)
 	if mayForward && !body.fits(answer.Length) {
 		return t.sendLongAnswer(answer, a, body)
 	}
-	start := time.Now()
-	isFull, err := body.readFrom(answer)
-	a.received = body.size()
-	a.placement.Silence, a.placement.SilenceBound = time.Since(start), 0
+	isFull, err := t.readBody(body, answer, a, w)
+	if replaced, got := t.replaceEndless(a, w, isFull, err); replaced {
+		return got
+	}
 	if isFull && mayForward {
 		return t.sendLongAnswer(answer, a, body)
 	}
 	if isFull || err != nil {
 		if t.ctx.Err() != nil {
+			a.handleTimeout()
 			return attemptResult{wasReceived: true, mayHaveRun: true, result: Result{Reason: "time is up"}}
 		}
 		a.finish(health.Broken)
@@ -52,6 +53,57 @@
 	return finalResult(Complete, "")
 }
 
+// readBody reads an answer into body, to its end or until no more may be held. The wait for the
+// rest of the answer is bounded as the wait for its head is. If the length is not stated, the bound
+// is for all of the rest, as an endless body may never be silent.
+func (t *task) readBody(body *answerBuffer, answer *hop.Answer, a *attempt, w *watchdog) (isFull bool, err error) {
+	if answer.Length >= 0 {
+		isFull, err = body.readFrom(watchedReader{answer, w, t.headTimeout(a)})
+	} else {
+		w.startWait(t.headTimeout(a), awaitEnd)
+		isFull, err = body.readFrom(answer)
+		w.endWait()
+	}
+	a.received = body.size()
+	return isFull, err
+}
+
+// watchedReader reads an answer. Each read is a wait of the watchdog with the bound.
+type watchedReader struct {
+	r     io.Reader
+	w     *watchdog
+	bound time.Duration
+}
+
+// Read implements io.Reader.
+func (r watchedReader) Read(p []byte) (int, error) {
+	r.w.startWait(r.bound, awaitData)
+	defer r.w.endWait()
+	return r.r.Read(p)
+}
+
+// replaceEndless decides, once no more of the body is read, whether another attempt takes the place
+// of a, and returns the result of a in that case. Apart from an attempt that is late already, one is
+// replaced that has filled the buffer and seems endless, if another endpoint has room.
+func (t *task) replaceEndless(a *attempt, w *watchdog, isFull bool, err error) (bool, attemptResult) {
+	isEndless := isFull && a.seemsEndless()
+	if w.resolve(err == nil && !isEndless) {
+		if t.ctx.Err() == nil {
+			a.finish(health.Broken)
+		}
+		return true, attemptResult{wasReceived: true, mayHaveRun: true, result: Result{Reason: w.silence.Error()}}
+	}
+	if !isEndless || t.headTimeout(a) <= 0 {
+		return false, attemptResult{}
+	}
+	next, _ := w.reserveReplacement(placementOptions{avoidID: a.id, outputTokens: t.remainingOutput(), entryShare: 1, needsRoom: true})
+	if next == nil {
+		return false, attemptResult{}
+	}
+	a.finish(health.Broken)
+	return true, attemptResult{wasReceived: true, mayHaveRun: true, next: next, result: Result{Reason: "answer seems endless"}}
+}
+
 // sendLongAnswer forwards an answer that can't be held until it is complete: first what was read of
 // it, if anything, then the rest as it arrives. The bounds limit memory, not the length of answers.
 // From here on a broken answer can't be replaced.
--- a/entry/direct/relay.go
+++ b/entry/direct/relay.go
@@ -57,7 +57,7 @@
 	defer part.release()
 	for {
 		// The time that the caller takes does not count as the endpoint's silence.
-		w.startWait(silence, false)
+		w.startWait(silence, awaitData)
 		n, err := answer.Read(buf)
 		w.endWait()
 		a.received += int64(n)
--- a/entry/direct/send.go
+++ b/entry/direct/send.go
@@ -36,7 +36,7 @@
 // awaitUsableAnswer returns the answer if it may be forwarded, and otherwise the result of the
 // attempt.
 func (t *task) awaitUsableAnswer(x *exchange, a *attempt, w *watchdog) (*hop.Answer, attemptResult) {
-	w.startWait(t.headTimeout(a), true)
+	w.startWait(t.headTimeout(a), awaitHead)
 	answer, err := x.awaitAnswer()
 	w.endWait()
 	usable := err == nil && t.isUsable(answer)
@@ -142,7 +142,7 @@
 	if isStream {
 		return t.sendLongAnswer(answer, a, nil)
 	}
-	return t.sendWholeAnswer(answer, a)
+	return t.sendWholeAnswer(answer, a, w)
 }
 
 // impliesNotRun reports whether a status tells callers that a request has not run.
--- a/entry/direct/stopped_test.go
+++ b/entry/direct/stopped_test.go
@@ -38,7 +38,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		_, w := startedWatchdog(t)
 		for range 3 {
-			w.startWait(minSilenceBound, false)
+			w.startWait(minSilenceBound, awaitData)
 			time.Sleep(minSilenceBound + readDelay)
 			w.endWait()
 			if next := w.currentReplacement(); next != nil {
@@ -54,7 +54,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		h, w := startedWatchdog(t)
 		h.spendRetries()
-		w.startWait(minSilenceBound, false)
+		w.startWait(minSilenceBound, awaitData)
 		time.Sleep(minSilenceBound + silenceRecheck + readDelay)
 		if lacks, _ := h.loggedField("answer_late", "lacks"); lacks == nil {
 			t.Fatal("no replacement was searched for")
@@ -74,7 +74,7 @@
 func TestSilenceConfirmedBySecondCheck(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		_, w := startedWatchdog(t)
-		w.startWait(minSilenceBound, false)
+		w.startWait(minSilenceBound, awaitData)
 		time.Sleep(minSilenceBound + silenceRecheck + readDelay)
 		if next := w.currentReplacement(); next == nil {
 			t.Error("the attempt was not replaced")
@@ -89,7 +89,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		h, w := startedWatchdog(t)
 		for range 8 {
-			w.startWait(minSilenceBound, false)
+			w.startWait(minSilenceBound, awaitData)
 			time.Sleep(minSilenceBound + readDelay)
 			w.endWait()
 			w.attempt.handleTimeout()
--- a/entry/direct/watch.go
+++ b/entry/direct/watch.go
@@ -38,13 +38,14 @@
 	timer *time.Timer
 	// runCount and sendCount are the task's, including this attempt and its replacements.
 	runCount, sendCount int
-	// timerArmed is set during a wait that may be given up. awaitingHead says what is awaited,
+	// timerArmed is set during a wait that may be given up. awaited says what is awaited,
 	// waitStart since when, and bound for how long at most. expectedOutput is how many output
 	// tokens were still expected at the start of the wait.
-	timerArmed, awaitingHead bool
-	waitStart                time.Time
-	bound                    time.Duration
-	expectedOutput           int
+	timerArmed     bool
+	awaited        awaited
+	waitStart      time.Time
+	bound          time.Duration
+	expectedOutput int
 	// version is the version at which the stream had to go on at the start of the wait.
 	version boundVersion
 	// isWaiting is set from startWait to endWait.
@@ -70,10 +71,10 @@
 }
 
 // startWait begins a wait for the endpoint. With a bound of zero it is not given up.
-func (w *watchdog) startWait(bound time.Duration, awaitingHead bool) {
+func (w *watchdog) startWait(bound time.Duration, what awaited) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.waitStart, w.bound, w.awaitingHead, w.isWaiting = time.Now(), bound, awaitingHead, true
+	w.waitStart, w.bound, w.awaited, w.isWaiting = time.Now(), bound, what, true
 	w.firstCheckDone, w.silenceConfirmed = false, false
 	w.version = w.task.version
 	if bound <= 0 || w.replacement != nil {
@@ -162,7 +163,7 @@
 	if !w.timerArmed || !w.waitStart.Equal(waitStart) {
 		return false
 	}
-	silence := &silenceError{awaitingHead: w.awaitingHead, bound: w.bound}
+	silence := &silenceError{awaited: w.awaited, bound: w.bound}
 	if replacement == nil {
 		w.timer.Reset(replacementInterval)
 		w.logAwaited(silence, missing)
