direct, door: an answer that is not complete ends with its request

Cause: a caller may read for a second after its deadline, for answers that are ready. An answer that is forwarded as it arrives got the same second: its reads ended at the deadline, but not a write that waited for a caller who reads more slowly than the endpoint sends.

Sink.Abort sets the write deadline to now when the work of the request is to stop. It is called only while an answer is incomplete: its end stops the call, or waits for one that has begun, before the last bytes are flushed, so that ready answers keep their time.

--- a/entry/direct/job.go
+++ b/entry/direct/job.go
@@ -94,6 +94,9 @@
 	Write func(p []byte) error
 	// Flush sends what was written.
 	Flush func() error
+	// Abort makes the write in progress and all later ones fail. It may be called while another
+	// function of the sink runs.
+	Abort func()
 }
 
 // Outcome is how a job ended.
--- a/entry/direct/plain.go
+++ b/entry/direct/plain.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -110,6 +111,8 @@
 func (t *task) sendLongAnswer(answer *hop.Answer, a *attempt, first *answerBuffer) attemptResult {
 	t.d.logUnbuffered(t.job, a, answer, first)
 	t.headSent = true
+	stopAbort := sync.OnceFunc(t.abortAtEnd())
+	defer stopAbort()
 	t.sink.Head(answer.Status, answer.Header, answer.Length)
 	var werr error
 	if first != nil {
@@ -128,6 +131,7 @@
 		if err != io.EOF {
 			return t.handleBrokenLongAnswer(a, err)
 		}
+		stopAbort()
 		a.recordAnswer(answer)
 		if werr = t.sink.Flush(); werr == nil {
 			return finalResult(Complete, "")
--- a/entry/direct/relay.go
+++ b/entry/direct/relay.go
@@ -5,6 +5,7 @@
 	"io"
 	"mime"
 	"net/http"
+	"sync"
 	"time"
 
 	"lycheepond/core/events"
@@ -55,6 +56,8 @@
 	buf, silence := make([]byte, relayReadBytes), t.silenceBound(a)
 	part := &eventBuffer{budget: t.d.answerMemory, share: a.memoryShare(t.job.Tier)}
 	defer part.release()
+	stopAbort := sync.OnceFunc(t.abortAtEnd())
+	defer stopAbort()
 	for {
 		// The time that the caller takes does not count as the endpoint's silence.
 		w.startWait(silence, awaitData)
@@ -88,6 +91,7 @@
 		switch err {
 		case nil:
 		case io.EOF:
+			stopAbort()
 			return t.endStream(part.bytes, a)
 		default:
 			return t.handleBrokenAnswer(a, err)
--- a/entry/direct/replace_test.go
+++ b/entry/direct/replace_test.go
@@ -119,6 +119,7 @@
 		Head:  func(int, http.Header, int64) {},
 		Write: func(p []byte) error { body.Write(p); return nil },
 		Flush: func() error { return nil },
+		Abort: func() {},
 	}
 	h.d.mu.Lock()
 	a, _ := h.d.placeJob(w.task.job, placementOptions{entryShare: 1})
--- a/entry/direct/rig_test.go
+++ b/entry/direct/rig_test.go
@@ -170,6 +170,7 @@
 			return got.writeErr
 		},
 		Flush: func() error { return got.writeErr },
+		Abort: func() {},
 	})
 	return &got
 }
--- a/entry/direct/task.go
+++ b/entry/direct/task.go
@@ -146,6 +146,22 @@
 	return ""
 }
 
+// abortAtEnd aborts the writing of an answer that is not complete when the work is to stop: a caller
+// that reads more slowly than the endpoint sends would hold the request beyond its end. The returned
+// function must be called when the answer is complete or given up.
+func (t *task) abortAtEnd() (stop func()) {
+	aborted := make(chan struct{})
+	stopAbort := context.AfterFunc(t.ctx, func() {
+		defer close(aborted)
+		t.sink.Abort()
+	})
+	return func() {
+		if !stopAbort() {
+			<-aborted
+		}
+	}
+}
+
 // remainingOutput returns how many output tokens are still expected.
 func (t *task) remainingOutput() int { return max(t.job.OutputTokens-t.sentTokens, 0) }
 
--- a/entry/door/answer.go
+++ b/entry/door/answer.go
@@ -65,7 +65,7 @@
 // serve serves a job and writes its result.
 func (a *answer) serve(j *direct.Job) {
 	a.setDeadline(j.End().Add(writeGrace))
-	res := a.server.cfg.Serve(a.r.Context(), j, direct.Sink{Head: a.writeHead, Write: a.write, Flush: a.flush})
+	res := a.server.cfg.Serve(a.r.Context(), j, direct.Sink{Head: a.writeHead, Write: a.write, Flush: a.flush, Abort: a.abort})
 	refusal := &Refusal{RetryAfter: res.RetryAfter, Reason: res.Reason}
 	if !res.RefusedUntilRetry {
 		refusal.RetryAfter = min(res.RetryAfter, max(time.Until(j.Deadline)/3, 0))
@@ -123,6 +123,10 @@
 	return err
 }
 
+// abort ends the writing of the answer. It may be called from any goroutine while the request is
+// served.
+func (a *answer) abort() { a.rc.SetWriteDeadline(time.Now()) }
+
 // finish flushes the answer to find out whether the caller reads it. It does not flush an
 // answer without a length, because the server may still set one. It extends the deadline to
 // give the caller time to read even if the process was paused.
