engine: a cancellation does not wait for the end of a long answer

Callers saw: nothing that we know of; found by reading for the cause of endless answers to other requests, which is the same.

Cause: Engine.Cancel read the engine's answer with io.Copy to its end, whatever its length, which holds the goroutine that cancels.

Evidence: TestEndlessAnswerToCancel ended with its context after 10 s without the change, and ends at once with it. It reads 64 KiB at most.

--- a/agent/engine/engine.go
+++ b/agent/engine/engine.go
@@ -164,6 +164,9 @@
 	}, true
 }
 
+// maxCancelBytes bounds how much of the answer to a cancellation is read.
+const maxCancelBytes = 64 << 10
+
 // Cancel stops a request at the engine. It returns ErrUnknown if the engine has
 // no record of the request.
 func (e *Engine) Cancel(ctx context.Context, id ident.ID) error {
@@ -182,6 +185,10 @@
 	if resp.StatusCode != http.StatusOK {
 		return fmt.Errorf("engine: cancel of %s answered with status %d: see the engine's log", id, resp.StatusCode)
 	}
-	_, err = io.Copy(io.Discard, resp.Body)
+	// A longer body is no answer to a cancellation; it is left unread with its connection.
+	_, err = io.CopyN(io.Discard, resp.Body, maxCancelBytes)
+	if err == io.EOF {
+		err = nil
+	}
 	return err
 }
--- a/agent/engine/engine_test.go
+++ b/agent/engine/engine_test.go
@@ -11,6 +11,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"lycheepond/agent/call"
 	"lycheepond/core/ident"
@@ -261,6 +262,20 @@
 	}
 }
 
+// Guards against a cancellation that never returns because its answer never ends.
+func TestEndlessAnswerToCancel(t *testing.T) {
+	e := newTestEngine(t, func(w http.ResponseWriter, r *http.Request) {
+		for err := error(nil); err == nil; {
+			_, err = w.Write(make([]byte, 1<<20))
+		}
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	if err := e.Cancel(ctx, ident.Make(1, 1)); err != nil {
+		t.Error(err)
+	}
+}
+
 // No input may make the relay pass on more bytes than it has read.
 func FuzzReadStream(f *testing.F) {
 	f.Add("data: a\n\ndata: [DONE]\n\n")
