direct: names and comments of buffers; a long event may arrive with its neighbours

Cause: an event of almost 1 MiB was refused if the read that ended it brought some of the next one. The buffer has room for one read beside the longest event now, as before the budget. resolveBody decides as resolve does; the line answer_unbuffered is written where its buffer is known.

--- a/entry/direct/buffer.go
+++ b/entry/direct/buffer.go
@@ -144,8 +144,8 @@
 type eventBuffer struct {
 	budget *memory.Budget
 	share  float64
-	// bytes is what is held, at most maxEventBytes. Its capacity beyond unbudgetedBytes is granted
-	// by the budget.
+	// bytes is what is held: an unfinished event, and at times the whole events around it that
+	// arrived with it. Its capacity beyond unbudgetedBytes is granted by the budget.
 	bytes []byte
 }
 
@@ -153,8 +153,9 @@
 func (b *eventBuffer) append(p []byte) bool {
 	need := len(b.bytes) + len(p)
 	if need > cap(b.bytes) {
-		size := min(max(2*cap(b.bytes), need, unbudgetedBytes), maxEventBytes)
-		if need > maxEventBytes || !b.grow(size) {
+		const maxBytes = maxEventBytes + relayReadBytes
+		size := min(max(2*cap(b.bytes), need, unbudgetedBytes), maxBytes)
+		if need > maxBytes || !b.grow(size) {
 			return false
 		}
 	}
--- a/entry/direct/plain.go
+++ b/entry/direct/plain.go
@@ -28,7 +28,7 @@
 		return t.sendLongAnswer(answer, a, body)
 	}
 	isFull, err := t.readBody(body, answer, a, w)
-	if replaced, got := t.replaceEndless(a, w, isFull, err); replaced {
+	if replaced, got := t.resolveBody(a, w, isFull, err); replaced {
 		return got
 	}
 	if isFull && mayForward {
@@ -83,10 +83,10 @@
 	return r.r.Read(p)
 }
 
-// replaceEndless decides, once no more of the body is read, whether another attempt takes the place
+// resolveBody decides, once no more of the body is read, whether another attempt takes the place
 // of a, and returns the result of a in that case. Apart from an attempt that is late already, one is
 // replaced that has filled the buffer and seems endless, if another endpoint has room.
-func (t *task) replaceEndless(a *attempt, w *watchdog, isFull bool, err error) (bool, attemptResult) {
+func (t *task) resolveBody(a *attempt, w *watchdog, isFull bool, err error) (bool, attemptResult) {
 	isEndless := isFull && a.seemsEndless()
 	if w.resolve(err == nil && !isEndless) {
 		if t.ctx.Err() == nil {
@@ -106,16 +106,16 @@
 }
 
 // sendLongAnswer forwards an answer that can't be held until it is complete: first what was read of
-// it, if anything, then the rest as it arrives. The bounds limit memory, not the length of answers.
+// it, nil if nothing was, then the rest as it arrives. The bounds limit memory, not the length of answers.
 // From here on a broken answer can't be replaced.
 func (t *task) sendLongAnswer(answer *hop.Answer, a *attempt, first *answerBuffer) attemptResult {
-	t.d.logUnbuffered(t.job, a, answer, first)
 	t.headSent = true
 	stopAbort := sync.OnceFunc(t.abortAtEnd())
 	defer stopAbort()
 	t.sink.Head(answer.Status, answer.Header, answer.Length)
 	var werr error
 	if first != nil {
+		t.d.logUnbuffered(t.job, a, answer, first)
 		werr = first.writeTo(t.sink.Write)
 	}
 	buf := make([]byte, longReadBytes)
@@ -141,11 +141,8 @@
 }
 
 // logUnbuffered records that an answer is forwarded as it arrives, because it can't be held.
-// first holds what was read of it, nil if it is forwarded as it arrives in any case.
+// first holds what was read of it.
 func (d *Director) logUnbuffered(j *Job, a *attempt, answer *hop.Answer, first *answerBuffer) {
-	if first == nil {
-		return
-	}
 	d.cfg.Metrics.Counter("answers_unbuffered").Inc(1)
 	logs.Info(d.cfg.Log, logs.EventAnswerUnbuffered, zap.String("request_id", j.ID), zap.String("endpoint", a.id), zap.Int64("length", answer.Length),
 		zap.Int64("buffered", first.size()), zap.Int64("all_buffered", d.answerMemory.Held()))
