--- a/agent/engine/engine_test.go
+++ b/agent/engine/engine_test.go
@@ -264,7 +264,7 @@
 
 // Guards against a cancellation that never returns because its answer never ends.
 func TestEndlessAnswerToCancel(t *testing.T) {
-	e := newTestEngine(t, func(w http.ResponseWriter, r *http.Request) {
+	e := newTestEngine(t, func(w http.ResponseWriter, _ *http.Request) {
 		for err := error(nil); err == nil; {
 			_, err = w.Write(make([]byte, 1<<20))
 		}
