direct, door: logs and metrics for connections to endpoints and the lag of an entry

The log could not tell why an entry that gets most connections refuses requests: no line had how many connections it has to the endpoint and how many it may have, and nothing told how late the process itself is. Refusals for want of a connection now have connections and connection_limit; connections_short, endpoint_connections and lag_ms are new metrics. No decision uses them.

--- a/entry/direct/direct.go
+++ b/entry/direct/direct.go
@@ -146,6 +146,7 @@
 	}
 	d.view.limitShare = d.limitShare
 	cfg.Metrics.GaugeFunc("answer_bytes", d.answerMemory.Held)
+	cfg.Metrics.GaugeFunc("endpoint_connections", cfg.Client.AllConns)
 	d.stopping, d.markStopping = context.WithCancel(context.Background())
 	return d
 }
--- a/entry/direct/job.go
+++ b/entry/direct/job.go
@@ -181,6 +181,9 @@
 	// attempt ended. SilenceBound is the longest wait before the entry may give up the
 	// attempt, zero if it may not.
 	Silence, SilenceBound time.Duration
+	// Connections is how many connections this entry had to the endpoint when none was left for
+	// the request, ConnectionLimit how many it could have. Both are zero unless none was left.
+	Connections, ConnectionLimit int
 	// Framing is the framing of the last answer. UnfinishedBytes is the size of the unfinished
 	// event with which it ended, if it was a stream.
 	Framing         hop.Framing
--- a/entry/direct/send.go
+++ b/entry/direct/send.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"lycheepond/core/health"
+	"lycheepond/core/meter"
 	"lycheepond/entry/hop"
 )
 
@@ -26,7 +27,12 @@
 		return nil, err
 	}
 	_, knownEntries := t.d.cfg.EntryCounts()
-	answer, err := t.d.cfg.Client.Do(ctx, a.sentAddr, a.connLimit(j.Pool, knownEntries), r)
+	limit := a.connLimit(j.Pool, knownEntries)
+	answer, err := t.d.cfg.Client.Do(ctx, a.sentAddr, limit, r)
+	if errors.Is(err, hop.ErrBusy) {
+		a.placement.Connections, a.placement.ConnectionLimit = t.d.cfg.Client.Conns(a.sentAddr), limit
+		t.d.cfg.Metrics.Counter("connections_short", meter.Label{Key: "pool", Value: j.Pool.Name}).Inc(1)
+	}
 	if err == nil {
 		t.d.observeHead(a, answer)
 	}
--- a/entry/direct/serve_test.go
+++ b/entry/direct/serve_test.go
@@ -8,13 +8,14 @@
 
 	"lycheepond/core/meter"
 	"lycheepond/core/route"
+	"lycheepond/entry/hop"
 )
 
 // One customer is refused again and again while the others are served. If the metrics counted
 // all customers together, they would not show which one it is.
 func TestMetricsPerCustomer(t *testing.T) {
 	set := meter.New()
-	d := New(Config{Metrics: set, Log: zap.NewNop()})
+	d := New(Config{Client: hop.New(), Metrics: set, Log: zap.NewNop()})
 	logResult := func(customer string, res Result) {
 		d.logResult(&Job{ID: "i", Route: &route.Route{Name: "drafts", Timeout: time.Second}, Customer: &route.Customer{Name: customer}, AcceptedAt: time.Now()}, res)
 	}
--- a/entry/door/door.go
+++ b/entry/door/door.go
@@ -123,6 +123,13 @@
 	go func() { serveErrs <- server.Serve(ln) }()
 	go func() { serveErrs <- readyServer.Serve(readyLn) }()
 	defer readyServer.Close()
+	lagCtx, stopLag := context.WithCancel(context.Background())
+	lagEnded := make(chan error, 1)
+	go func() { lagEnded <- s.watchLag(lagCtx) }()
+	defer func() {
+		stopLag()
+		<-lagEnded
+	}()
 	tick := time.NewTicker(time.Second)
 	defer tick.Stop()
 	for {
--- a/entry/hop/hop.go
+++ b/entry/hop/hop.go
@@ -275,6 +275,29 @@
 	h.idleConns = append(h.idleConns, k)
 }
 
+// Conns returns how many connections to addr there are, including idle ones and those being
+// established.
+func (c *Client) Conns(addr string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	h := c.hosts[addr]
+	if h == nil {
+		return 0
+	}
+	return h.openConns
+}
+
+// AllConns is Conns summed over all addresses.
+func (c *Client) AllConns() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := 0
+	for _, h := range c.hosts {
+		n += h.openConns
+	}
+	return int64(n)
+}
+
 // CloseIdle closes the idle connections to an address that no longer belongs to an endpoint.
 func (c *Client) CloseIdle(addr string) {
 	for {
