direct, hop: entries lend each other connections to endpoints

Callers saw: while nine of ten new connections went to one entry, most of its requests were refused beside idle endpoints.

Cause: the limit on connections to an endpoint, max_conns, was divided by the number of entries, whoever used them. An entry with most of the callers had 5 of 34 or 6 of 230 connections to each endpoint. Placement chose endpoints without looking at connections, a request that found none did not wait, and three such endpoints counted as three sends, so that it was refused within 0.1 ms.

Why this works: core/lend gives each unit to one entry at a time. An entry that is short says so in its next tally; its peers lend what they have not used for half a second, after they have closed the idle connections. Loans end with either process, and what is not used goes back. A request waits for a connection, by tier, until its target; it is checked and stamped again before it is sent. Entries that place requests themselves choose among the endpoints to which they have a connection left, and an attempt without one no longer counts as sent.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -42,6 +42,9 @@
 	// RestLeft is the time for which the endpoint must get no requests because it has asked
 	// for a rest.
 	RestLeft time.Duration
+	// NoConnection is set if the entry that sends the request has no connection to the endpoint
+	// left.
+	NoConnection bool
 	// YieldSlots is set if free slots at the endpoint are left to requests that wait at
 	// other entries.
 	YieldSlots bool
@@ -125,8 +128,9 @@
 	Admitted Reason = iota
 	// NoEndpoint means that no endpoint is known or usable.
 	NoEndpoint
-	// Full means that the request would wait too long for a slot, because of the rate limit
-	// or for the end of a rest, or that it has to leave free slots to other requests.
+	// Full means that the request would wait too long for a slot, because of the rate limit,
+	// for a connection or for the end of a rest, or that it has to leave free slots to other
+	// requests.
 	Full
 	// Late means that the first event would come too late.
 	Late
@@ -258,6 +262,10 @@
 	}
 	c.cost = c.firstEvent + e.extraCost(output)
 	mostlyFree := !r.OthersFirst && e.mostlyFree()
+	if e.NoConnection {
+		c.reason, c.excess = Full, c.slotWait
+		return c
+	}
 	if e.Limited && e.AllowedNow <= 0 {
 		c.reason, c.excess, c.slotWait = Full, e.NextAllowedIn, max(c.slotWait, e.NextAllowedIn)
 		return c
--- a/core/logs/event.go
+++ b/core/logs/event.go
@@ -25,6 +25,7 @@
 	EventPeerSilent       Event = "peer_silent"
 	EventProcessPaused    Event = "held_up"
 	EventOwnerLate        Event = "owner_late"
+	EventConnectionsLent  Event = "connections_lent"
 	EventEndpointMoved    Event = "endpoint_moved"
 	EventEndpointLeaving  Event = "endpoint_leaving"
 	EventEndpointRests    Event = "endpoint_rests"
--- a/core/wire/tally.go
+++ b/core/wire/tally.go
@@ -53,12 +53,14 @@
 	ConfigAhead int64
 	// Parts holds parts of prompts that may have crashed endpoints.
 	Parts []SuspectPart
+	// Lending is nil unless the sender has something to tell about what entries use together.
+	Lending *Lending
 }
 
 // HasChanges reports whether the tally contains anything besides the information that
 // its sender is alive.
 func (t *Tally) HasChanges() bool {
-	return len(t.Customers)+len(t.Endpoints)+len(t.Queues)+len(t.Freshness)+len(t.Suspects)+len(t.Limits)+len(t.Rollouts)+len(t.Leaving)+len(t.Rests)+len(t.Parts) > 0
+	return len(t.Customers)+len(t.Endpoints)+len(t.Queues)+len(t.Freshness)+len(t.Suspects)+len(t.Limits)+len(t.Rollouts)+len(t.Leaving)+len(t.Rests)+len(t.Parts) > 0 || t.Lending != nil
 }
 
 // Suspect is the sender's report on a request that may have crashed endpoints. Its
@@ -223,6 +225,30 @@
 	Total    float64
 }
 
+// Lending is the sender's report on what entries use together, as package lend defines it.
+type Lending struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	// Incarnation identifies the sender's process.
+	Incarnation uint64
+	Wants       []LendingWant
+	Loans       []Loan
+}
+
+// LendingWant says how many more units of a resource the sender asks all of its peers for.
+type LendingWant struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	Resource string
+	Units    uint32
+}
+
+// Loan is the total that the sender has lent of a resource to a process of a peer.
+type Loan struct {
+	_msgpack        struct{} `msgpack:",as_array"`
+	Resource, Peer  string
+	PeerIncarnation uint64
+	Total           uint32
+}
+
 // EndpointLoad is the sender's in-flight load at an endpoint.
 type EndpointLoad struct {
 	_msgpack struct{} `msgpack:",as_array"`
--- a/core/wire/tally_test.go
+++ b/core/wire/tally_test.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"reflect"
 	"testing"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -55,13 +56,14 @@
 	freshness := []Freshness{{Content: SnapshotConfig, AgeMS: 5, RefreshID: 1 << 31}}
 	suspects := []Suspect{{Fingerprint: []byte("fingerprint"), CompletedAgoMS: -1, Crashes: []Crash{{Endpoint: "e", AgeMS: 5}}}}
 	parts := []SuspectPart{{Customer: "c", Part: "p", Suspect: suspects[0]}}
+	lending := &Lending{Incarnation: 1 << 63, Wants: []LendingWant{{Resource: "e@7", Units: 6}}, Loans: []Loan{{Resource: "e@7", Peer: "b", PeerIncarnation: 9, Total: 5}}}
 	rollouts := []Rollout{{Pool: "p", Target: "v2", Cells: []RolloutCell{{Route: "r", Answers: 3}}}}
-	later, err := msgpack.Marshal([]any{"a", 3, 4, nil, nil, nil, uint64(9), true, nil, nil, uint64(1) << 40, freshness, uint32(800), suspects, []Limit{{Endpoint: "e", RequestsPerSecond: 2.5}}, rollouts, []LeavingEndpoint{{Endpoint: "e", Incarnation: 7}}, []Rest{{Start: "e@7", LeftMS: 900}}, int64(33), parts, []string{"new"}, 7})
+	later, err := msgpack.Marshal([]any{"a", 3, 4, nil, nil, nil, uint64(9), true, nil, nil, uint64(1) << 40, freshness, uint32(800), suspects, []Limit{{Endpoint: "e", RequestsPerSecond: 2.5}}, rollouts, []LeavingEndpoint{{Endpoint: "e", Incarnation: 7}}, []Rest{{Start: "e@7", LeftMS: 900}}, int64(33), parts, lending, []string{"new"}, 7})
 	if err != nil {
 		t.Fatal(err)
 	}
 	got := new(Tally)
-	if err := msgpack.Unmarshal(later, got); err != nil || got.Seq != 9 || got.UptimeMS != 1<<40 || len(got.Freshness) != 1 || got.Freshness[0] != freshness[0] || got.Capacity != 800 || len(got.Suspects) != 1 || got.Suspects[0].Crashes[0] != suspects[0].Crashes[0] || len(got.Limits) != 1 || got.Limits[0].RequestsPerSecond != 2.5 || len(got.Rollouts) != 1 || got.Rollouts[0].Cells[0].Answers != 3 || len(got.Leaving) != 1 || got.Leaving[0].Incarnation != 7 || len(got.Rests) != 1 || got.Rests[0].LeftMS != 900 || got.ConfigAhead != 33 || len(got.Parts) != 1 || got.Parts[0].Part != "p" || got.Parts[0].Suspect.Crashes[0] != suspects[0].Crashes[0] {
+	if err := msgpack.Unmarshal(later, got); err != nil || got.Seq != 9 || got.UptimeMS != 1<<40 || len(got.Freshness) != 1 || got.Freshness[0] != freshness[0] || got.Capacity != 800 || len(got.Suspects) != 1 || got.Suspects[0].Crashes[0] != suspects[0].Crashes[0] || len(got.Limits) != 1 || got.Limits[0].RequestsPerSecond != 2.5 || len(got.Rollouts) != 1 || got.Rollouts[0].Cells[0].Answers != 3 || len(got.Leaving) != 1 || got.Leaving[0].Incarnation != 7 || len(got.Rests) != 1 || got.Rests[0].LeftMS != 900 || got.ConfigAhead != 33 || len(got.Parts) != 1 || got.Parts[0].Part != "p" || got.Parts[0].Suspect.Crashes[0] != suspects[0].Crashes[0] || !reflect.DeepEqual(got.Lending, lending) {
 		t.Errorf("a later tally is read as %+v, %v", got, err)
 	}
 	if err := msgpack.Unmarshal([]byte{0x92, 0xa1, 'a', 3}, new(Tally)); err == nil {
@@ -69,6 +71,20 @@
 	}
 }
 
+// Guards against a report of loans that a peer cannot read, or that is not sent for want of other
+// changes: the peer would never get the units that its lender has given up.
+func TestTallyWithLending(t *testing.T) {
+	sent := &Tally{Addr: "a", Lending: &Lending{Incarnation: 3, Wants: []LendingWant{{Resource: "e@7", Units: 6}}}}
+	b, err := sent.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	got := new(Tally)
+	if err := msgpack.Unmarshal(b, got); err != nil || !got.HasChanges() || !reflect.DeepEqual(got.Lending, sent.Lending) {
+		t.Errorf("read as %+v, %v", got, err)
+	}
+}
+
 // Guards against a report on a part of prompts that a peer cannot read.
 func TestTallyWithParts(t *testing.T) {
 	sent := &Tally{Addr: "a", ConfigAhead: 33, Parts: []SuspectPart{{Customer: "c", Part: "p", Suspect: Suspect{CompletedAgoMS: -1, Quarantines: 2}}}}
--- a/core/wire/tallycode.go
+++ b/core/wire/tallycode.go
@@ -10,8 +10,8 @@
 const (
 	// tallyFields is the number of fields of a tally when readers required exactly
 	// this number. The others are the numbers of fields with UptimeMS and Freshness,
-	// Capacity, Suspects, Limits, Rollouts, Leaving, Rests, ConfigAhead and Parts appended
-	// in turn.
+	// Capacity, Suspects, Limits, Rollouts, Leaving, Rests, ConfigAhead, Parts and Lending
+	// appended in turn.
 	tallyFields     = 10
 	freshnessFields = tallyFields + 2
 	capacityFields  = freshnessFields + 1
@@ -22,6 +22,7 @@
 	restFields      = leavingFields + 1
 	aheadFields     = restFields + 1
 	partFields      = aheadFields + 1
+	lendingFields   = partFields + 1
 	// moreFieldsMark is added to the names in MissingFrom by a sender that reads
 	// tallies with more than tallyFields fields. No entry has this name, and readers
 	// that require exactly tallyFields only search the list for their own name.
@@ -69,6 +70,8 @@
 	fields := []any{t.Addr, t.ConfigRevision, t.RosterRevision, t.Customers, t.Endpoints, t.Entries, t.Seq, t.Full, t.MissingFrom, t.Queues}
 	n := tallyFields
 	switch {
+	case t.Lending != nil:
+		n = lendingFields
 	case len(t.Parts) > 0:
 		n = partFields
 	case t.ConfigAhead > 0:
@@ -123,7 +126,10 @@
 	if err := e.EncodeInt(t.ConfigAhead); err != nil || n < partFields {
 		return err
 	}
-	return e.Encode(t.Parts)
+	if err := e.Encode(t.Parts); err != nil || n < lendingFields {
+		return err
+	}
+	return e.Encode(t.Lending)
 }
 
 // DecodeMsgpack also reads a tally of an older version, which lacks fields after
@@ -193,7 +199,13 @@
 	if err := d.Decode(&t.Parts); err != nil {
 		return err
 	}
-	for range n - partFields {
+	if n < lendingFields {
+		return nil
+	}
+	if err := d.Decode(&t.Lending); err != nil {
+		return err
+	}
+	for range n - lendingFields {
 		if err := d.Skip(); err != nil {
 			return err
 		}
--- a/entry/direct/attempt.go
+++ b/entry/direct/attempt.go
@@ -15,7 +15,6 @@
 	"lycheepond/core/logs"
 	"lycheepond/core/meter"
 	"lycheepond/core/poison"
-	"lycheepond/core/route"
 	"lycheepond/core/waitq"
 	"lycheepond/core/wire"
 )
@@ -92,9 +91,13 @@
 	candidates := d.view.describeEndpoints(p, endpoints, from, j.Pool, now, d.sinceStart(now))
 	for i, e := range endpoints {
 		candidates[i].Bias = waitq.FixedDraw(d.cfg.Addr, e.ID)
+		// A job that the owner of a shard places waits for its connection once it is placed, because
+		// the owner does not know the connections of the other entries.
+		candidates[i].NoConnection = opts.shard == nil && d.hasNoConn(e, j.Pool)
 		candidates[i].YieldSlots = d.yieldsSlot(e, candidates[i].Slots-candidates[i].Requests, opts.entryShare, now)
 	}
 	dec := admit.Decide(req, candidates)
+	d.recordShortConns(endpoints, candidates, dec)
 	if opts.needsRoom && dec.Endpoint >= 0 && (!candidates[dec.Endpoint].Usable || dec.Endpoint == req.AvoidEndpoint) {
 		// If no other endpoint is usable, the late one is as good as any.
 		dec = admit.Decision{Endpoint: -1, FirstEvent: dec.FirstEvent, SlotWait: dec.SlotWait, Reason: admit.NoEndpoint}
@@ -457,13 +460,3 @@
 	}
 	a.abandon()
 }
-
-// connLimit returns how many connections this entry may have to the endpoint: its share of
-// those that all entries may have together. Zero means that there is no limit.
-func (a *attempt) connLimit(p *route.Pool, entries int) int {
-	if p.MaxConns <= 0 {
-		return 0
-	}
-	// A fifth is left for entries that are not known yet.
-	return max(p.MaxConns*4/5/max(entries, 1), 1)
-}
--- a/entry/direct/direct.go
+++ b/entry/direct/direct.go
@@ -38,8 +38,9 @@
 // Config holds the settings and dependencies of a Director.
 type Config struct {
 	Zone string
-	// Addr is the address at which peers reach this entry.
+	// Addr is the address at which peers reach this entry. Incarnation identifies this process.
 	Addr        string
+	Incarnation uint64
 	RetryBudget RetryBudget
 	// Tolerance is by how much customers may exceed their limits.
 	Tolerance quota.Tolerance
@@ -145,6 +146,7 @@
 		d.refusedShares = cfg.Metrics.CustomerHistograms("customer_share")
 	}
 	d.view.limitShare = d.limitShare
+	d.view.conns = d.newConnLedger()
 	cfg.Metrics.GaugeFunc("answer_bytes", d.answerMemory.Held)
 	cfg.Metrics.GaugeFunc("endpoint_connections", cfg.Client.AllConns)
 	d.stopping, d.markStopping = context.WithCancel(context.Background())
@@ -228,6 +230,7 @@
 	d.mergeRollouts(peer, restarted, t.Rollouts)
 	d.mergeLeaving(peer, t.Leaving)
 	d.mergeRests(peer, restarted, t.Rests)
+	d.mergeLending(peer, restarted, t.Lending)
 	d.dispatchAllQueued()
 }
 
@@ -345,6 +348,7 @@
 			d.cfg.Client.CloseExpired()
 			d.sweepOrigins()
 		}
+		d.settleConns()
 		d.dispatchTimed()
 		d.sweepReturns()
 		d.evaluateRollouts()
--- a/entry/direct/job.go
+++ b/entry/direct/job.go
@@ -181,6 +181,8 @@
 	// attempt ended. SilenceBound is the longest wait before the entry may give up the
 	// attempt, zero if it may not.
 	Silence, SilenceBound time.Duration
+	// ConnWait is how long the request waited for a connection.
+	ConnWait time.Duration
 	// Connections is how many connections this entry had to the endpoint when none was left for
 	// the request, ConnectionLimit how many it could have. Both are zero unless none was left.
 	Connections, ConnectionLimit int
--- a/entry/direct/place.go
+++ b/entry/direct/place.go
@@ -50,6 +50,8 @@
 	Self string
 	// Entries returns the reachable entries, including this one.
 	Entries func() []relay.Entry
+	// IsKnown reports whether an entry may be running. If nil, all may.
+	IsKnown func(entry string) bool
 	// KeepLinks keeps links open to the given entries.
 	KeepLinks func(entries []string)
 	// Send sends a message to an entry; it reports false if there is no link to it.
--- a/entry/direct/poison.go
+++ b/entry/direct/poison.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"cmp"
 	"net/http"
 	"time"
 
@@ -13,7 +14,7 @@
 )
 
 // startID identifies one start of an endpoint.
-func (e *endpoint) startID() string { return e.start().ID() }
+func (e *endpoint) startID() string { return cmp.Or(e.startName, e.start().ID()) }
 
 // probeDelayStep is how much later an entry may send a probe than the entry ranked before it.
 // It is longer than reports take to reach the later entry.
@@ -167,14 +168,15 @@
 	d.applyQuarantineChanges("")
 }
 
-// AddReports adds reports on suspect requests, rate limits, rollouts, leaving endpoints and
-// rests to a tally: the changed ones, and with resend also those that a new peer needs.
+// AddReports adds reports on suspect requests, rate limits, rollouts, leaving endpoints, rests and
+// connections to a tally: the changed ones, and with resend also those that a new peer needs.
 func (d *Director) AddReports(t *wire.Tally, resend bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	t.Suspects, t.Parts = d.suspectReports(resend)
 	t.Limits, t.Rollouts = d.limitReports(resend), d.rolloutReports(resend)
 	t.Leaving, t.Rests = d.leavingReports(resend), d.restReports(resend)
+	t.Lending = d.lendingReport(resend)
 }
 
 // suspectReports returns the reports on suspect requests and parts for a tally. The caller holds
--- a/entry/direct/send.go
+++ b/entry/direct/send.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"lycheepond/core/health"
-	"lycheepond/core/meter"
 	"lycheepond/entry/hop"
 )
 
@@ -22,16 +21,21 @@
 	if t.lastEventID != "" {
 		lastEventID = t.lastEventID
 	}
-	t.d.cfg.StampHeaders(r, AttemptInfo{Endpoint: a.id, Customer: j.Customer, TimeLeft: time.Until(j.End()), LastEventID: lastEventID})
-	if err := t.d.checkSendable(a, j, t.remainingOutput()); err != nil {
+	prepare := func() error {
+		t.d.cfg.StampHeaders(r, AttemptInfo{Endpoint: a.id, Customer: j.Customer, TimeLeft: time.Until(j.End()), LastEventID: lastEventID})
+		return t.d.checkSendable(a, j, t.remainingOutput())
+	}
+	if err := prepare(); err != nil {
 		return nil, err
 	}
-	_, knownEntries := t.d.cfg.EntryCounts()
-	limit := a.connLimit(j.Pool, knownEntries)
-	answer, err := t.d.cfg.Client.Do(ctx, a.sentAddr, limit, r)
+	r.AfterConnWait = func() error {
+		t.d.endConnWait(a)
+		return prepare()
+	}
+	t.d.prepareConn(a, j, r)
+	answer, err := t.d.cfg.Client.Do(ctx, a.sentAddr, r)
 	if errors.Is(err, hop.ErrBusy) {
-		a.placement.Connections, a.placement.ConnectionLimit = t.d.cfg.Client.Conns(a.sentAddr), limit
-		t.d.cfg.Metrics.Counter("connections_short", meter.Label{Key: "pool", Value: j.Pool.Name}).Inc(1)
+		t.d.recordNoConn(a)
 	}
 	if err == nil {
 		t.d.observeHead(a, answer)
@@ -98,7 +102,7 @@
 	switch {
 	case errors.Is(err, hop.ErrBusy):
 		a.withdraw()
-		return attemptResult{result: Result{Reason: "no connection left to the endpoint"}}
+		return attemptResult{hadNoConn: true, result: Result{Reason: "no connection left to the endpoint"}}
 	case errors.Is(err, errLeaving):
 		a.withdraw()
 		return attemptResult{result: Result{Reason: "endpoint is leaving"}}
--- a/entry/direct/serve.go
+++ b/entry/direct/serve.go
@@ -140,6 +140,9 @@
 		if p.Returned > 0 {
 			fields = append(fields, zap.Duration("returned", p.Returned))
 		}
+		if p.ConnWait > 0 {
+			fields = append(fields, zap.Duration("connection_wait", p.ConnWait))
+		}
 		if p.ConnectionLimit > 0 {
 			fields = append(fields, zap.Int("connections", p.Connections), zap.Int("connection_limit", p.ConnectionLimit))
 		}
--- a/entry/direct/task.go
+++ b/entry/direct/task.go
@@ -45,6 +45,8 @@
 	result  Result
 	// wasReceived is set if the endpoint received the job, mayHaveRun if it may have run it.
 	wasReceived, mayHaveRun bool
+	// hadNoConn is set if the job was not sent because no connection to the endpoint was left.
+	hadNoConn bool
 	// next is the attempt that follows, if it already has its placement and its retry.
 	next *attempt
 }
@@ -59,6 +61,10 @@
 		t.sendCount++
 		got := t.runAttempt(a)
 		got.result.Placement = a.placement
+		if got.hadNoConn {
+			t.sendCount--
+		}
+		t.d.dispatchAfterAttempt(a)
 		if got.isFinal {
 			return got.result
 		}
--- a/entry/direct/view.go
+++ b/entry/direct/view.go
@@ -10,6 +10,7 @@
 	"lycheepond/core/drain"
 	"lycheepond/core/fair"
 	"lycheepond/core/health"
+	"lycheepond/core/lend"
 	"lycheepond/core/limit"
 	"lycheepond/core/origin"
 	"lycheepond/core/poison"
@@ -51,13 +52,19 @@
 	table     *route.Table
 	roster    route.Roster
 	endpoints map[string]*endpoint
-	pools     map[string]*pool
-	health    *health.Tracker
-	poison    *poison.Tracker
-	limits    *limit.Limiter
-	quota     *quota.Limiter
-	rollouts  *canary.Controller
-	leaving   *drain.Tracker
+	// starts holds the endpoints by the ID of their start.
+	starts map[string]*endpoint
+	pools  map[string]*pool
+	health *health.Tracker
+	poison *poison.Tracker
+	limits *limit.Limiter
+	// conns holds how many connections to endpoints this entry may have. knownEntries is how many
+	// entries may be running.
+	conns        *lend.Ledger
+	knownEntries int
+	quota        *quota.Limiter
+	rollouts     *canary.Controller
+	leaving      *drain.Tracker
 	// rests holds the rests that endpoints have asked this entry for, peerRests those that
 	// they have asked peers for, as far as these have reported them.
 	rests     rest.Tracker
@@ -121,7 +128,9 @@
 // endpoint is an endpoint with the work in flight there.
 type endpoint struct {
 	route.Endpoint
-	ownWork inFlight
+	// startName is the ID of the endpoint's start, empty if the instance list does not have it.
+	startName string
+	ownWork   inFlight
 	// peerWork is the sum of the peers' work there.
 	peerWork inFlight
 	// reportedOutput is ownWork.outputTokens as last reported to the peers.
@@ -150,6 +159,7 @@
 		e.warmAt = now + listed.ColdFor
 	}
 	e.Endpoint = listed
+	e.startName = e.start().ID()
 }
 
 // movedTimeout is how long an endpoint is skipped after another one has answered at its
@@ -194,7 +204,7 @@
 
 func newView(zone string, rule canary.Limit) *view {
 	return &view{
-		zone: zone, table: route.NewTable(route.Config{}), endpoints: make(map[string]*endpoint),
+		zone: zone, table: route.NewTable(route.Config{}), endpoints: make(map[string]*endpoint), knownEntries: 1,
 		pools: make(map[string]*pool), health: health.New(), poison: poison.New(), limits: limit.New(), quota: quota.New(), rollouts: canary.New(rule), leaving: drain.New(), peerRests: make(map[string]*rest.Tracker),
 		peerLoads: make(map[string]map[string]wire.EndpointLoad), unreportedWork: make(map[string]bool), unreportedUsage: make(map[string]bool),
 		versions: make(map[string]*origin.Versions), streamAge: minStreamAge, queueCounts: newQueueCounts(), tallyAt: make(map[string]time.Time),
@@ -303,6 +313,10 @@
 	for _, e := range v.endpoints {
 		e.Leaving = e.Leaving || v.leaving.IsLeaving(e.start())
 	}
+	v.starts = make(map[string]*endpoint, len(v.endpoints))
+	for _, e := range v.endpoints {
+		v.starts[e.startID()] = e
+	}
 	v.noteVersions(now)
 	v.forgetStaleLimits(now)
 	v.updateVersions(now)
--- a/entry/hop/hop.go
+++ b/entry/hop/hop.go
@@ -90,6 +90,13 @@
 	Body   []byte
 	// AtMostOnce is set for a request that may run at most once.
 	AtMostOnce bool
+	// MaxConnWait is how long the request may wait for a connection if none is left. Rank is its
+	// rank among the requests that wait; the lowest goes first.
+	MaxConnWait time.Duration
+	Rank        int
+	// AfterConnWait is called when a wait for a connection has ended with one. It may change the
+	// header. If it returns an error, the request is not sent.
+	AfterConnWait func() error
 	// MatchAnswer relates an answer with this status and header to the request.
 	MatchAnswer func(status int, h http.Header) Match
 }
@@ -102,10 +109,16 @@
 
 	mu    sync.Mutex
 	hosts map[string]*host
+	// limits holds how many connections there may be to an address, if that is limited.
+	limits map[string]int
+	// short holds the addresses for which a request has waited for a connection.
+	short map[string]bool
 }
 
-// host holds the connections to one address.
+// host holds the connections to one address, of which there is at least one, or a waiting request.
 type host struct {
+	// waiters holds the requests that wait for a connection, in the order in which they get one.
+	waiters []*connWaiter
 	// idleConns holds the connections without a request, the most recently used one last.
 	idleConns []*conn
 	// openConns counts all connections, including idle ones and those being established.
@@ -123,17 +136,18 @@
 		},
 		idSeed: maphash.MakeSeed(),
 		hosts:  make(map[string]*host),
+		limits: make(map[string]int),
+		short:  make(map[string]bool),
 	}
 }
 
-// Do sends a request to addr and returns once the head of its answer has arrived. limit is how
-// many connections this entry may have to addr; zero means no limit. When ctx ends, the
-// connection is closed, which makes the endpoint stop its work, and the error wraps the cause
+// Do sends a request to addr and returns once the head of its answer has arrived. When ctx ends,
+// the connection is closed, which makes the endpoint stop its work, and the error wraps the cause
 // of ctx.
-func (c *Client) Do(ctx context.Context, addr string, limit int, r *Request) (*Answer, error) {
+func (c *Client) Do(ctx context.Context, addr string, r *Request) (*Answer, error) {
 	idHash := maphash.String(c.idSeed, r.ID)
 	for {
-		k, isNew, err := c.acquire(ctx, addr, limit, r.AtMostOnce, idHash)
+		k, isNew, err := c.acquire(ctx, addr, r, idHash)
 		if err != nil {
 			return nil, err
 		}
@@ -161,26 +175,24 @@
 	if err != nil {
 		return errors.Join(ErrNotSent, err)
 	}
-	c.reserveConn(addr, 0)
+	c.mu.Lock()
+	c.host(addr).openConns++
+	c.mu.Unlock()
 	c.returnIdle(newConn(c, addr, nc))
 	return nil
 }
 
 // acquire returns an idle connection that has not carried the request, or establishes a new
 // one. isNew is set for a new one.
-func (c *Client) acquire(ctx context.Context, addr string, limit int, atMostOnce bool, idHash uint64) (k *conn, isNew bool, err error) {
-	if k := c.acquireIdle(addr, atMostOnce, idHash); k != nil {
+func (c *Client) acquire(ctx context.Context, addr string, r *Request, idHash uint64) (k *conn, isNew bool, err error) {
+	if k := c.acquireIdle(addr, r.AtMostOnce, idHash); k != nil {
 		return k, false, nil
 	}
-	if !c.reserveConn(addr, limit) {
-		// The idle connections that are left have carried the request.
-		k := c.popOldestIdle(addr)
-		if k == nil {
-			return nil, false, ErrBusy
-		}
-		k.close()
-		if !c.reserveConn(addr, limit) {
-			return nil, false, ErrBusy
+	// The idle connections that are left have carried the request.
+	if !c.reserveConn(addr) {
+		k, err := c.awaitConn(ctx, addr, r, idHash)
+		if k != nil || err != nil {
+			return k, false, err
 		}
 	}
 	nc, err := c.dialer.DialContext(ctx, "tcp", addr)
@@ -199,14 +211,19 @@
 		if k == nil {
 			return nil
 		}
-		idle := time.Since(k.idleSince)
-		if idle < k.idleTimeout && (!atMostOnce || idle < maxIdleForOnce) && k.isQuiet() {
+		if k.isUsable(atMostOnce) {
 			return k
 		}
 		k.close()
 	}
 }
 
+// isUsable reports whether an idle connection may carry another request.
+func (k *conn) isUsable(atMostOnce bool) bool {
+	idle := time.Since(k.idleSince)
+	return idle < k.idleTimeout && (!atMostOnce || idle < maxIdleForOnce) && k.isQuiet()
+}
+
 // popIdle removes and returns the most recently used idle connection that has not carried the
 // request, or nil.
 func (c *Client) popIdle(addr string, idHash uint64) *conn {
@@ -241,38 +258,73 @@
 	return k
 }
 
-// reserveConn counts a new connection and reports whether the limit allows it.
-func (c *Client) reserveConn(addr string, limit int) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
+// host returns the state of an address. The caller holds c.mu and adds a connection or a waiter.
+func (c *Client) host(addr string) *host {
 	h := c.hosts[addr]
 	if h == nil {
 		h = new(host)
 		c.hosts[addr] = h
 	}
-	if limit > 0 && h.openConns >= limit {
+	return h
+}
+
+// reserveConn counts a new connection, in place of an idle one if need be, and reports whether the
+// limit allows it.
+func (c *Client) reserveConn(addr string) bool {
+	c.mu.Lock()
+	h := c.host(addr)
+	if len(h.waiters) > 0 {
+		c.mu.Unlock()
 		return false
 	}
-	h.openConns++
-	return true
+	evicted, ok := c.reserveLocked(addr, h)
+	c.mu.Unlock()
+	if evicted != nil {
+		evicted.net.Close()
+	}
+	return ok
+}
+
+// reserveLocked counts a new connection if the limit allows it. evicted is the idle connection that
+// it replaces, which the caller must close without counting it. The caller holds c.mu.
+func (c *Client) reserveLocked(addr string, h *host) (evicted *conn, ok bool) {
+	limit := c.limits[addr]
+	switch {
+	case limit <= 0 || h.openConns < limit:
+		h.openConns++
+		return nil, true
+	case h.openConns == limit && len(h.idleConns) > 0:
+		return h.removeIdle(0), true
+	}
+	return nil, false
 }
 
 func (c *Client) releaseConn(addr string) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	h := c.hosts[addr]
-	if h.openConns--; h.openConns == 0 {
-		delete(c.hosts, addr)
-	}
+	h.openConns--
+	evicted := c.serveWaiters(addr, h)
+	c.mu.Unlock()
+	closeAll(evicted)
 }
 
 // returnIdle makes a connection available again after a complete answer.
 func (c *Client) returnIdle(k *conn) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	k.idleSince = time.Now()
 	h := c.hosts[k.addr]
 	h.idleConns = append(h.idleConns, k)
+	evicted := c.closeBeyondLimit(k.addr, h)
+	evicted = append(evicted, c.serveWaiters(k.addr, h)...)
+	c.mu.Unlock()
+	closeAll(evicted)
+}
+
+// closeAll closes connections that are no longer counted.
+func closeAll(conns []*conn) {
+	for _, k := range conns {
+		k.net.Close()
+	}
 }
 
 // Conns returns how many connections to addr there are, including idle ones and those being
@@ -298,8 +350,10 @@
 	return int64(n)
 }
 
-// CloseIdle closes the idle connections to an address that no longer belongs to an endpoint.
+// CloseIdle closes the idle connections to an address that no longer belongs to an endpoint, and
+// ends its limit.
 func (c *Client) CloseIdle(addr string) {
+	c.SetLimit(addr, 0)
 	for {
 		k := c.popOldestIdle(addr)
 		if k == nil {
--- a/entry/hop/hop_test.go
+++ b/entry/hop/hop_test.go
@@ -57,7 +57,7 @@
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
-	a, err := c.Do(ctx, addr, 0, r)
+	a, err := c.Do(ctx, addr, r)
 	if err != nil {
 		return "", err
 	}
@@ -171,8 +171,9 @@
 		}
 	})
 	c := New()
+	c.SetLimit(addr, 1)
 	for range 3 {
-		a, err := c.Do(t.Context(), addr, 1, newRequest("a"))
+		a, err := c.Do(t.Context(), addr, newRequest("a"))
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -341,7 +342,7 @@
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	time.AfterFunc(20*time.Millisecond, cancel)
-	if _, err := New().Do(ctx, addr, 0, newRequest("a")); err == nil {
+	if _, err := New().Do(ctx, addr, newRequest("a")); err == nil {
 		t.Fatal("got an answer after the cancellation")
 	}
 	select {
@@ -366,7 +367,7 @@
 		})
 		ctx, cancel := context.WithCancelCause(context.Background())
 		time.AfterFunc(20*time.Millisecond, func() { cancel(cause) })
-		a, err := New().Do(ctx, addr, 0, newRequest("a"))
+		a, err := New().Do(ctx, addr, newRequest("a"))
 		if headSent && err == nil {
 			_, err = io.ReadAll(a)
 			a.Close()
--- a/entry/mesh/mesh.go
+++ b/entry/mesh/mesh.go
@@ -307,6 +307,14 @@
 	return reachable, known
 }
 
+// IsKnown reports whether an entry may be running.
+func (m *Mesh) IsKnown(entry string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	p := m.peers[entry]
+	return p != nil && p.isKnown()
+}
+
 // ReachablePeers returns the names of the reachable entries except this one.
 func (m *Mesh) ReachablePeers() []string {
 	m.mu.Lock()
