lend: an entry stays short until it has said so

A shortage was forgotten after 100 ms. Tallies of large fleets are further apart than that (135 ms with 28 entries, a second with 420), so that some were never told. It is now kept until the report that tells it.

--- a/core/lend/lend.go
+++ b/core/lend/lend.go
@@ -29,8 +29,6 @@
 	// wantPeriod is the time between two reports that an entry is short of a resource. The loans
 	// for the first one arrive within it.
 	wantPeriod = 150 * time.Millisecond
-	// shortPeriod is how long an entry counts as short of a resource after a request found none.
-	shortPeriod = 100 * time.Millisecond
 	// minWanted is the smallest number of units that an entry asks for. It asks for as many as it
 	// has, if that is more.
 	minWanted = 4
@@ -106,9 +104,10 @@
 	// peakUse is the largest use since peakSince, previousPeak that in the period before.
 	peakUse, previousPeak int
 	peakSince             time.Duration
-	// shortUntil is until when the entry is short of the resource. wantedAt is when it last said
-	// so.
-	shortUntil, wantedAt time.Duration
+	// isShort is set if a request has found no unit left, at shortAt, since the entry last said so,
+	// at wantedAt.
+	isShort           bool
+	shortAt, wantedAt time.Duration
 	// listedAt is when the resource was last listed.
 	listedAt time.Duration
 }
@@ -121,7 +120,7 @@
 func (l *Ledger) account(resource string) *account {
 	a := l.accounts[resource]
 	if a == nil {
-		a = &account{lent: make(map[string]int), borrowed: make(map[string]int), unreported: make(map[string]bool), wantedAt: math.MinInt64 / 2, listedAt: math.MaxInt64}
+		a = &account{lent: make(map[string]int), borrowed: make(map[string]int), unreported: make(map[string]bool), shortAt: math.MinInt64 / 2, wantedAt: math.MinInt64 / 2, listedAt: math.MaxInt64}
 		l.accounts[resource] = a
 	}
 	return a
@@ -180,7 +179,8 @@
 
 // RecordShort records that a request found no unit of a resource left.
 func (l *Ledger) RecordShort(now time.Duration, resource string) {
-	l.account(resource).shortUntil = now + shortPeriod
+	a := l.account(resource)
+	a.isShort, a.shortAt = true, now
 }
 
 // Report returns what to tell the peers: what the entry is short of and the loans that have
@@ -188,8 +188,8 @@
 func (l *Ledger) Report(now time.Duration, resend bool) Report {
 	r := Report{Incarnation: l.cfg.Incarnation}
 	for resource, a := range l.accounts {
-		if now < a.shortUntil && now-a.wantedAt >= wantPeriod {
-			a.wantedAt = now
+		if a.isShort && now-a.wantedAt >= wantPeriod {
+			a.isShort, a.wantedAt = false, now
 			r.Wants = append(r.Wants, Want{Resource: resource, Units: max(l.Units(resource), minWanted)})
 		}
 		for peer, total := range a.lent {
@@ -253,7 +253,7 @@
 	l.returnedAt = now
 	for resource, a := range l.accounts {
 		n := min(a.balance, (l.spare(now, resource, a)+returnDivisor-1)/returnDivisor)
-		if n <= 0 || now < a.shortUntil {
+		if n <= 0 || now-a.shortAt < returnPeriod {
 			continue
 		}
 		n = l.release(resource, n)
