direct: what counts from the send begins after the wait for a connection

The time in which the head of an answer is awaited began before the wait for a connection, so that a request that waited would be replaced early and its endpoint be counted as silent. A replacement without a connection counted as sent. A limit stayed in force after an operator had removed max_conns, and an entry that had just started divided by one until its first round. TestRequestIsCheckedAfterWaitForConnection covers the checks after the wait; the rest has no test of its own.

--- a/entry/direct/conns.go
+++ b/entry/direct/conns.go
@@ -75,6 +75,7 @@
 // request of an attempt may wait for one.
 func (d *Director) prepareConn(a *attempt, j *Job, r *hop.Request) {
 	if j.Pool.MaxConns <= 0 {
+		d.cfg.Client.SetLimit(a.sentAddr, 0)
 		return
 	}
 	d.mu.Lock()
--- a/entry/direct/conns_test.go
+++ b/entry/direct/conns_test.go
@@ -54,7 +54,7 @@
 			close(first)
 		})
 		task := &task{d: h.d, job: j, caller: t.Context(), ctx: t.Context()}
-		answer, err := task.sendRequest(t.Context(), a)
+		answer, err := task.sendRequest(task.newExchange(a))
 		if err == nil {
 			answer.Close()
 		}
--- a/entry/direct/replace.go
+++ b/entry/direct/replace.go
@@ -25,6 +25,8 @@
 	attempt *attempt
 	ctx     context.Context
 	cancel  context.CancelCauseFunc
+	// afterConnWait, if not nil, is called when the request is sent after a wait for a connection.
+	afterConnWait func()
 	// done is closed once answer and err are set. It is used only for replacements.
 	done   chan struct{}
 	answer *hop.Answer
@@ -41,7 +43,7 @@
 // was launched as a replacement: then it waits for that exchange.
 func (x *exchange) awaitAnswer() (*hop.Answer, error) {
 	if x.attempt.exchange == nil {
-		return x.task.sendRequest(x.ctx, x.attempt)
+		return x.task.sendRequest(x)
 	}
 	<-x.done
 	return x.answer, x.err
@@ -77,7 +79,7 @@
 	defer close(w.senderDone)
 	for x := range w.replacements {
 		overlapTimer := time.AfterFunc(maxOverlap, func() { w.switchTo(x) })
-		x.answer, x.err = w.task.sendRequest(x.ctx, x.attempt)
+		x.answer, x.err = w.task.sendRequest(x)
 		if x.err == nil && w.task.isUsable(x.answer) {
 			w.switchTo(x)
 		}
@@ -117,7 +119,9 @@
 // dropReplacement removes a replacement that ended with the result got. The caller holds w.mu.
 func (w *watchdog) dropReplacement(replacement *attempt, got attemptResult) {
 	w.replacement = nil
-	w.sendCount++
+	if !got.hadNoConn {
+		w.sendCount++
+	}
 	if got.mayHaveRun {
 		w.runCount++
 	}
--- a/entry/direct/replace_test.go
+++ b/entry/direct/replace_test.go
@@ -126,7 +126,7 @@
 	next, _ := h.d.placeJob(w.task.job, placementOptions{avoidID: a.id, entryShare: 1})
 	h.d.mu.Unlock()
 	x := w.task.newExchange(a)
-	answer, err := w.task.sendRequest(x.ctx, a)
+	answer, err := w.task.sendRequest(x)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/entry/direct/send.go
+++ b/entry/direct/send.go
@@ -1,7 +1,6 @@
 package direct
 
 import (
-	"context"
 	"errors"
 	"net/http"
 	"time"
@@ -10,9 +9,9 @@
 	"lycheepond/entry/hop"
 )
 
-// sendRequest sends the job to the endpoint and returns the head of the answer.
-func (t *task) sendRequest(ctx context.Context, a *attempt) (*hop.Answer, error) {
-	j := t.job
+// sendRequest sends the job to the endpoint of an exchange and returns the head of the answer.
+func (t *task) sendRequest(x *exchange) (*hop.Answer, error) {
+	j, a := t.job, x.attempt
 	r := &hop.Request{
 		ID: j.ID, Method: j.Method, Target: j.Target, Host: j.Host, Header: j.Header.Clone(), Body: j.Body,
 		AtMostOnce: j.Route.AtMostOnce(), MatchAnswer: func(status int, h http.Header) hop.Match { return t.d.cfg.MatchAnswer(j.ID, status, h) },
@@ -30,10 +29,13 @@
 	}
 	r.AfterConnWait = func() error {
 		t.d.endConnWait(a)
+		if x.afterConnWait != nil {
+			x.afterConnWait()
+		}
 		return prepare()
 	}
 	t.d.prepareConn(a, j, r)
-	answer, err := t.d.cfg.Client.Do(ctx, a.sentAddr, r)
+	answer, err := t.d.cfg.Client.Do(x.ctx, a.sentAddr, r)
 	if errors.Is(err, hop.ErrBusy) {
 		t.d.recordNoConn(a)
 	}
@@ -46,7 +48,11 @@
 // awaitUsableAnswer returns the answer if it may be forwarded, and otherwise the result of the
 // attempt.
 func (t *task) awaitUsableAnswer(x *exchange, a *attempt, w *watchdog) (*hop.Answer, attemptResult) {
-	w.startWait(t.headTimeout(a), awaitHead)
+	awaitFromNow := func() { w.startWait(t.headTimeout(a), awaitHead) }
+	if a.exchange == nil {
+		x.afterConnWait = awaitFromNow
+	}
+	awaitFromNow()
 	answer, err := x.awaitAnswer()
 	w.endWait()
 	usable := err == nil && t.isUsable(answer)
--- a/entry/direct/wait.go
+++ b/entry/direct/wait.go
@@ -55,6 +55,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	_, knownEntries := d.cfg.EntryCounts()
+	d.view.knownEntries = knownEntries
 	p := d.view.pool(j.Pool.Name, d.cfg.RetryBudget, knownEntries)
 	if j.version.isSet {
 		// Owners of shards choose among all versions.
