--- a/core/lend/lend.go
+++ b/core/lend/lend.go
@@ -1,4 +1,5 @@
-// Package lend moves what entries may use together to the entries that need it.
+// Package lend moves units of what entries may use together, such as the connections to an endpoint,
+// to the entries that need them.
 //
 // An endpoint accepts a number of connections from all entries together. If each entry had a fixed
 // part of them, an entry that gets most of the callers would refuse requests for want of
@@ -136,14 +137,6 @@
 	return base
 }
 
-// Balance returns how many more units of a resource the entry has borrowed than lent.
-func (l *Ledger) Balance(resource string) int {
-	if a := l.accounts[resource]; a != nil {
-		return a.balance
-	}
-	return 0
-}
-
 // RecordUse records that the entry uses n units of a resource.
 func (l *Ledger) RecordUse(now time.Duration, resource string, n int) {
 	a := l.account(resource)
--- a/entry/direct/conns.go
+++ b/entry/direct/conns.go
@@ -23,7 +23,8 @@
 	connsNumerator, connsDivisor = 4, 5
 )
 
-// newConnLedger returns the ledger of the connections to endpoints.
+// newConnLedger returns the ledger of the connections to endpoints, each of which is a resource under
+// the ID of its start. Its functions are called with d.mu held.
 func (d *Director) newConnLedger() *lend.Ledger {
 	return lend.New(lend.Config{
 		Self: d.cfg.Peers.Self, Incarnation: d.cfg.Incarnation,
