direct: no request waits for a connection whose limit was removed

Found by reading. A job keeps the pool of the configuration with which it was read. If the operator removes max_conns, or the pool, before it is placed, it has no units under the new configuration, and zero was taken for none left: it was refused as full. Zero means no limit now. TestRemovedLimitRefusesNothing fails before ("refused: full").

--- a/entry/direct/conns.go
+++ b/entry/direct/conns.go
@@ -69,7 +69,12 @@
 // hasNoConn reports whether the requests of this entry use all connections that it may have to the
 // endpoint. The caller holds d.mu.
 func (d *Director) hasNoConn(e *endpoint, p *route.Pool) bool {
-	return p.MaxConns > 0 && d.usedConns(e) >= d.view.conns.Units(e.startID())
+	if p.MaxConns <= 0 {
+		return false
+	}
+	// A configuration that is newer than the job's may have no limit.
+	limit := d.view.conns.Units(e.startID())
+	return limit > 0 && d.usedConns(e) >= limit
 }
 
 // prepareConn puts the entry's limit on connections to the endpoint in force and sets how long the
--- a/entry/direct/conns_test.go
+++ b/entry/direct/conns_test.go
@@ -11,6 +11,20 @@
 	"lycheepond/entry/hop"
 )
 
+// Guards against a request that is refused for want of a connection after the operator has removed
+// the limit: its job still has the pool of the configuration before.
+func TestRemovedLimitRefusesNothing(t *testing.T) {
+	h := newHarness(t, route.Route{Attempts: 1, Target: time.Minute, Timeout: time.Minute}, newTestEndpoint(t, func(_ *testEndpoint, c net.Conn, _ *http.Request) {
+		writeWhole(c, http.StatusOK, "ok")
+	}))
+	before := route.Pool{Name: "p", MaxConns: 10}
+	now := time.Now()
+	j := &Job{ID: "x", Route: &h.cfg.Routes[0], Pool: &before, AcceptedAt: now, Deadline: now.Add(time.Minute)}
+	if _, dec := h.d.admitJob(t.Context(), j); dec.Endpoint < 0 {
+		t.Errorf("refused: %v", dec.Reason)
+	}
+}
+
 // Guards against a request that waits for a connection and is then sent to an endpoint that has begun
 // to leave, or with the time that was left before the wait.
 func TestRequestIsCheckedAfterWaitForConnection(t *testing.T) {
