hop: an answer without a length ends only after the request was written

Callers got part of an answer as a complete one: an endpoint answered a long upload at once with a 200 without a length, sent part of the body and reset the connection while the request was still being written.

Cause: the kernel reports the reset of a connection once. When the goroutine that writes the rest of the request got the ECONNRESET, the reader of the body got an end of file, which is the proper end of a body without a length.

Evidence: TestResetDuringUploadBreaksAnswer, real entry, 600 requests of 9 to 900 KB to endpoints that read 0 to 128 KB of them and reset after 0 to 30 ms.

Such an end now counts only if the whole request has been written without an error. The reader waits for the upload, so that an endpoint that answers early, ends its side and reads the rest still gives a whole answer (TestEarlyAnswerThatIsWholeIsComplete; early answers with a length or chunks are whole as before). A write to a reset connection fails at once, and the end of the request's context ends it. What is broken is answered 502 or repeated on another endpoint as before, and counts as broken for the endpoint.

--- a/entry/hop/conn.go
+++ b/entry/hop/conn.go
@@ -119,12 +119,13 @@
 		}
 		return nil, errors.Join(ErrUnknown, cancelCause(ctx, err))
 	}
-	var bodyWritten chan error
-	if !isInline {
-		bodyWritten = make(chan error, 1)
+	body := &upload{done: make(chan struct{})}
+	if isInline {
+		close(body.done)
+	} else {
 		go func() {
-			_, err := k.net.Write(r.Body)
-			bodyWritten <- err
+			_, body.err = k.net.Write(r.Body)
+			close(body.done)
 		}()
 	}
 	resp, err := k.readAnswer(r)
@@ -134,11 +135,29 @@
 	}
 	return &Answer{
 		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Framing: framingOf(resp),
-		conn: k, body: resp.Body, closesConn: resp.Close, bodyWritten: bodyWritten, stopCancel: stopCancel,
+		conn: k, body: resp.Body, closesConn: resp.Close, upload: body, stopCancel: stopCancel,
 		replaceErr: func(err error) error { return cancelCause(ctx, err) },
 	}, nil
 }
 
+// upload is the body of a request that is written while its answer is read. done is closed at its
+// end, after err has been set.
+type upload struct {
+	done chan struct{}
+	err  error
+}
+
+// isComplete reports whether the body has been written. An endpoint that answered before reading
+// it would take the rest of it for the next request.
+func (u *upload) isComplete() bool {
+	select {
+	case <-u.done:
+		return u.err == nil
+	default:
+		return false
+	}
+}
+
 // cancelCause returns the cause of ctx if the end of ctx made an exchange fail with err, and
 // otherwise err. Cancelled reads and dials fail like timeouts; without the cause they would
 // look like failures of the endpoint.
@@ -260,10 +279,8 @@
 	isComplete bool
 	// closesConn is set if the endpoint closes the connection after this answer.
 	closesConn bool
-	// bodyWritten receives the result of writing the request's body. It is nil if the body was
-	// written before the answer was read.
-	bodyWritten chan error
-	stopCancel  func() bool
+	upload     *upload
+	stopCancel func() bool
 	// replaceErr returns the cause of the request's context in place of an error of the
 	// connection if that context has ended.
 	replaceErr func(error) error
@@ -273,6 +290,9 @@
 // cause of the request's context if that has ended.
 func (a *Answer) Read(p []byte) (int, error) {
 	n, err := a.body.Read(p)
+	if err == io.EOF {
+		err = a.checkEnd()
+	}
 	if err == io.EOF {
 		a.isComplete = true
 		return n, err
@@ -280,6 +300,20 @@
 	return n, a.replaceErr(err)
 }
 
+// checkEnd returns io.EOF if the end of the body is its proper end. The kernel reports a reset
+// connection once, to a read or a write; after it has told the upload, the answer's connection
+// seems to end in order. Without any other mark of the body's end, it must wait for the upload.
+func (a *Answer) checkEnd() error {
+	if a.Framing != ByConnection {
+		return io.EOF
+	}
+	<-a.upload.done
+	if a.upload.err != nil {
+		return fmt.Errorf("hop: the connection ended before the request was written: %w", a.upload.err)
+	}
+	return io.EOF
+}
+
 // Buffered reports whether more of the body has already arrived, so that a reader that
 // forwards it can delay flushing.
 func (a *Answer) Buffered() bool { return a.conn.r.Buffered() > 0 }
@@ -293,7 +327,7 @@
 func (a *Answer) Close() {
 	stopped := a.stopCancel()
 	k := a.conn
-	if !stopped || !a.isComplete || a.closesConn || !a.isBodySent() || k.r.Buffered() > 0 || k.mayRepeat || len(k.carried) >= maxRequestsPerConn {
+	if !stopped || !a.isComplete || a.closesConn || !a.upload.isComplete() || k.r.Buffered() > 0 || k.mayRepeat || len(k.carried) >= maxRequestsPerConn {
 		k.close()
 		return
 	}
@@ -318,20 +352,6 @@
 	io.CopyN(io.Discard, a, maxDiscardBytes+1)
 }
 
-// isBodySent reports whether the request's body has been written. An endpoint that answered
-// before reading the body would take the rest of it for the next request.
-func (a *Answer) isBodySent() bool {
-	if a.bodyWritten == nil {
-		return true
-	}
-	select {
-	case err := <-a.bodyWritten:
-		return err == nil
-	default:
-		return false
-	}
-}
-
 // keepAliveTimeout returns how long a connection may be idle, according to the endpoint's
 // Keep-Alive header.
 func keepAliveTimeout(h http.Header) time.Duration {
