hop: an answer has a status from 100 to 599

Callers got answers of endpoints in trouble: a status 000, 099 or +12 was skipped and what followed it on the connection was passed on, a status 101 likewise; 600 and 999 were passed on as they came.

Cause: net/http accepts every status of three characters that is a number, and readAnswer took every status below 200 for an interim response.

RFC 9110 (15) has statuses of 100 to 599, and 101 answers an Upgrade, which is never sent. Interim responses, 299 and 599 are passed on as before (TestOddHeadIsAnswer).

--- a/entry/hop/conn.go
+++ b/entry/hop/conn.go
@@ -13,6 +13,8 @@
 	"strings"
 	"syscall"
 	"time"
+
+	"lycheepond/core/strict"
 )
 
 const (
@@ -189,6 +191,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if err := strict.CheckStatus(resp); err != nil {
+			return nil, err
+		}
 		if resp.StatusCode < 200 {
 			// An interim response does not count as an answer to another request.
 			continue
