hop: the names of an answer's fields are tokens

Callers got answers of endpoints in trouble: with a blank in the name of a field, in the head, in an interim response or in the trailer, the answer was passed on without that line. After "Content-Length : 8" and "Transfer-Encoding : chunked" they also got another body than the endpoint's: more bytes than its length, and the sizes of its chunks.

Cause: net/textproto keeps a name that holds a blank as it is, so net/http doesn't find the framing under it, and the server side of net/http leaves such a line out when it writes.

Evidence: TestMalformedHeadIsNoAnswer on the three kinds of routes. Refused before and kept as cases: a tab, NUL, DEL, 0x01 or 0xff in a name, in interim responses and trailers too, an empty name, no colon, NUL and CR in a value, two lengths, a signed length, an unknown encoding.

RFC 9110 (5.6.2) has the characters of a name, RFC 9112 (5.1) forbids the blank before the colon. Such an answer is none, as for its status; after a malformed trailer it is broken. All characters of a token, folded and empty values, and trailers are accepted as before (TestOddHeadIsAnswer).

--- a/core/strict/strict.go
+++ b/core/strict/strict.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 )
 
 // CheckStatus returns an error if resp has a status that no answer can have: one outside of 100 to
@@ -18,3 +19,17 @@
 	}
 	return nil
 }
+
+// CheckNames returns an error if a name in h, the fields of a head or of a trailer, is no token.
+func CheckNames(h http.Header) error {
+	for name := range h {
+		if name == "" || strings.ContainsFunc(name, func(c rune) bool { return !isTokenChar(c) }) {
+			return fmt.Errorf("strict: answer with the malformed field name %q", name)
+		}
+	}
+	return nil
+}
+
+func isTokenChar(c rune) bool {
+	return '0' <= c && c <= '9' || 'a' <= c && c <= 'z' || 'A' <= c && c <= 'Z' || strings.ContainsRune("!#$%&'*+-.^_`|~", c)
+}
--- a/entry/hop/conn.go
+++ b/entry/hop/conn.go
@@ -137,7 +137,7 @@
 	}
 	return &Answer{
 		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Framing: framingOf(resp),
-		conn: k, body: resp.Body, closesConn: resp.Close, upload: body, stopCancel: stopCancel,
+		conn: k, resp: resp, upload: body, stopCancel: stopCancel,
 		replaceErr: func(err error) error { return cancelCause(ctx, err) },
 	}, nil
 }
@@ -191,7 +191,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if err := strict.CheckStatus(resp); err != nil {
+		if err := errors.Join(strict.CheckStatus(resp), strict.CheckNames(resp.Header)); err != nil {
 			return nil, err
 		}
 		if resp.StatusCode < 200 {
@@ -222,7 +222,7 @@
 	}
 	switch _, err := io.CopyN(io.Discard, resp.Body, maxDiscardBytes+1); err {
 	case io.EOF:
-		return nil
+		return strict.CheckNames(resp.Trailer)
 	case nil:
 		return errLongForeignAnswer
 	default:
@@ -279,11 +279,9 @@
 	Framing Framing
 
 	conn *conn
-	body io.Reader
+	resp *http.Response
 	// isComplete is set once the body has been read to its proper end.
 	isComplete bool
-	// closesConn is set if the endpoint closes the connection after this answer.
-	closesConn bool
 	upload     *upload
 	stopCancel func() bool
 	// replaceErr returns the cause of the request's context in place of an error of the
@@ -294,7 +292,7 @@
 // Read reads the body. It returns io.EOF only at the proper end of a complete body, and the
 // cause of the request's context if that has ended.
 func (a *Answer) Read(p []byte) (int, error) {
-	n, err := a.body.Read(p)
+	n, err := a.resp.Body.Read(p)
 	if err == io.EOF {
 		err = a.checkEnd()
 	}
@@ -309,6 +307,9 @@
 // connection once, to a read or a write; after it has told the upload, the answer's connection
 // seems to end in order. Without any other mark of the body's end, it must wait for the upload.
 func (a *Answer) checkEnd() error {
+	if err := strict.CheckNames(a.resp.Trailer); err != nil {
+		return err
+	}
 	if a.Framing != ByConnection {
 		return io.EOF
 	}
@@ -332,7 +333,7 @@
 func (a *Answer) Close() {
 	stopped := a.stopCancel()
 	k := a.conn
-	if !stopped || !a.isComplete || a.closesConn || !a.upload.isComplete() || k.r.Buffered() > 0 || k.mayRepeat || len(k.carried) >= maxRequestsPerConn {
+	if !stopped || !a.isComplete || a.resp.Close || !a.upload.isComplete() || k.r.Buffered() > 0 || k.mayRepeat || len(k.carried) >= maxRequestsPerConn {
 		k.close()
 		return
 	}
