hop: an answer's version is HTTP/1

Cause: net/http accepts any two digits as the version of an answer. On a connection of HTTP/1 the major version is 1 (RFC 9110, 2.5); what the sender of another one meant, and how it framed the body, isn't known. A higher minor version is accepted as before (HTTP/1.7 in TestOddHeadIsAnswer).

--- a/core/strict/strict.go
+++ b/core/strict/strict.go
@@ -8,10 +8,12 @@
 	"strings"
 )
 
-// CheckStatus returns an error if resp has a status that no answer can have: one outside of 100 to
-// 599, or 101, which answers a request for an upgrade.
-func CheckStatus(resp *http.Response) error {
+// CheckStatusLine returns an error if resp has a version other than HTTP/1, or a status that no
+// answer can have: one outside of 100 to 599, or 101, which answers a request for an upgrade.
+func CheckStatusLine(resp *http.Response) error {
 	switch status := resp.StatusCode; {
+	case resp.ProtoMajor != 1:
+		return fmt.Errorf("strict: answer with version %s on a connection of HTTP/1", resp.Proto)
 	case status < 100 || status > 599:
 		return fmt.Errorf("strict: answer with status %03d, which HTTP doesn't define", status)
 	case status == http.StatusSwitchingProtocols:
--- a/entry/hop/conn.go
+++ b/entry/hop/conn.go
@@ -191,7 +191,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if err := errors.Join(strict.CheckStatus(resp), strict.CheckNames(resp.Header)); err != nil {
+		if err := errors.Join(strict.CheckStatusLine(resp), strict.CheckNames(resp.Header)); err != nil {
 			return nil, err
 		}
 		if resp.StatusCode < 200 {
