hop: an answer of HTTP/1.0 has no Transfer-Encoding

Callers got the sizes of chunks as a part of the body, and the body as complete: an endpoint answered with the version HTTP/1.0 and with chunks.

Cause: net/http removes Transfer-Encoding from such a head and reads the body to the end of the connection, or to its length.

HTTP/1.0 with a length (TestOddHeadIsAnswer) and without one (TestUnframedAnswerThatIsWholeIsComplete) is an answer as before.

RFC 9112 (6.1): the framing of such a message is faulty, even if it has a length. The head is kept as it arrived only for an answer that begins with HTTP/1.0, since the parsed one doesn't show the field any more.

--- a/core/strict/strict.go
+++ b/core/strict/strict.go
@@ -3,6 +3,7 @@
 package strict
 
 import (
+	"bytes"
 	"fmt"
 	"net/http"
 	"strings"
@@ -32,6 +33,22 @@
 	return nil
 }
 
+// CheckEncoding returns an error if resp is of HTTP/1.0 and has a Transfer-Encoding, which only
+// HTTP/1.1 defines. head is its head as it was received: net/http drops the field and takes the
+// encoded body for the body.
+func CheckEncoding(resp *http.Response, head []byte) error {
+	if resp.ProtoAtLeast(1, 1) {
+		return nil
+	}
+	for line := range bytes.Lines(head) {
+		name, _, isField := bytes.Cut(line, []byte(":"))
+		if isField && bytes.EqualFold(name, []byte("Transfer-Encoding")) {
+			return fmt.Errorf("strict: answer of %s with a Transfer-Encoding", resp.Proto)
+		}
+	}
+	return nil
+}
+
 func isTokenChar(c rune) bool {
 	return '0' <= c && c <= '9' || 'a' <= c && c <= 'z' || 'A' <= c && c <= 'Z' || strings.ContainsRune("!#$%&'*+-.^_`|~", c)
 }
--- a/entry/hop/conn.go
+++ b/entry/hop/conn.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -49,6 +50,9 @@
 	// may still arrive.
 	readsHead     bool
 	headBytesLeft int
+	// recordsHead is set while what arrives with a head of HTTP/1.0 is also kept in head.
+	recordsHead bool
+	head        []byte
 	// idleSince is when the last answer ended, idleTimeout how long the connection may be idle
 	// after that.
 	idleSince   time.Time
@@ -77,6 +81,9 @@
 	}
 	n, err := k.net.Read(p[:min(len(p), k.headBytesLeft)])
 	k.headBytesLeft -= n
+	if k.recordsHead {
+		k.head = append(k.head, p[:n]...)
+	}
 	return n, err
 }
 
@@ -181,9 +188,7 @@
 func (k *conn) readAnswer(r *Request) (*http.Response, error) {
 	k.headBytesLeft = maxHeadBytes
 	for skipped := 0; skipped < maxForeignAnswers; {
-		k.readsHead = true
-		resp, err := http.ReadResponse(k.r, &http.Request{Method: r.Method})
-		k.readsHead = false
+		resp, err := k.readHead(r)
 		if err != nil && k.headBytesLeft <= 0 {
 			// The parser reports the cut line instead.
 			return nil, errLongHead
@@ -191,9 +196,6 @@
 		if err != nil {
 			return nil, err
 		}
-		if err := errors.Join(strict.CheckStatusLine(resp), strict.CheckNames(resp.Header)); err != nil {
-			return nil, err
-		}
 		if resp.StatusCode < 200 {
 			// An interim response does not count as an answer to another request.
 			continue
@@ -215,6 +217,31 @@
 	return nil, errors.New("hop: too many answers to other requests")
 }
 
+// readHead reads one head, of an answer or of an interim response.
+func (k *conn) readHead(r *Request) (*http.Response, error) {
+	k.readsHead = true
+	defer func() { k.readsHead, k.recordsHead, k.head = false, false, nil }()
+	version, err := k.r.Peek(len("HTTP/1.0"))
+	if err == io.EOF {
+		err = io.ErrUnexpectedEOF
+	}
+	if err != nil {
+		return nil, err
+	}
+	if string(version) == "HTTP/1.0" {
+		buffered, _ := k.r.Peek(k.r.Buffered())
+		k.recordsHead, k.head = true, slices.Clone(buffered)
+	}
+	resp, err := http.ReadResponse(k.r, &http.Request{Method: r.Method})
+	if err != nil {
+		return nil, err
+	}
+	if err := errors.Join(strict.CheckStatusLine(resp), strict.CheckNames(resp.Header)); err != nil || !k.recordsHead {
+		return resp, err
+	}
+	return resp, strict.CheckEncoding(resp, k.head[:len(k.head)-k.r.Buffered()])
+}
+
 // skipBody reads the body of an answer to another request.
 func skipBody(resp *http.Response) error {
 	if resp.ContentLength > maxDiscardBytes {
