agent: an answer without a length doesn't end with a reset

As at entries, a part of a service's answer without a length counted as complete when the service reset the connection during the upload of the request.

Cause: the kernel reports the reset once; when net/http's write of the request got it, the reader of the body got an end of file.

Engines' answers were not affected if they are JSON or a stream, which must end with its last event.

A connection of a call now remembers a failed write, and a read that gets the end of the file waits for the write in progress and returns its error. An end in order comes without such an error.

--- a/agent/call/guard.go
+++ b/agent/call/guard.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"fmt"
+	"io"
 	"net"
+	"sync"
 	"sync/atomic"
 )
 
@@ -30,35 +33,57 @@
 	return context.WithValue(ctx, guardKey{}, g)
 }
 
-// Dial opens a connection. If ctx carries a guard, the guard is checked before
-// the first write.
+// Dial opens a connection that carries one request. If ctx carries a guard, the guard is checked
+// before the first write.
 func Dial(ctx context.Context, network, addr string) (net.Conn, error) {
-	conn, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, network, addr)
+	nc, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, network, addr)
 	if err != nil {
 		return nil, err
 	}
-	if g, ok := ctx.Value(guardKey{}).(*Guard); ok {
-		return &guardedConn{Conn: conn, guard: g}, nil
-	}
-	return conn, nil
+	g, _ := ctx.Value(guardKey{}).(*Guard)
+	return &conn{Conn: nc, guard: g}, nil
 }
 
-type guardedConn struct {
+// conn is a connection to an endpoint. One goroutine reads from it, and one writes to it.
+type conn struct {
 	net.Conn
+	// guard is nil if nothing is to be checked.
 	guard *Guard
-	// checked is set by the first write that passes the check. Only one
-	// goroutine writes.
+	// checked is set by the first write that passes the check of the guard.
 	checked bool
+	// mu is held during each write and guards writeErr, the error of the last one.
+	mu       sync.Mutex
+	writeErr error
 }
 
 // Write checks the guard before the first byte.
-func (c *guardedConn) Write(p []byte) (int, error) {
-	if !c.checked {
+func (c *conn) Write(p []byte) (int, error) {
+	if c.guard != nil && !c.checked {
 		if err := c.guard.Check(); err != nil {
 			c.guard.blocked.Store(true)
 			return 0, err
 		}
 		c.checked = true
 	}
-	return c.Conn.Write(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n, err := c.Conn.Write(p)
+	c.writeErr = err
+	return n, err
+}
+
+// Read returns io.EOF only if the endpoint has ended the connection in order. The kernel reports a
+// reset connection once, to a read or a write; if a write got the error, reads get the end of the
+// file, which would complete an answer without a length.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if err != io.EOF {
+		return n, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.writeErr != nil {
+		return n, fmt.Errorf("call: the connection ended before the request was written: %w", c.writeErr)
+	}
+	return n, io.EOF
 }
--- /dev/null
+++ b/agent/plain/plain_test.go
@@ -0,0 +1,85 @@
+package plain
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"lycheepond/agent/call"
+	"lycheepond/core/ident"
+	"lycheepond/core/wire"
+)
+
+// startService starts a service that answers each connection with text, reads n bytes of the
+// request's body, and ends the connection after a delay; it resets it if n is positive.
+func startService(t *testing.T, serve func(i int) (text string, n int64, delay time.Duration)) *Service {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for i := 0; ; i++ {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			r, err := http.ReadRequest(bufio.NewReader(c))
+			if err == nil {
+				text, n, delay := serve(i)
+				io.WriteString(c, text)
+				io.CopyN(io.Discard, r.Body, n)
+				time.Sleep(delay)
+				if r.ContentLength > n {
+					c.(*net.TCPConn).SetLinger(0)
+				}
+			}
+			c.Close()
+		}
+	}()
+	return New("http://"+ln.Addr().String(), call.NewClient())
+}
+
+// run sends a request with a body of n bytes and returns the result with the answer's status and body.
+func run(s *Service, n int) (res call.Result, status int, body string) {
+	r := &call.Request{ID: ident.Make(1, 1), Method: http.MethodPost, Path: "/x", Body: []byte(strings.Repeat("x", n))}
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	res = s.Run(ctx, r, call.Sink{
+		Head: func(st int, _ []wire.Field) { status = st },
+		Chunk: func(_ context.Context, data []byte) error {
+			body += string(data)
+			return nil
+		},
+	}, call.NewProgress())
+	return res, status, body
+}
+
+// Guards against the part of an answer without a length that counts as complete, after the service
+// has reset the connection during the upload of the request.
+func TestResetDuringUploadBreaksAnswer(t *testing.T) {
+	const requests = 100
+	for name, text := range map[string]string{
+		"text": "HTTP/1.1 200 OK\r\n\r\na part", "no body": "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n", "HTTP/1.0": "HTTP/1.0 200 OK\r\n\r\na part",
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := startService(t, func(i int) (string, int64, time.Duration) {
+				return text, int64(i%3) * (64 << 10), []time.Duration{0, 2, 30}[i/3%3] * time.Millisecond
+			})
+			complete := 0
+			for i := range requests {
+				if res, _, _ := run(s, []int{256, 900}[i%2]<<10); res.Complete {
+					complete++
+				}
+			}
+			if complete > 0 {
+				t.Errorf("%d of %d broken answers are complete", complete, requests)
+			}
+		})
+	}
+}
