agent: malformed answers of endpoints are refused

Cause: agents call with http.Client, which accepts all of these.

core/strict has a Transport with the checks that entries make. Such a call was sent and has no answer, so its outcome is unknown.

--- a/agent/call/call.go
+++ b/agent/call/call.go
@@ -13,6 +13,7 @@
 
 	"lycheepond/core/ident"
 	"lycheepond/core/rest"
+	"lycheepond/core/strict"
 	"lycheepond/core/wire"
 )
 
@@ -114,9 +115,9 @@
 // the request twice, and the agent would not know.
 func NewClient() *http.Client {
 	return &http.Client{
-		Transport: &http.Transport{
+		Transport: strict.New(&http.Transport{
 			DialContext: Dial, DisableKeepAlives: true, DisableCompression: true, Proxy: nil,
-		},
+		}),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
--- a/agent/node.go
+++ b/agent/node.go
@@ -27,6 +27,7 @@
 	"lycheepond/core/meter"
 	"lycheepond/core/queue"
 	"lycheepond/core/spec"
+	"lycheepond/core/strict"
 	"lycheepond/core/wire"
 )
 
@@ -65,7 +66,7 @@
 	incarnation := binary.BigEndian.Uint64(b[:])>>11 | 1
 	n := &node{
 		cfg: cfg, log: logs.New(cfg.Log.Level, cfg.Name), metrics: meter.New(), stdout: os.Stdout,
-		controlClient: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, Proxy: nil}},
+		controlClient: &http.Client{Transport: strict.New(&http.Transport{MaxIdleConnsPerHost: 2, Proxy: nil})},
 	}
 	n.liveKeys = conf.NewLiveKeys(path, cfg.Keys(), conf.AgentKeys)
 	var err error
