plat: malformed answers of the platform are refused

An operator got a delete confirmed, or was told that it had failed for good, by an answer that is none, and a list was taken from one.

Cause: http.Client accepts such answers; a version HTTP/3.7 or a length hidden behind "Content-Length :" with status 200 counted as success, and statuses 000 and 101 as errors that say that a write had no effect.

Now all five deletes are uncertain and all lists fail.

The client uses the checked transport; a write without a usable answer is uncertain, as one whose answer is lost.

--- a/core/plat/client.go
+++ b/core/plat/client.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"lycheepond/core/strict"
 )
 
 const (
@@ -57,9 +59,9 @@
 // New returns a client. It makes no call.
 func New(cfg Config) *Client {
 	if cfg.HTTP == nil {
-		cfg.HTTP = &http.Client{Transport: &http.Transport{
+		cfg.HTTP = &http.Client{Transport: strict.New(&http.Transport{
 			MaxIdleConnsPerHost: 8, IdleConnTimeout: time.Minute, ResponseHeaderTimeout: 2 * time.Minute,
-		}}
+		})}
 	}
 	return &Client{baseURL: strings.TrimRight(cfg.BaseURL, "/"), token: cfg.Token, http: cfg.HTTP}
 }
--- a/core/plat/client_test.go
+++ b/core/plat/client_test.go
@@ -126,3 +126,27 @@
 		}
 	}
 }
+
+// Guards against malformed answers that count as answers: they don't tell whether a write took effect.
+func TestMalformedAnswerIsUncertain(t *testing.T) {
+	for _, text := range []string{
+		"HTTP/1.1 000 x\r\nContent-Length: 2\r\n\r\n{}", "HTTP/1.1 101 x\r\n\r\n", "HTTP/1.1 600 x\r\nContent-Length: 2\r\n\r\n{}",
+		"HTTP/3.7 200 OK\r\nContent-Length: 2\r\n\r\n{}", "HTTP/1.1 200 OK\r\nContent-Length : 1\r\nConnection: close\r\n\r\n{}",
+	} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			if c, _, err := http.NewResponseController(w).Hijack(); err == nil {
+				fmt.Fprint(c, text)
+				c.Close()
+			}
+		}))
+		c := New(Config{BaseURL: server.URL})
+		var uncertain *UncertainError
+		if err := c.Delete(t.Context(), "class", "swap", 3); !errors.As(err, &uncertain) {
+			t.Errorf("%q: Delete: %v, want an UncertainError", text, err)
+		}
+		if _, err := c.List(t.Context(), "class"); err == nil {
+			t.Errorf("%q: List succeeded", text)
+		}
+		server.Close()
+	}
+}
