lychee: malformed answers of processes are refused

An operator's drain counted as done, and a status was shown, by an answer that is none: status 000 or 101, HTTP/3.7, a length hidden behind "Content-Length :".

Cause: the client takes every status below 300 for success, and http.Client accepts the rest.

Evidence: TestMalformedAnswerIsNoAnswer of lychee/admin: 7 of 10 calls succeeded before, 0 now; 600 was refused before, and 101 has no state to show. The client uses the checked transport, with the settings of the default one.

--- a/lychee/admin/admin.go
+++ b/lychee/admin/admin.go
@@ -13,6 +13,7 @@
 	"github.com/rotisserie/eris"
 
 	"lycheepond/core/report"
+	"lycheepond/core/strict"
 )
 
 // requestTimeout bounds one HTTP request. It can be short, because an
@@ -38,7 +39,7 @@
 // New returns a client. If httpClient is nil, one with default settings is used.
 func New(token string, httpClient *http.Client) *Client {
 	if httpClient == nil {
-		httpClient = &http.Client{}
+		httpClient = &http.Client{Transport: strict.New(http.DefaultTransport.(*http.Transport).Clone())}
 	}
 	return &Client{token: token, http: httpClient}
 }
