strict: HTTP/2 is allowed where it was negotiated

Agents, plat and lychee negotiate it when their address is an https URL. No run of a whole process showed it.

CheckHead puts the checks of a head together.

--- a/core/strict/strict.go
+++ b/core/strict/strict.go
@@ -9,18 +9,20 @@
 	"strings"
 )
 
-// CheckStatusLine returns an error if resp has a version other than HTTP/1, or a status that no
-// answer can have: one outside of 100 to 599, or 101, which answers a request for an upgrade.
-func CheckStatusLine(resp *http.Response) error {
+// CheckHead returns an error if resp has a version other than HTTP/1, or HTTP/2 where that was
+// negotiated; a status that no answer can have: one outside of 100 to 599, or 101, which answers a
+// request for an upgrade; or a malformed name of a field.
+func CheckHead(resp *http.Response) error {
+	isHTTP2 := resp.TLS != nil && resp.TLS.NegotiatedProtocol == "h2"
 	switch status := resp.StatusCode; {
-	case resp.ProtoMajor != 1:
+	case resp.ProtoMajor != 1 && !isHTTP2:
 		return fmt.Errorf("strict: answer with version %s on a connection of HTTP/1", resp.Proto)
 	case status < 100 || status > 599:
 		return fmt.Errorf("strict: answer with status %03d, which HTTP doesn't define", status)
 	case status == http.StatusSwitchingProtocols:
 		return fmt.Errorf("strict: answer with status %d to a request without Upgrade", status)
 	}
-	return nil
+	return CheckNames(resp.Header)
 }
 
 // CheckNames returns an error if a name in h, the fields of a head or of a trailer, is no token.
--- a/core/strict/transport.go
+++ b/core/strict/transport.go
@@ -1,7 +1,6 @@
 package strict
 
 import (
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -43,7 +42,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := errors.Join(CheckStatusLine(resp), CheckNames(resp.Header)); err != nil {
+	if err := CheckHead(resp); err != nil {
 		resp.Body.Close()
 		t.CloseIdleConnections()
 		return nil, err
--- a/entry/hop/conn.go
+++ b/entry/hop/conn.go
@@ -236,7 +236,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := errors.Join(strict.CheckStatusLine(resp), strict.CheckNames(resp.Header)); err != nil || !k.recordsHead {
+	if err := strict.CheckHead(resp); err != nil || !k.recordsHead {
 		return resp, err
 	}
 	return resp, strict.CheckEncoding(resp, k.head[:len(k.head)-k.r.Buffered()])
