strict: no client takes a Transfer-Encoding in HTTP/1.0

As at entries, agents passed on the sizes of chunks as a part of the body of an answer of HTTP/1.0, and the store's client took a write as acknowledged and a list as empty.

Cause: net/http removes Transfer-Encoding from such a head, and its Transport has no place to look at the head before that.

The checked transport wraps its connections and looks at the first head of each. The malformed and the unusual answers of all tests are one table now, core/sample, with all cases for each reader.

--- a/agent/plain/plain_test.go
+++ b/agent/plain/plain_test.go
@@ -12,6 +12,7 @@
 
 	"lycheepond/agent/call"
 	"lycheepond/core/ident"
+	"lycheepond/core/sample"
 	"lycheepond/core/wire"
 )
 
@@ -84,27 +85,26 @@
 	}
 }
 
-// Guards against answers that are passed on although HTTP/1 doesn't allow their head.
-func TestMalformedHeadIsNoAnswer(t *testing.T) {
-	const whole = "Content-Length: 2\r\n\r\nhi"
-	for name, text := range map[string]string{
-		"status 000":                             "HTTP/1.1 000 x\r\n" + whole,
-		"status 099":                             "HTTP/1.1 099 x\r\n" + whole,
-		"status 101":                             "HTTP/1.1 101 x\r\n\r\nhi",
-		"status 600":                             "HTTP/1.1 600 x\r\n" + whole,
-		"HTTP/3.7":                               "HTTP/3.7 200 OK\r\n" + whole,
-		"blank in a name":                        "HTTP/1.1 200 OK\r\nA b: c\r\n" + whole,
-		"blank before a colon":                   "HTTP/1.1 200 OK\r\nContent-Length : 1\r\n\r\nhi",
-		"blank in a name of an interim response": "HTTP/1.1 103 x\r\nA b: c\r\n\r\nHTTP/1.1 200 OK\r\n" + whole,
-		"blank in a name of the trailer":         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\nA b: c\r\n\r\n",
-		"too many interim responses":             strings.Repeat("HTTP/1.1 103 x\r\nA: b\r\n\r\n", 10000) + "HTTP/1.1 200 OK\r\n" + whole,
-		"control byte in a name":                 "HTTP/1.1 200 OK\r\nA\x01b: c\r\n" + whole,
-	} {
-		t.Run(name, func(t *testing.T) {
-			s := startService(t, func(int) (string, int64, time.Duration) { return text, 1, 0 })
-			if res, status, body := run(s, 1); res.Complete || !res.Sent {
+// Guards against answers that are passed on although HTTP/1 doesn't allow them.
+func TestMalformedAnswerIsNoAnswer(t *testing.T) {
+	for _, answer := range append(sample.Malformed("", "hi"), sample.Answer{
+		Name: "too many interim responses", Text: strings.Repeat("HTTP/1.1 103 x\r\nA: b\r\n\r\n", 10000) + "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi",
+	}) {
+		t.Run(answer.Name, func(t *testing.T) {
+			if res, status, body := run(New(sample.Serve(t, answer.Text), call.NewClient()), 1); res.Complete || !res.Sent {
 				t.Errorf("sent %v, complete %v, status %d, %q", res.Sent, res.Complete, status, body)
 			}
 		})
 	}
 }
+
+// Guards against rejecting answers that are unusual but allowed.
+func TestUnusualAnswerIsAnswer(t *testing.T) {
+	for _, answer := range sample.Unusual("", "hi") {
+		t.Run(answer.Name, func(t *testing.T) {
+			if res, status, body := run(New(sample.Serve(t, answer.Text), call.NewClient()), 1); !res.Complete || body != "hi" {
+				t.Errorf("status %d, %q, %v", status, body, res.Err)
+			}
+		})
+	}
+}
--- a/core/strict/strict.go
+++ b/core/strict/strict.go
@@ -35,17 +35,20 @@
 	return nil
 }
 
-// CheckEncoding returns an error if resp is of HTTP/1.0 and has a Transfer-Encoding, which only
-// HTTP/1.1 defines. head is its head as it was received: net/http drops the field and takes the
-// encoded body for the body.
-func CheckEncoding(resp *http.Response, head []byte) error {
-	if resp.ProtoAtLeast(1, 1) {
+// CheckEncoding returns an error if head, what has arrived of an answer so far, begins with a head of
+// HTTP/1.0 that has a Transfer-Encoding, which only HTTP/1.1 defines. net/http drops that field and
+// takes the encoded body for the body.
+func CheckEncoding(head []byte) error {
+	if !bytes.HasPrefix(head, []byte(version10)) {
 		return nil
 	}
 	for line := range bytes.Lines(head) {
 		name, _, isField := bytes.Cut(line, []byte(":"))
 		if isField && bytes.EqualFold(name, []byte("Transfer-Encoding")) {
-			return fmt.Errorf("strict: answer of %s with a Transfer-Encoding", resp.Proto)
+			return fmt.Errorf("strict: answer of %s with a Transfer-Encoding", version10)
+		}
+		if len(bytes.TrimSpace(line)) == 0 {
+			return nil
 		}
 	}
 	return nil
--- a/core/strict/transport.go
+++ b/core/strict/transport.go
@@ -1,8 +1,10 @@
 package strict
 
 import (
+	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
@@ -20,8 +22,23 @@
 // safe for concurrent use.
 type Transport struct{ base *http.Transport }
 
-// New returns a transport that makes its calls with base.
-func New(base *http.Transport) *Transport { return &Transport{base: base} }
+// New returns a transport that makes its calls with base, which must not be used otherwise.
+func New(base *http.Transport) *Transport {
+	dial := base.DialContext
+	if dial == nil {
+		dial = new(net.Dialer).DialContext
+		// Without a dial function, HTTP/2 is on already.
+		base.ForceAttemptHTTP2 = true
+	}
+	base.DialContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		nc, err := dial(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		return &conn{Conn: nc}, nil
+	}
+	return &Transport{base: base}
+}
 
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
--- a/entry/hop/conn.go
+++ b/entry/hop/conn.go
@@ -236,10 +236,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := strict.CheckHead(resp); err != nil || !k.recordsHead {
-		return resp, err
-	}
-	return resp, strict.CheckEncoding(resp, k.head[:len(k.head)-k.r.Buffered()])
+	return resp, errors.Join(strict.CheckHead(resp), strict.CheckEncoding(k.head))
 }
 
 // skipBody reads the body of an answer to another request.
