plat, lychee: answers are read to their end

A delete counted as done, and a list or a status was taken, when the trailer of the answer had a malformed name; the same holds for a body that breaks off after its JSON. The effect on an operator is small: the answer itself was whole.

Cause: a decoder of JSON stops at the end of the value, and a delete's or a drain's answer wasn't read at all.

What follows the JSON is read up to 64 KiB.

--- a/core/plat/client.go
+++ b/core/plat/client.go
@@ -178,12 +178,15 @@
 		c.calls.countErrorStatus(resp.StatusCode)
 		return q.statusError(resp)
 	}
-	if into == nil {
-		return nil
+	if into != nil {
+		if err := json.NewDecoder(io.LimitReader(resp.Body, maxAnswerSize)).Decode(into); err != nil {
+			c.calls.failed.Add(1)
+			return q.callError(eris.Wrap(err, "answer cut short or not JSON"))
+		}
 	}
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxAnswerSize)).Decode(into); err != nil {
+	if err := strict.ReadRest(resp.Body); err != nil {
 		c.calls.failed.Add(1)
-		return q.callError(eris.Wrap(err, "answer cut short or not JSON"))
+		return q.callError(eris.Wrap(err, "answer cut short"))
 	}
 	return nil
 }
--- a/core/plat/client_test.go
+++ b/core/plat/client_test.go
@@ -8,6 +8,8 @@
 	"net/http/httptest"
 	"testing"
 	"time"
+
+	"lycheepond/core/sample"
 )
 
 // newTestClient returns a client of a server that answers every call with f.
@@ -129,24 +131,16 @@
 
 // Guards against malformed answers that count as answers: they don't tell whether a write took effect.
 func TestMalformedAnswerIsUncertain(t *testing.T) {
-	for _, text := range []string{
-		"HTTP/1.1 000 x\r\nContent-Length: 2\r\n\r\n{}", "HTTP/1.1 101 x\r\n\r\n", "HTTP/1.1 600 x\r\nContent-Length: 2\r\n\r\n{}",
-		"HTTP/3.7 200 OK\r\nContent-Length: 2\r\n\r\n{}", "HTTP/1.1 200 OK\r\nContent-Length : 1\r\nConnection: close\r\n\r\n{}",
-	} {
-		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-			if c, _, err := http.NewResponseController(w).Hijack(); err == nil {
-				fmt.Fprint(c, text)
-				c.Close()
+	for _, answer := range sample.Malformed("", "{}") {
+		t.Run(answer.Name, func(t *testing.T) {
+			c := New(Config{BaseURL: sample.Serve(t, answer.Text)})
+			var uncertain *UncertainError
+			if err := c.Delete(t.Context(), "class", "swap", 3); !errors.As(err, &uncertain) {
+				t.Errorf("Delete: %v, want an UncertainError", err)
 			}
-		}))
-		c := New(Config{BaseURL: server.URL})
-		var uncertain *UncertainError
-		if err := c.Delete(t.Context(), "class", "swap", 3); !errors.As(err, &uncertain) {
-			t.Errorf("%q: Delete: %v, want an UncertainError", text, err)
-		}
-		if _, err := c.List(t.Context(), "class"); err == nil {
-			t.Errorf("%q: List succeeded", text)
-		}
-		server.Close()
+			if _, err := c.List(t.Context(), "class"); err == nil {
+				t.Error("List succeeded")
+			}
+		})
 	}
 }
--- a/core/strict/strict.go
+++ b/core/strict/strict.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 )
@@ -54,6 +55,22 @@
 	return nil
 }
 
+// maxRestBytes bounds what may follow the part of a body that a reader needs.
+const maxRestBytes = 64 << 10
+
+// ReadRest reads body to its end. Without that, neither the framing of the rest nor the trailer is
+// checked, and the connection can't be used again.
+func ReadRest(body io.Reader) error {
+	switch _, err := io.CopyN(io.Discard, body, maxRestBytes+1); err {
+	case io.EOF:
+		return nil
+	case nil:
+		return fmt.Errorf("strict: answer with more than %d bytes after its content", maxRestBytes)
+	default:
+		return err
+	}
+}
+
 func isTokenChar(c rune) bool {
 	return '0' <= c && c <= '9' || 'a' <= c && c <= 'z' || 'A' <= c && c <= 'Z' || strings.ContainsRune("!#$%&'*+-.^_`|~", c)
 }
--- a/lychee/admin/admin.go
+++ b/lychee/admin/admin.go
@@ -113,11 +113,11 @@
 	case resp.StatusCode >= http.StatusMultipleChoices:
 		text, _ := io.ReadAll(io.LimitReader(body, 1<<10))
 		return eris.Errorf("%s answered %s: %s", address, resp.Status, strings.TrimSpace(string(text)))
-	case result == nil:
-		return nil
 	}
-	if err := json.NewDecoder(body).Decode(result); err != nil {
-		return eris.Wrapf(err, "%s: answer is not a status, check that it is an admin address", address)
+	if result != nil {
+		if err := json.NewDecoder(body).Decode(result); err != nil {
+			return eris.Wrapf(err, "%s: answer is not a status, check that it is an admin address", address)
+		}
 	}
-	return nil
+	return eris.Wrap(strict.ReadRest(body), address)
 }
