--- a/agent/call/guard.go
+++ b/agent/call/guard.go
@@ -51,7 +51,7 @@
 	guard *Guard
 	// checked is set by the first write that passes the check of the guard.
 	checked bool
-	// mu is held during each write and guards writeErr, the error of the last one.
+	// mu is held during each write and guards writeErr, the error of the latest one.
 	mu       sync.Mutex
 	writeErr error
 }
@@ -73,8 +73,8 @@
 }
 
 // Read returns io.EOF only if the endpoint has ended the connection in order. The kernel reports a
-// reset connection once, to a read or a write; if a write got the error, reads get the end of the
-// file, which would complete an answer without a length.
+// reset connection only once. If a write got that error, reads get io.EOF, which would complete an
+// answer without a length or chunks.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if err != io.EOF {
--- a/agent/plain/plain_test.go
+++ b/agent/plain/plain_test.go
@@ -16,9 +16,9 @@
 	"lycheepond/core/wire"
 )
 
-// startService starts a service that answers each connection with text, reads n bytes of the
-// request's body, and ends the connection after a delay; it resets it if n is positive.
-func startService(t *testing.T, serve func(i int) (text string, n int64, delay time.Duration)) *Service {
+// startResettingService starts a service that answers each request with text, reads 0 to 128 KiB of
+// its body, and resets the connection after 0 to 30 ms.
+func startResettingService(t *testing.T, text string) *Service {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -30,16 +30,12 @@
 			if err != nil {
 				return
 			}
-			r, err := http.ReadRequest(bufio.NewReader(c))
-			if err == nil {
-				text, n, delay := serve(i)
+			if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
 				io.WriteString(c, text)
-				io.CopyN(io.Discard, r.Body, n)
-				time.Sleep(delay)
-				if r.ContentLength > n {
-					c.(*net.TCPConn).SetLinger(0)
-				}
+				io.CopyN(io.Discard, r.Body, int64(i%3)*(64<<10))
+				time.Sleep([]time.Duration{0, 2, 30}[i/3%3] * time.Millisecond)
 			}
+			c.(*net.TCPConn).SetLinger(0)
 			c.Close()
 		}
 	}()
@@ -69,10 +65,7 @@
 		"text": "HTTP/1.1 200 OK\r\n\r\na part", "no body": "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n", "HTTP/1.0": "HTTP/1.0 200 OK\r\n\r\na part",
 	} {
 		t.Run(name, func(t *testing.T) {
-			s := startService(t, func(i int) (string, int64, time.Duration) {
-				return text, int64(i%3) * (64 << 10), []time.Duration{0, 2, 30}[i/3%3] * time.Millisecond
-			})
-			complete := 0
+			s, complete := startResettingService(t, text), 0
 			for i := range requests {
 				if res, _, _ := run(s, []int{256, 900}[i%2]<<10); res.Complete {
 					complete++
--- a/core/strict/conn.go
+++ b/core/strict/conn.go
@@ -33,8 +33,8 @@
 	if err := CheckEncoding(c.head); err != nil {
 		return 0, err
 	}
-	is10 := strings.HasPrefix(version10, string(c.head[:min(len(c.head), len(version10))]))
-	if !is10 || bytes.Contains(c.head, []byte("\n\r\n")) || bytes.Contains(c.head, []byte("\n\n")) {
+	mayBe10 := strings.HasPrefix(version10, string(c.head[:min(len(c.head), len(version10))]))
+	if !mayBe10 || bytes.Contains(c.head, []byte("\n\r\n")) || bytes.Contains(c.head, []byte("\n\n")) {
 		c.isChecked, c.head = true, nil
 	}
 	if len(c.head) > maxHead10Bytes {
--- a/core/strict/transport.go
+++ b/core/strict/transport.go
@@ -27,7 +27,7 @@
 	dial := base.DialContext
 	if dial == nil {
 		dial = new(net.Dialer).DialContext
-		// Without a dial function, HTTP/2 is on already.
+		// A dial function turns HTTP/2 off otherwise.
 		base.ForceAttemptHTTP2 = true
 	}
 	base.DialContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
@@ -61,6 +61,7 @@
 	}
 	if err := CheckHead(resp); err != nil {
 		resp.Body.Close()
+		// Without a body, the answer's connection is idle already.
 		t.CloseIdleConnections()
 		return nil, err
 	}
--- a/entry/hop/conn.go
+++ b/entry/hop/conn.go
@@ -50,9 +50,8 @@
 	// may still arrive.
 	readsHead     bool
 	headBytesLeft int
-	// recordsHead is set while what arrives with a head of HTTP/1.0 is also kept in head.
-	recordsHead bool
-	head        []byte
+	// head10 holds what has arrived of a head of HTTP/1.0 while it is being read, nil otherwise.
+	head10 []byte
 	// idleSince is when the last answer ended, idleTimeout how long the connection may be idle
 	// after that.
 	idleSince   time.Time
@@ -81,8 +80,8 @@
 	}
 	n, err := k.net.Read(p[:min(len(p), k.headBytesLeft)])
 	k.headBytesLeft -= n
-	if k.recordsHead {
-		k.head = append(k.head, p[:n]...)
+	if k.head10 != nil {
+		k.head10 = append(k.head10, p[:n]...)
 	}
 	return n, err
 }
@@ -220,7 +219,7 @@
 // readHead reads one head, of an answer or of an interim response.
 func (k *conn) readHead(r *Request) (*http.Response, error) {
 	k.readsHead = true
-	defer func() { k.readsHead, k.recordsHead, k.head = false, false, nil }()
+	defer func() { k.readsHead, k.head10 = false, nil }()
 	version, err := k.r.Peek(len("HTTP/1.0"))
 	if err == io.EOF {
 		err = io.ErrUnexpectedEOF
@@ -230,13 +229,13 @@
 	}
 	if string(version) == "HTTP/1.0" {
 		buffered, _ := k.r.Peek(k.r.Buffered())
-		k.recordsHead, k.head = true, slices.Clone(buffered)
+		k.head10 = slices.Clone(buffered)
 	}
 	resp, err := http.ReadResponse(k.r, &http.Request{Method: r.Method})
 	if err != nil {
 		return nil, err
 	}
-	return resp, errors.Join(strict.CheckHead(resp), strict.CheckEncoding(k.head))
+	return resp, errors.Join(strict.CheckHead(resp), strict.CheckEncoding(k.head10))
 }
 
 // skipBody reads the body of an answer to another request.
@@ -303,6 +302,7 @@
 	Framing Framing
 
 	conn *conn
+	// resp has the trailer once its body has been read.
 	resp *http.Response
 	// isComplete is set once the body has been read to its proper end.
 	isComplete bool
@@ -327,9 +327,9 @@
 	return n, a.replaceErr(err)
 }
 
-// checkEnd returns io.EOF if the end of the body is its proper end. The kernel reports a reset
-// connection once, to a read or a write; after it has told the upload, the answer's connection
-// seems to end in order. Without any other mark of the body's end, it must wait for the upload.
+// checkEnd returns io.EOF if the body has come to its proper end, and otherwise an error. The kernel
+// reports a reset connection only once. If the upload got that error, reads get io.EOF, which is
+// the only mark of the end of a body without a length or chunks.
 func (a *Answer) checkEnd() error {
 	if err := strict.CheckNames(a.resp.Trailer); err != nil {
 		return err
