--- a/review/stand/client.go
+++ b/review/stand/client.go
@@ -74,10 +74,10 @@
 
 // mayRetry reports whether the pages let a client repeat a call after an attempt.
 func mayRetry(a *attempt, r *call) bool {
-	switch a.status {
-	case 400, 401, 404, 413, 431:
+	switch s := a.status; {
+	case s >= 200 && s < 300, s == 400, s == 401, s == 404, s == 413, s == 431:
 		return false
-	case 429, 503, 408, 421:
+	case s == 429, s == 503, s == 408, s == 421:
 		return true
 	}
 	return r.idempotent || a.isRefused
