--- a/review/second/platform/client.go
+++ b/review/second/platform/client.go
@@ -9,7 +9,6 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
-	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -35,8 +34,6 @@
 	isWhole, isRefused bool
 }
 
-var attemptCount atomic.Int64
-
 // client is a stand-in of a client. It keeps its connection to a node, and follows the pages when
 // it repeats a request: each retry on a new connection, to another node.
 type client struct {
@@ -100,7 +97,6 @@
 	req.Header.Set("Authorization", "Bearer "+r.key)
 	// net/http must not repeat a request by itself.
 	req.GetBody = nil
-	attemptCount.Add(1)
 	c.rec.add("sent %s %s%s to %s", a.id, r.host, r.path, n.name)
 	c.onSend(a, r)
 	resp, err := hc.Do(req)
--- a/review/second/platform/quota.go
+++ b/review/second/platform/quota.go
@@ -189,7 +189,8 @@
 	}
 }
 
-// serveBrief reads the prompt at 112 tokens a ms and streams the output, five tokens an event.
+// serveBrief reads the prompt at 112 tokens a ms and streams events of five tokens, a tenth of the
+// output that the request allows.
 func serveBrief(ctx context.Context, w *worker, c net.Conn, r *http.Request) {
 	prompt, output := tokenCounts(r.Header)
 	pause := func(d time.Duration) bool {
