review: an ended run removes its folder and writes its record

Found by sending SIGTERM to a run: the temporary folder stayed. After it: exit 2, no process and no folder left.

--- a/review/second/platform/deploy.go
+++ b/review/second/platform/deploy.go
@@ -103,6 +103,9 @@
 	if err != nil {
 		return nil, err
 	}
+	tracked.Lock()
+	tracked.dirs = append(tracked.dirs, dir)
+	tracked.Unlock()
 	f := &fleet{dir: dir}
 	// Each machine has an address of its own; the process number keeps runs side by side apart.
 	subnet := 16 + os.Getpid()%200
@@ -154,10 +157,11 @@
 	return "", errors.New("no free port")
 }
 
-// tracked holds the processes that were started.
+// tracked holds the processes that were started, and the temporary folders.
 var tracked struct {
 	sync.Mutex
 	cmds []*exec.Cmd
+	dirs []string
 }
 
 func track(cmd *exec.Cmd) {
@@ -166,13 +170,16 @@
 	tracked.cmds = append(tracked.cmds, cmd)
 }
 
-// killTracked ends all processes that were started and still run.
-func killTracked() {
+// cleanUp ends all processes that were started and still run, and removes the temporary folders.
+func cleanUp() {
 	tracked.Lock()
 	defer tracked.Unlock()
 	for _, cmd := range tracked.cmds {
 		cmd.Process.Kill()
 	}
+	for _, dir := range tracked.dirs {
+		os.RemoveAll(dir)
+	}
 }
 
 // start starts the process, which gets the variables that the platform gives it.
--- a/review/second/platform/main.go
+++ b/review/second/platform/main.go
@@ -42,7 +42,7 @@
 		return exitNotRun
 	}
 	defer r.close()
-	go endOnSignal()
+	go endOnSignal(r)
 	broken, err := cases[os.Args[1]](r, os.Getenv("TROUBLE") != "0")
 	switch {
 	case err != nil:
@@ -57,7 +57,7 @@
 }
 
 // endOnSignal ends the run and all processes that it started on a signal, or when it takes too long.
-func endOnSignal() {
+func endOnSignal(r *record) {
 	c := make(chan os.Signal, 1)
 	signal.Notify(c, os.Interrupt, syscall.SIGTERM)
 	select {
@@ -66,6 +66,7 @@
 	case <-time.After(maxRun):
 		fmt.Fprintln(os.Stderr, "ended after", maxRun)
 	}
-	killTracked()
+	cleanUp()
+	r.close()
 	os.Exit(exitNotRun)
 }
